Add the core types

Cause: every part needs the same words for hosts, pools, services, jobs and records. Conclusion: decisions and messages can now be written against one set of types.

--- /dev/null
+++ b/src/claim/ClaimPolicy.ts
@@ -0,0 +1,8 @@
+import type { Job } from '../job/mod.js';
+import type { ClaimAnswer } from './ClaimAnswer.js';
+
+/** Decides, before the first byte of a job goes to an upstream host, whether it may be sent. */
+export abstract class ClaimPolicy {
+  /** Authorizes one sending of a job. Idempotent jobs and jobs without a key are always granted. */
+  abstract authorize(job: Job): Promise<ClaimAnswer>;
+}
--- /dev/null
+++ b/src/claim/UnclaimedPolicy.ts
@@ -0,0 +1,9 @@
+import type { ClaimAnswer } from './ClaimAnswer.js';
+import { ClaimPolicy } from './ClaimPolicy.js';
+
+/** Grants every job; for a single gateway in tests. */
+export class UnclaimedPolicy extends ClaimPolicy {
+  override async authorize(): Promise<ClaimAnswer> {
+    return { verdict: 'granted' };
+  }
+}
--- /dev/null
+++ b/src/clock/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * Time sources.
+ *
+ * @module
+ */
+export * from './Clock.js';
+export * from './ManualClock.js';
+export * from './SystemClock.js';
--- /dev/null
+++ b/src/dataCentre/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * Data centres and regions.
+ *
+ * @module
+ */
+export * from './DataCentre.js';
--- /dev/null
+++ b/src/finding/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * Findings about an input, collected with their place and reported together.
+ *
+ * @module
+ */
+export * from './Finding.js';
+export * from './FindingsError.js';
+export * from './formatFinding.js';
--- /dev/null
+++ b/src/host/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Hosts: what the inventory says of them and the state in which they are.
+ *
+ * @module
+ */
+export * from './Host.js';
+export * from './HostState.js';
--- /dev/null
+++ b/src/logging/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * Logs as JSON lines.
+ *
+ * @module
+ */
+export * from './createLogger.js';
--- /dev/null
+++ b/src/pool/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * Pools of hosts and their rules.
+ *
+ * @module
+ */
+export * from './Pool.js';
--- /dev/null
+++ b/src/settings/ControllerSettings.ts
@@ -0,0 +1,16 @@
+import { z } from 'zod';
+import { Name } from '../dataCentre/mod.js';
+import { Address } from '../host/mod.js';
+
+/** Settings of a `controller` daemon. */
+export const ControllerSettings = z.strictObject({
+  role: z.literal('controller'),
+  dataCentre: Name,
+  /** Where operators, gateways and other controllers are served. */
+  address: Address,
+  /** Base URL of the platform's log and host list. */
+  platform: z.url(),
+  /** APIs of other controllers. */
+  peers: z.array(Address).default([]),
+});
+export type ControllerSettings = z.infer<typeof ControllerSettings>;
--- /dev/null
+++ b/src/settings/GatewaySettings.ts
@@ -0,0 +1,16 @@
+import { z } from 'zod';
+import { Name } from '../dataCentre/mod.js';
+import { Address } from '../host/mod.js';
+
+/** Settings of a `gateway` daemon. */
+export const GatewaySettings = z.strictObject({
+  role: z.literal('gateway'),
+  dataCentre: Name,
+  /** Where callers are served. */
+  address: Address,
+  /** Where other processes of the system are served. */
+  peerAddress: Address,
+  /** APIs of controllers to follow, in order of preference. */
+  controllers: z.array(Address).min(1),
+});
+export type GatewaySettings = z.infer<typeof GatewaySettings>;
--- /dev/null
+++ b/src/team/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * Teams and their quotas.
+ *
+ * @module
+ */
+export * from './Team.js';
