Serve a request from end to end by separate processes

Change: platform and upstream stand-ins, a log client and writer, the fold, the keeper of the fleet, a controller with a tRPC API, a gateway, and a command line that runs the daemons and loads an inventory.

--- /dev/null
+++ b/src/controller/ControllerClient.ts
@@ -0,0 +1,18 @@
+import { createTRPCClient, httpLink, type TRPCClient } from '@trpc/client';
+import type { ControllerRouter } from './ControllerRouter.js';
+
+/** Typed calls to a controller. */
+export type ControllerClient = TRPCClient<ControllerRouter>;
+
+/**
+ * Creates a client of a controller.
+ *
+ * @param address Address of its API as `IP:port`.
+ * @example
+ * ```ts
+ * const summary = await createControllerClient('127.0.0.1:7100').fleet.query();
+ * ```
+ */
+export function createControllerClient(address: string): ControllerClient {
+  return createTRPCClient<ControllerRouter>({ links: [httpLink({ url: `http://${address}` })] });
+}
--- /dev/null
+++ b/src/controller/splitChange.ts
@@ -0,0 +1,24 @@
+import { randomUUID } from 'node:crypto';
+import type { ConfigChange } from '../record/mod.js';
+import type { ChangeRequest } from './ControllerApi.js';
+
+/** About 250 bytes an operation keep a part below the 64 KiB of a record. */
+const OPERATIONS_PER_PART = 200;
+
+/** Splits a change into parts that fit into records. */
+export function splitChange(request: ChangeRequest): ConfigChange[] {
+  const parts = Math.ceil(request.operations.length / OPERATIONS_PER_PART);
+  const changeId = randomUUID();
+  return Array.from({ length: parts }, (_, index) => ({
+    type: 'config-change',
+    changeId,
+    baseRevision: request.baseRevision,
+    part: index + 1,
+    parts,
+    operations: request.operations.slice(
+      index * OPERATIONS_PER_PART,
+      (index + 1) * OPERATIONS_PER_PART,
+    ),
+    operator: request.operator,
+  }));
+}
--- /dev/null
+++ b/src/fleet/FleetSnapshot.ts
@@ -0,0 +1,43 @@
+import { z } from 'zod';
+import { HostState } from '../host/mod.js';
+import { ConfigChange, OBJECT_SCHEMAS, SessionOpen } from '../record/mod.js';
+
+/** A configured object with the revision at which it last changed. */
+function buildConfigured<Schema extends z.ZodType>(schema: Schema) {
+  return z.object({ object: schema, revision: z.number().int() });
+}
+
+/** A gateway or controller session. Offsets are those of its records. */
+export const SessionState = SessionOpen.omit({ type: true }).extend({
+  openedOffset: z.number().int(),
+  openedTime: z.number(),
+  /** Latest offset that the session has confirmed. */
+  confirmedOffset: z.number().int(),
+});
+export type SessionState = z.infer<typeof SessionState>;
+
+/** The whole state of the fleet at an offset, as plain JSON. */
+export const FleetSnapshot = z.object({
+  /** Offset of the next record to fold. */
+  nextOffset: z.number().int().nonnegative(),
+  /** Platform time of the last record folded. */
+  time: z.number(),
+  /** Offset after the last accepted change of the configuration; 0 for none. */
+  revision: z.number().int().nonnegative(),
+  dataCentres: z.array(buildConfigured(OBJECT_SCHEMAS.dataCentre)),
+  hosts: z.array(buildConfigured(OBJECT_SCHEMAS.host)),
+  pools: z.array(buildConfigured(OBJECT_SCHEMAS.pool)),
+  services: z.array(buildConfigured(OBJECT_SCHEMAS.service)),
+  teams: z.array(buildConfigured(OBJECT_SCHEMAS.team)),
+  /** Revisions at which objects were removed, by `kind/name`. */
+  removed: z.record(z.string(), z.number().int()),
+  hostStates: z.record(z.string(), HostState),
+  sessions: z.array(SessionState),
+  /** Offset that last changed the set of gateway sessions, by data centre. */
+  views: z.record(z.string(), z.number().int()),
+  /** Last sequence folded and its time, by writer. */
+  writers: z.record(z.string(), z.object({ sequence: z.number().int(), time: z.number() })),
+  /** Parts received of changes that are not complete yet, by change id. */
+  pendingChanges: z.record(z.string(), z.array(ConfigChange)),
+});
+export type FleetSnapshot = z.infer<typeof FleetSnapshot>;
--- /dev/null
+++ b/src/fleet/_FleetData.ts
@@ -0,0 +1,127 @@
+import type { HostState } from '../host/mod.js';
+import type { ConfigChange, ObjectKind } from '../record/mod.js';
+import { Configuration, type Configured } from './_Configuration.js';
+import { FleetSnapshot, type SessionState } from './FleetSnapshot.js';
+
+/** A writer that was silent for this long is forgotten; it has long ended. */
+const WRITER_MEMORY_MS = 24 * 3_600_000;
+
+interface WriterState {
+  sequence: number;
+  time: number;
+}
+
+function compareNames([a]: [string, unknown], [b]: [string, unknown]): number {
+  if (a === b) return 0;
+  return a < b ? -1 : 1;
+}
+
+function sortValues<T>(map: Map<string, T>): T[] {
+  return [...map].sort(compareNames).map(([, value]) => value);
+}
+
+function sortEntries<T>(map: Map<string, T>): Record<string, T> {
+  return Object.fromEntries([...map].sort(compareNames));
+}
+
+function restoreObjects<T extends { name: string }>(
+  target: Map<string, Configured<T>>,
+  source: Configured<T>[],
+): void {
+  source.forEach((entry) => target.set(entry.object.name, entry));
+}
+
+/** The mutable data of the fold; only the `_apply` modules change it. */
+export class FleetData {
+  nextOffset = 0;
+
+  time = 0;
+
+  revision = 0;
+
+  readonly configuration = new Configuration();
+
+  readonly hostStates = new Map<string, HostState>();
+
+  readonly sessions = new Map<string, SessionState>();
+
+  readonly views = new Map<string, number>();
+
+  readonly pendingChanges = new Map<string, ConfigChange[]>();
+
+  readonly #writers = new Map<string, WriterState>();
+
+  #writersPrunedAt = 0;
+
+  /** Builds the data from a snapshot. */
+  static fromSnapshot(snapshot: FleetSnapshot): FleetData {
+    const data = new FleetData();
+    const copy = structuredClone(snapshot);
+    data.nextOffset = copy.nextOffset;
+    data.time = copy.time;
+    data.revision = copy.revision;
+    restoreObjects(data.configuration.dataCentre, copy.dataCentres);
+    restoreObjects(data.configuration.host, copy.hosts);
+    restoreObjects(data.configuration.pool, copy.pools);
+    restoreObjects(data.configuration.service, copy.services);
+    restoreObjects(data.configuration.team, copy.teams);
+    Object.entries(copy.removed).forEach(([key, at]) => data.configuration.removed.set(key, at));
+    Object.entries(copy.hostStates).forEach(([name, state]) => data.hostStates.set(name, state));
+    copy.sessions.forEach((session) => data.sessions.set(session.session, session));
+    Object.entries(copy.views).forEach(([name, view]) => data.views.set(name, view));
+    Object.entries(copy.writers).forEach(([name, writer]) => data.#writers.set(name, writer));
+    Object.entries(copy.pendingChanges).forEach(([id, parts]) =>
+      data.pendingChanges.set(id, parts),
+    );
+    return data;
+  }
+
+  /** Lists the open sessions of a role in the order of their ids. */
+  listSessions(role: SessionState['role']): SessionState[] {
+    return sortValues(this.sessions).filter((session) => session.role === role);
+  }
+
+  /** Lists configured objects of a kind in the order of their names. */
+  listObjects<Kind extends ObjectKind>(
+    kind: Kind,
+  ): (Configuration[Kind] extends Map<string, Configured<infer T>> ? T : never)[] {
+    const objects = this.configuration[kind] as Map<string, Configured<never>>;
+    return sortValues(objects).map((entry) => entry.object);
+  }
+
+  /** Takes note of a writer's sequence; false if it was folded before. */
+  claimSequence(writer: string, sequence: number): boolean {
+    const last = this.#writers.get(writer)?.sequence ?? 0;
+    if (sequence <= last) return false;
+    this.#writers.set(writer, { sequence, time: this.time });
+    if (this.time - this.#writersPrunedAt > WRITER_MEMORY_MS) this.#pruneWriters();
+    return true;
+  }
+
+  /** Writes the data as plain JSON in a fixed order. */
+  toSnapshot(): FleetSnapshot {
+    return structuredClone({
+      nextOffset: this.nextOffset,
+      time: this.time,
+      revision: this.revision,
+      dataCentres: sortValues(this.configuration.dataCentre),
+      hosts: sortValues(this.configuration.host),
+      pools: sortValues(this.configuration.pool),
+      services: sortValues(this.configuration.service),
+      teams: sortValues(this.configuration.team),
+      removed: sortEntries(this.configuration.removed),
+      hostStates: sortEntries(this.hostStates),
+      sessions: sortValues(this.sessions),
+      views: sortEntries(this.views),
+      writers: sortEntries(this.#writers),
+      pendingChanges: sortEntries(this.pendingChanges),
+    });
+  }
+
+  #pruneWriters(): void {
+    this.#writersPrunedAt = this.time;
+    [...this.#writers].forEach(([name, writer]) => {
+      if (this.time - writer.time > WRITER_MEMORY_MS) this.#writers.delete(name);
+    });
+  }
+}
--- /dev/null
+++ b/src/fleet/_applyConfigChange.ts
@@ -0,0 +1,85 @@
+import { Configuration } from './_Configuration.js';
+import type { FleetData } from './_FleetData.js';
+import type { ConfigChange, LoggedRecord, Operation } from '../record/mod.js';
+import { formatFinding } from '../finding/mod.js';
+import { ACCEPTED, reject, type Verdict } from './Verdict.js';
+
+function describeObject(operation: Operation): { name: string; key: string } {
+  const name = operation.action === 'put' ? operation.object.name : operation.name;
+  return { name, key: `${operation.kind} "${name}"` };
+}
+
+/** Lists the objects that changed after the revision that the operator saw. */
+function findConflicts(data: FleetData, operations: Operation[], baseRevision: number): string[] {
+  return operations.flatMap((operation) => {
+    const { name, key } = describeObject(operation);
+    const revision = data.configuration.findRevision(operation.kind, name);
+    if (revision <= baseRevision) return [];
+    return [`${key} changed at revision ${revision}, after the base revision ${baseRevision}`];
+  });
+}
+
+function copyConfiguration(from: Configuration): Configuration {
+  const copy = new Configuration();
+  (['dataCentre', 'host', 'pool', 'service', 'team'] as const).forEach((kind) => {
+    const target = copy[kind] as Map<string, unknown>;
+    from[kind].forEach((entry, name) => target.set(name, entry));
+  });
+  return copy;
+}
+
+/** Checks the configuration as it would be after the operations. */
+function checkResult(data: FleetData, operations: Operation[]): string[] {
+  const result = copyConfiguration(data.configuration);
+  operations.forEach((operation) => result.apply(operation, 0));
+  return result.check().map(formatFinding);
+}
+
+function updateHostStates(data: FleetData, operations: Operation[]): void {
+  operations.forEach((operation) => {
+    if (operation.kind !== 'host') return;
+    const { name } = describeObject(operation);
+    if (operation.action === 'remove') data.hostStates.delete(name);
+    else if (!data.hostStates.has(name)) {
+      data.hostStates.set(name, {
+        status: 'live',
+        phase: 'unassigned',
+        drainedBy: [],
+        phaseSince: data.time,
+        statusSince: data.time,
+        maintainedAt: data.time,
+      });
+    }
+  });
+}
+
+function collectParts(data: FleetData, change: ConfigChange): ConfigChange[] | undefined {
+  const parts = data.pendingChanges.get(change.changeId) ?? [];
+  parts.push(change);
+  if (parts.length < change.parts) {
+    data.pendingChanges.set(change.changeId, parts);
+    return undefined;
+  }
+  data.pendingChanges.delete(change.changeId);
+  return parts;
+}
+
+/** Folds a part of a change; the last part makes the whole change take effect, or nothing of it. */
+export function applyConfigChange(
+  data: FleetData,
+  record: LoggedRecord,
+  change: ConfigChange,
+): Verdict {
+  const parts = collectParts(data, change);
+  if (parts === undefined) return ACCEPTED;
+  const operations = parts.flatMap((part) => part.operations);
+  const reasons = findConflicts(data, operations, change.baseRevision);
+  if (reasons.length === 0) reasons.push(...checkResult(data, operations));
+  if (reasons.length > 0) return reject(...reasons);
+  const revision = record.offset + 1;
+  operations.forEach((operation) => data.configuration.apply(operation, revision));
+  updateHostStates(data, operations);
+  // eslint-disable-next-line no-param-reassign -- the fold changes its data in place.
+  data.revision = revision;
+  return ACCEPTED;
+}
--- /dev/null
+++ b/src/gateway/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * The gateway: carries the requests of callers to upstream hosts.
+ *
+ * @module
+ */
+export * from './Gateway.js';
+export * from './GatewayView.js';
+export * from './JobExchange.js';
--- /dev/null
+++ b/src/gateway/sendProblem.ts
@@ -0,0 +1,22 @@
+import type { ServerResponse } from 'node:http';
+import type { HeaderMap } from '../link/stripHeaders.js';
+import type { Problem } from '../job/mod.js';
+
+/** Header that tells the caller what became of its job. */
+export const OUTCOME_HEADER = 'buckthornreach-outcome';
+
+/** Answers a request with a problem document. */
+export function sendProblem(response: ServerResponse, problem: Problem): void {
+  if (response.headersSent) {
+    response.destroy();
+    return;
+  }
+  const headers: HeaderMap = {
+    'content-type': 'application/problem+json',
+    [OUTCOME_HEADER]: problem.outcome,
+  };
+  if (problem.retryAfterSeconds !== undefined) {
+    headers['retry-after'] = String(Math.ceil(problem.retryAfterSeconds));
+  }
+  response.writeHead(problem.status, headers).end(JSON.stringify(problem));
+}
--- /dev/null
+++ b/src/link/stripHeaders.ts
@@ -0,0 +1,40 @@
+import type { IncomingHttpHeaders } from 'node:http';
+
+const HOP_BY_HOP = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+  'expect',
+]);
+const INTERNAL_PREFIX = 'buckthornreach-';
+
+/** Header names and values in the form that `undici` and `http` take. */
+export type HeaderMap = Record<string, string | string[]>;
+
+/**
+ * Copies end-to-end headers; hop-by-hop ones, those named in `Connection` and internal ones are left
+ * out. Own headers are added by the caller of this function afterwards, so that a `Connection`
+ * header can't remove them.
+ *
+ * @example
+ * ```ts
+ * stripHeaders({ connection: 'x-a', 'x-a': '1', 'x-b': '2' }); // { 'x-b': '2' }
+ * ```
+ */
+export function stripHeaders(headers: IncomingHttpHeaders): HeaderMap {
+  const connection = headers.connection ?? '';
+  const named = new Set(connection.split(',').map((name) => name.trim().toLowerCase()));
+  const kept: HeaderMap = {};
+  Object.entries(headers).forEach(([name, value]) => {
+    if (value === undefined || HOP_BY_HOP.has(name) || named.has(name)) return;
+    if (name.startsWith(INTERNAL_PREFIX)) return;
+    kept[name] = value;
+  });
+  return kept;
+}
--- /dev/null
+++ b/src/log/OffsetExpiredError.ts
@@ -0,0 +1,21 @@
+import VError from 'verror';
+
+/** Retention has removed the offset that was asked for. */
+export class OffsetExpiredError extends VError {
+  readonly #earliest: number;
+
+  constructor(stream: string, from: number, earliest: number) {
+    super(
+      { name: 'OffsetExpiredError' },
+      'stream "%s": offset %d has expired, the earliest is %d',
+      stream,
+      from,
+      earliest,
+    );
+    this.#earliest = earliest;
+  }
+
+  get earliest(): number {
+    return this.#earliest;
+  }
+}
--- /dev/null
+++ b/src/standin/PlatformStandin.ts
@@ -0,0 +1,141 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { z } from 'zod';
+import { closeServer, openServer } from '../net/mod.js';
+import { PlatformLog } from './PlatformLog.js';
+
+const DEFAULT_RETENTION_MS = 3_600_000;
+
+/** How the platform misbehaves from now on. */
+export const PlatformFaults = z.object({
+  /** Every call is answered with status 503. */
+  down: z.boolean().default(false),
+  /** Calls wait this long before they take effect. */
+  delayMs: z.number().nonnegative().default(0),
+  /** This many appends take effect but their answer is lost. */
+  loseAnswers: z.number().int().nonnegative().default(0),
+});
+export type PlatformFaults = z.infer<typeof PlatformFaults>;
+
+const AppendCall = z.object({ values: z.array(z.string()) });
+const ListedHost = z.object({ host: z.string(), state: z.enum(['live', 'leaving']) });
+
+async function readBody(request: IncomingMessage): Promise<unknown> {
+  const chunks: Buffer[] = [];
+
+  for await (const chunk of request) chunks.push(chunk as Buffer);
+  const text = Buffer.concat(chunks).toString('utf8');
+  return text === '' ? {} : JSON.parse(text);
+}
+
+/**
+ * A small stand-in for the platform: a log with offsets, a list of hosts, and faults on demand.
+ *
+ * `POST /streams/NAME/entries`, `GET /streams/NAME/entries`, `GET /hosts`, `PUT /hosts`,
+ * `PUT /faults`.
+ */
+export class PlatformStandin {
+  readonly #retentionMs: number;
+
+  readonly #server: Server;
+
+  readonly #streams = new Map<string, PlatformLog>();
+
+  #hosts: z.infer<typeof ListedHost>[] = [];
+
+  #faults = PlatformFaults.parse({});
+
+  constructor(retentionMs = DEFAULT_RETENTION_MS) {
+    this.#retentionMs = retentionMs;
+    this.#server = createServer((request, response) => {
+      this.#handle(request, response).catch((error: Error) => {
+        response.writeHead(400).end(JSON.stringify({ error: error.message }));
+      });
+    });
+  }
+
+  /** Opens the server and returns its address. */
+  open(address = '127.0.0.1:0'): Promise<string> {
+    return openServer(this.#server, address);
+  }
+
+  /** Sets the faults. */
+  setFaults(faults: Partial<PlatformFaults>): void {
+    this.#faults = PlatformFaults.parse(faults);
+  }
+
+  /** Sets the list of hosts. */
+  setHosts(hosts: z.infer<typeof ListedHost>[]): void {
+    this.#hosts = hosts;
+  }
+
+  /** Closes the server. */
+  close(): Promise<void> {
+    return closeServer(this.#server);
+  }
+
+  async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const url = new URL(request.url ?? '/', 'http://platform');
+    const reply = (status: number, body: unknown): void => {
+      response.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify(body));
+    };
+    if (request.method === 'PUT' && url.pathname === '/faults') {
+      this.setFaults(PlatformFaults.parse(await readBody(request)));
+      reply(200, {});
+      return;
+    }
+    if (this.#faults.delayMs > 0) {
+      await new Promise((resolve) => {
+        setTimeout(resolve, this.#faults.delayMs);
+      });
+    }
+    if (this.#faults.down) {
+      reply(503, { error: 'down' });
+      return;
+    }
+    if (url.pathname === '/hosts') {
+      if (request.method === 'PUT')
+        this.setHosts(z.array(ListedHost).parse(await readBody(request)));
+      reply(200, { hosts: this.#hosts });
+      return;
+    }
+    const stream = /^\/streams\/([\w-]+)\/entries$/.exec(url.pathname)?.[1];
+    if (stream === undefined) reply(404, { error: `no such path: ${url.pathname}` });
+    else if (request.method === 'POST') await this.#append(stream, request, response, reply);
+    else await this.#read(stream, url, reply);
+  }
+
+  async #append(
+    stream: string,
+    request: IncomingMessage,
+    response: ServerResponse,
+    reply: (status: number, body: unknown) => void,
+  ): Promise<void> {
+    const { values } = AppendCall.parse(await readBody(request));
+    const firstOffset = this.#openStream(stream).append(values, Date.now());
+    if (this.#faults.loseAnswers > 0) {
+      this.#faults.loseAnswers -= 1;
+      response.destroy();
+      return;
+    }
+    reply(200, { firstOffset });
+  }
+
+  async #read(
+    stream: string,
+    url: URL,
+    reply: (status: number, body: unknown) => void,
+  ): Promise<void> {
+    const log = this.#openStream(stream);
+    const from = Number(url.searchParams.get('from') ?? 0);
+    await log.wait(from, Number(url.searchParams.get('waitMs') ?? 0));
+    const entries = log.read(from, Number(url.searchParams.get('max') ?? 100));
+    if (entries === undefined) reply(410, { earliest: log.earliest });
+    else reply(200, { entries, head: log.head });
+  }
+
+  #openStream(name: string): PlatformLog {
+    const log = this.#streams.get(name) ?? new PlatformLog(this.#retentionMs);
+    this.#streams.set(name, log);
+    return log;
+  }
+}
--- /dev/null
+++ b/src/testing/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Help for tests: waiting for conditions and running processes.
+ *
+ * @module
+ */
+export * from './ProcessGroup.js';
+export * from './waitFor.js';
