Check documents with places, and record events and metrics of each daemon

Cause: settings and inventories were checked one file at a time without cross-checks, and the time line had events of no one.

Change: documents know the place of every value; several files are checked against each other (references, duplicates, budgets, windows, prefixes). Actors record events and latencies through their scope; the keeper and the log writer record folds and proposals, and both daemons serve /-/metrics, /-/timeline and /-/status. Events of requests have a ring of their own.

--- a/src/actor/ActorScope.ts
+++ b/src/actor/ActorScope.ts
@@ -1,8 +1,18 @@
 import { start, stop, type Ref } from 'nact';
+import type { Metrics } from '../metrics/mod.js';
+import type { EventInput, Timeline } from '../timeline/mod.js';
 
 /** Receives the error of a message handler that failed. */
 export type FaultHandler = (actor: string, error: Error) => void;
 
+/** Options of a scope. */
+export interface ActorScopeOptions {
+  /** Where the actors record their events. */
+  timeline?: Timeline;
+  /** Where the actors record latencies and counts. */
+  metrics?: Metrics;
+}
+
 /**
  * The parent of a group of actors, for example of all actors of one daemon.
  *
@@ -18,9 +28,15 @@
 
   readonly #onFault: FaultHandler;
 
-  constructor(name: string, onFault: FaultHandler) {
+  readonly #timeline: Timeline | undefined;
+
+  readonly #metrics: Metrics | undefined;
+
+  constructor(name: string, onFault: FaultHandler, options: ActorScopeOptions = {}) {
     this.#system = start(name);
     this.#onFault = onFault;
+    this.#timeline = options.timeline;
+    this.#metrics = options.metrics;
   }
 
   /** The reference under which `Actor` spawns its mailbox. */
@@ -33,6 +49,21 @@
     this.#onFault(actor, error);
   }
 
+  /** Records an event of the daemon; undefined when the scope has no time line. */
+  recordEvent(event: EventInput): number | undefined {
+    return this.#timeline?.record(event);
+  }
+
+  /** Records a duration in milliseconds. */
+  recordLatency(name: string, ms: number): void {
+    this.#metrics?.recordLatency(name, ms);
+  }
+
+  /** Increases a counter of the daemon. */
+  increaseCounter(name: string, by = 1): void {
+    this.#metrics?.increase(name, by);
+  }
+
   /** Stops every actor of the scope; messages still queued are dropped. */
   close(): void {
     stop(this.#system);
--- a/src/cli/compareDocument.ts
+++ b/src/cli/compareDocument.ts
@@ -1,7 +1,7 @@
 import { isDeepStrictEqual } from 'node:util';
 import type { FleetSnapshot } from '../fleet/mod.js';
 import type { ObjectKind, Operation } from '../record/mod.js';
-import type { FleetDocument } from './FleetDocument.js';
+import type { FleetDocument } from '../settings/mod.js';
 
 interface Named {
   name: string;
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -10,9 +10,8 @@
 import { FindingsError } from '../finding/mod.js';
 import { Gateway } from '../gateway/mod.js';
 import { createLogger } from '../logging/mod.js';
-import { parseDocument, Settings } from '../settings/mod.js';
+import { FleetDocument, parseDocument, Settings } from '../settings/mod.js';
 import { compareDocument } from './compareDocument.js';
-import { FleetDocument } from './FleetDocument.js';
 
 const EXIT_FAILURE = 1;
 const EXIT_USAGE = 2;
--- a/src/controller/Controller.ts
+++ b/src/controller/Controller.ts
@@ -2,6 +2,7 @@
 import { ActorScope, type FaultHandler } from '../actor/mod.js';
 import { FleetFollower, FleetKeeper } from '../fleet/mod.js';
 import { HttpLogClient, LogRecordSource, LogWriter } from '../log/mod.js';
+import type { ProcessObserver } from '../observation/mod.js';
 import { closeServer, openServer } from '../net/mod.js';
 import type { ControllerSettings } from '../settings/mod.js';
 import { ControllerApi } from './ControllerApi.js';
@@ -38,9 +39,9 @@
 
   readonly #server: HttpServer;
 
-  constructor(settings: ControllerSettings, onFault: FaultHandler) {
+  constructor(settings: ControllerSettings, onFault: FaultHandler, observer?: ProcessObserver) {
     this.#settings = settings;
-    this.#scope = new ActorScope('controller', onFault);
+    this.#scope = new ActorScope('controller', onFault, observer);
     this.#keeper = new FleetKeeper(this.#scope);
     this.#writeClient = new HttpLogClient(settings.platform);
     this.#writer = new LogWriter(this.#scope, this.#writeClient);
@@ -50,7 +51,18 @@
     ]);
     this.#planner = new ControllerPlanner(this.#scope, this.#keeper, this.#writer);
     const api = new ControllerApi(this.#keeper, this.#writer);
-    this.#server = createHTTPServer({ router: controllerRouter, createContext: () => ({ api }) });
+    this.#server = createHTTPServer({
+      router: controllerRouter,
+      createContext: () => ({ api }),
+      middleware: (request, response, next) => {
+        if (!observer?.answer(request, response)) next();
+      },
+    });
+    observer?.setStatusReader(async () => ({
+      role: settings.role,
+      dataCentre: settings.dataCentre,
+      ...(await api.readProgress()),
+    }));
   }
 
   /** Opens the API and returns its address. */
--- a/src/controller/ControllerApi.ts
+++ b/src/controller/ControllerApi.ts
@@ -1,13 +1,23 @@
-import type {
-  FleetKeeper,
-  FleetSnapshot,
-  FleetSummary,
-  SinceAnswer,
-  VerdictAnswer,
+import {
+  describeContracts,
+  describeFleet,
+  describeHost,
+  describeWaves,
+  queryFleet,
+  readProgress,
+  type ContractReport,
+  type FleetKeeper,
+  type FleetProgress,
+  type FleetSnapshot,
+  type FleetSummary,
+  type HostReport,
+  type SessionState,
+  type SinceAnswer,
+  type VerdictAnswer,
+  type WaveReport,
 } from '../fleet/mod.js';
 import type { LogWriter, RecordId } from '../log/mod.js';
 import type { Operation, RecordBody } from '../record/mod.js';
-import { DescribeProjector } from './_DescribeProjector.js';
 import { splitChange } from './splitChange.js';
 
 /** How long a proposal may take to come back from the log before the caller is told so. */
@@ -46,10 +56,35 @@
 
   /** Describes the pools of the fleet. */
   describe(): Promise<FleetSummary> {
-    return this.#keeper.ask((reply) => ({
-      type: 'project',
-      projector: new DescribeProjector(reply),
-    }));
+    return queryFleet(this.#keeper, describeFleet);
+  }
+
+  /** Reads which offset and revision are in force. */
+  readProgress(): Promise<FleetProgress> {
+    return readProgress(this.#keeper);
+  }
+
+  /** Describes one host; undefined if the inventory does not have it. */
+  describeHost(name: string): Promise<HostReport | undefined> {
+    return queryFleet(this.#keeper, (fleet) => describeHost(fleet, name));
+  }
+
+  /** Describes the promises of each pool with their margins. */
+  describeContracts(): Promise<ContractReport[]> {
+    return queryFleet(this.#keeper, describeContracts);
+  }
+
+  /** Describes the maintenance waves. */
+  describeWaves(): Promise<WaveReport[]> {
+    return queryFleet(this.#keeper, describeWaves);
+  }
+
+  /** Lists the open sessions. */
+  listSessions(): Promise<SessionState[]> {
+    return queryFleet(this.#keeper, (fleet) => [
+      ...fleet.data.listSessions('controller'),
+      ...fleet.data.listSessions('gateway'),
+    ]);
   }
 
   /** Appends the parts of a change and returns the verdict on the whole. */
--- a/src/controller/ControllerRouter.ts
+++ b/src/controller/ControllerRouter.ts
@@ -1,6 +1,13 @@
 import { initTRPC } from '@trpc/server';
 import { z } from 'zod';
-import { FleetSnapshot } from '../fleet/mod.js';
+import {
+  ContractReport,
+  FleetProgress,
+  FleetSnapshot,
+  HostReport,
+  SessionState,
+  WaveReport,
+} from '../fleet/mod.js';
 import { Operation, RecordBody } from '../record/mod.js';
 import type { ControllerApi } from './ControllerApi.js';
 
@@ -13,6 +20,16 @@
     .query(({ ctx, input }) => ctx.api.readSince(input.offset, input.waitMs)),
   snapshot: t.procedure.output(FleetSnapshot).query(({ ctx }) => ctx.api.readSnapshot()),
   fleet: t.procedure.query(({ ctx }) => ctx.api.describe()),
+  status: t.procedure.output(FleetProgress).query(({ ctx }) => ctx.api.readProgress()),
+  host: t.procedure
+    .input(z.object({ name: z.string() }))
+    .output(HostReport.optional())
+    .query(({ ctx, input }) => ctx.api.describeHost(input.name)),
+  contracts: t.procedure
+    .output(z.array(ContractReport))
+    .query(({ ctx }) => ctx.api.describeContracts()),
+  waves: t.procedure.output(z.array(WaveReport)).query(({ ctx }) => ctx.api.describeWaves()),
+  sessions: t.procedure.output(z.array(SessionState)).query(({ ctx }) => ctx.api.listSessions()),
   change: t.procedure
     .input(
       z.object({
--- a/src/fleet/FleetKeeper.ts
+++ b/src/fleet/FleetKeeper.ts
@@ -1,6 +1,7 @@
 import { Actor, type ActorScope } from '../actor/mod.js';
 import type { LoggedRecord } from '../record/mod.js';
 import type { RecordBatch, RecordId } from '../log/mod.js';
+import { describeRecord } from '../timeline/mod.js';
 import { Fleet } from './Fleet.js';
 import type { FleetProjector } from './FleetProjector.js';
 import { FleetSnapshot } from './FleetSnapshot.js';
@@ -104,6 +105,7 @@
       const verdict = this.#fleet.apply(record);
       this.#records.push(record);
       this.#recordVerdict(record, verdict);
+      this.scope.recordEvent(describeRecord(record, verdict));
     });
     this.#fleet.increase(nextOffset);
     if (this.#fleet.nextOffset === before) return;
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -1,7 +1,10 @@
+import { createServer, type Server } from 'node:http';
 import { ActorScope, type FaultHandler } from '../actor/mod.js';
 import { SystemClock } from '../clock/mod.js';
 import { ControllerRecordSource } from '../controller/mod.js';
-import { FleetFollower, FleetKeeper } from '../fleet/mod.js';
+import { FleetFollower, FleetKeeper, readProgress } from '../fleet/mod.js';
+import { closeServer, openServer } from '../net/mod.js';
+import type { ProcessObserver } from '../observation/mod.js';
 import type { GatewaySettings } from '../settings/mod.js';
 import { GatewayListener } from './GatewayListener.js';
 import { GatewayViewProjector } from './GatewayView.js';
@@ -27,13 +30,31 @@
 
   readonly #listener: GatewayListener;
 
-  constructor(settings: GatewaySettings, onFault: FaultHandler) {
+  /** Serves the system's own processes. */
+  readonly #peerServer: Server;
+
+  #peerAddress = '';
+
+  constructor(settings: GatewaySettings, onFault: FaultHandler, observer?: ProcessObserver) {
     this.#settings = settings;
-    this.#scope = new ActorScope('gateway', onFault);
+    this.#scope = new ActorScope('gateway', onFault, observer);
     this.#keeper = new FleetKeeper(this.#scope);
     const sources = settings.controllers.map((address) => new ControllerRecordSource(address));
     this.#follower = new FleetFollower(this.#scope, this.#keeper, sources);
     this.#listener = new GatewayListener(this.#scope, new SystemClock());
+    this.#peerServer = createServer((request, response) => {
+      if (!observer?.answer(request, response)) response.writeHead(404).end();
+    });
+    observer?.setStatusReader(async () => ({
+      role: settings.role,
+      dataCentre: settings.dataCentre,
+      ...(await readProgress(this.#keeper)),
+    }));
+  }
+
+  /** Where other processes reach it; empty before it is open. */
+  get peerAddress(): string {
+    return this.#peerAddress;
   }
 
   /** Opens the server for callers and returns its address. */
@@ -43,12 +64,14 @@
     );
     this.#keeper.send({ type: 'subscribe', projector });
     this.#follower.start();
+    this.#peerAddress = await openServer(this.#peerServer, this.#settings.peerAddress);
     return this.#listener.open(this.#settings.address);
   }
 
   /** Closes the server and the links. */
   async close(): Promise<void> {
     await this.#listener.close();
+    await closeServer(this.#peerServer);
     await this.#follower.close();
     this.#keeper.close();
     this.#scope.close();
--- a/src/gateway/GatewayListener.ts
+++ b/src/gateway/GatewayListener.ts
@@ -101,7 +101,17 @@
       sendProblem(response, { type: 'about:blank', title, status, outcome: 'not-run' });
       return;
     }
-    const exchange = new JobExchange(this.#createJob(request, service), request, body, response);
+    const job = this.#createJob(request, service);
+    const exchange = new JobExchange(job, request, body, response);
+    this.scope.recordEvent({
+      type: 'request.received',
+      request: job.id,
+      service: service.name,
+      detail: `${request.method} ${path}`,
+    });
+    exchange.addCloseListener(() => {
+      this.scope.recordLatency('request', this.#clock.readMonotonic() - job.arrivedAt);
+    });
     this.#dispatchers.get(service.name)?.send({ type: 'submit', exchange });
   }
 
--- a/src/gateway/ServiceDispatcher.ts
+++ b/src/gateway/ServiceDispatcher.ts
@@ -1,4 +1,6 @@
+import { performance } from 'node:perf_hooks';
 import { Actor, type ActorScope } from '../actor/mod.js';
+import type { Job } from '../job/mod.js';
 import { HostLink, type RunResult } from '../link/mod.js';
 import type { JobExchange } from './JobExchange.js';
 import type { ServiceView } from './GatewayView.js';
@@ -70,15 +72,38 @@
       const exchange = this.#queue.shift();
       if (exchange === undefined) return;
       lane.running += 1;
+      const cause = this.scope.recordEvent({
+        type: 'request.sent',
+        request: exchange.job.id,
+        host: lane.link.host,
+        service: exchange.job.service,
+      });
+      const sentAt = performance.now();
       lane.link.send({
         type: 'run',
         exchange,
         timeoutMs: this.#view.service.jobTimeoutMs,
-        reply: (result) => this.send({ type: 'finished', exchange, result }),
+        reply: (result) => {
+          this.#recordResult(exchange.job, result, cause);
+          this.scope.recordLatency('upstream', performance.now() - sentAt);
+          this.send({ type: 'finished', exchange, result });
+        },
       });
     }
   }
 
+  #recordResult(job: Job, result: RunResult, cause: number | undefined): void {
+    const { host, answered, sent, error } = result;
+    this.scope.increaseCounter(answered ? 'answered' : 'failed');
+    this.scope.recordEvent({
+      type: answered ? 'request.answered' : 'request.failed',
+      request: job.id,
+      host,
+      cause,
+      detail: answered ? '' : `${sent ? 'unknown' : 'not-run'}: ${error?.message ?? 'no answer'}`,
+    });
+  }
+
   #chooseLane(): Lane | undefined {
     const open = this.#view.hosts
       .map(({ host, slots }) => ({ slots, lane: this.#lanes.get(host) }))
--- a/src/host/Host.ts
+++ b/src/host/Host.ts
@@ -1,8 +1,15 @@
 import { z } from 'zod';
 import { Name } from '../dataCentre/mod.js';
 
+const MAX_PORT = 65_535;
+
 /** Address of a process as `IP:port`. */
-export const Address = z.string().regex(/^[0-9a-fA-F.:[\]]+:\d{1,5}$/, 'expected "IP:port"');
+export const Address = z
+  .string()
+  .regex(/^[0-9a-fA-F.:[\]]+:\d{1,5}$/, 'expected "IP:port"')
+  .refine((address) => Number(address.slice(address.lastIndexOf(':') + 1)) <= MAX_PORT, {
+    error: `the port is above ${MAX_PORT}`,
+  });
 
 /** What a host offers, or what a pool requires of each of its hosts. */
 export const Resources = z.object({
--- a/src/log/LogWriter.ts
+++ b/src/log/LogWriter.ts
@@ -1,6 +1,7 @@
 import { randomUUID } from 'node:crypto';
 import { Actor, type ActorScope } from '../actor/mod.js';
 import { encodeRecord, type RecordBody } from '../record/mod.js';
+import { describeProposal } from '../timeline/mod.js';
 import type { LogClient } from './LogClient.js';
 import { FLEET_STREAM } from './LogRecordSource.js';
 
@@ -51,6 +52,8 @@
     if (message.type === 'append') {
       this.#sequence += 1;
       this.#waiting.push({ ...message, sequence: this.#sequence });
+      const id = `${this.#writer}/${this.#sequence}`;
+      this.scope.recordEvent(describeProposal(message.body, id));
       this.#schedule(APPEND_INTERVAL_MS);
       return;
     }
--- a/src/mod.ts
+++ b/src/mod.ts
@@ -16,6 +16,8 @@
 export * from './link/mod.js';
 export * from './log/mod.js';
 export * from './logging/mod.js';
+export * from './metrics/mod.js';
+export * from './observation/mod.js';
 export * from './pool/mod.js';
 export * from './record/mod.js';
 export * from './service/mod.js';
--- /dev/null
+++ b/src/observation/fetchObservation.ts
@@ -0,0 +1,27 @@
+import { request } from 'undici';
+import type { z } from 'zod';
+
+const FETCH_TIMEOUT_MS = 3_000;
+
+/**
+ * Fetches what a process tells of itself.
+ *
+ * @param address Its peer or API address as `IP:port`.
+ * @throws The error of the connection, or one that names the status.
+ * @example
+ * ```ts
+ * const { events } = await fetchObservation('10.0.0.4:7101', { path: 'timeline', schema: ProcessTimeline });
+ * ```
+ */
+export async function fetchObservation<Schema extends z.ZodType>(
+  address: string,
+  what: { path: 'metrics' | 'timeline' | 'status'; schema: Schema },
+): Promise<z.infer<Schema>> {
+  const url = `http://${address}/-/${what.path}`;
+  const answer = await request(url, { signal: AbortSignal.timeout(FETCH_TIMEOUT_MS) });
+  if (answer.statusCode !== 200) {
+    await answer.body.dump();
+    throw new Error(`${url} answered with status ${answer.statusCode}`);
+  }
+  return what.schema.parse(await answer.body.json());
+}
--- a/src/settings/ControllerSettings.ts
+++ b/src/settings/ControllerSettings.ts
@@ -1,6 +1,7 @@
 import { z } from 'zod';
 import { Name } from '../dataCentre/mod.js';
 import { Address } from '../host/mod.js';
+import { OBSERVATION_SETTINGS } from './LogLevel.js';
 
 /** Settings of a `controller` daemon. */
 export const ControllerSettings = z.strictObject({
@@ -9,8 +10,9 @@
   /** Where operators, gateways and other controllers are served. */
   address: Address,
   /** Base URL of the platform's log and host list. */
-  platform: z.url(),
+  platform: z.url({ protocol: /^https?$/, error: 'expected a URL like "http://10.0.0.1:7000"' }),
   /** APIs of other controllers. */
-  peers: z.array(Address).default([]),
+  peers: z.array(Address).max(64).default([]),
+  ...OBSERVATION_SETTINGS,
 });
 export type ControllerSettings = z.infer<typeof ControllerSettings>;
--- /dev/null
+++ b/src/settings/DocumentSource.ts
@@ -0,0 +1,89 @@
+import { findNodeAtLocation, getNodeValue, parseTree, printParseErrorCode } from 'jsonc-parser';
+import type { Node, ParseError } from 'jsonc-parser';
+import type { Finding, Place } from '../finding/mod.js';
+
+/** Path from the root of a document to one of its values. */
+export type DocumentPath = readonly (string | number)[];
+
+function listDuplicateKeys(node: Node): Node[] {
+  const seen = new Set<unknown>();
+  return (node.children ?? []).flatMap((child) => {
+    const nested = listDuplicateKeys(child);
+    const key = child.type === 'property' ? child.children?.[0] : undefined;
+    if (key === undefined) return nested;
+    if (seen.has(key.value)) return [key, ...nested];
+    seen.add(key.value);
+    return nested;
+  });
+}
+
+/**
+ * The text of a document in JSON with comments, which knows the place of each of its values.
+ *
+ * @example
+ * ```ts
+ * const source = new DocumentSource('{\n  "need": 3 // hosts\n}', 'pool.jsonc');
+ * source.locate(['need']).line; // 2
+ * ```
+ */
+export class DocumentSource {
+  readonly file: string;
+
+  readonly #text: string;
+
+  readonly #tree: Node | undefined;
+
+  readonly #errors: ParseError[] = [];
+
+  constructor(text: string, file: string) {
+    this.file = file;
+    this.#text = text;
+    this.#tree = parseTree(text, this.#errors, { allowTrailingComma: true });
+  }
+
+  /** The parsed value; undefined for an empty document. */
+  get value(): unknown {
+    return this.#tree === undefined ? undefined : getNodeValue(this.#tree);
+  }
+
+  /** Checks the syntax, and that no object has a key twice, since the first value would be lost. */
+  checkSyntax(): Finding[] {
+    const syntax = this.#errors.map((error): Finding => {
+      const place = this.#describeOffset(error.offset, '');
+      return { severity: 'error', message: printParseErrorCode(error.error), place };
+    });
+    if (this.#tree === undefined) {
+      if (syntax.length > 0) return syntax;
+      const place = { file: this.file, line: 1, column: 1, path: '' };
+      return [{ severity: 'error', message: 'the document is empty', place }];
+    }
+    const duplicates = listDuplicateKeys(this.#tree).map((key): Finding => {
+      const place = this.#describeOffset(key.offset, String(key.value));
+      return { severity: 'error', message: `the key "${key.value}" is there twice`, place };
+    });
+    return [...syntax, ...duplicates];
+  }
+
+  /** Locates a value; for a missing one the place is that of its nearest parent. */
+  locate(path: DocumentPath): Place {
+    const text = path.join('.');
+    for (let { length } = path; length >= 0 && this.#tree; length -= 1) {
+      const node = findNodeAtLocation(this.#tree, path.slice(0, length));
+      if (node) return this.#describeOffset(node.offset, text);
+    }
+    return { file: this.file, path: text };
+  }
+
+  /** Locates the key of a member rather than its value. */
+  locateKey(path: DocumentPath): Place {
+    const node = this.#tree && findNodeAtLocation(this.#tree, [...path]);
+    const key = node?.parent?.type === 'property' ? node.parent : undefined;
+    return key ? this.#describeOffset(key.offset, path.join('.')) : this.locate(path);
+  }
+
+  #describeOffset(offset: number, path: string): Place {
+    const before = this.#text.slice(0, offset).split('\n');
+    const column = (before.at(-1)?.length ?? 0) + 1;
+    return { file: this.file, line: before.length, column, path };
+  }
+}
--- /dev/null
+++ b/src/settings/_checkPools.ts
@@ -0,0 +1,34 @@
+import type { Finding } from '../finding/mod.js';
+import type { Pool } from '../pool/mod.js';
+import type { LocatedObject } from './LocatedObject.js';
+
+function checkPool({ object, locate }: LocatedObject<Pool>): Finding[] {
+  const size = object.need + object.headroom;
+  const findings: Finding[] = [];
+  if (object.availabilityBudget > size) {
+    const message = `${object.availabilityBudget} is above need + headroom = ${size}`;
+    findings.push({ severity: 'error', message, place: locate('availabilityBudget') });
+  }
+  object.maintenance.windows.forEach(({ from, to }, index) => {
+    if (to > from) return;
+    const message = `the window ends at ${to}, not after its start at ${from}`;
+    const place = locate('maintenance', 'windows', index, 'to');
+    findings.push({ severity: 'error', message, place });
+  });
+  return findings;
+}
+
+/** Reports rules of pools that contradict themselves, and a shortage of hosts as a warning. */
+export function checkPools(
+  pools: readonly LocatedObject<Pool>[],
+  hosts: number | undefined,
+): Finding[] {
+  const wanted = pools.reduce((sum, { object }) => sum + object.need + object.headroom, 0);
+  const first = pools[0];
+  const shortage: Finding[] = [];
+  if (first && hosts !== undefined && wanted > hosts) {
+    const message = `the pools want ${wanted} hosts, the inventory has ${hosts}`;
+    shortage.push({ severity: 'warning', message, place: first.locate() });
+  }
+  return [...pools.flatMap(checkPool), ...shortage];
+}
--- /dev/null
+++ b/src/settings/checkDocuments.ts
@@ -0,0 +1,68 @@
+import type { Finding } from '../finding/mod.js';
+import { checkPools } from './_checkPools.js';
+import { checkPrefixes } from './_checkServices.js';
+import { checkSettings } from './_checkSettings.js';
+import { checkUnique } from './_checkUnique.js';
+import { FLEET_LISTS } from './FleetDocument.js';
+import type { LoadedDocument } from './LoadedDocument.js';
+import { listLocated, type LocatedObject } from './LocatedObject.js';
+
+const KIND_NAMES = {
+  dataCentres: 'data centre',
+  hosts: 'host',
+  pools: 'pool',
+  services: 'service',
+  teams: 'team',
+} as const;
+
+function checkReferences<T, Field extends keyof T & string>(
+  objects: readonly LocatedObject<T>[],
+  field: Field,
+  known: { what: string; targets: readonly LocatedObject<{ name: string }>[] | undefined },
+): Finding[] {
+  // A list that no file has stays as it is in the fleet; the controller checks against it.
+  if (known.targets === undefined) return [];
+  const names = new Set(known.targets.map(({ object }) => object.name));
+  return objects
+    .filter(({ object }) => !names.has(object[field] as string))
+    .map(({ object, locate }) => ({
+      severity: 'error',
+      message: `unknown ${known.what} "${object[field]}"`,
+      place: locate(field),
+    }));
+}
+
+/**
+ * Checks documents against each other: references, duplicate names and addresses, path prefixes,
+ * budgets and windows. Each document has been checked against its schema before.
+ *
+ * @returns Findings with the place of each.
+ */
+export function checkDocuments(documents: readonly LoadedDocument[]): Finding[] {
+  const hosts = listLocated(documents, 'hosts');
+  const pools = listLocated(documents, 'pools');
+  const services = listLocated(documents, 'services') ?? [];
+  const dataCentres = listLocated(documents, 'dataCentres');
+  const names = FLEET_LISTS.flatMap((list) => {
+    const located = listLocated(documents, list) as LocatedObject<{ name: string }>[] | undefined;
+    const values = (located ?? []).map((one) => ({
+      value: one.object.name,
+      place: one.locate('name'),
+    }));
+    return checkUnique(KIND_NAMES[list], values);
+  });
+  const addresses = (hosts ?? []).map((host) => ({
+    value: host.object.address,
+    place: host.locate('address'),
+  }));
+  const settings = documents.filter((one) => one.kind === 'settings');
+  return [
+    ...names,
+    ...checkUnique('the address', addresses),
+    ...checkReferences(hosts ?? [], 'dataCentre', { what: 'data centre', targets: dataCentres }),
+    ...checkReferences(services, 'pool', { what: 'pool', targets: pools }),
+    ...checkPools(pools ?? [], hosts?.length),
+    ...checkPrefixes(services),
+    ...checkSettings(settings),
+  ];
+}
--- a/src/settings/parseDocument.ts
+++ b/src/settings/parseDocument.ts
@@ -1,14 +1,7 @@
-import { findNodeAtLocation, getNodeValue, parseTree, printParseErrorCode } from 'jsonc-parser';
-import type { ParseError } from 'jsonc-parser';
 import type { z } from 'zod';
-import { FindingsError, type Finding, type Place } from '../finding/mod.js';
-
-type Path = (string | number)[];
-
-function describePosition(text: string, offset: number): { line: number; column: number } {
-  const before = text.slice(0, offset).split('\n');
-  return { line: before.length, column: (before.at(-1)?.length ?? 0) + 1 };
-}
+import { FindingsError } from '../finding/mod.js';
+import { checkDocument } from './checkDocument.js';
+import { DocumentSource } from './DocumentSource.js';
 
 /**
  * Parses a document in JSON with comments and checks it against a schema.
@@ -27,32 +20,7 @@
   schema: Schema,
   file: string,
 ): z.infer<Schema> {
-  const errors: ParseError[] = [];
-  const tree = parseTree(text, errors, { allowTrailingComma: true });
-  const findings: Finding[] = errors.map((error) => ({
-    severity: 'error',
-    message: printParseErrorCode(error.error),
-    place: { file, path: '', ...describePosition(text, error.offset) },
-  }));
-  if (tree === undefined || findings.length > 0) {
-    throw new FindingsError(file, findings);
-  }
-  const locate = (path: Path): Place => {
-    // A missing member has no node of its own: the place is that of the nearest parent.
-    for (let { length } = path; length >= 0; length -= 1) {
-      const node = findNodeAtLocation(tree, path.slice(0, length));
-      if (node) return { file, path: path.join('.'), ...describePosition(text, node.offset) };
-    }
-    return { file, path: path.join('.') };
-  };
-  const result = schema.safeParse(getNodeValue(tree));
-  if (result.success) return result.data;
-  result.error.issues.forEach((issue) => {
-    findings.push({
-      severity: 'error',
-      message: issue.message,
-      place: locate(issue.path as Path),
-    });
-  });
-  throw new FindingsError(file, findings);
+  const { value, findings } = checkDocument(new DocumentSource(text, file), schema);
+  if (value === undefined) throw new FindingsError(file, findings);
+  return value;
 }
--- a/src/timeline/FleetEvent.ts
+++ b/src/timeline/FleetEvent.ts
@@ -14,6 +14,8 @@
   type: z.string(),
   /** What it is about. */
   host: z.string().optional(),
+  /** Hosts of an event that is about several. */
+  hosts: z.array(z.string()).optional(),
   pool: z.string().optional(),
   service: z.string().optional(),
   dataCentre: z.string().optional(),
@@ -22,6 +24,10 @@
   session: z.string().optional(),
   /** Offset of the record in the log that the event follows from. */
   offset: z.number().int().optional(),
+  /** The record that the event follows from, as `writer/sequence`. */
+  record: z.string().optional(),
+  /** The record that the event proposes, as `writer/sequence`; it precedes what follows from it. */
+  proposes: z.string().optional(),
   /** Event of the same process that caused this one. */
   cause: z.number().int().optional(),
   detail: z.string().default(''),
--- a/src/timeline/Timeline.ts
+++ b/src/timeline/Timeline.ts
@@ -1,7 +1,8 @@
 import type { Clock } from '../clock/mod.js';
+import { EventRing } from './_EventRing.js';
 import { FleetEvent, type EventInput } from './FleetEvent.js';
 
-/** About 300 bytes an event bound the ring to about 3 MB. */
+/** About 300 bytes an event bound the two rings to about 3 MB. */
 const DEFAULT_CAPACITY = 10_000;
 
 /** Options of a time line. */
@@ -12,7 +13,10 @@
 }
 
 /**
- * A bounded ring of the events of one process.
+ * The latest events of one process.
+ *
+ * Half of the capacity is for events of requests and half for all others, since a flood of requests
+ * would otherwise push the decisions about the fleet out within seconds.
  *
  * @example
  * ```ts
@@ -26,36 +30,42 @@
 
   readonly #clock: Clock;
 
-  readonly #capacity: number;
+  readonly #requests: EventRing;
 
-  readonly #events: FleetEvent[] = [];
+  readonly #others: EventRing;
 
   #count = 0;
 
   constructor(process: string, options: TimelineOptions) {
+    const half = Math.max(1, Math.floor((options.capacity ?? DEFAULT_CAPACITY) / 2));
     this.#process = process;
     this.#clock = options.clock;
-    this.#capacity = options.capacity ?? DEFAULT_CAPACITY;
+    this.#requests = new EventRing(half);
+    this.#others = new EventRing(half);
+  }
+
+  /** Session or name of the process. */
+  get process(): string {
+    return this.#process;
   }
 
   /** Records an event and returns its id, which a later event may name as its cause. */
   record(event: EventInput): number {
     this.#count += 1;
-    this.#events[(this.#count - 1) % this.#capacity] = {
+    const ring = event.request === undefined ? this.#others : this.#requests;
+    ring.add({
       detail: '',
       ...event,
       id: this.#count,
       process: this.#process,
       wall: this.#clock.readWall(),
       monotonic: this.#clock.readMonotonic(),
-    };
+    });
     return this.#count;
   }
 
   /** Lists the events kept, oldest first. */
   list(): FleetEvent[] {
-    const oldest = this.#count % this.#capacity;
-    if (this.#count <= this.#capacity) return this.#events.slice();
-    return [...this.#events.slice(oldest), ...this.#events.slice(0, oldest)];
+    return [...this.#requests.list(), ...this.#others.list()].sort((a, b) => a.id - b.id);
   }
 }
--- /dev/null
+++ b/src/timeline/_EventGraph.ts
@@ -0,0 +1,49 @@
+import type { FleetEvent } from './FleetEvent.js';
+
+/** Returns the key of an event, unique over all processes. */
+export function formatEventKey({ process, id }: Pick<FleetEvent, 'process' | 'id'>): string {
+  return `${process}#${id}`;
+}
+
+/** Compares by wall clock, then by process and id, so that equal times have one order. */
+export function compareEvents(a: FleetEvent, b: FleetEvent): number {
+  if (a.wall !== b.wall) return a.wall - b.wall;
+  if (a.process !== b.process) return a.process < b.process ? -1 : 1;
+  return a.id - b.id;
+}
+
+/** The events of several processes with their known causes. */
+export class EventGraph {
+  /** Events of each process in the order of their ids, without repeats. */
+  readonly lanes: FleetEvent[][];
+
+  readonly #byKey = new Map<string, FleetEvent>();
+
+  readonly #proposals = new Map<string, FleetEvent>();
+
+  constructor(inputs: Iterable<readonly FleetEvent[]>) {
+    const lanes = new Map<string, FleetEvent[]>();
+    [...inputs].flat().forEach((event) => {
+      const key = formatEventKey(event);
+      if (this.#byKey.has(key)) return;
+      this.#byKey.set(key, event);
+      if (event.proposes !== undefined) this.#proposals.set(event.proposes, event);
+      const lane = lanes.get(event.process);
+      if (lane === undefined) lanes.set(event.process, [event]);
+      else lane.push(event);
+    });
+    this.lanes = [...lanes.values()].map((lane) => lane.sort((a, b) => a.id - b.id));
+  }
+
+  /** Finds the event of the same process that an event names as its cause. */
+  findCause(event: FleetEvent): FleetEvent | undefined {
+    if (event.cause === undefined || event.cause >= event.id) return undefined;
+    return this.#byKey.get(formatEventKey({ process: event.process, id: event.cause }));
+  }
+
+  /** Finds the proposal of the record that an event follows from. */
+  findProposal(event: FleetEvent): FleetEvent | undefined {
+    const proposal = event.record === undefined ? undefined : this.#proposals.get(event.record);
+    return proposal === event ? undefined : proposal;
+  }
+}
--- /dev/null
+++ b/src/timeline/describeRecord.ts
@@ -0,0 +1,62 @@
+import type { LoggedRecord, RecordBody } from '../record/mod.js';
+import type { EventInput } from './FleetEvent.js';
+
+/** What the fold did with a record, as the time line states it. */
+export interface FoldOutcome {
+  outcome: string;
+  reasons?: string[];
+}
+
+function describeBody(body: RecordBody): Omit<EventInput, 'type'> {
+  switch (body.type) {
+    case 'config-change': {
+      const hosts = body.operations.flatMap((operation) => {
+        if (operation.kind !== 'host') return [];
+        return [operation.action === 'put' ? operation.object.name : operation.name];
+      });
+      const by = body.operator === '' ? '' : ` by ${body.operator}`;
+      const detail = `${body.operations.length} operations${by}, part ${body.part} of ${body.parts}`;
+      return { change: body.changeId, hosts, detail };
+    }
+    case 'host-observed': {
+      const detail = body.observations.map(({ host, status }) => `${host} ${status}`).join(', ');
+      return { hosts: body.observations.map(({ host }) => host), detail };
+    }
+    case 'host-assign':
+      return { hosts: body.hosts, pool: body.pool };
+    case 'host-release':
+      return { hosts: body.hosts, pool: body.toPool };
+    case 'session-open':
+      return {
+        session: body.session,
+        dataCentre: body.dataCentre,
+        detail: `${body.role} ${body.address}`,
+      };
+    case 'session-end':
+      return { session: body.session, detail: `by ${body.by}` };
+    case 'session-confirm':
+      return { session: body.session, detail: `offset ${body.offset}` };
+    case 'host-drained':
+      return { session: body.session, hosts: body.hosts };
+    default:
+      return { hosts: body.hosts, detail: body.wave === '' ? '' : `wave ${body.wave}` };
+  }
+}
+
+/** Describes the proposal of a record as an event; `record` is its `writer/sequence`. */
+export function describeProposal(body: RecordBody, record: string): EventInput {
+  return { ...describeBody(body), type: `${body.type}.proposed`, proposes: record };
+}
+
+/** Describes what the fold did with a record as an event. */
+export function describeRecord(record: LoggedRecord, verdict: FoldOutcome): EventInput {
+  const described = describeBody(record.body);
+  const detail = [described.detail ?? '', ...(verdict.reasons ?? [])].filter((one) => one !== '');
+  return {
+    ...described,
+    type: `${record.body.type}.${verdict.outcome}`,
+    offset: record.offset,
+    record: `${record.writer}/${record.sequence}`,
+    detail: detail.join('; '),
+  };
+}
--- /dev/null
+++ b/src/timeline/explainSubject.ts
@@ -0,0 +1,72 @@
+import { EventGraph, formatEventKey } from './_EventGraph.js';
+import type { FleetEvent } from './FleetEvent.js';
+import { mergeTimelines, type MergedEvent } from './mergeTimelines.js';
+
+/** What an explanation is about. */
+export interface Subject {
+  kind: 'host' | 'request' | 'change';
+  name: string;
+}
+
+/** A step of an explanation. */
+export interface ExplainedEvent extends MergedEvent {
+  /** Keys (`process#id`) of the steps that led to this one. */
+  causes: string[];
+  /** False for a step that is there only as a cause of one about the subject. */
+  isAboutSubject: boolean;
+}
+
+function isAbout(event: FleetEvent, { kind, name }: Subject): boolean {
+  return event[kind] === name || (kind === 'host' && (event.hosts?.includes(name) ?? false));
+}
+
+/** Finds the last event before `event`, in its process, that changed what is known of its host. */
+function findHostEvent(lane: readonly FleetEvent[], event: FleetEvent): FleetEvent | undefined {
+  const { host } = event;
+  if (host === undefined || event.request === undefined) return undefined;
+  return lane.findLast(
+    (one) =>
+      one.id < event.id && one.request === undefined && isAbout(one, { kind: 'host', name: host }),
+  );
+}
+
+/**
+ * Explains a host, a request or a change of the configuration as a chain of causes: the events about
+ * it with everything that is known to have led to them, in merged order.
+ *
+ * Causes are the event that a process names itself, the proposal of the record that an event follows
+ * from, and, for an event of a request at a host, what the process last saw of that host.
+ *
+ * @example
+ * ```ts
+ * explainSubject([gateway.list()], { kind: 'host', name: 'h7' }).map((step) => step.event.type);
+ * ```
+ */
+export function explainSubject(
+  inputs: readonly (readonly FleetEvent[])[],
+  subject: Subject,
+): ExplainedEvent[] {
+  const graph = new EventGraph(inputs);
+  const lanes = new Map(graph.lanes.map((lane) => [lane[0]?.process, lane]));
+  const causes = new Map<string, string[]>();
+  const open = graph.lanes.flat().filter((event) => isAbout(event, subject));
+  for (let event = open.pop(); event !== undefined; event = open.pop()) {
+    const key = formatEventKey(event);
+    if (causes.has(key)) continue;
+    const found = [
+      graph.findCause(event),
+      graph.findProposal(event),
+      findHostEvent(lanes.get(event.process) ?? [], event),
+    ].filter((one) => one !== undefined);
+    causes.set(key, [...new Set(found.map(formatEventKey))]);
+    open.push(...found);
+  }
+  return mergeTimelines(inputs)
+    .map(({ event, skewMs }) => ({
+      event,
+      skewMs,
+      causes: causes.get(formatEventKey(event)),
+      isAboutSubject: isAbout(event, subject),
+    }))
+    .filter((step): step is ExplainedEvent => step.causes !== undefined);
+}
--- /dev/null
+++ b/src/timeline/formatEvent.ts
@@ -0,0 +1,32 @@
+import type { MergedEvent } from './mergeTimelines.js';
+
+/** Most hosts named on one line; a change of an inventory can be about thousands. */
+const MAX_HOSTS = 5;
+const PROCESS_WIDTH = 12;
+
+function formatHosts(hosts: readonly string[] | undefined): string | undefined {
+  if (hosts === undefined || hosts.length === 0) return undefined;
+  const more = hosts.length > MAX_HOSTS ? ` and ${hosts.length - MAX_HOSTS} more` : '';
+  return `${hosts.slice(0, MAX_HOSTS).join(',')}${more}`;
+}
+
+/** Formats an event of the merged time line as one line; times are UTC. */
+export function formatEvent({ event, skewMs }: MergedEvent): string {
+  const fields = {
+    host: event.host ?? formatHosts(event.hosts),
+    pool: event.pool,
+    service: event.service,
+    request: event.request,
+    change: event.change,
+    session: event.session,
+    offset: event.offset,
+  };
+  const named = Object.entries(fields)
+    .filter(([, value]) => value !== undefined)
+    .map(([name, value]) => `${name}=${value}`);
+  const skew = skewMs > 0 ? [`(clock behind by ${Math.ceil(skewMs)} ms or more)`] : [];
+  const time = new Date(event.wall).toISOString().slice(11, 23);
+  const process = event.process.slice(0, PROCESS_WIDTH).padEnd(PROCESS_WIDTH);
+  const detail = event.detail === '' ? [] : [event.detail];
+  return [time, process, event.type, ...named, ...detail, ...skew].join(' ');
+}
--- a/src/timeline/mod.ts
+++ b/src/timeline/mod.ts
@@ -3,5 +3,9 @@
  *
  * @module
  */
+export * from './describeRecord.js';
+export * from './explainSubject.js';
 export * from './FleetEvent.js';
+export * from './formatEvent.js';
+export * from './mergeTimelines.js';
 export * from './Timeline.js';
