Add the commands of the command line and the demo

Cause: only run, apply and fleet existed, in one file and without tables.

Change: one class a command behind Command; Output prints JSON or a table; ControllerGroup tries several controllers in turn and never repeats a change. The demo runs a fleet in one process.

--- /dev/null
+++ b/src/cli/FleetCommand.ts
@@ -0,0 +1,20 @@
+import { Command, EXIT_OK, type CommandCall } from './Command.js';
+import { renderTable } from './renderTable.js';
+
+/** Shows the pools of the fleet. */
+export class FleetCommand extends Command {
+  override readonly usage = 'fleet';
+
+  override readonly summary = 'Show the pools of the fleet';
+
+  override readonly examples = ['fleet', 'fleet --json --controller 10.0.0.4:7100'];
+
+  override async run({ controllers, output }: CommandCall): Promise<number> {
+    const fleet = await controllers.query((client) => client.fleet.query());
+    output.print(fleet, () => {
+      const head = `revision ${fleet.revision}, ${fleet.hosts} hosts, ${fleet.unassigned} unassigned`;
+      return `${head}\n${renderTable(fleet.pools.map((pool) => ({ ...pool })))}`;
+    });
+    return EXIT_OK;
+  }
+}
--- /dev/null
+++ b/src/demo/DemoFleet.ts
@@ -0,0 +1,169 @@
+import { SystemClock } from '../clock/mod.js';
+import { Controller } from '../controller/mod.js';
+import { Gateway } from '../gateway/mod.js';
+import { ProcessObserver } from '../observation/mod.js';
+import { Pool } from '../pool/mod.js';
+import { Service } from '../service/mod.js';
+import { ControllerSettings, GatewaySettings, type FleetDocument } from '../settings/mod.js';
+import { PlatformStandin, UpstreamStandin } from '../standin/mod.js';
+import type { FleetEvent } from '../timeline/mod.js';
+
+const FREE_PORT = '127.0.0.1:0';
+const DATA_CENTRES = ['rennes-1', 'brest-1'] as const;
+const HOSTS_PER_DATA_CENTRE = 3;
+
+interface DemoHost {
+  name: string;
+  dataCentre: string;
+  address: string;
+  upstream: UpstreamStandin;
+}
+
+/** The daemons of one data centre with their addresses. */
+export interface DemoSite {
+  dataCentre: string;
+  controller: string;
+  gateway: string;
+}
+
+interface Closable {
+  close(): Promise<void> | void;
+}
+
+/**
+ * A small fleet in one process: the platform stand-in, six upstream stand-ins in two data centres,
+ * and a controller and a gateway for each, on free loopback ports.
+ *
+ * @example
+ * ```ts
+ * const fleet = new DemoFleet();
+ * await fleet.open();
+ * fleet.sites[0]?.gateway; // for example '127.0.0.1:40121'
+ * await fleet.close();
+ * ```
+ */
+export class DemoFleet {
+  readonly #platform = new PlatformStandin();
+
+  readonly #hosts: DemoHost[] = [];
+
+  readonly #sites: DemoSite[] = [];
+
+  readonly #observers: ProcessObserver[] = [];
+
+  readonly #faults: string[] = [];
+
+  /** What has been opened, in order. */
+  readonly #opened: Closable[] = [];
+
+  get hosts(): readonly Omit<DemoHost, 'upstream'>[] {
+    return this.#hosts;
+  }
+
+  get sites(): readonly DemoSite[] {
+    return this.#sites;
+  }
+
+  /** Failures of message handlers; none in a sound run. */
+  get faults(): readonly string[] {
+    return this.#faults;
+  }
+
+  /** Opens everything. */
+  async open(): Promise<void> {
+    this.#opened.push(this.#platform);
+    const platform = `http://${await this.#platform.open()}`;
+    for (let index = 1; index <= HOSTS_PER_DATA_CENTRE; index += 1) {
+      for (const dataCentre of DATA_CENTRES) await this.#openHost(dataCentre, index);
+    }
+    this.#platform.setHosts(this.#hosts.map(({ name }) => ({ host: name, state: 'live' })));
+    for (const dataCentre of DATA_CENTRES) await this.#openSite(dataCentre, platform);
+  }
+
+  /** Builds the inventory and rules; `need` is that of the pool `match`. */
+  buildDocument(need: number): FleetDocument {
+    return {
+      dataCentres: DATA_CENTRES.map((name) => ({ name, region: 'brittany' })),
+      hosts: this.#hosts.map(({ name, dataCentre, address }, index) => ({
+        name,
+        dataCentre,
+        address,
+        rack: `r${1 + Math.floor(index / DATA_CENTRES.length)}`,
+        resources: { cores: 64, memoryGb: 128, accelerators: 0 },
+      })),
+      pools: [
+        Pool.parse({ name: 'match', need, availabilityBudget: 1 }),
+        Pool.parse({ name: 'contracts', need: 1, availabilityBudget: 1, lends: true }),
+      ],
+      services: [
+        Service.parse({
+          name: 'match',
+          pathPrefix: '/match',
+          pool: 'match',
+          jobTimeoutMs: 2_000,
+        }),
+      ],
+    };
+  }
+
+  /** Kills the upstream of a host and takes it off the platform's list. */
+  async stopUpstream(host: string): Promise<void> {
+    const found = this.#hosts.find(({ name }) => name === host);
+    await found?.upstream.close();
+    const others = this.#hosts.filter(({ name }) => name !== host);
+    this.#platform.setHosts(others.map(({ name }) => ({ host: name, state: 'live' })));
+  }
+
+  /** Lists the events of each process. */
+  listTimelines(): FleetEvent[][] {
+    return this.#observers.map((observer) => observer.timeline.list());
+  }
+
+  /** Closes everything in reverse order. */
+  async close(): Promise<void> {
+    for (const one of this.#opened.splice(0).reverse()) await one.close();
+  }
+
+  async #openHost(dataCentre: string, index: number): Promise<void> {
+    const name = `${dataCentre}-h${index}`;
+    const upstream = new UpstreamStandin(name);
+    const address = await upstream.open();
+    this.#opened.push(upstream);
+    this.#hosts.push({ name, dataCentre, address, upstream });
+  }
+
+  async #openSite(dataCentre: string, platform: string): Promise<void> {
+    const peers = this.#sites.map((site) => site.controller);
+    const controllerSettings = { role: 'controller', dataCentre, address: FREE_PORT, platform };
+    const controllerDaemon = new Controller(
+      ControllerSettings.parse({ ...controllerSettings, peers }),
+      this.#recordFault,
+      this.#openObserver(`controller ${dataCentre}`),
+    );
+    this.#opened.push(controllerDaemon);
+    const controller = await controllerDaemon.open();
+    const gatewaySettings = { role: 'gateway', dataCentre, address: FREE_PORT };
+    const gatewayDaemon = new Gateway(
+      GatewaySettings.parse({
+        ...gatewaySettings,
+        peerAddress: FREE_PORT,
+        controllers: [controller, ...peers],
+      }),
+      this.#recordFault,
+      this.#openObserver(`gateway ${dataCentre}`),
+    );
+    this.#opened.push(gatewayDaemon);
+    this.#sites.push({ dataCentre, controller, gateway: await gatewayDaemon.open() });
+  }
+
+  readonly #recordFault = (actor: string, error: Error): void => {
+    this.#faults.push(`${actor}: ${error.message}`);
+  };
+
+  #openObserver(name: string): ProcessObserver {
+    const observer = new ProcessObserver(name, { clock: new SystemClock() });
+    this.#opened.push(observer);
+    this.#observers.push(observer);
+    return observer;
+  }
+}
--- /dev/null
+++ b/src/demo/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * A small fleet in one process, to see the system at work.
+ *
+ * @module
+ */
+export * from './DemoFleet.js';
+export * from './runDemo.js';
--- a/src/cli/compareDocument.ts
+++ b/src/fleet/compareDocument.ts
@@ -1,5 +1,5 @@
 import { isDeepStrictEqual } from 'node:util';
-import type { FleetSnapshot } from '../fleet/mod.js';
+import type { FleetSnapshot } from './FleetSnapshot.js';
 import type { ObjectKind, Operation } from '../record/mod.js';
 import type { FleetDocument } from '../settings/mod.js';
 
--- a/src/logging/createLogger.ts
+++ b/src/logging/createLogger.ts
@@ -1,19 +1,27 @@
 import winston from 'winston';
 
+/** Options of a logger. */
+export interface LoggerOptions {
+  /** Least severe level that is written. */
+  level?: string;
+  /** Session or name of the process, part of each line. */
+  process?: string;
+}
+
 /**
  * Creates a logger that writes JSON lines to standard error.
  *
  * @param role Name of the daemon, part of each line.
- * @param level Least severe level that is written.
  * @example
  * ```ts
- * createLogger('gateway').info('listening', { address });
+ * createLogger('gateway', { level: 'debug' }).info('listening', { address });
  * ```
  */
-export function createLogger(role: string, level = 'info'): winston.Logger {
+export function createLogger(role: string, options: LoggerOptions = {}): winston.Logger {
+  const { level = 'info', process: session } = options;
   return winston.createLogger({
     level,
-    defaultMeta: { role, pid: process.pid },
+    defaultMeta: { role, pid: process.pid, ...(session === undefined ? {} : { process: session }) },
     format: winston.format.combine(
       winston.format.timestamp(),
       winston.format.errors({ stack: true }),
--- a/src/observation/ProcessObserver.ts
+++ b/src/observation/ProcessObserver.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Clock } from '../clock/mod.js';
 import { Metrics, ProcessMeter } from '../metrics/mod.js';
-import { Timeline } from '../timeline/mod.js';
+import { Timeline, type TimelineOptions } from '../timeline/mod.js';
 import type { ProcessMetrics, ProcessStatus, ProcessTimeline } from './ProcessStatus.js';
 
 /** Paths of the system's own begin with this on the peer and API ports. */
@@ -11,6 +11,7 @@
 export interface ProcessObserverOptions {
   clock: Clock;
   timelineEvents?: number;
+  onEvent?: TimelineOptions['onEvent'];
 }
 
 /** Reads the offset and the revision that a process has in force. */
@@ -38,8 +39,8 @@
   #readStatus: StatusReader | undefined;
 
   constructor(process: string, options: ProcessObserverOptions) {
-    const { clock, timelineEvents: capacity } = options;
-    this.timeline = new Timeline(process, { clock, capacity });
+    const { clock, timelineEvents: capacity, onEvent } = options;
+    this.timeline = new Timeline(process, { clock, capacity, onEvent });
   }
 
   /** Session or name of the process. */
--- a/src/standin/PlatformLog.ts
+++ b/src/standin/PlatformLog.ts
@@ -51,6 +51,8 @@
     if (this.#head > from || waitMs <= 0) return;
     await new Promise<void>((resolve) => {
       const timer = setTimeout(resolve, waitMs);
+      // The open server keeps the process running, an abandoned long poll does not.
+      timer.unref();
       this.#waiters.push(() => {
         clearTimeout(timer);
         resolve();
--- a/src/timeline/Timeline.ts
+++ b/src/timeline/Timeline.ts
@@ -10,6 +10,8 @@
   clock: Clock;
   /** Most events kept; the oldest are overwritten. */
   capacity?: number;
+  /** Called with each event, for example to log it. */
+  onEvent?: (event: FleetEvent) => void;
 }
 
 /**
@@ -34,12 +36,15 @@
 
   readonly #others: EventRing;
 
+  readonly #onEvent: ((event: FleetEvent) => void) | undefined;
+
   #count = 0;
 
   constructor(process: string, options: TimelineOptions) {
     const half = Math.max(1, Math.floor((options.capacity ?? DEFAULT_CAPACITY) / 2));
     this.#process = process;
     this.#clock = options.clock;
+    this.#onEvent = options.onEvent;
     this.#requests = new EventRing(half);
     this.#others = new EventRing(half);
   }
@@ -53,14 +58,16 @@
   record(event: EventInput): number {
     this.#count += 1;
     const ring = event.request === undefined ? this.#others : this.#requests;
-    ring.add({
+    const recorded: FleetEvent = {
       detail: '',
       ...event,
       id: this.#count,
       process: this.#process,
       wall: this.#clock.readWall(),
       monotonic: this.#clock.readMonotonic(),
-    });
+    };
+    ring.add(recorded);
+    this.#onEvent?.(recorded);
     return this.#count;
   }
 
--- a/src/timeline/explainSubject.ts
+++ b/src/timeline/explainSubject.ts
@@ -20,13 +20,22 @@
   return event[kind] === name || (kind === 'host' && (event.hosts?.includes(name) ?? false));
 }
 
+/** Events of requests that went well say nothing about a host, and there are thousands of them. */
+const ROUTINE_TYPES = new Set(['request.sent', 'request.answered']);
+
+/** A record that was only proposed, or that the fold did not accept, changed nothing. */
+const WITHOUT_EFFECT = /\.(proposed|rejected|duplicate)$/;
+
 /** Finds the last event before `event`, in its process, that changed what is known of its host. */
 function findHostEvent(lane: readonly FleetEvent[], event: FleetEvent): FleetEvent | undefined {
   const { host } = event;
   if (host === undefined || event.request === undefined) return undefined;
   return lane.findLast(
     (one) =>
-      one.id < event.id && one.request === undefined && isAbout(one, { kind: 'host', name: host }),
+      one.id < event.id &&
+      one.request === undefined &&
+      !WITHOUT_EFFECT.test(one.type) &&
+      isAbout(one, { kind: 'host', name: host }),
   );
 }
 
@@ -49,7 +58,10 @@
   const graph = new EventGraph(inputs);
   const lanes = new Map(graph.lanes.map((lane) => [lane[0]?.process, lane]));
   const causes = new Map<string, string[]>();
-  const open = graph.lanes.flat().filter((event) => isAbout(event, subject));
+  const open = graph.lanes
+    .flat()
+    .filter((event) => isAbout(event, subject))
+    .filter((event) => subject.kind !== 'host' || !ROUTINE_TYPES.has(event.type));
   for (let event = open.pop(); event !== undefined; event = open.pop()) {
     const key = formatEventKey(event);
     if (causes.has(key)) continue;
--- a/src/timeline/formatEvent.ts
+++ b/src/timeline/formatEvent.ts
@@ -2,7 +2,7 @@
 
 /** Most hosts named on one line; a change of an inventory can be about thousands. */
 const MAX_HOSTS = 5;
-const PROCESS_WIDTH = 12;
+const PROCESS_WIDTH = 20;
 
 function formatHosts(hosts: readonly string[] | undefined): string | undefined {
   if (hosts === undefined || hosts.length === 0) return undefined;
--- a/src/timeline/mod.ts
+++ b/src/timeline/mod.ts
@@ -7,5 +7,6 @@
 export * from './explainSubject.js';
 export * from './FleetEvent.js';
 export * from './formatEvent.js';
+export * from './formatExplanation.js';
 export * from './mergeTimelines.js';
 export * from './Timeline.js';
