--- a/src/timeline/_EventGraph.ts
+++ b/src/timeline/_EventGraph.ts
@@ -21,12 +21,18 @@
 
   readonly #proposals = new Map<string, FleetEvent>();
 
+  /** Records by their offset, as far as some process has folded them. */
+  readonly #records = new Map<number, string>();
+
   constructor(inputs: Iterable<readonly FleetEvent[]>) {
     const lanes = new Map<string, FleetEvent[]>();
     [...inputs].flat().forEach((event) => {
       const key = formatEventKey(event);
       if (this.#byKey.has(key)) return;
       this.#byKey.set(key, event);
+      if (event.offset !== undefined && event.record !== undefined) {
+        this.#records.set(event.offset, event.record);
+      }
       if (event.proposes !== undefined) this.#proposals.set(event.proposes, event);
       const lane = lanes.get(event.process);
       if (lane === undefined) lanes.set(event.process, [event]);
@@ -41,9 +47,10 @@
     return this.#byKey.get(formatEventKey({ process: event.process, id: event.cause }));
   }
 
-  /** Finds the proposal of the record that an event follows from. */
+  /** Finds the proposal of the record that an event follows from, by its id or its offset. */
   findProposal(event: FleetEvent): FleetEvent | undefined {
-    const proposal = event.record === undefined ? undefined : this.#proposals.get(event.record);
+    const { offset, record = offset === undefined ? undefined : this.#records.get(offset) } = event;
+    const proposal = record === undefined ? undefined : this.#proposals.get(record);
     return proposal === event ? undefined : proposal;
   }
 }
