--- a/src/cli/renderTable.ts
+++ b/src/cli/renderTable.ts
@@ -21,7 +21,7 @@
   const names = [...new Set(rows.flatMap((row) => Object.keys(row)))];
   if (names.length === 0) return '(none)\n';
   const columns = names.map((name) => {
-    const title = name.replace(/([A-Z])/g, ' $1').toUpperCase();
+    const title = name.replace(/([a-z])([A-Z])/g, '$1 $2').toUpperCase();
     const cells = rows.map((row) => formatCell(row[name]));
     const width = Math.max(title.length, ...cells.map((cell) => cell.length));
     const isNumeric = rows.every((row) => ['number', 'undefined'].includes(typeof row[name]));
--- a/src/settings/checkDocuments.test.ts
+++ b/src/settings/checkDocuments.test.ts
@@ -32,9 +32,9 @@
   it('reports the address of two hosts, and a data centre that is not there', () => {
     const hosts = `[${formatHost('h1', '10.0.0.1:80')},\n${formatHost('h2', '10.0.0.1:80')}]`;
     assert.deepEqual(check(`{"dataCentres":[{"name":"e","region":"r"}],"hosts":${hosts}}`), [
-      'f1:2:52: error: hosts.1.address: the address "10.0.0.1:80" is also at f1:1:104',
       'f1:1:79: error: hosts.0.dataCentre: unknown data centre "d"',
       'f1:2:27: error: hosts.1.dataCentre: unknown data centre "d"',
+      'f1:2:52: error: hosts.1.address: the address "10.0.0.1:80" is also at f1:1:104',
     ]);
   });
 
--- a/src/settings/checkDocuments.ts
+++ b/src/settings/checkDocuments.ts
@@ -1,4 +1,4 @@
-import type { Finding } from '../finding/mod.js';
+import type { Finding, Place } from '../finding/mod.js';
 import { checkPools } from './_checkPools.js';
 import { checkPrefixes } from './_checkServices.js';
 import { checkSettings } from './_checkSettings.js';
@@ -32,11 +32,20 @@
     }));
 }
 
+/** Compares by the order of the files, then by line and column. */
+function comparePlaces(files: readonly string[], [a, b]: [Place, Place]): number {
+  return (
+    files.indexOf(a.file ?? '') - files.indexOf(b.file ?? '') ||
+    (a.line ?? 0) - (b.line ?? 0) ||
+    (a.column ?? 0) - (b.column ?? 0)
+  );
+}
+
 /**
  * Checks documents against each other: references, duplicate names and addresses, path prefixes,
  * budgets and windows. Each document has been checked against its schema before.
  *
- * @returns Findings with the place of each.
+ * @returns Findings in the order of the files, lines and columns.
  */
 export function checkDocuments(documents: readonly LoadedDocument[]): Finding[] {
   const hosts = listLocated(documents, 'hosts');
@@ -56,7 +65,7 @@
     place: host.locate('address'),
   }));
   const settings = documents.filter((one) => one.kind === 'settings');
-  return [
+  const findings = [
     ...names,
     ...checkUnique('the address', addresses),
     ...checkReferences(hosts ?? [], 'dataCentre', { what: 'data centre', targets: dataCentres }),
@@ -65,4 +74,6 @@
     ...checkPrefixes(services),
     ...checkSettings(settings),
   ];
+  const files = documents.map(({ source }) => source.file);
+  return findings.sort((a, b) => comparePlaces(files, [a.place, b.place]));
 }
