Add examples to the public functions of the time line and the checks

Cause: several public functions had no example.

Change: examples in doc comments; no behaviour changes.

--- a/src/fleet/compareDocument.ts
+++ b/src/fleet/compareDocument.ts
@@ -24,7 +24,14 @@
   return [...puts, ...removes];
 }
 
-/** Compares a document with the state in force and returns the operations that lead to it. */
+/**
+ * Compares a document with the state in force and returns the operations that lead to it.
+ *
+ * @example
+ * ```ts
+ * compareDocument({ pools: [] }, fleet.snapshot()); // removes every pool
+ * ```
+ */
 export function compareDocument(document: FleetDocument, current: FleetSnapshot): Operation[] {
   return [
     ...compareObjects('dataCentre', document.dataCentres, current.dataCentres),
--- a/src/observation/collectObservations.ts
+++ b/src/observation/collectObservations.ts
@@ -10,6 +10,11 @@
  * result, so that it is never taken for a process with nothing to tell.
  *
  * @param addresses Peer or API addresses; one that is there twice is asked once.
+ * @example
+ * ```ts
+ * const what = { path: 'status', schema: ProcessStatus } as const;
+ * const answers = await collectObservations(['10.0.0.4:7100', '10.0.0.4:8001'], what);
+ * ```
  */
 export function collectObservations<Schema extends z.ZodType>(
   addresses: readonly string[],
--- a/src/settings/checkDocuments.ts
+++ b/src/settings/checkDocuments.ts
@@ -46,6 +46,11 @@
  * budgets and windows. Each document has been checked against its schema before.
  *
  * @returns Findings in the order of the files, lines and columns.
+ * @example
+ * ```ts
+ * const { documents } = loadDocuments(['inventory.jsonc', 'rules.jsonc']);
+ * checkDocuments(documents).map(formatFinding);
+ * ```
  */
 export function checkDocuments(documents: readonly LoadedDocument[]): Finding[] {
   const hosts = listLocated(documents, 'hosts');
--- a/src/settings/loadDocuments.ts
+++ b/src/settings/loadDocuments.ts
@@ -16,6 +16,11 @@
 /**
  * Loads one document; a document with the key `role` is a settings file, any other one an
  * inventory, rules, or both.
+ *
+ * @example
+ * ```ts
+ * loadDocument(new DocumentSource('{ "pools": [] }', 'rules.jsonc')).findings; // []
+ * ```
  */
 export function loadDocument(source: DocumentSource): LoadResult {
   const { value } = source;
@@ -45,6 +50,11 @@
  *
  * Checks between files run only when every file agrees with its schema, since a broken file would
  * make the references to its objects look wrong.
+ *
+ * @example
+ * ```ts
+ * const { documents, findings } = loadDocuments(['inventory.jsonc', 'rules.jsonc']);
+ * ```
  */
 export function loadDocuments(files: readonly string[]): LoadResult {
   const results = files.map(loadFile);
--- a/src/timeline/Timeline.ts
+++ b/src/timeline/Timeline.ts
@@ -2,7 +2,7 @@
 import { EventRing } from './_EventRing.js';
 import { FleetEvent, type EventInput } from './FleetEvent.js';
 
-/** About 300 bytes an event bound the two rings to about 3 MB. */
+/** About 300 bytes an event bound the two rings to about 3 MB; events about many hosts are larger. */
 const DEFAULT_CAPACITY = 10_000;
 
 /** Options of a time line. */
--- a/src/timeline/describeRecord.ts
+++ b/src/timeline/describeRecord.ts
@@ -43,12 +43,27 @@
   }
 }
 
-/** Describes the proposal of a record as an event; `record` is its `writer/sequence`. */
+/**
+ * Describes the proposal of a record as an event; `record` is its `writer/sequence`.
+ *
+ * @example
+ * ```ts
+ * const body: RecordBody = { type: 'host-assign', hosts: ['h1'], pool: 'match' };
+ * describeProposal(body, 'w/1').type; // 'host-assign.proposed'
+ * ```
+ */
 export function describeProposal(body: RecordBody, record: string): EventInput {
   return { ...describeBody(body), type: `${body.type}.proposed`, proposes: record };
 }
 
-/** Describes what the fold did with a record as an event. */
+/**
+ * Describes what the fold did with a record as an event.
+ *
+ * @example
+ * ```ts
+ * describeRecord(record, { outcome: 'accepted' }).type; // for example 'host-assign.accepted'
+ * ```
+ */
 export function describeRecord(record: LoggedRecord, verdict: FoldOutcome): EventInput {
   const described = describeBody(record.body);
   const detail = [described.detail ?? '', ...(verdict.reasons ?? [])].filter((one) => one !== '');
--- a/src/timeline/formatEvent.ts
+++ b/src/timeline/formatEvent.ts
@@ -10,7 +10,15 @@
   return `${hosts.slice(0, MAX_HOSTS).join(',')}${more}`;
 }
 
-/** Formats an event of the merged time line as one line; times are UTC. */
+/**
+ * Formats an event of the merged time line as one line; times are UTC.
+ *
+ * @example
+ * ```ts
+ * const [merged] = mergeTimelines([timeline.list()]);
+ * formatEvent(merged); // '10:41:11.783 gateway-1            host.ejected host=h7'
+ * ```
+ */
 export function formatEvent({ event, skewMs }: MergedEvent): string {
   const fields = {
     host: event.host ?? formatHosts(event.hosts),
