--- a/src/cli/compareDocument.ts
+++ b/src/fleet/compareDocument.ts
@@ -1,7 +1,7 @@
 import { isDeepStrictEqual } from 'node:util';
-import type { FleetSnapshot } from '../fleet/mod.js';
+import type { FleetSnapshot } from './FleetSnapshot.js';
 import type { ObjectKind, Operation } from '../record/mod.js';
-import type { FleetDocument } from './FleetDocument.js';
+import type { FleetDocument } from '../settings/mod.js';
 
 interface Named {
   name: string;
@@ -24,7 +24,14 @@
   return [...puts, ...removes];
 }
 
-/** Compares a document with the state in force and returns the operations that lead to it. */
+/**
+ * Compares a document with the state in force and returns the operations that lead to it.
+ *
+ * @example
+ * ```ts
+ * compareDocument({ pools: [] }, fleet.snapshot()); // removes every pool
+ * ```
+ */
 export function compareDocument(document: FleetDocument, current: FleetSnapshot): Operation[] {
   return [
     ...compareObjects('dataCentre', document.dataCentres, current.dataCentres),
