Derive host observations with hysteresis

Cause: the platform's host list lags and drops hosts for seconds, and gateways report hosts that fail only for themselves. A record for each change of the list would let one flapping host fill the log.

Change: HostHysteresis, a deterministic class fed with lists, reports and times, decides when a host counts as leaving (at once), failed (missing for 10 s of watched time, or reported by two gateways or by one for 10 s) and live again (well for 30 s, doubled with each flap up to 32 min). An empty list is no news. A status that another controller folded is adopted.

--- /dev/null
+++ b/src/host/HostHysteresis.ts
@@ -0,0 +1,194 @@
+import type { HostStatus } from './HostState.js';
+
+/** The list lags; a host that is missing from it for less than this may only be late. */
+const ABSENT_MS = 10_000;
+/** A failed host must look well for this long; doubled with each flap. */
+const RECOVER_MS = 30_000;
+/** 30 s doubled six times; a host that flaps without end costs one record pair in half an hour. */
+const MAX_RECOVER_MS = 1_920_000;
+/** After this long without a change, one flap is forgiven. */
+const FORGIVE_MS = 3_600_000;
+/** A report counts for this long; gateways repeat it while the host fails. */
+const REPORT_MS = 15_000;
+/** Reports of a single gateway count once they have lasted this long. */
+const SINGLE_REPORTER_MS = 10_000;
+
+/** A host of the inventory as the fold has it. */
+export interface KnownHost {
+  host: string;
+  dataCentre: string;
+  status: HostStatus;
+}
+
+/** A host in the platform's list. */
+export interface ListedHost {
+  host: string;
+  state: 'live' | 'leaving';
+}
+
+/** What the fold should be told. */
+export interface HostFindings {
+  observations: { host: string; status: HostStatus }[];
+  /** Data centres all of whose hosts are missing: a partition is suspected. */
+  suspected: string[];
+}
+
+/** Most time that counts between two lists. */
+const MAX_GAP_MS = 3_000;
+
+interface Watched {
+  presentAt: number;
+  /** Since when the host has looked well without a break. */
+  wellSince: number | undefined;
+  flaps: number;
+  /** When the verdict last changed. */
+  changedAt: number;
+  status: HostStatus;
+  /** Status in the fold when last seen. */
+  folded: HostStatus;
+  /** First and last report by gateway. */
+  reports: Map<string, { first: number; last: number }>;
+}
+
+function chooseStatus(
+  watched: Watched,
+  seen: { state: 'live' | 'leaving' | undefined; isReported: boolean; now: number },
+): HostStatus {
+  if (seen.isReported || seen.now - watched.presentAt >= ABSENT_MS) return 'failed';
+  // A host that left its list of failures only to leave is not taken back in between.
+  if (seen.state === 'leaving') return watched.status === 'failed' ? 'failed' : 'leaving';
+  if (watched.status === 'live' || watched.wellSince === undefined) return watched.status;
+  const flaps = Math.max(0, watched.flaps - 1);
+  const recoverMs = Math.min(MAX_RECOVER_MS, RECOVER_MS * 2 ** Math.min(flaps, 10));
+  return seen.now - watched.wellSince >= recoverMs ? 'live' : watched.status;
+}
+
+function isReported({ reports }: Watched, now: number): boolean {
+  reports.forEach(({ last }, reporter) => {
+    if (now - last > REPORT_MS) reports.delete(reporter);
+  });
+  if (reports.size > 1) return true;
+  return [...reports.values()].some(({ first }) => now - first >= SINGLE_REPORTER_MS);
+}
+
+function computeStatus(
+  watched: Watched,
+  { state, now }: { state: 'live' | 'leaving' | undefined; now: number },
+): HostStatus {
+  /* eslint-disable no-param-reassign -- the watched host is this object's own state. */
+  if (state !== undefined) watched.presentAt = now;
+  const isFailing = isReported(watched, now);
+  const isWell = state === 'live' && !isFailing;
+  watched.wellSince = isWell ? (watched.wellSince ?? now) : undefined;
+  const status = chooseStatus(watched, { state, isReported: isFailing, now });
+  if (status === watched.status) {
+    if (watched.flaps > 0 && now - watched.changedAt > FORGIVE_MS) {
+      watched.flaps -= 1;
+      watched.changedAt = now;
+    }
+    return status;
+  }
+  if (watched.status === 'live') watched.flaps += 1;
+  watched.status = status;
+  watched.changedAt = now;
+  return status;
+  /* eslint-enable no-param-reassign */
+}
+
+/**
+ * Turns the platform's lagging list and the gateways' reports into observations.
+ *
+ * A host counts as leaving at once, as failed after it was missing for 10 s or reported, and as live
+ * again after it looked well for 30 s, doubled with each flap. Times are monotonic milliseconds. An
+ * empty list is no news: the platform has lost its list, not every host.
+ *
+ * @example
+ * ```ts
+ * const { observations } = hysteresis.apply(known, { list, now: 12_000 });
+ * ```
+ */
+export class HostHysteresis {
+  readonly #watched = new Map<string, Watched>();
+
+  #appliedAt: number | undefined;
+
+  /** Time during which lists came, in milliseconds; all waiting times count in it. */
+  #elapsedMs = 0;
+
+  /** Takes note that a gateway sees a host fail. */
+  report(report: { host: string; reporter: string }): void {
+    const now = this.#elapsedMs;
+    const reports = this.#watched.get(report.host)?.reports;
+    if (reports === undefined) return;
+    const known = reports.get(report.reporter);
+    const isFresh = known !== undefined && now - known.last <= REPORT_MS;
+    reports.set(report.reporter, { first: isFresh ? known.first : now, last: now });
+  }
+
+  /** Compares a list with the fold and returns what differs. */
+  apply(known: KnownHost[], { list, now }: { list: ListedHost[]; now: number }): HostFindings {
+    if (list.length === 0) return { observations: [], suspected: [] };
+    this.#prune(known);
+    this.#increaseElapsed(now);
+    const elapsed = this.#elapsedMs;
+    const listed = new Map(list.map((one) => [one.host, one.state]));
+    const observations = known.flatMap((one) => {
+      const watched = this.#updateWatched(one, elapsed);
+      const status = computeStatus(watched, { state: listed.get(one.host), now: elapsed });
+      return status === one.status ? [] : [{ host: one.host, status }];
+    });
+    return { observations, suspected: this.#findSuspected(known, elapsed) };
+  }
+
+  /** A frozen process or a silent platform must not turn one late list into many failures. */
+  #increaseElapsed(now: number): void {
+    const gap = now - (this.#appliedAt ?? now);
+    this.#appliedAt = now;
+    this.#elapsedMs += Math.max(0, Math.min(gap, MAX_GAP_MS));
+  }
+
+  #updateWatched({ host, status }: KnownHost, now: number): Watched {
+    const known = this.#watched.get(host);
+    if (known) {
+      // Another controller decided otherwise. Taking its word keeps two that see different reports
+      // from overruling each other in turn.
+      if (known.folded !== status && known.status !== status) {
+        if (known.status === 'live') known.flaps += 1;
+        known.wellSince = undefined;
+        known.status = status;
+        known.changedAt = now;
+      }
+      known.folded = status;
+      return known;
+    }
+    const watched: Watched = {
+      presentAt: now,
+      wellSince: undefined,
+      flaps: 0,
+      changedAt: now,
+      status,
+      folded: status,
+      reports: new Map(),
+    };
+    this.#watched.set(host, watched);
+    return watched;
+  }
+
+  #findSuspected(known: KnownHost[], now: number): string[] {
+    const present = new Map<string, boolean>();
+    known.forEach(({ host, dataCentre }) => {
+      const presentAt = this.#watched.get(host)?.presentAt ?? now;
+      const isPresent = now - presentAt < ABSENT_MS;
+      present.set(dataCentre, (present.get(dataCentre) ?? false) || isPresent);
+    });
+    return [...present].filter(([, isPresent]) => !isPresent).map(([dataCentre]) => dataCentre);
+  }
+
+  #prune(known: KnownHost[]): void {
+    if (this.#watched.size <= known.length) return;
+    const names = new Set(known.map((one) => one.host));
+    [...this.#watched.keys()].forEach((name) => {
+      if (!names.has(name)) this.#watched.delete(name);
+    });
+  }
+}
--- a/src/host/mod.ts
+++ b/src/host/mod.ts
@@ -4,4 +4,5 @@
  * @module
  */
 export * from './Host.js';
+export * from './HostHysteresis.js';
 export * from './HostState.js';
--- a/src/testing/mod.ts
+++ b/src/testing/mod.ts
@@ -4,4 +4,5 @@
  * @module
  */
 export * from './ProcessGroup.js';
+export * from './readSeed.js';
 export * from './waitFor.js';
