--- /dev/null
+++ b/src/controller/CheckpointKeeper.ts
@@ -0,0 +1,195 @@
+import { randomUUID } from 'node:crypto';
+import { Actor, type ActorScope } from '../actor/mod.js';
+import type { Clock } from '../clock/mod.js';
+import {
+  Fleet,
+  parseSnapshot,
+  type FleetKeeper,
+  type FleetSnapshot,
+  type FleetTail,
+} from '../fleet/mod.js';
+import {
+  CHECKPOINT_STREAM,
+  CheckpointCollector,
+  encodeCheckpoint,
+  OffsetExpiredError,
+  type CheckpointInfo,
+  type LogClient,
+} from '../log/mod.js';
+import type { Timeline } from '../timeline/mod.js';
+
+/** Share of the retention after which rank 0 writes; later ranks follow, all before a half. */
+const FIRST_SHARE = 0.25;
+const SHARE_PER_RANK = 0.04;
+const LAST_SHARE = 0.45;
+/** The stream is looked at this often within a retention, at most every 10 s. */
+const CHECKS_PER_RETENTION = 200;
+const MIN_CHECK_MS = 100;
+const MAX_CHECK_MS = 10_000;
+/** Four chunks of 60 KB stay below the 256 KiB of an append. */
+const CHUNKS_PER_APPEND = 4;
+const MAX_ENTRIES = 100;
+const ASK_TIMEOUT_MS = 10_000;
+
+type CheckpointMessage = { type: 'tick' } | { type: 'rank'; rank: number };
+
+/** Options of a checkpoint keeper. */
+export interface CheckpointKeeperOptions {
+  keeper: FleetKeeper;
+  client: LogClient;
+  clock: Clock;
+  timeline: Timeline;
+  /** How long the platform retains records, in milliseconds. */
+  retentionMs: number;
+}
+
+async function isSame(text: string, tail: FleetTail): Promise<boolean> {
+  try {
+    const fleet = Fleet.restore(await parseSnapshot(JSON.parse(text)));
+    tail.records.forEach((record) => fleet.apply(record));
+    fleet.increase(tail.nextOffset);
+    return fleet.hash() === tail.hash;
+  } catch {
+    return false;
+  }
+}
+
+/**
+ * Writes checkpoints before half of the retention has passed, and verifies those of every
+ * controller against the state of its own.
+ */
+export class CheckpointKeeper extends Actor<CheckpointMessage> {
+  readonly #options: CheckpointKeeperOptions;
+
+  readonly #collector = new CheckpointCollector();
+
+  readonly #timer: NodeJS.Timeout;
+
+  readonly #startedAt: number;
+
+  #from = 0;
+
+  #rank = Number.POSITIVE_INFINITY;
+
+  /** Newest checkpoint that was not found wrong. */
+  #newest: CheckpointInfo | undefined;
+
+  /** Complete checkpoints that are not verified yet. */
+  #unverified: CheckpointInfo[] = [];
+
+  constructor(scope: ActorScope, options: CheckpointKeeperOptions) {
+    super(scope, 'checkpoint-keeper');
+    this.#options = options;
+    this.#startedAt = options.clock.readWall();
+    const intervalMs = Math.max(
+      MIN_CHECK_MS,
+      Math.min(MAX_CHECK_MS, options.retentionMs / CHECKS_PER_RETENTION),
+    );
+    this.#timer = setInterval(() => this.send({ type: 'tick' }), intervalMs);
+  }
+
+  protected override async receive(message: CheckpointMessage): Promise<void> {
+    if (message.type === 'rank') {
+      this.#rank = message.rank;
+      return;
+    }
+    try {
+      await this.#readStream();
+    } catch {
+      return; // The platform does not answer; the follower reports that.
+    }
+    const pending = this.#unverified;
+    this.#unverified = [];
+    for (const info of pending) await this.#verify(info);
+    if (this.#unverified.length === 0 && this.#isDue()) await this.#write();
+  }
+
+  override close(): void {
+    clearInterval(this.#timer);
+    super.close();
+  }
+
+  async #readStream(): Promise<void> {
+    for (;;) {
+      const { entries, head } = await this.#read();
+      entries.forEach((entry) => {
+        const info = this.#collector.add(entry);
+        if (info) this.#unverified.push(info);
+      });
+      this.#from = (entries.at(-1)?.offset ?? head - 1) + 1;
+      if (this.#from >= head) return;
+    }
+  }
+
+  async #read() {
+    const { client } = this.#options;
+    try {
+      return await client.read(CHECKPOINT_STREAM, this.#from, { max: MAX_ENTRIES, waitMs: 0 });
+    } catch (error) {
+      if (!(error instanceof OffsetExpiredError)) throw error;
+      this.#from = error.earliest;
+      return client.read(CHECKPOINT_STREAM, this.#from, { max: MAX_ENTRIES, waitMs: 0 });
+    }
+  }
+
+  /** Folds the tail on the checkpoint and compares the hash with that of the own state. */
+  async #verify(info: CheckpointInfo): Promise<void> {
+    const { keeper, timeline } = this.#options;
+    const text = await this.#collector.decode(info);
+    const event = { offset: info.offset, detail: info.checkpoint };
+    if (text === undefined) {
+      timeline.record({ type: 'checkpoint.damaged', ...event });
+      return;
+    }
+    const { nextOffset } = await keeper.ask<{ nextOffset: number }>((reply) => ({
+      type: 'position',
+      reply,
+    }));
+    if (nextOffset < info.offset) {
+      this.#unverified.push(info);
+      return;
+    }
+    const tail = await keeper.ask<FleetTail | undefined>(
+      (reply) => ({ type: 'tail', offset: info.offset, reply }),
+      ASK_TIMEOUT_MS,
+    );
+    if (tail && !(await isSame(text, tail))) {
+      timeline.record({ type: 'checkpoint.refused', ...event });
+      this.scope.reportFault(this.name, new Error(`checkpoint at ${info.offset} differs`));
+      return;
+    }
+    timeline.record({ type: tail ? 'checkpoint.verified' : 'checkpoint.read', ...event });
+    if (info.time >= (this.#newest?.time ?? 0)) this.#newest = info;
+  }
+
+  #isDue(): boolean {
+    if (!Number.isFinite(this.#rank)) return false;
+    const now = this.#options.clock.readWall();
+    const later = this.#rank * SHARE_PER_RANK;
+    const share = Math.min(LAST_SHARE, this.#newest ? FIRST_SHARE + later : later);
+    return now - (this.#newest?.time ?? this.#startedAt) >= share * this.#options.retentionMs;
+  }
+
+  async #write(): Promise<void> {
+    const { keeper, client, timeline } = this.#options;
+    const snapshot = await keeper.ask<FleetSnapshot>(
+      (reply) => ({ type: 'snapshot', reply }),
+      ASK_TIMEOUT_MS,
+    );
+    if (snapshot.nextOffset === 0) return;
+    const checkpoint = randomUUID();
+    const { nextOffset: offset } = snapshot;
+    const values = await encodeCheckpoint(JSON.stringify(snapshot), { checkpoint, offset });
+    try {
+      for (let start = 0; start < values.length; start += CHUNKS_PER_APPEND) {
+        await client.append(CHECKPOINT_STREAM, values.slice(start, start + CHUNKS_PER_APPEND));
+      }
+    } catch (error) {
+      // A half-written checkpoint is skipped by every reader; the next check writes a new one.
+      const detail = (error as Error).message;
+      timeline.record({ type: 'checkpoint.failed', offset, detail });
+      return;
+    }
+    timeline.record({ type: 'checkpoint.written', offset, detail: checkpoint });
+  }
+}
--- /dev/null
+++ b/src/controller/Controller.test.ts
@@ -0,0 +1,193 @@
+import assert from 'node:assert/strict';
+import { after, describe, it } from 'node:test';
+import { request } from 'undici';
+import { buildInventory, ProcessGroup, waitFor, type Started } from '../testing/mod.js';
+import { createControllerClient, type ControllerClient } from './ControllerClient.js';
+
+const [SITE, ...HOSTS] = buildInventory(40, 1);
+
+/** A platform, an address that only forwards to it while it is not cut, and controllers. */
+class Deployment {
+  readonly group = new ProcessGroup();
+
+  platform = '';
+
+  async open(retentionMs?: number): Promise<void> {
+    const name = retentionMs === undefined ? 'platform' : String(retentionMs);
+    this.platform = (await this.group.startStandin('platform', name)).address;
+  }
+
+  startController(options: object = {}): Promise<Started> {
+    return this.group.startDaemon({
+      role: 'controller',
+      dataCentre: 'd1',
+      address: '127.0.0.1:0',
+      platform: `http://${this.platform}`,
+      ...options,
+    });
+  }
+
+  async inject(faults: object): Promise<void> {
+    const body = JSON.stringify(faults);
+    const answer = await request(`http://${this.platform}/faults`, { method: 'PUT', body });
+    await answer.body.dump();
+  }
+}
+
+function put(address: string, index: number, baseRevision: number) {
+  const operations = [SITE, HOSTS[index]].filter((one) => one !== undefined);
+  // The data centre goes in with the first host only, so that later hosts do not conflict on it.
+  return createControllerClient(address).change.mutate({
+    baseRevision,
+    operations: index === 0 ? operations : operations.slice(1),
+    operator: `operator-${index}`,
+  });
+}
+
+async function waitForRevision(client: ControllerClient, revision: number): Promise<void> {
+  await waitFor(`revision ${revision}`, async () => {
+    try {
+      return (await client.status.query()).revision >= revision;
+    } catch {
+      return false;
+    }
+  });
+}
+
+describe('controllers as separate processes', () => {
+  const groups: ProcessGroup[] = [];
+  after(() => Promise.all(groups.map((group) => group.close())));
+
+  async function openDeployment(retentionMs?: number): Promise<Deployment> {
+    const deployment = new Deployment();
+    groups.push(deployment.group);
+    await deployment.open(retentionMs);
+    return deployment;
+  }
+
+  it('gives one of two racing operators a conflict that names both revisions', async () => {
+    const deployment = await openDeployment();
+    const [a, b] = await Promise.all([deployment.startController(), deployment.startController()]);
+    const base = await put(a.address, 0, 0);
+    await waitForRevision(createControllerClient(b.address), base.revision);
+    const answers = await Promise.all([
+      put(a.address, 1, base.revision),
+      put(b.address, 1, base.revision),
+    ]);
+    const won = answers.find((one) => one.verdict.outcome === 'accepted');
+    const lost = answers.find((one) => one.verdict.outcome === 'rejected');
+    assert.ok(won && lost);
+    const reasons = JSON.stringify(lost.verdict);
+    assert.match(reasons, new RegExp(`revision ${won.revision}.*base revision ${base.revision}`));
+  });
+
+  it('settles lost and late appends so that an accepted change takes effect once', async () => {
+    const deployment = await openDeployment();
+    const { address } = await deployment.startController();
+    const base = await put(address, 0, 0);
+    await deployment.inject({ loseAnswers: 1 });
+    assert.equal((await put(address, 1, base.revision)).verdict.outcome, 'accepted');
+    await deployment.inject({ lateAppends: 1, lateMs: 700 });
+    assert.equal((await put(address, 2, base.revision)).verdict.outcome, 'accepted');
+    const client = createControllerClient(address);
+    await waitFor('the late append as a duplicate', async () =>
+      (await client.timeline.query()).some((one) => one.detail === 'config-change: duplicate'),
+    );
+    assert.equal((await client.fleet.query()).hosts, 3);
+  });
+
+  it('tells operators what did not happen while the platform is down, and keeps its state', async () => {
+    const deployment = await openDeployment();
+    const { address } = await deployment.startController();
+    const base = await put(address, 0, 0);
+    await deployment.inject({ down: true });
+    const client = createControllerClient(address);
+    const first = await put(address, 1, base.revision).catch((error: Error) => error.message);
+    assert.match(String(first), /^outcome unknown: /);
+    const second = await put(address, 2, base.revision).catch((error: Error) => error.message);
+    assert.match(String(second), /^not applied: /);
+    const status = await waitFor('a stale state', async () => {
+      const one = await client.status.query();
+      return one.readiness === 'stale' ? one : undefined;
+    });
+    assert.equal(status.revision, base.revision);
+    // With the log down a new process starts from the snapshot of a peer, and without one not at all.
+    const joined = await deployment.startController({ peers: [address] });
+    await waitForRevision(createControllerClient(joined.address), base.revision);
+    const alone = await deployment.startController();
+    const lonely = await createControllerClient(alone.address).status.query();
+    assert.equal(lonely.readiness, 'not-ready');
+    assert.match(lonely.reason, /platform: /);
+    await deployment.inject({});
+    assert.equal((await put(address, 3, base.revision)).verdict.outcome, 'accepted');
+    const { hosts } = await client.fleet.query();
+    const known = await client.snapshot.query();
+    assert.ok(!known.hosts.some((one) => one.object.name === 'h3'), 'applied though refused');
+    assert.equal(hosts, known.hosts.length);
+  });
+
+  it('carries a change to a controller that is cut off from the platform but not from a peer', async () => {
+    const deployment = await openDeployment();
+    const a = await deployment.startController();
+    const base = await put(a.address, 0, 0);
+    const cut = await deployment.startController({
+      platform: 'http://127.0.0.1:9',
+      peers: [a.address],
+    });
+    const client = createControllerClient(cut.address);
+    await waitForRevision(client, base.revision);
+    const next = await put(a.address, 1, base.revision);
+    await waitForRevision(client, next.revision);
+    assert.equal((await client.status.query()).readiness, 'ready');
+  });
+
+  it('catches up after a freeze, and rollout names a frozen process as missing', async () => {
+    const deployment = await openDeployment();
+    const [a, b] = await Promise.all([deployment.startController(), deployment.startController()]);
+    const client = createControllerClient(a.address);
+    const base = await put(a.address, 0, 0);
+    await waitFor('both sessions', async () => {
+      const { processes } = await client.rollout.query();
+      return processes.length === 2;
+    });
+    b.child.kill('SIGSTOP');
+    const next = await put(a.address, 1, base.revision);
+    const frozen = await client.rollout.query({ revision: next.revision });
+    assert.equal(frozen.missing.length, 1);
+    assert.equal(frozen.missing[0]?.address, b.address);
+    b.child.kill('SIGCONT');
+    const rollout = await waitFor('the thawed controller', async () => {
+      const one = await client.rollout.query({ revision: next.revision });
+      return one.missing.length === 0 && one.behind.length === 0 ? one : undefined;
+    });
+    assert.ok(rollout.processes.every((one) => one.change !== undefined));
+    assert.ok((rollout.tookMs ?? 0) < 15_000);
+  });
+
+  it('keeps the configuration past the retention while all controllers are replaced', async () => {
+    const retentionMs = 4_000;
+    const deployment = await openDeployment(retentionMs);
+    const options = { retentionSeconds: retentionMs / 1_000 };
+    let { address, child } = await deployment.startController(options);
+    const base = await put(address, 0, 0);
+    const headOfFleet = async (): Promise<boolean> => {
+      const url = `http://${deployment.platform}/streams/fleet/entries?from=0`;
+      const answer = await request(url);
+      await answer.body.dump();
+      return answer.statusCode === 410;
+    };
+    await waitFor('the retention to pass', headOfFleet);
+    // One by one, then killed with nobody left: the checkpoint alone carries the state.
+    const next = await deployment.startController(options);
+    await waitForRevision(createControllerClient(next.address), base.revision);
+    child.kill('SIGTERM');
+    next.child.kill('SIGKILL');
+    ({ address, child } = await deployment.startController(options));
+    const client = createControllerClient(address);
+    await waitForRevision(client, base.revision);
+    await waitFor('a checkpoint verified by the new controller', async () =>
+      (await client.timeline.query()).some((one) => one.type === 'checkpoint.verified'),
+    );
+    assert.equal((await put(address, 1, base.revision)).verdict.outcome, 'accepted');
+  });
+});
--- a/src/controller/Controller.ts
+++ b/src/controller/Controller.ts
@@ -1,13 +1,25 @@
+import { randomUUID } from 'node:crypto';
 import { createHTTPServer } from '@trpc/server/adapters/standalone';
 import { ActorScope, type FaultHandler } from '../actor/mod.js';
+import { SystemClock } from '../clock/mod.js';
 import { FleetFollower, FleetKeeper } from '../fleet/mod.js';
-import { HttpLogClient, LogRecordSource, LogWriter } from '../log/mod.js';
+import { HttpLogClient, LogRecordSource, LogWriter, type SubmitAnswer } from '../log/mod.js';
 import { closeServer, openServer } from '../net/mod.js';
+import type { RecordBody } from '../record/mod.js';
 import type { ControllerSettings } from '../settings/mod.js';
+import { Timeline } from '../timeline/mod.js';
+import { CheckpointKeeper } from './CheckpointKeeper.js';
 import { ControllerApi } from './ControllerApi.js';
+import { ControllerPeers } from './ControllerPeers.js';
 import { ControllerPlanner } from './ControllerPlanner.js';
 import { ControllerRecordSource } from './ControllerRecordSource.js';
 import { controllerRouter } from './ControllerRouter.js';
+import { HttpHostListClient } from './HttpHostListClient.js';
+import { HostWatcher } from './HostWatcher.js';
+import { SequenceProjector } from './_SequenceProjector.js';
+
+/** How long a planned stop waits for the log to take the end of the session. */
+const END_TIMEOUT_MS = 1_000;
 
 type HttpServer = ReturnType<typeof createHTTPServer>;
 
@@ -38,31 +50,79 @@
 
   readonly #server: HttpServer;
 
+  readonly #session = randomUUID();
+
+  readonly #clock = new SystemClock();
+
+  readonly #timeline = new Timeline(this.#session, { clock: this.#clock });
+
+  readonly #watcher: HostWatcher;
+
+  readonly #checkpoints: CheckpointKeeper;
+
+  #peers: ControllerPeers | undefined;
+
   constructor(settings: ControllerSettings, onFault: FaultHandler) {
     this.#settings = settings;
     this.#scope = new ActorScope('controller', onFault);
-    this.#keeper = new FleetKeeper(this.#scope);
-    this.#writeClient = new HttpLogClient(settings.platform);
-    this.#writer = new LogWriter(this.#scope, this.#writeClient);
-    this.#follower = new FleetFollower(this.#scope, this.#keeper, [
+    const clock = this.#clock;
+    const timeline = this.#timeline;
+    const keeper = new FleetKeeper(this.#scope, { clock, timeline });
+    this.#keeper = keeper;
+    const client = new HttpLogClient(settings.platform);
+    this.#writeClient = client;
+    const writer = new LogWriter(this.#scope, { client });
+    this.#writer = writer;
+    keeper.send({ type: 'subscribe', projector: new SequenceProjector(writer) });
+    const sources = [
       new LogRecordSource(new HttpLogClient(settings.platform)),
       ...settings.peers.map((peer) => new ControllerRecordSource(peer)),
-    ]);
-    this.#planner = new ControllerPlanner(this.#scope, this.#keeper, this.#writer);
-    const api = new ControllerApi(this.#keeper, this.#writer);
-    this.#server = createHTTPServer({ router: controllerRouter, createContext: () => ({ api }) });
+    ];
+    this.#follower = new FleetFollower(this.#scope, keeper, sources, { clock, timeline });
+    this.#planner = new ControllerPlanner(this.#scope, keeper, writer);
+    this.#watcher = new HostWatcher(this.#scope, {
+      keeper,
+      writer,
+      client: new HttpHostListClient(settings.platform),
+      clock,
+      timeline,
+    });
+    this.#checkpoints = new CheckpointKeeper(this.#scope, {
+      keeper,
+      client,
+      clock,
+      timeline,
+      retentionMs: settings.retentionSeconds * 1_000,
+    });
+    this.#server = createHTTPServer({
+      router: controllerRouter,
+      createContext: () => ({ api: this.#buildApi() }),
+    });
   }
 
   /** Opens the API and returns its address. */
   async open(): Promise<string> {
     const address = await openServer(this.#server, this.#settings.address);
     this.#follower.start();
+    this.#peers = new ControllerPeers(this.#scope, {
+      keeper: this.#keeper,
+      writer: this.#writer,
+      clock: this.#clock,
+      session: this.#session,
+      dataCentre: this.#settings.dataCentre,
+      address,
+      onRank: (rank) => this.#publishRank(rank),
+    });
     return address;
   }
 
-  /** Stops the actors and closes the API. */
+  /** Ends the session, stops the actors and closes the API. */
   async close(): Promise<void> {
+    this.#peers?.close();
     this.#planner.close();
+    await this.#closeSession();
+    await this.#watcher.close();
+    this.#checkpoints.close();
     this.#writer.close();
     await this.#follower.close();
     this.#keeper.close();
@@ -70,4 +130,32 @@
     await this.#writeClient.close();
     this.#scope.close();
   }
+
+  /** With the log down the session stays open; another controller ends it later. */
+  async #closeSession(): Promise<void> {
+    const session = this.#session;
+    const bodies: RecordBody[] = [{ type: 'session-end', session, by: session }];
+    await this.#writer.ask<SubmitAnswer>(
+      (reply) => ({ type: 'submit', bodies, timeoutMs: END_TIMEOUT_MS, reply }),
+      2 * END_TIMEOUT_MS,
+    );
+  }
+
+  #publishRank(rank: number): void {
+    [this.#planner, this.#watcher, this.#checkpoints].forEach((actor) => {
+      actor.send({ type: 'rank', rank });
+    });
+  }
+
+  #buildApi(): ControllerApi {
+    return new ControllerApi({
+      keeper: this.#keeper,
+      follower: this.#follower,
+      writer: this.#writer,
+      watcher: this.#watcher,
+      timeline: this.#timeline,
+      session: this.#session,
+      dataCentre: this.#settings.dataCentre,
+    });
+  }
 }
--- a/src/controller/ControllerApi.ts
+++ b/src/controller/ControllerApi.ts
@@ -1,17 +1,29 @@
+import VError from 'verror';
 import type {
+  FleetFollower,
   FleetKeeper,
+  FleetPosition,
   FleetSnapshot,
   FleetSummary,
+  FollowerStatus,
+  ProcessStatus,
+  SessionState,
   SinceAnswer,
   VerdictAnswer,
 } from '../fleet/mod.js';
-import type { LogWriter, RecordId } from '../log/mod.js';
+import type { LogWriter, SubmitAnswer } from '../log/mod.js';
 import type { Operation, RecordBody } from '../record/mod.js';
+import type { FleetEvent, Timeline } from '../timeline/mod.js';
 import { DescribeProjector } from './_DescribeProjector.js';
+import type { HostWatcher } from './HostWatcher.js';
+import { queryRollout, type Rollout } from './queryRollout.js';
+import { SessionListProjector } from './_SessionListProjector.js';
 import { splitChange } from './splitChange.js';
 
 /** How long a proposal may take to come back from the log before the caller is told so. */
 const VERDICT_TIMEOUT_MS = 10_000;
+/** How long a proposal may wait for the platform to confirm it. */
+const SUBMIT_TIMEOUT_MS = 10_000;
 
 /** A change as an operator sends it. */
 export interface ChangeRequest {
@@ -20,15 +32,29 @@
   operator: string;
 }
 
+/** The actors that the API of a controller speaks to. */
+export interface ControllerApiOptions {
+  keeper: FleetKeeper;
+  follower: FleetFollower;
+  writer: LogWriter;
+  watcher: HostWatcher;
+  timeline: Timeline;
+  session: string;
+  dataCentre: string;
+}
+
 /** What a controller does for its clients, apart from the encoding of the calls. */
 export class ControllerApi {
   readonly #keeper: FleetKeeper;
 
   readonly #writer: LogWriter;
 
-  constructor(keeper: FleetKeeper, writer: LogWriter) {
-    this.#keeper = keeper;
-    this.#writer = writer;
+  readonly #options: ControllerApiOptions;
+
+  constructor(options: ControllerApiOptions) {
+    this.#options = options;
+    this.#keeper = options.keeper;
+    this.#writer = options.writer;
   }
 
   /** Reads the records from an offset. */
@@ -39,9 +65,15 @@
     );
   }
 
-  /** Reads the whole state. */
-  readSnapshot(): Promise<FleetSnapshot> {
-    return this.#keeper.ask((reply) => ({ type: 'snapshot', reply }));
+  /**
+   * Reads the whole state.
+   *
+   * @throws When the controller has no state yet.
+   */
+  async readSnapshot(): Promise<FleetSnapshot> {
+    const { readiness, reason } = await this.#readFollower();
+    if (readiness === 'not-ready') throw new VError({ name: 'NotReadyError' }, '%s', reason);
+    return this.#keeper.ask((reply) => ({ type: 'snapshot', reply }), VERDICT_TIMEOUT_MS);
   }
 
   /** Describes the pools of the fleet. */
@@ -52,23 +84,92 @@
     }));
   }
 
-  /** Appends the parts of a change and returns the verdict on the whole. */
+  /** Names the session, for the controllers that probe this one. */
+  answerProbe(): { session: string } {
+    return { session: this.#options.session };
+  }
+
+  /** Reads the state of the process; with a revision also when it folded that change. */
+  async readStatus(revision?: number): Promise<ProcessStatus> {
+    const position = await this.#keeper.ask<FleetPosition>((reply) => ({
+      type: 'position',
+      revision,
+      reply,
+    }));
+    const { session, dataCentre } = this.#options;
+    const { time, ...rest } = position;
+    return { session, role: 'controller', dataCentre, ...rest, ...(await this.#readFollower()) };
+  }
+
+  /** Asks every process of the open sessions what it runs. */
+  async readRollout(revision?: number): Promise<Rollout> {
+    const sessions = await this.#keeper.ask<SessionState[]>((reply) => ({
+      type: 'project',
+      projector: new SessionListProjector(reply),
+    }));
+    const asked = revision ?? (await this.readStatus()).revision;
+    return queryRollout(sessions, asked);
+  }
+
+  /** Lists the events of this process, oldest first. */
+  readTimeline(): FleetEvent[] {
+    return this.#options.timeline.list();
+  }
+
+  /** Takes a gateway's report of hosts that fail. */
+  report(reporter: string, hosts: string[]): void {
+    this.#options.watcher.send({ type: 'report', reporter, hosts });
+  }
+
+  /**
+   * Appends the parts of a change and returns the verdict on the whole.
+   *
+   * @throws `NotAppliedError` when the change certainly has no effect; `OutcomeUnknownError` when it
+   * may have taken effect or may still do so.
+   */
   async changeConfiguration(request: ChangeRequest): Promise<VerdictAnswer> {
-    const answers = await Promise.all(splitChange(request).map((part) => this.append(part)));
-    const last = answers.at(-1);
-    if (last === undefined) throw new RangeError('a change needs at least one operation');
-    return last;
+    const parts = splitChange(request);
+    if (parts.length === 0) throw new RangeError('a change needs at least one operation');
+    const [first] = parts;
+    this.#options.timeline.record({
+      type: 'change.submitted',
+      change: first?.changeId,
+      detail: `${request.operations.length} operations by ${request.operator}`,
+    });
+    return this.#submit(parts);
   }
 
-  /** Appends a record and returns the verdict on it. */
-  async append(body: RecordBody): Promise<VerdictAnswer> {
-    const id = await this.#writer.ask<RecordId>(
-      (reply) => ({ type: 'append', body, reply }),
-      VERDICT_TIMEOUT_MS,
-    );
-    return this.#keeper.ask<VerdictAnswer>(
-      (reply) => ({ type: 'verdict', id, reply }),
-      VERDICT_TIMEOUT_MS,
+  /** Appends a record and returns the verdict on it; throws as `changeConfiguration` does. */
+  append(body: RecordBody): Promise<VerdictAnswer> {
+    return this.#submit([body]);
+  }
+
+  #readFollower(): Promise<FollowerStatus> {
+    return this.#options.follower.ask<FollowerStatus>((reply) => ({ type: 'status', reply }));
+  }
+
+  async #submit(bodies: RecordBody[]): Promise<VerdictAnswer> {
+    const answer = await this.#writer.ask<SubmitAnswer>(
+      (reply) => ({ type: 'submit', bodies, timeoutMs: SUBMIT_TIMEOUT_MS, reply }),
+      // The writer answers by itself; the margin keeps its answer from being missed.
+      SUBMIT_TIMEOUT_MS + VERDICT_TIMEOUT_MS,
     );
+    if (answer.outcome === 'not-applied') {
+      throw new VError({ name: 'NotAppliedError' }, 'not applied: %s', answer.reason);
+    }
+    if (answer.outcome === 'unknown') {
+      throw new VError({ name: 'OutcomeUnknownError' }, 'outcome unknown: %s', answer.reason);
+    }
+    const id = answer.ids.at(-1);
+    if (id === undefined) throw new RangeError('no record was appended');
+    try {
+      return await this.#keeper.ask<VerdictAnswer>(
+        (reply) => ({ type: 'verdict', id, reply }),
+        VERDICT_TIMEOUT_MS,
+      );
+    } catch {
+      const message = 'outcome unknown: appended, but not read back from the log in time';
+      throw new VError({ name: 'OutcomeUnknownError' }, message);
+    }
   }
 }
--- a/src/controller/ControllerPlanner.ts
+++ b/src/controller/ControllerPlanner.ts
@@ -2,11 +2,13 @@
 import type { FleetKeeper } from '../fleet/mod.js';
 import type { LogWriter } from '../log/mod.js';
 import type { RecordBody } from '../record/mod.js';
+import { ProposalDelay } from './ProposalDelay.js';
 import { PlanProjector } from './_PlanProjector.js';
 
 const PLAN_INTERVAL_MS = 500;
 
-type PlannerMessage = { type: 'tick' } | { type: 'proposals'; bodies: RecordBody[] };
+type PlannerMessage =
+  { type: 'tick' } | { type: 'rank'; rank: number } | { type: 'proposals'; bodies: RecordBody[] };
 
 /** Proposes records at an interval. */
 export class ControllerPlanner extends Actor<PlannerMessage> {
@@ -16,6 +18,10 @@
 
   readonly #timer: NodeJS.Timeout;
 
+  readonly #delay = new ProposalDelay();
+
+  #rank = Number.POSITIVE_INFINITY;
+
   constructor(scope: ActorScope, keeper: FleetKeeper, writer: LogWriter) {
     super(scope, 'controller-planner');
     this.#keeper = keeper;
@@ -31,7 +37,13 @@
       });
       return;
     }
-    message.bodies.forEach((body) => this.#writer.send({ type: 'append', body }));
+    if (message.type === 'rank') {
+      this.#rank = message.rank;
+      return;
+    }
+    const now = performance.now();
+    const bodies = this.#delay.choose(message.bodies, { rank: this.#rank, now });
+    this.#writer.send({ type: 'propose', proposer: this.name, bodies });
   }
 
   override close(): void {
--- a/src/controller/ControllerRecordSource.ts
+++ b/src/controller/ControllerRecordSource.ts
@@ -1,6 +1,15 @@
-import { OffsetExpiredError, RecordSource, type RecordBatch } from '../log/mod.js';
+import { SinceAnswer } from '../fleet/mod.js';
+import {
+  OffsetExpiredError,
+  RecordSource,
+  SourceFaultError,
+  type RecordBatch,
+} from '../log/mod.js';
 import { createControllerClient, type ControllerClient } from './ControllerClient.js';
 
+/** Margin over the wait of a long poll before the answer counts as lost. */
+const ANSWER_MARGIN_MS = 2_000;
+
 /** Reads records from a controller, for gateways and for controllers cut off from the platform. */
 export class ControllerRecordSource extends RecordSource {
   override readonly name: string;
@@ -14,9 +23,17 @@
   }
 
   override async read(from: number, waitMs: number, signal: AbortSignal): Promise<RecordBatch> {
-    const answer = await this.#client.since.query({ offset: from, waitMs }, { signal });
-    if (answer.expired) throw new OffsetExpiredError(this.name, from, answer.nextOffset);
-    return answer;
+    const timeout = AbortSignal.timeout(waitMs + ANSWER_MARGIN_MS);
+    const answer: unknown = await this.#client.since.query(
+      { offset: from, waitMs },
+      { signal: AbortSignal.any([signal, timeout]) },
+    );
+    const parsed = SinceAnswer.safeParse(answer);
+    if (!parsed.success) throw new SourceFaultError(this.name, parsed.error.message);
+    const { isReady, expired, ...batch } = parsed.data;
+    if (!isReady) throw new Error(`${this.name} is not ready`);
+    if (expired) throw new OffsetExpiredError(this.name, from, batch.nextOffset);
+    return batch;
   }
 
   override fetchSnapshot(signal: AbortSignal): Promise<unknown> {
--- a/src/controller/ControllerRouter.ts
+++ b/src/controller/ControllerRouter.ts
@@ -1,17 +1,32 @@
 import { initTRPC } from '@trpc/server';
 import { z } from 'zod';
-import { FleetSnapshot } from '../fleet/mod.js';
 import { Operation, RecordBody } from '../record/mod.js';
 import type { ControllerApi } from './ControllerApi.js';
 
 const t = initTRPC.context<{ api: ControllerApi }>().create();
 
+/** More failing hosts than one data centre has are not one gateway's own experience. */
+const MAX_REPORTED = 2_000;
+
+const AskedRevision = z.object({ revision: z.number().int().nonnegative().optional() }).optional();
+
 /** The tRPC procedures that a controller serves to operators, gateways and other controllers. */
 export const controllerRouter = t.router({
   since: t.procedure
     .input(z.object({ offset: z.number().int().nonnegative(), waitMs: z.number().max(30_000) }))
     .query(({ ctx, input }) => ctx.api.readSince(input.offset, input.waitMs)),
-  snapshot: t.procedure.output(FleetSnapshot).query(({ ctx }) => ctx.api.readSnapshot()),
+  snapshot: t.procedure.query(({ ctx }) => ctx.api.readSnapshot()),
+  ping: t.procedure.query(({ ctx }) => ctx.api.answerProbe()),
+  status: t.procedure
+    .input(AskedRevision)
+    .query(({ ctx, input }) => ctx.api.readStatus(input?.revision)),
+  rollout: t.procedure
+    .input(AskedRevision)
+    .query(({ ctx, input }) => ctx.api.readRollout(input?.revision)),
+  timeline: t.procedure.query(({ ctx }) => ctx.api.readTimeline()),
+  report: t.procedure
+    .input(z.object({ reporter: z.string(), hosts: z.array(z.string()).max(MAX_REPORTED) }))
+    .mutation(({ ctx, input }) => ctx.api.report(input.reporter, input.hosts)),
   fleet: t.procedure.query(({ ctx }) => ctx.api.describe()),
   change: t.procedure
     .input(
--- /dev/null
+++ b/src/controller/HostWatcher.ts
@@ -0,0 +1,119 @@
+import { Actor, type ActorScope } from '../actor/mod.js';
+import type { Clock } from '../clock/mod.js';
+import type { FleetKeeper } from '../fleet/mod.js';
+import { HostHysteresis, type KnownHost, type ListedHost } from '../host/mod.js';
+import type { LogWriter } from '../log/mod.js';
+import type { RecordBody } from '../record/mod.js';
+import type { Timeline } from '../timeline/mod.js';
+import type { HostListClient } from './HostListClient.js';
+import { KnownHostsProjector } from './_KnownHostsProjector.js';
+import { ProposalDelay } from './ProposalDelay.js';
+
+const POLL_INTERVAL_MS = 1_000;
+/** About 70 bytes an observation keep a record far below its 64 KiB. */
+const OBSERVATIONS_PER_RECORD = 500;
+
+type WatcherMessage =
+  | { type: 'tick' }
+  | { type: 'list'; list: ListedHost[] }
+  | { type: 'known'; known: KnownHost[]; list: ListedHost[] }
+  | { type: 'failure'; error: Error }
+  | { type: 'report'; reporter: string; hosts: string[] }
+  | { type: 'rank'; rank: number };
+
+/** Options of a host watcher. */
+export interface HostWatcherOptions {
+  keeper: FleetKeeper;
+  writer: LogWriter;
+  client: HostListClient;
+  clock: Clock;
+  timeline: Timeline;
+}
+
+/** Polls the platform's host list and proposes what differs from the fold. */
+export class HostWatcher extends Actor<WatcherMessage> {
+  readonly #options: HostWatcherOptions;
+
+  readonly #hysteresis = new HostHysteresis();
+
+  readonly #delay = new ProposalDelay();
+
+  readonly #timer: NodeJS.Timeout;
+
+  #rank = Number.POSITIVE_INFINITY;
+
+  #suspected: string[] = [];
+
+  #isPolling = false;
+
+  constructor(scope: ActorScope, options: HostWatcherOptions) {
+    super(scope, 'host-watcher');
+    this.#options = options;
+    this.#timer = setInterval(() => this.send({ type: 'tick' }), POLL_INTERVAL_MS);
+  }
+
+  protected override receive(message: WatcherMessage): void {
+    const { keeper } = this.#options;
+    switch (message.type) {
+      case 'tick':
+        this.#fetchList();
+        break;
+      case 'list': {
+        const { list } = message;
+        const emit = (known: KnownHost[]): void => this.send({ type: 'known', known, list });
+        keeper.send({ type: 'project', projector: new KnownHostsProjector(emit) });
+        break;
+      }
+      case 'known':
+        this.#isPolling = false;
+        this.#compare(message.known, message.list);
+        break;
+      case 'failure':
+        this.#isPolling = false;
+        break;
+      case 'report':
+        message.hosts.forEach((host) =>
+          this.#hysteresis.report({ host, reporter: message.reporter }),
+        );
+        break;
+      default:
+        this.#rank = message.rank;
+    }
+  }
+
+  override async close(): Promise<void> {
+    clearInterval(this.#timer);
+    super.close();
+    await this.#options.client.close();
+  }
+
+  #fetchList(): void {
+    if (this.#isPolling) return;
+    this.#isPolling = true;
+    this.#options.client.fetch().then(
+      (list) => this.send({ type: 'list', list }),
+      (error: Error) => this.send({ type: 'failure', error }),
+    );
+  }
+
+  #compare(known: KnownHost[], list: ListedHost[]): void {
+    const { clock, writer, timeline } = this.#options;
+    const now = clock.readMonotonic();
+    const { observations, suspected } = this.#hysteresis.apply(known, { list, now });
+    suspected
+      .filter((dataCentre) => !this.#suspected.includes(dataCentre))
+      .forEach((dataCentre) => timeline.record({ type: 'dataCentre.suspected', dataCentre }));
+    this.#suspected = suspected;
+    const bodies: RecordBody[] = [];
+    for (let start = 0; start < observations.length; start += OBSERVATIONS_PER_RECORD) {
+      const slice = observations.slice(start, start + OBSERVATIONS_PER_RECORD);
+      bodies.push({ type: 'host-observed', observations: slice });
+    }
+    const due = this.#delay.choose(bodies, { rank: this.#rank, now });
+    if (due.length > 0) {
+      const detail = `${observations.length} observations`;
+      timeline.record({ type: 'host.observed', host: observations[0]?.host, detail });
+    }
+    writer.send({ type: 'propose', proposer: this.name, bodies: due });
+  }
+}
--- /dev/null
+++ b/src/controller/_SequenceProjector.ts
@@ -0,0 +1,17 @@
+import { FleetProjector, type Fleet } from '../fleet/mod.js';
+import type { LogWriter } from '../log/mod.js';
+
+/** Tells a writer which of its records the fold has seen, so that it can settle lost answers. */
+export class SequenceProjector extends FleetProjector {
+  readonly #writer: LogWriter;
+
+  constructor(writer: LogWriter) {
+    super();
+    this.#writer = writer;
+  }
+
+  override project(fleet: Fleet): void {
+    const sequence = fleet.data.findSequence(this.#writer.writer);
+    this.#writer.send({ type: 'folded', sequence, nextOffset: fleet.nextOffset });
+  }
+}
--- /dev/null
+++ b/src/controller/computeRank.ts
@@ -0,0 +1,25 @@
+import type { SessionState } from '../fleet/mod.js';
+
+/**
+ * Computes the rank of a controller: the number of reachable controllers whose sessions are older.
+ * A controller whose own session is not open yet ranks after all of them.
+ *
+ * @example
+ * ```ts
+ * computeRank(sessions, { own: 's2', isAlive: (session) => alive.has(session) }); // 1
+ * ```
+ */
+export function computeRank(
+  sessions: SessionState[],
+  options: { own: string; isAlive: (session: string) => boolean },
+): number {
+  const own = sessions.find((one) => one.session === options.own);
+  const openedOffset = own?.openedOffset ?? Number.POSITIVE_INFINITY;
+  return sessions.filter(
+    (one) =>
+      one.role === 'controller' &&
+      one.session !== options.own &&
+      one.openedOffset < openedOffset &&
+      options.isAlive(one.session),
+  ).length;
+}
--- a/src/fleet/FleetFollower.ts
+++ b/src/fleet/FleetFollower.ts
@@ -1,79 +1,219 @@
 import { Actor, type ActorScope } from '../actor/mod.js';
-import { OffsetExpiredError, type RecordSource } from '../log/mod.js';
+import { SystemClock, type Clock } from '../clock/mod.js';
+import {
+  OffsetExpiredError,
+  SourceFaultError,
+  verifyBatch,
+  type RecordBatch,
+  type RecordSource,
+} from '../log/mod.js';
+import type { Timeline } from '../timeline/mod.js';
 import type { FleetKeeper } from './FleetKeeper.js';
-import { FleetSnapshot } from './FleetSnapshot.js';
+import type { FleetSnapshot } from './FleetSnapshot.js';
+import { parseSnapshot } from './parseSnapshot.js';
+import { SourceSelector } from './_SourceSelector.js';
 
-const WAIT_MS = 5_000;
-const RETRY_MS = 200;
+/** Shorter than half the time after which a silent source is not relied on any more. */
+const WAIT_MS = 3_000;
+/** A poll that the source neither answers nor fails is given up. */
+const POLL_TIMEOUT_MS = 30_000;
+const TICK_MS = 250;
+/** Without news of the platform for this long a state counts as stale. */
+const STALE_MS = 15_000;
 
-/** How often each follower of a process reads, and how it fares. */
+/** How a process fares with its sources. */
 export interface FollowerStatus {
-  source: string;
-  reachable: boolean;
+  /** `not-ready`: no state yet; `stale`: a state, but no news of the platform. */
+  readiness: 'not-ready' | 'ready' | 'stale';
+  /** Why the process is not ready; empty when it is. */
+  reason: string;
+  /** How long ago the platform was heard from, directly or through others; absent for never. */
+  contactAgeMs?: number;
+  sources: { source: string; reachable: boolean; fault: string }[];
 }
 
-interface FollowerMessage {
-  type: 'poll';
+type FollowerMessage =
+  | { type: 'tick' }
+  | { type: 'answer'; index: number; batch: RecordBatch }
+  | { type: 'snapshot'; index: number; snapshot: FleetSnapshot }
+  | { type: 'failure'; index: number; error: Error }
+  | { type: 'status'; reply: (status: FollowerStatus) => void };
+
+/** Options of a follower. */
+export interface FleetFollowerOptions {
+  clock?: Clock;
+  random?: () => number;
+  timeline?: Timeline;
+  /** How often the choice of sources is looked at, in milliseconds. */
+  tickMs?: number;
+}
+
+async function fetchSnapshot(
+  source: RecordSource,
+  signal: AbortSignal,
+): Promise<FleetSnapshot | undefined> {
+  const value = await source.fetchSnapshot(signal);
+  if (value === undefined) return undefined;
+  try {
+    const snapshot = await parseSnapshot(value);
+    return snapshot.nextOffset > 0 ? snapshot : undefined;
+  } catch (error) {
+    throw new SourceFaultError(source.name, `broken snapshot: ${(error as Error).message}`);
+  }
 }
 
 /**
- * Reads records from its sources and passes them to the keeper. It stays with a source while that
- * answers and goes on to the next when it fails.
+ * Reads records from its sources, in order of preference, and passes them to the keeper.
+ *
+ * Several sources may be read at once. Each batch begins at or below the offset reached so far, so
+ * the keeper never misses a record and never moves back, in whatever order the answers come.
  */
 export class FleetFollower extends Actor<FollowerMessage> {
   readonly #sources: RecordSource[];
 
   readonly #keeper: FleetKeeper;
 
+  readonly #clock: Clock;
+
+  readonly #timeline: Timeline | undefined;
+
+  readonly #selector: SourceSelector;
+
   readonly #abort = new AbortController();
 
-  #current = 0;
+  readonly #faults: string[];
+
+  readonly #tickMs: number;
 
   #offset = 0;
 
+  #isReady = false;
+
   #timer: NodeJS.Timeout | undefined;
 
-  constructor(scope: ActorScope, keeper: FleetKeeper, sources: RecordSource[]) {
+  constructor(
+    scope: ActorScope,
+    keeper: FleetKeeper,
+    sources: RecordSource[],
+    options: FleetFollowerOptions = {},
+  ) {
     super(scope, 'fleet-follower');
     this.#keeper = keeper;
     this.#sources = sources;
+    this.#clock = options.clock ?? new SystemClock();
+    this.#timeline = options.timeline;
+    this.#tickMs = options.tickMs ?? TICK_MS;
+    this.#selector = new SourceSelector(sources.length, options.random ?? Math.random);
+    this.#faults = sources.map(() => 'not asked yet');
   }
 
   /** Starts to read. */
   start(): void {
-    this.send({ type: 'poll' });
+    this.send({ type: 'tick' });
+    this.#timer = setInterval(() => this.send({ type: 'tick' }), this.#tickMs);
   }
 
-  protected override async receive(): Promise<void> {
-    const source = this.#sources[this.#current % this.#sources.length];
-    if (source === undefined) return;
-    try {
-      await this.#readFrom(source);
-      this.send({ type: 'poll' });
-    } catch {
-      this.#current += 1;
-      if (this.isClosed) return;
-      this.#timer = setTimeout(() => this.send({ type: 'poll' }), RETRY_MS);
+  protected override receive(message: FollowerMessage): void {
+    const now = this.#clock.readMonotonic();
+    switch (message.type) {
+      case 'answer':
+        this.#acceptBatch(message.index, message.batch, now);
+        break;
+      case 'snapshot':
+        this.#selector.accept(message.index, now, Number.POSITIVE_INFINITY);
+        this.#offset = Math.max(this.#offset, message.snapshot.nextOffset);
+        this.#keeper.send({ type: 'restore', snapshot: message.snapshot });
+        break;
+      case 'failure':
+        this.#acceptFailure(message.index, message.error, now);
+        break;
+      case 'status':
+        message.reply(this.#describe(now));
+        return;
+      default:
     }
+    this.#selector.choose(now).forEach((index) => this.#readSource(index));
   }
 
   override async close(): Promise<void> {
+    clearInterval(this.#timer);
     this.#abort.abort();
-    clearTimeout(this.#timer);
     super.close();
     await Promise.all(this.#sources.map((source) => source.close()));
   }
 
-  async #readFrom(source: RecordSource): Promise<void> {
-    try {
-      const batch = await source.read(this.#offset, WAIT_MS, this.#abort.signal);
-      this.#offset = Math.max(this.#offset, batch.nextOffset);
+  #acceptBatch(index: number, batch: RecordBatch, now: number): void {
+    this.#selector.accept(index, now, batch.contactAgeMs);
+    if (this.#faults[index] !== '') {
+      this.#timeline?.record({ type: 'source.regained', detail: this.#sources[index]?.name });
+    }
+    this.#faults[index] = '';
+    if (batch.nextOffset > this.#offset) {
+      this.#offset = batch.nextOffset;
       this.#keeper.send({ type: 'records', batch });
+    }
+    this.#isReady ||= batch.isComplete;
+    const { contactAt } = this.#selector;
+    this.#keeper.send({ type: 'contact', isReady: this.#isReady, contactAt });
+  }
+
+  #acceptFailure(index: number, error: Error, now: number): void {
+    if (error instanceof SourceFaultError) this.#selector.refuse(index, now);
+    else this.#selector.fail(index, now);
+    const before = this.#faults[index];
+    this.#faults[index] = error.message;
+    if (before !== '' && before !== 'not asked yet') return;
+    const detail = `${this.#sources[index]?.name}: ${error.message}`;
+    this.#timeline?.record({ type: 'source.lost', detail });
+  }
+
+  #describe(now: number): FollowerStatus {
+    const age = now - this.#selector.contactAt;
+    const sources = this.#sources.map((source, index) => ({
+      source: source.name,
+      reachable: this.#faults[index] === '',
+      fault: this.#faults[index] ?? '',
+    }));
+    const contactAgeMs = Number.isFinite(age) ? age : undefined;
+    if (!this.#isReady) {
+      const faults = sources.map(({ source, fault }) => `${source}: ${fault}`);
+      const reason = `no state from the log or a peer: ${faults.join('; ')}`;
+      return { readiness: 'not-ready', reason, contactAgeMs, sources };
+    }
+    const isStale = age > STALE_MS;
+    const reason = isStale ? `no news of the platform for ${Math.round(age)} ms` : '';
+    return { readiness: isStale ? 'stale' : 'ready', reason, contactAgeMs, sources };
+  }
+
+  #readSource(index: number): void {
+    const source = this.#sources[index];
+    if (source === undefined) return;
+    const timeout = AbortSignal.timeout(POLL_TIMEOUT_MS);
+    const signal = AbortSignal.any([this.#abort.signal, timeout]);
+    this.#readFrom(source, signal).then(
+      (answer) => this.send({ ...answer, index }),
+      (error: Error) => this.send({ type: 'failure', index, error }),
+    );
+  }
+
+  async #readFrom(
+    source: RecordSource,
+    signal: AbortSignal,
+  ): Promise<
+    { type: 'answer'; batch: RecordBatch } | { type: 'snapshot'; snapshot: FleetSnapshot }
+  > {
+    const from = this.#offset;
+    try {
+      const snapshot = from === 0 ? await fetchSnapshot(source, signal) : undefined;
+      if (snapshot !== undefined) return { type: 'snapshot', snapshot };
+      const batch = await source.read(from, this.#isReady ? WAIT_MS : 0, signal);
+      verifyBatch(batch, { source: source.name, from });
+      return { type: 'answer', batch };
     } catch (error) {
       if (!(error instanceof OffsetExpiredError)) throw error;
-      const snapshot = FleetSnapshot.parse(await source.fetchSnapshot(this.#abort.signal));
-      this.#offset = Math.max(this.#offset, snapshot.nextOffset);
-      this.#keeper.send({ type: 'restore', snapshot });
+      const snapshot = await fetchSnapshot(source, signal);
+      if (snapshot === undefined || snapshot.nextOffset <= from) throw error;
+      return { type: 'snapshot', snapshot };
     }
   }
 }
--- a/src/fleet/FleetKeeper.ts
+++ b/src/fleet/FleetKeeper.ts
@@ -1,19 +1,20 @@
 import { Actor, type ActorScope } from '../actor/mod.js';
-import type { LoggedRecord } from '../record/mod.js';
+import { SystemClock, type Clock } from '../clock/mod.js';
 import type { RecordBatch, RecordId } from '../log/mod.js';
+import type { LoggedRecord } from '../record/mod.js';
+import type { Timeline } from '../timeline/mod.js';
 import { Fleet } from './Fleet.js';
 import type { FleetProjector } from './FleetProjector.js';
+import type { FoldedChange } from './ProcessStatus.js';
 import { FleetSnapshot } from './FleetSnapshot.js';
+import { RecordRing } from './_RecordRing.js';
+import type { SinceAnswer } from './SinceAnswer.js';
+import { SinceWaiters } from './_SinceWaiters.js';
 import type { Verdict } from './Verdict.js';
 
-/** Records kept for followers; one that is further behind starts from a snapshot. */
-const KEPT_RECORDS = 5_000;
 const KEPT_VERDICTS = 5_000;
-
-/** Answer to a follower; `expired` tells it to start from a snapshot. */
-export interface SinceAnswer extends RecordBatch {
-  expired: boolean;
-}
+/** Accepted changes whose rollout can be asked for: about two hours at 61,000 a day. */
+const KEPT_CHANGES = 5_000;
 
 /** Answer to a proposer: what the fold did with its record, at which configuration revision. */
 export interface VerdictAnswer {
@@ -22,45 +23,82 @@
   revision: number;
 }
 
+/** Where a process stands in the log. */
+export interface FleetPosition {
+  nextOffset: number;
+  revision: number;
+  /** Platform time of the last record folded. */
+  time: number;
+  /** Entries that were skipped because they are broken or of an unknown type. */
+  broken: number;
+  /** When the change of the revision asked for was appended and folded here. */
+  change?: FoldedChange;
+}
+
+/** Records after an offset, with the state that they lead to. */
+export interface FleetTail {
+  records: LoggedRecord[];
+  nextOffset: number;
+  hash: string;
+}
+
 /** Messages of the keeper. */
 export type FleetKeeperMessage =
   | { type: 'records'; batch: RecordBatch }
   | { type: 'restore'; snapshot: FleetSnapshot }
+  /** What the follower knows of its sources; `contactAt` is a monotonic time. */
+  | { type: 'contact'; isReady: boolean; contactAt: number }
   | { type: 'since'; offset: number; waitMs: number; reply: (answer: SinceAnswer) => void }
+  | { type: 'tail'; offset: number; reply: (tail: FleetTail | undefined) => void }
   | { type: 'snapshot'; reply: (snapshot: FleetSnapshot) => void }
+  | { type: 'position'; revision?: number; reply: (position: FleetPosition) => void }
   | { type: 'verdict'; id: RecordId; reply: (answer: VerdictAnswer) => void }
   | { type: 'project'; projector: FleetProjector }
   | { type: 'subscribe'; projector: FleetProjector }
   | { type: 'expire'; waiter: number };
 
-interface Waiter {
-  id: number;
-  offset: number;
-  timer: NodeJS.Timeout;
-  reply: (answer: SinceAnswer) => void;
+/** Options of a keeper. */
+export interface FleetKeeperOptions {
+  clock?: Clock;
+  /** Records every verdict, when given. */
+  timeline?: Timeline;
+}
+
+function pruneOldest<Key>(map: Map<Key, unknown>, kept: number): void {
+  const oldest = map.keys().next().value;
+  if (map.size > kept && oldest !== undefined) map.delete(oldest);
 }
 
 /** Owns the fleet of a process: folds records, answers followers, and notifies projectors. */
 export class FleetKeeper extends Actor<FleetKeeperMessage> {
-  #fleet = new Fleet();
+  readonly #clock: Clock;
 
-  #records: LoggedRecord[] = [];
+  readonly #timeline: Timeline | undefined;
 
-  /** Offset from which `#records` is complete. */
-  #keptFrom = 0;
+  #fleet = new Fleet();
 
-  #waiters: Waiter[] = [];
+  readonly #ring = new RecordRing();
 
-  #nextWaiter = 0;
+  readonly #waiters = new SinceWaiters((waiter) => this.send({ type: 'expire', waiter }));
 
   readonly #verdicts = new Map<string, VerdictAnswer>();
 
   readonly #verdictWaiters = new Map<string, (answer: VerdictAnswer) => void>();
 
+  readonly #changes = new Map<number, FoldedChange>();
+
   readonly #projectors: FleetProjector[] = [];
 
-  constructor(scope: ActorScope) {
+  #broken = 0;
+
+  #isReady = false;
+
+  #contactAt = Number.NEGATIVE_INFINITY;
+
+  constructor(scope: ActorScope, options: FleetKeeperOptions = {}) {
     super(scope, 'fleet-keeper');
+    this.#clock = options.clock ?? new SystemClock();
+    this.#timeline = options.timeline;
   }
 
   protected override receive(message: FleetKeeperMessage): void {
@@ -71,12 +109,22 @@
       case 'restore':
         this.#restore(message.snapshot);
         break;
+      case 'contact':
+        this.#isReady = message.isReady;
+        this.#contactAt = message.contactAt;
+        break;
       case 'since':
         this.#answerSince(message.offset, message.waitMs, message.reply);
         break;
+      case 'tail':
+        message.reply(this.#readTail(message.offset));
+        break;
       case 'snapshot':
         message.reply(this.#fleet.snapshot());
         break;
+      case 'position':
+        message.reply(this.#describePosition(message.revision));
+        break;
       case 'verdict':
         this.#answerVerdict(message.id, message.reply);
         break;
@@ -88,28 +136,30 @@
         message.projector.project(this.#fleet);
         break;
       default:
-        this.#wake((waiter) => waiter.id === message.waiter);
+        this.#answerWaiters((waiter) => waiter.id === message.waiter);
     }
   }
 
   override close(): void {
-    this.#wake(() => true);
+    this.#answerWaiters(() => true);
     super.close();
   }
 
-  #fold({ records, nextOffset }: RecordBatch): void {
+  /** A batch that begins above the next offset would leave a gap and is ignored. */
+  #fold({ fromOffset, records, nextOffset, broken }: RecordBatch): void {
     const before = this.#fleet.nextOffset;
+    if (fromOffset > before || nextOffset <= before) return;
     records.forEach((record) => {
       if (record.offset < this.#fleet.nextOffset) return;
       const verdict = this.#fleet.apply(record);
-      this.#records.push(record);
+      this.#ring.add(record);
       this.#recordVerdict(record, verdict);
     });
     this.#fleet.increase(nextOffset);
-    if (this.#fleet.nextOffset === before) return;
-    if (this.#records.length > 2 * KEPT_RECORDS) {
-      this.#records = this.#records.slice(-KEPT_RECORDS);
-      this.#keptFrom = this.#records[0]?.offset ?? this.#fleet.nextOffset;
+    if (broken > 0) {
+      this.#broken += broken;
+      const detail = `${broken} unreadable entries from ${fromOffset} to ${nextOffset}`;
+      this.#timeline?.record({ type: 'record.skipped', offset: nextOffset, detail });
     }
     this.#notify();
   }
@@ -117,59 +167,88 @@
   #restore(snapshot: FleetSnapshot): void {
     if (snapshot.nextOffset <= this.#fleet.nextOffset) return;
     this.#fleet = Fleet.restore(snapshot);
-    this.#records = [];
-    this.#keptFrom = snapshot.nextOffset;
+    this.#ring.reset(snapshot.nextOffset);
+    this.#timeline?.record({ type: 'fleet.restored', offset: snapshot.nextOffset });
     this.#notify();
   }
 
   #notify(): void {
     this.#projectors.forEach((projector) => projector.project(this.#fleet));
-    this.#wake((waiter) => waiter.offset < this.#fleet.nextOffset);
+    this.#answerWaiters((waiter) => waiter.offset < this.#fleet.nextOffset);
+  }
+
+  #describePosition(asked?: number): FleetPosition {
+    const { nextOffset, revision, time } = this.#fleet;
+    const change = asked === undefined ? undefined : this.#changes.get(asked);
+    return { nextOffset, revision, time, broken: this.#broken, change };
+  }
+
+  #readTail(offset: number): FleetTail | undefined {
+    const { nextOffset } = this.#fleet;
+    if (!this.#ring.has(offset) || offset > nextOffset) return undefined;
+    const { records } = this.#ring.read(offset, Number.POSITIVE_INFINITY);
+    return { records, nextOffset, hash: this.#fleet.hash() };
   }
 
   #answerSince(offset: number, waitMs: number, reply: (answer: SinceAnswer) => void): void {
-    if (offset < this.#fleet.nextOffset || waitMs <= 0) {
+    if (!this.#isReady || offset < this.#fleet.nextOffset || waitMs <= 0) {
       reply(this.#readSince(offset));
-      return;
-    }
-    this.#nextWaiter += 1;
-    const id = this.#nextWaiter;
-    const timer = setTimeout(() => this.send({ type: 'expire', waiter: id }), waitMs);
-    this.#waiters.push({ id, offset, timer, reply });
+    } else this.#waiters.add({ offset, waitMs, reply });
   }
 
   #readSince(offset: number): SinceAnswer {
-    const { nextOffset } = this.#fleet;
-    if (offset < this.#keptFrom) return { records: [], nextOffset: offset, expired: true };
-    const records = this.#records.filter((record) => record.offset >= offset);
-    return { records, nextOffset: Math.max(offset, nextOffset), expired: false };
+    const { records, isLast } = this.#ring.read(offset);
+    const expired = !this.#ring.has(offset);
+    const end = isLast ? this.#fleet.nextOffset : (records.at(-1)?.offset ?? offset) + 1;
+    return {
+      fromOffset: offset,
+      records: expired ? [] : records,
+      nextOffset: expired ? offset : Math.max(offset, end),
+      broken: 0,
+      isComplete: isLast,
+      contactAgeMs: Math.min(
+        Number.MAX_SAFE_INTEGER,
+        Math.max(0, this.#clock.readMonotonic() - this.#contactAt),
+      ),
+      expired,
+      isReady: this.#isReady,
+    };
   }
 
-  #wake(isDue: (waiter: Waiter) => boolean): void {
-    const due = this.#waiters.filter(isDue);
-    this.#waiters = this.#waiters.filter((waiter) => !due.includes(waiter));
-    due.forEach((waiter) => {
-      clearTimeout(waiter.timer);
-      waiter.reply(this.#readSince(waiter.offset));
-    });
+  #answerWaiters(isDue: (waiter: { id: number; offset: number }) => boolean): void {
+    this.#waiters.take(isDue).forEach(({ offset, reply }) => reply(this.#readSince(offset)));
   }
 
   #recordVerdict(record: LoggedRecord, verdict: Verdict): void {
-    if (verdict.outcome === 'duplicate') return;
+    const { offset, body } = record;
+    const { outcome } = verdict;
+    this.#timeline?.record({
+      type: 'record.folded',
+      offset,
+      change: body.type === 'config-change' ? body.changeId : undefined,
+      session: 'session' in body ? body.session : undefined,
+      detail: `${body.type}: ${outcome === 'rejected' ? JSON.stringify(verdict) : outcome}`,
+    });
+    if (outcome === 'duplicate') return;
     const key = `${record.writer}/${record.sequence}`;
-    const answer = { verdict, offset: record.offset, revision: this.#fleet.revision };
+    const answer = { verdict, offset, revision: this.#fleet.revision };
     this.#verdicts.set(key, answer);
     this.#verdictWaiters.get(key)?.(answer);
     this.#verdictWaiters.delete(key);
-    if (this.#verdicts.size <= KEPT_VERDICTS) return;
-    const oldest = this.#verdicts.keys().next().value;
-    if (oldest !== undefined) this.#verdicts.delete(oldest);
+    pruneOldest(this.#verdicts, KEPT_VERDICTS);
+    if (this.#fleet.revision !== offset + 1) return;
+    this.#changes.set(offset + 1, { appendedAt: record.time, foldedAt: this.#clock.readWall() });
+    pruneOldest(this.#changes, KEPT_CHANGES);
   }
 
   #answerVerdict(id: RecordId, reply: (answer: VerdictAnswer) => void): void {
     const key = `${id.writer}/${id.sequence}`;
     const answer = this.#verdicts.get(key);
-    if (answer) reply(answer);
-    else this.#verdictWaiters.set(key, reply);
+    if (answer) {
+      reply(answer);
+      return;
+    }
+    this.#verdictWaiters.set(key, reply);
+    pruneOldest(this.#verdictWaiters, KEPT_VERDICTS);
   }
 }
--- a/src/fleet/_FleetData.ts
+++ b/src/fleet/_FleetData.ts
@@ -98,6 +98,11 @@
     return true;
   }
 
+  /** Finds the last sequence folded of a writer; 0 for none. */
+  findSequence(writer: string): number {
+    return this.#writers.get(writer)?.sequence ?? 0;
+  }
+
   /** Writes the data as plain JSON in a fixed order. */
   toSnapshot(): FleetSnapshot {
     return structuredClone({
--- a/src/fleet/mod.ts
+++ b/src/fleet/mod.ts
@@ -10,4 +10,7 @@
 export * from './FleetFollower.js';
 export * from './FleetKeeper.js';
 export * from './FleetProjector.js';
+export * from './ProcessStatus.js';
+export * from './SinceAnswer.js';
+export * from './parseSnapshot.js';
 export * from './planFleet.js';
--- /dev/null
+++ b/src/log/CheckpointCollector.test.ts
@@ -0,0 +1,69 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import fc from 'fast-check';
+import { Fleet, parseSnapshot } from '../fleet/mod.js';
+import { decodeRecord, type LogEntry } from '../record/mod.js';
+import { arbitraryEntries, readSeed } from '../testing/mod.js';
+import { CheckpointCollector } from './CheckpointCollector.js';
+import { encodeCheckpoint } from './encodeCheckpoint.js';
+
+function fold(fleet: Fleet, entries: LogEntry[]): Fleet {
+  entries.forEach((entry) => {
+    const record = decodeRecord(entry);
+    if (record) fleet.apply(record);
+    fleet.increase(entry.offset + 1);
+  });
+  return fleet;
+}
+
+/** Random text does not compress, so that a small state still fills several chunks. */
+async function encodeRandom(name: string, offset: number): Promise<string[]> {
+  let seed = offset + 1;
+  const text = Array.from({ length: 150_000 }, () => {
+    seed = (seed * 48_271) % 2_147_483_647;
+    return seed.toString(36).at(-2);
+  }).join('');
+  return encodeCheckpoint(JSON.stringify({ name, text }), { checkpoint: name, offset });
+}
+
+describe('CheckpointCollector', () => {
+  it('leads to the same hash from any checkpoint plus tail, repeats and broken entries', async () => {
+    await fc.assert(
+      fc.asyncProperty(arbitraryEntries, fc.nat(36), async (entries, cut) => {
+        const whole = fold(new Fleet(), entries);
+        const before = fold(new Fleet(), entries.slice(0, cut));
+        const text = JSON.stringify(before.snapshot());
+        const options = { checkpoint: 'c1', offset: before.nextOffset };
+        const collector = new CheckpointCollector();
+        (await encodeCheckpoint(text, options)).forEach((value, offset) =>
+          collector.add({ offset, time: 0, value }),
+        );
+        const restored = Fleet.restore(await parseSnapshot(await collector.restore()));
+        assert.equal(restored.hash(), before.hash());
+        // Entries before the cut come again, as they do when two sources overlap.
+        assert.equal(fold(restored, entries).hash(), whole.hash());
+      }),
+      { seed: readSeed(), numRuns: 200 },
+    );
+  });
+
+  it('takes the newest sound checkpoint when later ones are damaged or half written', async () => {
+    const sets = await Promise.all(
+      ['c1', 'c2', 'c3', 'c4'].map((name, at) => encodeRandom(name, at)),
+    );
+    assert.ok(sets.every((values) => values.length > 1));
+    const [sound = [], damaged = [], half = [], foreign = []] = sets;
+    const flip = (value: string): string => value.replace(/"data":"(.{40})./, '"data":"$1!');
+    const values = [
+      ...sound,
+      'not JSON',
+      ...damaged.map((value, index) => (index === 1 ? flip(value) : value)),
+      ...half.slice(0, -1),
+      // A whole checkpoint whose content is not what its hash says.
+      ...foreign.map((value) => value.replace(/"hash":"..../, '"hash":"0000')),
+    ];
+    const collector = new CheckpointCollector();
+    values.forEach((value, offset) => collector.add({ offset, time: offset, value }));
+    assert.equal(((await collector.restore()) as { name: string }).name, 'c1');
+  });
+});
--- a/src/log/LogRecordSource.ts
+++ b/src/log/LogRecordSource.ts
@@ -1,6 +1,10 @@
-import { decodeRecord } from '../record/mod.js';
-import type { LogClient } from './LogClient.js';
+import { decodeRecord, type LogEntry } from '../record/mod.js';
+import { CheckpointCollector } from './CheckpointCollector.js';
+import { CHECKPOINT_STREAM } from './Checkpoint.js';
+import type { LogClient, ReadResult } from './LogClient.js';
+import { OffsetExpiredError } from './OffsetExpiredError.js';
 import { RecordSource, type RecordBatch } from './RecordSource.js';
+import { SourceFaultError } from './SourceFaultError.js';
 
 const MAX_ENTRIES = 500;
 
@@ -20,16 +24,51 @@
 
   override async read(from: number, waitMs: number, signal: AbortSignal): Promise<RecordBatch> {
     const options = { max: MAX_ENTRIES, waitMs, signal };
-    const { entries } = await this.#client.read(FLEET_STREAM, from, options);
+    const { entries, head } = await this.#client.read(FLEET_STREAM, from, options);
+    this.#verify(entries, head, from);
     const records = entries.map(decodeRecord).filter((record) => record !== undefined);
-    return { records, nextOffset: (entries.at(-1)?.offset ?? from - 1) + 1 };
+    const nextOffset = from + entries.length;
+    return {
+      fromOffset: from,
+      records,
+      nextOffset,
+      broken: entries.length - records.length,
+      isComplete: nextOffset >= head,
+      contactAgeMs: 0,
+    };
   }
 
-  override async fetchSnapshot(): Promise<unknown> {
-    return undefined;
+  /** Fetches the newest complete checkpoint whose hash fits. */
+  override async fetchSnapshot(signal: AbortSignal): Promise<unknown> {
+    const collector = new CheckpointCollector();
+    let from = 0;
+    for (;;) {
+      const { entries, head } = await this.#readCheckpoints(from, signal);
+      entries.forEach((entry) => collector.add(entry));
+      from = (entries.at(-1)?.offset ?? head - 1) + 1;
+      if (from >= head) return collector.restore();
+    }
   }
 
   override close(): Promise<void> {
     return this.#client.close();
   }
+
+  async #readCheckpoints(from: number, signal: AbortSignal): Promise<ReadResult> {
+    const options = { max: MAX_ENTRIES, waitMs: 0, signal };
+    try {
+      return await this.#client.read(CHECKPOINT_STREAM, from, options);
+    } catch (error) {
+      if (!(error instanceof OffsetExpiredError) || error.earliest <= from) throw error;
+      return this.#readCheckpoints(error.earliest, signal);
+    }
+  }
+
+  /** An entry range without gaps is what keeps every process at the same state. */
+  #verify(entries: LogEntry[], head: number, from: number): void {
+    if (head < from) throw new SourceFaultError(this.name, `head ${head} is below ${from}`);
+    if (entries.some(({ offset }, index) => offset !== from + index)) {
+      throw new SourceFaultError(this.name, `entries from ${from} are not contiguous`);
+    }
+  }
 }
--- a/src/settings/ControllerSettings.ts
+++ b/src/settings/ControllerSettings.ts
@@ -12,5 +12,7 @@
   platform: z.url(),
   /** APIs of other controllers. */
   peers: z.array(Address).default([]),
+  /** How long the platform's log retains records; checkpoints are written well before half of it. */
+  retentionSeconds: z.number().positive().default(3_600),
 });
 export type ControllerSettings = z.infer<typeof ControllerSettings>;
--- a/src/standin/PlatformLog.ts
+++ b/src/standin/PlatformLog.ts
@@ -41,6 +41,7 @@
 
   /** Reads entries from an offset; undefined when it has expired. */
   read(from: number, max: number): LogEntry[] | undefined {
+    this.#prune(Date.now());
     if (from < this.earliest) return undefined;
     const start = from - this.earliest;
     return this.#entries.slice(start, start + max);
--- a/src/standin/PlatformStandin.ts
+++ b/src/standin/PlatformStandin.ts
@@ -1,6 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { z } from 'zod';
 import { closeServer, openServer } from '../net/mod.js';
+import { HostList, ListedHost } from './HostList.js';
 import { PlatformLog } from './PlatformLog.js';
 
 const DEFAULT_RETENTION_MS = 3_600_000;
@@ -13,11 +14,17 @@
   delayMs: z.number().nonnegative().default(0),
   /** This many appends take effect but their answer is lost. */
   loseAnswers: z.number().int().nonnegative().default(0),
+  /** This many appends are answered with status 503 and take effect `lateMs` later. */
+  lateAppends: z.number().int().nonnegative().default(0),
+  lateMs: z.number().nonnegative().default(1_000),
+  /** Only appends are answered with status 503. */
+  refuseAppends: z.boolean().default(false),
+  /** Changes of the host list become visible this much later. */
+  listLagMs: z.number().nonnegative().default(0),
 });
 export type PlatformFaults = z.infer<typeof PlatformFaults>;
 
 const AppendCall = z.object({ values: z.array(z.string()) });
-const ListedHost = z.object({ host: z.string(), state: z.enum(['live', 'leaving']) });
 
 async function readBody(request: IncomingMessage): Promise<unknown> {
   const chunks: Buffer[] = [];
@@ -40,7 +47,7 @@
 
   readonly #streams = new Map<string, PlatformLog>();
 
-  #hosts: z.infer<typeof ListedHost>[] = [];
+  readonly #hosts = new HostList();
 
   #faults = PlatformFaults.parse({});
 
@@ -64,8 +71,8 @@
   }
 
   /** Sets the list of hosts. */
-  setHosts(hosts: z.infer<typeof ListedHost>[]): void {
-    this.#hosts = hosts;
+  setHosts(hosts: ListedHost[]): void {
+    setTimeout(() => this.#hosts.replace(hosts), this.#faults.listLagMs).unref();
   }
 
   /** Closes the server. */
@@ -95,7 +102,7 @@
     if (url.pathname === '/hosts') {
       if (request.method === 'PUT')
         this.setHosts(z.array(ListedHost).parse(await readBody(request)));
-      reply(200, { hosts: this.#hosts });
+      reply(200, this.#hosts.read(Number(url.searchParams.get('since') ?? 0)));
       return;
     }
     const stream = /^\/streams\/([\w-]+)\/entries$/.exec(url.pathname)?.[1];
@@ -111,6 +118,17 @@
     reply: (status: number, body: unknown) => void,
   ): Promise<void> {
     const { values } = AppendCall.parse(await readBody(request));
+    if (this.#faults.lateAppends > 0) {
+      this.#faults.lateAppends -= 1;
+      const append = (): number => this.#openStream(stream).append(values, Date.now());
+      setTimeout(append, this.#faults.lateMs).unref();
+      reply(503, { error: 'late' });
+      return;
+    }
+    if (this.#faults.refuseAppends) {
+      reply(503, { error: 'no appends' });
+      return;
+    }
     const firstOffset = this.#openStream(stream).append(values, Date.now());
     if (this.#faults.loseAnswers > 0) {
       this.#faults.loseAnswers -= 1;
--- /dev/null
+++ b/src/testing/arbitraryEntries.ts
@@ -0,0 +1,42 @@
+// eslint-disable-next-line import-x/no-extraneous-dependencies -- only tests import this file.
+import fc from 'fast-check';
+import type { LogEntry, RecordBody } from '../record/mod.js';
+import { buildEntries, buildInventory } from './buildRecords.js';
+
+const HOSTS = ['h1', 'h2', 'h3', 'h9'];
+
+const body = fc.oneof(
+  fc
+    .record({ host: fc.constantFrom(...HOSTS), base: fc.integer({ min: 0, max: 30 }) })
+    .map(({ host, base }): RecordBody => ({
+      type: 'config-change',
+      changeId: `c-${host}-${base}`,
+      baseRevision: base,
+      part: 1,
+      parts: 1,
+      operator: 'o',
+      operations: buildInventory(3).filter(
+        (one) => one.kind === 'dataCentre' || (one.action === 'put' && one.object.name === host),
+      ),
+    })),
+  fc
+    .record({
+      host: fc.constantFrom(...HOSTS),
+      status: fc.constantFrom('live' as const, 'leaving' as const, 'failed' as const),
+    })
+    .map((one): RecordBody => ({ type: 'host-observed', observations: [one] })),
+  fc.constantFrom('{', '{"writer":1}', '{"writer":"w1","sequence":1,"body":{"type":"new-type"}}'),
+);
+
+/** Entries of a log: valid changes, races, observations, repeated and broken ones in between. */
+export const arbitraryEntries: fc.Arbitrary<LogEntry[]> = fc
+  .tuple(fc.array(body, { maxLength: 30 }), fc.array(fc.nat(30), { maxLength: 6 }))
+  .map(([bodies, repeated]) => {
+    const first = buildEntries(bodies);
+    const again = repeated.flatMap((index) => first[index] ?? []);
+    return [...first, ...again].map((entry, offset) => ({
+      ...entry,
+      offset,
+      time: 1_000 + offset,
+    }));
+  });
--- a/src/testing/mod.ts
+++ b/src/testing/mod.ts
@@ -4,5 +4,7 @@
  * @module
  */
 export * from './ProcessGroup.js';
+export * from './arbitraryEntries.js';
+export * from './buildRecords.js';
 export * from './readSeed.js';
 export * from './waitFor.js';
