--- a/src/controller/CheckpointKeeper.ts
+++ b/src/controller/CheckpointKeeper.ts
@@ -1,13 +1,7 @@
 import { randomUUID } from 'node:crypto';
 import { Actor, type ActorScope } from '../actor/mod.js';
 import type { Clock } from '../clock/mod.js';
-import {
-  Fleet,
-  parseSnapshot,
-  type FleetKeeper,
-  type FleetSnapshot,
-  type FleetTail,
-} from '../fleet/mod.js';
+import { Fleet, parseSnapshot, type FleetKeeper, type FleetTail } from '../fleet/mod.js';
 import {
   CHECKPOINT_STREAM,
   CheckpointCollector,
@@ -45,7 +39,7 @@
 
 async function isSame(text: string, tail: FleetTail): Promise<boolean> {
   try {
-    const fleet = Fleet.restore(await parseSnapshot(JSON.parse(text)));
+    const fleet = Fleet.restore(await parseSnapshot(JSON.parse(text)), { isOwned: true });
     tail.records.forEach((record) => fleet.apply(record));
     fleet.increase(tail.nextOffset);
     return fleet.hash() === tail.hash;
@@ -172,14 +166,13 @@
 
   async #write(): Promise<void> {
     const { keeper, client, timeline } = this.#options;
-    const snapshot = await keeper.ask<FleetSnapshot>(
-      (reply) => ({ type: 'snapshot', reply }),
+    const { text, offset } = await keeper.ask<{ text: string; offset: number }>(
+      (reply) => ({ type: 'text', reply }),
       ASK_TIMEOUT_MS,
     );
-    if (snapshot.nextOffset === 0) return;
+    if (offset === 0) return;
     const checkpoint = randomUUID();
-    const { nextOffset: offset } = snapshot;
-    const values = await encodeCheckpoint(JSON.stringify(snapshot), { checkpoint, offset });
+    const values = await encodeCheckpoint(text, { checkpoint, offset });
     try {
       for (let start = 0; start < values.length; start += CHUNKS_PER_APPEND) {
         await client.append(CHECKPOINT_STREAM, values.slice(start, start + CHUNKS_PER_APPEND));
--- a/src/controller/ControllerApi.ts
+++ b/src/controller/ControllerApi.ts
@@ -1,3 +1,4 @@
+import { setImmediate as yieldTurn } from 'node:timers/promises';
 import VError from 'verror';
 import type {
   FleetFollower,
@@ -73,7 +74,15 @@
   async readSnapshot(): Promise<FleetSnapshot> {
     const { readiness, reason } = await this.#readFollower();
     if (readiness === 'not-ready') throw new VError({ name: 'NotReadyError' }, '%s', reason);
-    return this.#keeper.ask((reply) => ({ type: 'snapshot', reply }), VERDICT_TIMEOUT_MS);
+    const { text } = await this.#keeper.ask<{ text: string }>(
+      (reply) => ({ type: 'text', reply }),
+      VERDICT_TIMEOUT_MS,
+    );
+    // A turn for each of writing, parsing and encoding keeps each below 50 ms at 19,000 hosts.
+    await yieldTurn();
+    const snapshot = JSON.parse(text) as FleetSnapshot;
+    await yieldTurn();
+    return snapshot;
   }
 
   /** Describes the pools of the fleet. */
--- a/src/controller/HostListClient.ts
+++ b/src/controller/HostListClient.ts
@@ -3,7 +3,7 @@
 /** The platform's list of live and leaving hosts. */
 export abstract class HostListClient {
   /**
-   * Fetches the list as the platform has it now.
+   * Fetches the list as the platform has it now; the same array while nothing has changed.
    *
    * @throws When the platform does not answer.
    */
--- a/src/controller/HttpHostListClient.ts
+++ b/src/controller/HttpHostListClient.ts
@@ -23,6 +23,8 @@
 
   readonly #hosts = new Map<string, ListedHost>();
 
+  #list: ListedHost[] = [];
+
   #version = 0;
 
   /** @param url Base URL of the platform. */
@@ -43,8 +45,9 @@
     if (answer.isWhole) this.#hosts.clear();
     answer.hosts.forEach((one) => this.#hosts.set(one.host, one));
     answer.removed.forEach((host) => this.#hosts.delete(host));
+    if (answer.version !== this.#version) this.#list = [...this.#hosts.values()];
     this.#version = answer.version;
-    return [...this.#hosts.values()];
+    return this.#list;
   }
 
   override close(): Promise<void> {
--- a/src/fleet/Fleet.ts
+++ b/src/fleet/Fleet.ts
@@ -42,9 +42,16 @@
     this.#data = data;
   }
 
-  /** Restores the state from a snapshot. */
-  static restore(snapshot: FleetSnapshot): Fleet {
-    return new Fleet(FleetData.fromSnapshot(snapshot));
+  /**
+   * Restores the state from a snapshot.
+   *
+   * @param options `isOwned` takes the snapshot over without a copy, which saves about 70 ms at
+   * 19,000 hosts; the caller must not use it afterwards.
+   */
+  static restore(snapshot: FleetSnapshot, options: { isOwned?: boolean } = {}): Fleet {
+    return new Fleet(
+      FleetData.fromSnapshot(options.isOwned ? snapshot : structuredClone(snapshot)),
+    );
   }
 
   /** Offset of the next record to fold. */
@@ -101,8 +108,13 @@
     return this.#data.toSnapshot();
   }
 
+  /** Writes the state as the JSON text of its snapshot. */
+  snapshotText(): string {
+    return this.#data.toText();
+  }
+
   /** Computes a hash of the whole state, equal in every process at the same offset. */
   hash(): string {
-    return createHash('sha256').update(JSON.stringify(this.snapshot())).digest('hex');
+    return createHash('sha256').update(this.snapshotText()).digest('hex');
   }
 }
--- a/src/fleet/FleetKeeper.ts
+++ b/src/fleet/FleetKeeper.ts
@@ -45,12 +45,14 @@
 /** Messages of the keeper. */
 export type FleetKeeperMessage =
   | { type: 'records'; batch: RecordBatch }
+  /** The keeper takes the snapshot over. */
   | { type: 'restore'; snapshot: FleetSnapshot }
   /** What the follower knows of its sources; `contactAt` is a monotonic time. */
   | { type: 'contact'; isReady: boolean; contactAt: number }
   | { type: 'since'; offset: number; waitMs: number; reply: (answer: SinceAnswer) => void }
   | { type: 'tail'; offset: number; reply: (tail: FleetTail | undefined) => void }
   | { type: 'snapshot'; reply: (snapshot: FleetSnapshot) => void }
+  | { type: 'text'; reply: (text: { text: string; offset: number }) => void }
   | { type: 'position'; revision?: number; reply: (position: FleetPosition) => void }
   | { type: 'verdict'; id: RecordId; reply: (answer: VerdictAnswer) => void }
   | { type: 'project'; projector: FleetProjector }
@@ -122,6 +124,9 @@
       case 'snapshot':
         message.reply(this.#fleet.snapshot());
         break;
+      case 'text':
+        message.reply({ text: this.#fleet.snapshotText(), offset: this.#fleet.nextOffset });
+        break;
       case 'position':
         message.reply(this.#describePosition(message.revision));
         break;
@@ -166,7 +171,7 @@
 
   #restore(snapshot: FleetSnapshot): void {
     if (snapshot.nextOffset <= this.#fleet.nextOffset) return;
-    this.#fleet = Fleet.restore(snapshot);
+    this.#fleet = Fleet.restore(snapshot, { isOwned: true });
     this.#ring.reset(snapshot.nextOffset);
     this.#timeline?.record({ type: 'fleet.restored', offset: snapshot.nextOffset });
     this.#notify();
--- a/src/fleet/_FleetData.ts
+++ b/src/fleet/_FleetData.ts
@@ -53,10 +53,9 @@
 
   #writersPrunedAt = 0;
 
-  /** Builds the data from a snapshot. */
-  static fromSnapshot(snapshot: FleetSnapshot): FleetData {
+  /** Builds the data from a snapshot, which must not be used afterwards. */
+  static fromSnapshot(copy: FleetSnapshot): FleetData {
     const data = new FleetData();
-    const copy = structuredClone(snapshot);
     data.nextOffset = copy.nextOffset;
     data.time = copy.time;
     data.revision = copy.revision;
@@ -105,7 +104,16 @@
 
   /** Writes the data as plain JSON in a fixed order. */
   toSnapshot(): FleetSnapshot {
-    return structuredClone({
+    return structuredClone(this.#describe());
+  }
+
+  /** Writes the snapshot as JSON text, without a copy in between. */
+  toText(): string {
+    return JSON.stringify(this.#describe());
+  }
+
+  #describe(): FleetSnapshot {
+    return {
       nextOffset: this.nextOffset,
       time: this.time,
       revision: this.revision,
@@ -120,7 +128,7 @@
       views: sortEntries(this.views),
       writers: sortEntries(this.#writers),
       pendingChanges: sortEntries(this.pendingChanges),
-    });
+    };
   }
 
   #pruneWriters(): void {
--- a/src/host/HostHysteresis.ts
+++ b/src/host/HostHysteresis.ts
@@ -33,8 +33,8 @@
   suspected: string[];
 }
 
-/** Most time that counts between two lists. */
-const MAX_GAP_MS = 3_000;
+/** Most time that counts between two lists, which are compared at least every 5 s. */
+const MAX_GAP_MS = 6_000;
 
 interface Watched {
   presentAt: number;
