--- a/src/controller/ControllerPeers.ts
+++ b/src/controller/ControllerPeers.ts
@@ -7,10 +7,11 @@
 import { createControllerClient } from './ControllerClient.js';
 import { SessionsProjector } from './_SessionsProjector.js';
 
-const PROBE_INTERVAL_MS = 2_000;
+/** A probe costs about 1 KB at each end. Proposals of a lost rank 0 wait only for the rank delay. */
+const PROBE_INTERVAL_MS = 4_000;
 const PROBE_TIMEOUT_MS = 1_000;
 /** Two missed probes and a margin. */
-const ALIVE_MS = 5_000;
+const ALIVE_MS = 9_500;
 /** The session of a controller that was not reached for this long is ended by rank 0. */
 const END_MS = 60_000;
 /** An opening of the own session that did not come back from the log is proposed again. */
@@ -90,8 +91,14 @@
   #checkSessions(now: number): void {
     const { session: own } = this.#options;
     const others = this.#sessions.filter((one) => one.session !== own);
-    others.forEach((one) => this.#probe(one));
-    if (this.#computeRank(now) === 0) this.#closeLost(others, now);
+    const openedOffset =
+      this.#sessions.find((one) => one.session === own)?.openedOffset ?? Number.POSITIVE_INFINITY;
+    const isFirst = this.#computeRank(now) === 0;
+    // The rank depends on older sessions only; the first controller looks after all of them.
+    others
+      .filter((one) => isFirst || one.openedOffset < openedOffset)
+      .forEach((one) => this.#probe(one));
+    if (isFirst) this.#closeLost(others, now);
     if (this.#sessions.some((one) => one.session === own)) return;
     if (now - this.#proposedAt < OPEN_RETRY_MS) return;
     this.#proposedAt = now;
--- a/src/controller/HostWatcher.ts
+++ b/src/controller/HostWatcher.ts
@@ -9,7 +9,12 @@
 import { KnownHostsProjector } from './_KnownHostsProjector.js';
 import { ProposalDelay } from './ProposalDelay.js';
 
-const POLL_INTERVAL_MS = 1_000;
+const POLL_INTERVAL_MS = 2_000;
+/**
+ * An unchanged list is compared this often, for hosts whose waiting times run out: a comparison
+ * looks at every host, and one a second would take about half of a node's processor budget.
+ */
+const COMPARE_INTERVAL_MS = 5_000;
 /** About 70 bytes an observation keep a record far below its 64 KiB. */
 const OBSERVATIONS_PER_RECORD = 500;
 
@@ -46,6 +51,8 @@
 
   #isPolling = false;
 
+  #compared: { list: ListedHost[]; at: number; isSettled: boolean } | undefined;
+
   constructor(scope: ActorScope, options: HostWatcherOptions) {
     super(scope, 'host-watcher');
     this.#options = options;
@@ -60,6 +67,10 @@
         break;
       case 'list': {
         const { list } = message;
+        if (!this.#isDue(list)) {
+          this.#isPolling = false;
+          break;
+        }
         const emit = (known: KnownHost[]): void => this.send({ type: 'known', known, list });
         keeper.send({ type: 'project', projector: new KnownHostsProjector(emit) });
         break;
@@ -96,6 +107,12 @@
     );
   }
 
+  #isDue(list: ListedHost[]): boolean {
+    const compared = this.#compared;
+    if (compared === undefined || compared.list !== list || !compared.isSettled) return true;
+    return this.#options.clock.readMonotonic() - compared.at >= COMPARE_INTERVAL_MS;
+  }
+
   #compare(known: KnownHost[], list: ListedHost[]): void {
     const { clock, writer, timeline } = this.#options;
     const now = clock.readMonotonic();
@@ -104,6 +121,7 @@
       .filter((dataCentre) => !this.#suspected.includes(dataCentre))
       .forEach((dataCentre) => timeline.record({ type: 'dataCentre.suspected', dataCentre }));
     this.#suspected = suspected;
+    this.#compared = { list, at: now, isSettled: observations.length === 0 };
     const bodies: RecordBody[] = [];
     for (let start = 0; start < observations.length; start += OBSERVATIONS_PER_RECORD) {
       const slice = observations.slice(start, start + OBSERVATIONS_PER_RECORD);
