Count missed probes before a controller session is ended

Cause: found in review: the first controller ended sessions that it had not reached for 60 s. One that was thawed, or had just become the first, had not probed the others for that long and would have ended the sessions of live controllers.

Change: a session is ended after 15 probes missed in a row, about a minute.

Conclusion: a freeze counts as at most the one probe in flight. No test covers this rule yet.

--- a/src/controller/ControllerPeers.ts
+++ b/src/controller/ControllerPeers.ts
@@ -12,8 +12,12 @@
 const PROBE_TIMEOUT_MS = 1_000;
 /** Two missed probes and a margin. */
 const ALIVE_MS = 9_500;
-/** The session of a controller that was not reached for this long is ended by rank 0. */
-const END_MS = 60_000;
+/**
+ * Rank 0 ends the session of a controller that missed this many probes in a row, about a minute.
+ * Probes are counted instead of time, since a thawed controller, or one that has just become the
+ * first, has not probed the others for long.
+ */
+const LOST_PROBES = 15;
 /** An opening of the own session that did not come back from the log is proposed again. */
 const OPEN_RETRY_MS = 10_000;
 
@@ -47,6 +51,9 @@
   /** When each session was last reached, in monotonic milliseconds. */
   readonly #reachedAt = new Map<string, number>();
 
+  /** Probes missed in a row. */
+  readonly #missed = new Map<string, number>();
+
   readonly #replaced = new Set<string>();
 
   #proposedAt = Number.NEGATIVE_INFINITY;
@@ -74,11 +81,11 @@
         if (!message.sessions.some((one) => one.session === session)) {
           this.#reachedAt.delete(session);
           this.#replaced.delete(session);
+          this.#missed.delete(session);
         }
       });
     } else if (message.type === 'probed') {
-      if (message.found === message.session) this.#reachedAt.set(message.session, now);
-      else if (message.found !== undefined) this.#replaced.add(message.session);
+      this.#acceptProbe(message, now);
     } else this.#checkSessions(now);
     this.#options.onRank(this.#computeRank(now));
   }
@@ -88,6 +95,18 @@
     super.close();
   }
 
+  #acceptProbe(
+    { session, found }: { session: string; found: string | undefined },
+    now: number,
+  ): void {
+    if (found === undefined) this.#missed.set(session, (this.#missed.get(session) ?? 0) + 1);
+    else if (found !== session) this.#replaced.add(session);
+    else {
+      this.#reachedAt.set(session, now);
+      this.#missed.delete(session);
+    }
+  }
+
   #checkSessions(now: number): void {
     const { session: own } = this.#options;
     const others = this.#sessions.filter((one) => one.session !== own);
@@ -98,7 +117,7 @@
     others
       .filter((one) => isFirst || one.openedOffset < openedOffset)
       .forEach((one) => this.#probe(one));
-    if (isFirst) this.#closeLost(others, now);
+    if (isFirst) this.#closeLost(others);
     if (this.#sessions.some((one) => one.session === own)) return;
     if (now - this.#proposedAt < OPEN_RETRY_MS) return;
     this.#proposedAt = now;
@@ -115,11 +134,11 @@
     ]);
   }
 
-  #closeLost(others: SessionState[], now: number): void {
-    const lost = others.filter(({ session }) => {
-      const reachedAt = this.#reachedAt.get(session) ?? now;
-      return this.#replaced.has(session) || now - reachedAt > END_MS;
-    });
+  #closeLost(others: SessionState[]): void {
+    const lost = others.filter(
+      ({ session }) =>
+        this.#replaced.has(session) || (this.#missed.get(session) ?? 0) >= LOST_PROBES,
+    );
     if (lost.length === 0) return;
     const by = this.#options.session;
     this.#propose(lost.map(({ session }) => ({ type: 'session-end', session, by })));
