--- a/src/cli/RolloutCommand.ts
+++ b/src/cli/RolloutCommand.ts
@@ -1,4 +1,5 @@
-import { collectObservations, ProcessStatus } from '../observation/mod.js';
+import { ProcessStatus } from '../fleet/mod.js';
+import { collectObservations } from '../observation/mod.js';
 import { EXIT_FAILURE, EXIT_OK, type CommandCall } from './Command.js';
 import { ProcessCommand } from './ProcessCommand.js';
 
--- a/src/controller/Controller.ts
+++ b/src/controller/Controller.ts
@@ -1,14 +1,28 @@
+import { randomUUID } from 'node:crypto';
+import { setTimeout } from 'node:timers/promises';
 import { createHTTPServer } from '@trpc/server/adapters/standalone';
 import { ActorScope, type FaultHandler } from '../actor/mod.js';
-import { FleetFollower, FleetKeeper } from '../fleet/mod.js';
-import { HttpLogClient, LogRecordSource, LogWriter } from '../log/mod.js';
+import { SystemClock } from '../clock/mod.js';
+import { FleetFollower, FleetKeeper, type FollowerStatus } from '../fleet/mod.js';
+import { HttpLogClient, LogRecordSource, LogWriter, type SubmitAnswer } from '../log/mod.js';
 import type { ProcessObserver } from '../observation/mod.js';
 import { closeServer, openServer } from '../net/mod.js';
+import type { RecordBody } from '../record/mod.js';
 import type { ControllerSettings } from '../settings/mod.js';
+import { CheckpointKeeper } from './CheckpointKeeper.js';
 import { ControllerApi } from './ControllerApi.js';
+import { ControllerPeers } from './ControllerPeers.js';
 import { ControllerPlanner } from './ControllerPlanner.js';
 import { ControllerRecordSource } from './ControllerRecordSource.js';
 import { controllerRouter } from './ControllerRouter.js';
+import { HttpHostListClient } from './HttpHostListClient.js';
+import { HostWatcher } from './HostWatcher.js';
+import { SequenceProjector } from './_SequenceProjector.js';
+
+/** How long a planned stop waits for the log to take the end of the session. */
+const END_TIMEOUT_MS = 1_000;
+const FIRST_READ_TIMEOUT_MS = 1_500;
+const FIRST_READ_INTERVAL_MS = 20;
 
 type HttpServer = ReturnType<typeof createHTTPServer>;
 
@@ -39,42 +53,80 @@
 
   readonly #server: HttpServer;
 
+  readonly #session: string;
+
+  readonly #clock = new SystemClock();
+
+  readonly #watcher: HostWatcher;
+
+  readonly #checkpoints: CheckpointKeeper;
+
+  #peers: ControllerPeers | undefined;
+
   constructor(settings: ControllerSettings, onFault: FaultHandler, observer?: ProcessObserver) {
     this.#settings = settings;
+    this.#session = observer?.process ?? randomUUID();
     this.#scope = new ActorScope('controller', onFault, observer);
-    this.#keeper = new FleetKeeper(this.#scope);
-    this.#writeClient = new HttpLogClient(settings.platform);
-    this.#writer = new LogWriter(this.#scope, this.#writeClient);
-    this.#follower = new FleetFollower(this.#scope, this.#keeper, [
+    const clock = this.#clock;
+    const keeper = new FleetKeeper(this.#scope, { clock });
+    this.#keeper = keeper;
+    const client = new HttpLogClient(settings.platform);
+    this.#writeClient = client;
+    const writer = new LogWriter(this.#scope, { client });
+    this.#writer = writer;
+    keeper.send({ type: 'subscribe', projector: new SequenceProjector(writer) });
+    const sources = [
       new LogRecordSource(new HttpLogClient(settings.platform)),
       ...settings.peers.map((peer) => new ControllerRecordSource(peer)),
-    ]);
-    this.#planner = new ControllerPlanner(this.#scope, this.#keeper, this.#writer);
-    const api = new ControllerApi(this.#keeper, this.#writer);
+    ];
+    this.#follower = new FleetFollower(this.#scope, keeper, sources, { clock });
+    this.#planner = new ControllerPlanner(this.#scope, keeper, writer);
+    this.#watcher = new HostWatcher(this.#scope, {
+      keeper,
+      writer,
+      client: new HttpHostListClient(settings.platform),
+      clock,
+    });
+    this.#checkpoints = new CheckpointKeeper(this.#scope, {
+      keeper,
+      client,
+      clock,
+      retentionMs: settings.retentionSeconds * 1_000,
+    });
     this.#server = createHTTPServer({
       router: controllerRouter,
-      createContext: () => ({ api }),
+      createContext: () => ({ api: this.#buildApi() }),
       middleware: (request, response, next) => {
         if (!observer?.answer(request, response)) next();
       },
     });
-    observer?.setStatusReader(async () => ({
-      role: settings.role,
-      dataCentre: settings.dataCentre,
-      ...(await api.readProgress()),
-    }));
+    observer?.setStatusReader(() => this.#buildApi().readStatus());
   }
 
   /** Opens the API and returns its address. */
   async open(): Promise<string> {
     const address = await openServer(this.#server, this.#settings.address);
     this.#follower.start();
+    this.#peers = new ControllerPeers(this.#scope, {
+      keeper: this.#keeper,
+      writer: this.#writer,
+      clock: this.#clock,
+      session: this.#session,
+      dataCentre: this.#settings.dataCentre,
+      address,
+      onRank: (rank) => this.#publishRank(rank),
+    });
+    await this.#waitForState();
     return address;
   }
 
-  /** Stops the actors and closes the API. */
+  /** Ends the session, stops the actors and closes the API. */
   async close(): Promise<void> {
+    this.#peers?.close();
     this.#planner.close();
+    await this.#closeSession();
+    await this.#watcher.close();
+    this.#checkpoints.close();
     this.#writer.close();
     await this.#follower.close();
     this.#keeper.close();
@@ -82,4 +134,45 @@
     await this.#writeClient.close();
     this.#scope.close();
   }
+
+  /** Gives the first read a moment, so that a controller is not announced before it has state. */
+  async #waitForState(): Promise<void> {
+    const end = this.#clock.readMonotonic() + FIRST_READ_TIMEOUT_MS;
+    while (this.#clock.readMonotonic() < end) {
+      const status = await this.#follower.ask<FollowerStatus>((reply) => ({
+        type: 'status',
+        reply,
+      }));
+      if (status.readiness !== 'not-ready') return;
+      await setTimeout(FIRST_READ_INTERVAL_MS);
+    }
+  }
+
+  /** With the log down the session stays open; another controller ends it later. */
+  async #closeSession(): Promise<void> {
+    const session = this.#session;
+    const bodies: RecordBody[] = [{ type: 'session-end', session, by: session }];
+    await this.#writer.ask<SubmitAnswer>(
+      (reply) => ({ type: 'submit', bodies, timeoutMs: END_TIMEOUT_MS, reply }),
+      2 * END_TIMEOUT_MS,
+    );
+  }
+
+  #publishRank(rank: number): void {
+    [this.#planner, this.#watcher, this.#checkpoints].forEach((actor) => {
+      actor.send({ type: 'rank', rank });
+    });
+  }
+
+  #buildApi(): ControllerApi {
+    return new ControllerApi({
+      keeper: this.#keeper,
+      follower: this.#follower,
+      writer: this.#writer,
+      watcher: this.#watcher,
+      scope: this.#scope,
+      session: this.#session,
+      dataCentre: this.#settings.dataCentre,
+    });
+  }
 }
--- a/src/fleet/mod.ts
+++ b/src/fleet/mod.ts
@@ -15,4 +15,8 @@
 export * from './FleetFollower.js';
 export * from './FleetKeeper.js';
 export * from './FleetProjector.js';
+export * from './ProcessStatus.js';
+export * from './SinceAnswer.js';
+export * from './parseSnapshot.js';
 export * from './planFleet.js';
+export * from './readProcessStatus.js';
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -2,7 +2,7 @@
 import { ActorScope, type FaultHandler } from '../actor/mod.js';
 import { SystemClock } from '../clock/mod.js';
 import { ControllerRecordSource } from '../controller/mod.js';
-import { FleetFollower, FleetKeeper, readProgress } from '../fleet/mod.js';
+import { FleetFollower, FleetKeeper, readProcessStatus } from '../fleet/mod.js';
 import { closeServer, openServer } from '../net/mod.js';
 import type { ProcessObserver } from '../observation/mod.js';
 import type { GatewaySettings } from '../settings/mod.js';
@@ -45,11 +45,15 @@
     this.#peerServer = createServer((request, response) => {
       if (!observer?.answer(request, response)) response.writeHead(404).end();
     });
-    observer?.setStatusReader(async () => ({
-      role: settings.role,
-      dataCentre: settings.dataCentre,
-      ...(await readProgress(this.#keeper)),
-    }));
+    observer?.setStatusReader(() =>
+      readProcessStatus({
+        keeper: this.#keeper,
+        follower: this.#follower,
+        session: observer.process,
+        role: settings.role,
+        dataCentre: settings.dataCentre,
+      }),
+    );
   }
 
   /** Where other processes reach it; empty before it is open. */
--- a/src/observation/ProcessObserver.ts
+++ b/src/observation/ProcessObserver.ts
@@ -2,7 +2,8 @@
 import type { Clock } from '../clock/mod.js';
 import { Metrics, ProcessMeter } from '../metrics/mod.js';
 import { Timeline, type TimelineOptions } from '../timeline/mod.js';
-import type { ProcessMetrics, ProcessStatus, ProcessTimeline } from './ProcessStatus.js';
+import type { ProcessStatus } from '../fleet/mod.js';
+import type { ProcessMetrics, ProcessTimeline } from './ProcessReport.js';
 
 /** Paths of the system's own begin with this on the peer and API ports. */
 const OWN_PREFIX = '/-/';
@@ -14,8 +15,8 @@
   onEvent?: TimelineOptions['onEvent'];
 }
 
-/** Reads the offset and the revision that a process has in force. */
-export type StatusReader = () => Promise<Omit<ProcessStatus, 'process'>>;
+/** Reads which state of the fleet a process has in force. */
+export type StatusReader = () => Promise<ProcessStatus>;
 
 /**
  * What a daemon records about itself, and its answers to those who ask for it.
@@ -87,7 +88,7 @@
       case 'timeline':
         return { process: this.process, events: this.timeline.list() } satisfies ProcessTimeline;
       case 'status':
-        return this.#readStatus && { process: this.process, ...(await this.#readStatus()) };
+        return this.#readStatus?.();
       default:
         return undefined;
     }
--- a/src/observation/mod.ts
+++ b/src/observation/mod.ts
@@ -6,4 +6,4 @@
 export * from './collectObservations.js';
 export * from './fetchObservation.js';
 export * from './ProcessObserver.js';
-export * from './ProcessStatus.js';
+export * from './ProcessReport.js';
--- a/src/settings/ControllerSettings.ts
+++ b/src/settings/ControllerSettings.ts
@@ -13,6 +13,8 @@
   platform: z.url({ protocol: /^https?$/, error: 'expected a URL like "http://10.0.0.1:7000"' }),
   /** APIs of other controllers. */
   peers: z.array(Address).max(64).default([]),
+  /** How long the platform's log retains records; checkpoints are written well before half of it. */
+  retentionSeconds: z.number().positive().default(3_600),
   ...OBSERVATION_SETTINGS,
 });
 export type ControllerSettings = z.infer<typeof ControllerSettings>;
