Fold all host records with the availability rule

Cause: the fold knew assignments only, and each configuration change copied and checked the whole configuration.

Change: releases, drains and maintenance are folded host by host; each change is made on incremental counters per pool and rack and taken back when the rule does not hold. A report of a drain states the offset of the session's state, so that a late one does not count for a later drain. A configuration change is checked in the time of its operations. Hosts in use, pools with hosts and data centres with hosts cannot be removed, and no object is changed twice in one change.

--- /dev/null
+++ b/src/contract/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * What the system promises for a pool.
+ *
+ * @module
+ */
+export * from './PoolLedger.js';
--- a/src/fleet/_Configuration.ts
+++ b/src/fleet/_Configuration.ts
@@ -1,4 +1,3 @@
-import type { Finding } from '../finding/mod.js';
 import type { ObjectKind, Operation } from '../record/mod.js';
 import type { DataCentre } from '../dataCentre/mod.js';
 import type { Host } from '../host/mod.js';
@@ -44,31 +43,4 @@
     objects.set(operation.object.name, { object: operation.object, revision });
     this.removed.delete(`${operation.kind}/${operation.object.name}`);
   }
-
-  /** Checks that references between the objects resolve and that no rule contradicts itself. */
-  check(): Finding[] {
-    const findings: Finding[] = [];
-    const add = (path: string, message: string): void => {
-      findings.push({ severity: 'error', message, place: { path } });
-    };
-    this.host.forEach(({ object }, name) => {
-      if (!this.dataCentre.has(object.dataCentre)) {
-        add(`hosts.${name}.dataCentre`, `unknown data centre "${object.dataCentre}"`);
-      }
-    });
-    this.service.forEach(({ object }, name) => {
-      if (!this.pool.has(object.pool))
-        add(`services.${name}.pool`, `unknown pool "${object.pool}"`);
-    });
-    this.pool.forEach(({ object }, name) => {
-      if (object.availabilityBudget > object.need + object.headroom) {
-        const size = object.need + object.headroom;
-        add(
-          `pools.${name}.availabilityBudget`,
-          `${object.availabilityBudget} is above need + headroom = ${size}`,
-        );
-      }
-    });
-    return findings;
-  }
 }
--- a/src/fleet/_FleetData.ts
+++ b/src/fleet/_FleetData.ts
@@ -1,6 +1,7 @@
 import type { HostState } from '../host/mod.js';
 import type { ConfigChange, ObjectKind } from '../record/mod.js';
 import { Configuration, type Configured } from './_Configuration.js';
+import { FleetIndex } from './_FleetIndex.js';
 import { FleetSnapshot, type SessionState } from './FleetSnapshot.js';
 
 /** A writer that was silent for this long is forgotten; it has long ended. */
@@ -49,6 +50,9 @@
 
   readonly pendingChanges = new Map<string, ConfigChange[]>();
 
+  /** Counters over `hostStates`; `changeHost` keeps them in step. */
+  readonly index = new FleetIndex();
+
   readonly #writers = new Map<string, WriterState>();
 
   #writersPrunedAt = 0;
@@ -73,9 +77,32 @@
     Object.entries(copy.pendingChanges).forEach(([id, parts]) =>
       data.pendingChanges.set(id, parts),
     );
+    data.hostStates.forEach((state, name) => {
+      const host = data.configuration.host.get(name)?.object;
+      if (host !== undefined) data.index.add(host, state);
+    });
     return data;
   }
 
+  /** Replaces the state of a configured host, or removes it, and updates the counters. */
+  changeHost(name: string, after: HostState | undefined): void {
+    const host = this.configuration.host.get(name)?.object;
+    if (host === undefined) return;
+    const before = this.hostStates.get(name);
+    if (before !== undefined) this.index.remove(host, before);
+    if (after === undefined) this.hostStates.delete(name);
+    else {
+      this.hostStates.set(name, after);
+      this.index.add(host, after);
+    }
+  }
+
+  /** Whether every open gateway session of its data centre has reported a host drained. */
+  isDrained(name: string, gateways: readonly SessionState[]): boolean {
+    const drainedBy = this.hostStates.get(name)?.drainedBy ?? [];
+    return gateways.every(({ session }) => drainedBy.includes(session));
+  }
+
   /** Lists the open sessions of a role in the order of their ids. */
   listSessions(role: SessionState['role']): SessionState[] {
     return sortValues(this.sessions).filter((session) => session.role === role);
--- /dev/null
+++ b/src/fleet/_FleetIndex.ts
@@ -0,0 +1,60 @@
+import { PoolLedger } from '../contract/mod.js';
+import type { Host, HostState } from '../host/mod.js';
+
+interface DataCentreCounts {
+  hosts: number;
+  live: number;
+}
+
+/** A data centre with one host only cannot tell a partition from a failed host. */
+const MIN_HOSTS_OF_PARTITION = 2;
+
+/** Counters over the states of the hosts. Derived data: rebuilt on restore, not in the snapshot. */
+export class FleetIndex {
+  readonly #pools = new Map<string, PoolLedger>();
+
+  readonly #dataCentres = new Map<string, DataCentreCounts>();
+
+  /** Counts a host in with its state. */
+  add(host: Host, state: HostState): void {
+    const counts = this.#dataCentres.get(host.dataCentre) ?? { hosts: 0, live: 0 };
+    counts.hosts += 1;
+    if (state.status === 'live') counts.live += 1;
+    this.#dataCentres.set(host.dataCentre, counts);
+    if (state.pool !== undefined) this.#openLedger(state.pool).add(host, state);
+    if (state.toPool !== undefined) this.#openLedger(state.toPool).incoming += 1;
+  }
+
+  /** Counts a host out with the state that it was counted in with. */
+  remove(host: Host, state: HostState): void {
+    const counts = this.#dataCentres.get(host.dataCentre);
+    if (counts !== undefined) {
+      counts.hosts -= 1;
+      if (state.status === 'live') counts.live -= 1;
+    }
+    if (state.pool !== undefined) this.#openLedger(state.pool).remove(host, state);
+    if (state.toPool !== undefined) this.#openLedger(state.toPool).incoming -= 1;
+  }
+
+  /** Finds the counts of a pool; a pool without hosts has zeros. */
+  getLedger(pool: string): Readonly<PoolLedger> {
+    return this.#pools.get(pool) ?? new PoolLedger();
+  }
+
+  /** Counts the hosts that are configured in a data centre. */
+  countHosts(dataCentre: string): number {
+    return this.#dataCentres.get(dataCentre)?.hosts ?? 0;
+  }
+
+  /** Whether all hosts of a data centre have disappeared, so that a partition is suspected. */
+  isPartitionSuspected(dataCentre: string): boolean {
+    const counts = this.#dataCentres.get(dataCentre);
+    return counts !== undefined && counts.hosts >= MIN_HOSTS_OF_PARTITION && counts.live === 0;
+  }
+
+  #openLedger(pool: string): PoolLedger {
+    const ledger = this.#pools.get(pool) ?? new PoolLedger();
+    this.#pools.set(pool, ledger);
+    return ledger;
+  }
+}
--- a/src/fleet/_applyConfigChange.ts
+++ b/src/fleet/_applyConfigChange.ts
@@ -1,4 +1,4 @@
-import { Configuration } from './_Configuration.js';
+import { checkChange } from './_checkChange.js';
 import type { FleetData } from './_FleetData.js';
 import type { ConfigChange, LoggedRecord, Operation } from '../record/mod.js';
 import { formatFinding } from '../finding/mod.js';
@@ -19,38 +19,29 @@
   });
 }
 
-function copyConfiguration(from: Configuration): Configuration {
-  const copy = new Configuration();
-  (['dataCentre', 'host', 'pool', 'service', 'team'] as const).forEach((kind) => {
-    const target = copy[kind] as Map<string, unknown>;
-    from[kind].forEach((entry, name) => target.set(name, entry));
-  });
-  return copy;
-}
-
-/** Checks the configuration as it would be after the operations. */
-function checkResult(data: FleetData, operations: Operation[]): string[] {
-  const result = copyConfiguration(data.configuration);
-  operations.forEach((operation) => result.apply(operation, 0));
-  return result.check().map(formatFinding);
-}
-
-function updateHostStates(data: FleetData, operations: Operation[]): void {
-  operations.forEach((operation) => {
-    if (operation.kind !== 'host') return;
-    const { name } = describeObject(operation);
-    if (operation.action === 'remove') data.hostStates.delete(name);
-    else if (!data.hostStates.has(name)) {
-      data.hostStates.set(name, {
-        status: 'live',
-        phase: 'unassigned',
-        drainedBy: [],
-        phaseSince: data.time,
-        statusSince: data.time,
-        maintainedAt: data.time,
-      });
-    }
-  });
+function applyOperation(data: FleetData, operation: Operation, revision: number): void {
+  const { name } = describeObject(operation);
+  if (operation.kind !== 'host') {
+    data.configuration.apply(operation, revision);
+    return;
+  }
+  // The host is counted out with its old rack and counted in with its new one.
+  const state = data.hostStates.get(name);
+  data.changeHost(name, undefined);
+  data.configuration.apply(operation, revision);
+  if (operation.action === 'remove') return;
+  data.changeHost(
+    name,
+    state ?? {
+      status: 'live',
+      phase: 'unassigned',
+      drainedBy: [],
+      drainOffset: 0,
+      phaseSince: data.time,
+      statusSince: data.time,
+      maintainedAt: data.time,
+    },
+  );
 }
 
 function collectParts(data: FleetData, change: ConfigChange): ConfigChange[] | undefined {
@@ -74,11 +65,10 @@
   if (parts === undefined) return ACCEPTED;
   const operations = parts.flatMap((part) => part.operations);
   const reasons = findConflicts(data, operations, change.baseRevision);
-  if (reasons.length === 0) reasons.push(...checkResult(data, operations));
+  if (reasons.length === 0) reasons.push(...checkChange(data, operations).map(formatFinding));
   if (reasons.length > 0) return reject(...reasons);
   const revision = record.offset + 1;
-  operations.forEach((operation) => data.configuration.apply(operation, revision));
-  updateHostStates(data, operations);
+  operations.forEach((operation) => applyOperation(data, operation, revision));
   // eslint-disable-next-line no-param-reassign -- the fold changes its data in place.
   data.revision = revision;
   return ACCEPTED;
--- /dev/null
+++ b/src/fleet/_checkHostChange.ts
@@ -0,0 +1,42 @@
+import type { Host, HostState, Resources } from '../host/mod.js';
+import type { Pool } from '../pool/mod.js';
+import type { FleetData } from './_FleetData.js';
+
+/** Whether a host offers what a pool requires of each of its hosts. */
+export function hasResources(host: Host, required: Resources): boolean {
+  return (
+    host.resources.cores >= required.cores &&
+    host.resources.memoryGb >= required.memoryGb &&
+    host.resources.accelerators >= required.accelerators
+  );
+}
+
+/**
+ * Checks the availability rule with the host already counted out of service.
+ *
+ * An act on a host that is failed or leaving costs nothing, since that host is unavailable anyway;
+ * otherwise failed hosts could not be repaired or replaced when failures have used up the budget.
+ *
+ * @returns The reason against it.
+ */
+export function checkBudget(data: FleetData, pool: Pool, state: HostState): string | undefined {
+  if (state.status !== 'live') return undefined;
+  const ledger = data.index.getLedger(pool.name);
+  if (ledger.computeMargin(pool) >= 0) return undefined;
+  const guard = pool.guardRackLoss ? `, and one rack holds ${ledger.largestRack} more` : '';
+  return `pool "${pool.name}" would have ${ledger.unavailable} unavailable hosts${guard}, above its budget of ${pool.availabilityBudget}`;
+}
+
+/** Checks that a release leaves the pool the hosts that its load needs; failed ones do not count. */
+export function checkNeed(data: FleetData, pool: Pool, state: HostState): string | undefined {
+  if (state.status !== 'live') return undefined;
+  const { members, releasing } = data.index.getLedger(pool.name);
+  if (members - releasing >= pool.need) return undefined;
+  return `pool "${pool.name}" would keep ${members - releasing} hosts, below its need of ${pool.need}`;
+}
+
+/** Checks that the data centre of a host is not suspected to be partitioned. */
+export function checkPartition(data: FleetData, host: Host): string | undefined {
+  if (!data.index.isPartitionSuspected(host.dataCentre)) return undefined;
+  return `all hosts of data centre "${host.dataCentre}" have disappeared; none is moved`;
+}
--- a/src/host/HostState.ts
+++ b/src/host/HostState.ts
@@ -19,10 +19,15 @@
   pool: z.string().optional(),
   /** Where a releasing host goes; absent when it becomes unassigned. */
   toPool: z.string().optional(),
-  /** The maintenance wave that granted it. */
+  /** The maintenance wave that granted it last. */
   wave: z.string().optional(),
   /** Sessions that have reported it drained since the release or the grant. */
   drainedBy: z.array(z.string()).default([]),
+  /**
+   * Offset of the release or grant that took it out of service. Reports of sessions whose state is
+   * older speak of an earlier release or grant.
+   */
+  drainOffset: z.number().int().default(0),
   /** When `phase` last changed. */
   phaseSince: z.number(),
   /** When `status` last changed. */
--- /dev/null
+++ b/src/rack/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Racks: hosts that fail together.
+ *
+ * @module
+ */
+export * from './RackCounts.js';
+export * from './toRackKey.js';
--- a/src/testing/mod.ts
+++ b/src/testing/mod.ts
@@ -5,3 +5,4 @@
  */
 export * from './ProcessGroup.js';
 export * from './waitFor.js';
+export * from './readSeed.js';
