Plan placements, moves and maintenance waves on a copy of the fleet

Cause: the planner only gave unassigned hosts to pools, in one stretch, and proposed again what was under way.

Change: planFleet copies the fleet in its owner's turn and yields between slices. Every proposal is tried on the copy with the fold itself, so none is rejected at that state. Waves are spaced evenly over the period and go rack by rack; placement is behind PlacementPolicy; hosts are rebooted through MaintenanceActions after an accepted start. The planner starts no plan while proposals are under way.

Checked: the property test, now with planners on present and stale states, failed with a draft that proposes what the fold rejects, and with a budget check off by one.

--- a/src/controller/Controller.ts
+++ b/src/controller/Controller.ts
@@ -1,5 +1,7 @@
 import { createHTTPServer } from '@trpc/server/adapters/standalone';
 import { ActorScope, type FaultHandler } from '../actor/mod.js';
+import { SystemClock } from '../clock/mod.js';
+import { SpreadPlacement } from '../contract/mod.js';
 import { FleetFollower, FleetKeeper } from '../fleet/mod.js';
 import { HttpLogClient, LogRecordSource, LogWriter } from '../log/mod.js';
 import { closeServer, openServer } from '../net/mod.js';
@@ -8,6 +10,8 @@
 import { ControllerPlanner } from './ControllerPlanner.js';
 import { ControllerRecordSource } from './ControllerRecordSource.js';
 import { controllerRouter } from './ControllerRouter.js';
+import { HttpMaintenanceActions } from './HttpMaintenanceActions.js';
+import { MaintenanceRunner } from './MaintenanceRunner.js';
 
 type HttpServer = ReturnType<typeof createHTTPServer>;
 
@@ -32,6 +36,8 @@
 
   readonly #writer: LogWriter;
 
+  readonly #runner: MaintenanceRunner;
+
   readonly #planner: ControllerPlanner;
 
   readonly #writeClient: HttpLogClient;
@@ -48,7 +54,17 @@
       new LogRecordSource(new HttpLogClient(settings.platform)),
       ...settings.peers.map((peer) => new ControllerRecordSource(peer)),
     ]);
-    this.#planner = new ControllerPlanner(this.#scope, this.#keeper, this.#writer);
+    this.#runner = new MaintenanceRunner(
+      this.#scope,
+      new HttpMaintenanceActions(settings.platform),
+    );
+    this.#planner = new ControllerPlanner(this.#scope, {
+      keeper: this.#keeper,
+      writer: this.#writer,
+      runner: this.#runner,
+      clock: new SystemClock(),
+      policy: new SpreadPlacement(),
+    });
     const api = new ControllerApi(this.#keeper, this.#writer);
     this.#server = createHTTPServer({ router: controllerRouter, createContext: () => ({ api }) });
   }
@@ -63,6 +79,7 @@
   /** Stops the actors and closes the API. */
   async close(): Promise<void> {
     this.#planner.close();
+    await this.#runner.close();
     this.#writer.close();
     await this.#follower.close();
     this.#keeper.close();
--- a/src/controller/ControllerPlanner.ts
+++ b/src/controller/ControllerPlanner.ts
@@ -1,41 +1,145 @@
 import { Actor, type ActorScope } from '../actor/mod.js';
-import type { FleetKeeper } from '../fleet/mod.js';
-import type { LogWriter } from '../log/mod.js';
+import type { Clock } from '../clock/mod.js';
+import type { PlacementPolicy } from '../contract/mod.js';
+import type { FleetKeeper, Plan, VerdictAnswer } from '../fleet/mod.js';
+import type { LogWriter, RecordId } from '../log/mod.js';
 import type { RecordBody } from '../record/mod.js';
-import { PlanProjector } from './_PlanProjector.js';
+import type { MaintenanceRunner } from './MaintenanceRunner.js';
+import { PlanProjector, type StartedPlan } from './_PlanProjector.js';
 
 const PLAN_INTERVAL_MS = 500;
+/** An unchanged fleet is planned again after this time, since hosts fall due and shortages last. */
+const IDLE_PLAN_INTERVAL_MS = 10_000;
+/** Verdicts that have not come by then, after a restore from a snapshot, will not come at all. */
+const VERDICT_TIMEOUT_MS = 60_000;
 
-type PlannerMessage = { type: 'tick' } | { type: 'proposals'; bodies: RecordBody[] };
+type PlannerMessage =
+  | { type: 'tick' }
+  | { type: 'started'; plan: StartedPlan | undefined }
+  | { type: 'slice'; plan: StartedPlan }
+  | { type: 'verdict'; round: number; body: RecordBody; answer: VerdictAnswer };
 
-/** Proposes records at an interval. */
-export class ControllerPlanner extends Actor<PlannerMessage> {
-  readonly #keeper: FleetKeeper;
+/** What the planner works with. */
+export interface PlannerOptions {
+  keeper: FleetKeeper;
+  writer: LogWriter;
+  runner: MaintenanceRunner;
+  clock: Clock;
+  policy: PlacementPolicy;
+}
 
-  readonly #writer: LogWriter;
+/**
+ * Proposes records and has hosts rebooted whose maintenance was accepted.
+ *
+ * A plan is started in the keeper's turn and goes on slice by slice, one message each, so that no
+ * other message waits for a whole plan. No plan is started while proposals are under way, so that
+ * nothing is proposed twice.
+ */
+export class ControllerPlanner extends Actor<PlannerMessage> {
+  readonly #options: PlannerOptions;
 
   readonly #timer: NodeJS.Timeout;
 
-  constructor(scope: ActorScope, keeper: FleetKeeper, writer: LogWriter) {
+  readonly #shortSince = new Map<string, number>();
+
+  #isPlanning = false;
+
+  #plannedOffset = -1;
+
+  #plannedAt = -Infinity;
+
+  /** Counts plans; a verdict on an earlier plan that was given up is ignored. */
+  #round = 0;
+
+  #awaited = 0;
+
+  #proposedAt = 0;
+
+  constructor(scope: ActorScope, options: PlannerOptions) {
     super(scope, 'controller-planner');
-    this.#keeper = keeper;
-    this.#writer = writer;
+    this.#options = options;
     this.#timer = setInterval(() => this.send({ type: 'tick' }), PLAN_INTERVAL_MS);
   }
 
   protected override receive(message: PlannerMessage): void {
-    if (message.type === 'tick') {
-      this.#keeper.send({
-        type: 'project',
-        projector: new PlanProjector((bodies) => this.send({ type: 'proposals', bodies })),
-      });
-      return;
+    switch (message.type) {
+      case 'tick':
+        this.#startPlan();
+        break;
+      case 'started':
+        this.#isPlanning = message.plan !== undefined;
+        if (message.plan !== undefined) this.send({ type: 'slice', plan: message.plan });
+        break;
+      case 'slice':
+        this.#runSlice(message.plan);
+        break;
+      default:
+        this.#handleVerdict(message);
     }
-    message.bodies.forEach((body) => this.#writer.send({ type: 'append', body }));
   }
 
   override close(): void {
     clearInterval(this.#timer);
     super.close();
   }
+
+  #startPlan(): void {
+    const now = this.#options.clock.readMonotonic();
+    if (this.#awaited > 0 && now - this.#proposedAt > VERDICT_TIMEOUT_MS) this.#awaited = 0;
+    if (this.#isPlanning || this.#awaited > 0) return;
+    this.#isPlanning = true;
+    const isIdle = now - this.#plannedAt < IDLE_PLAN_INTERVAL_MS;
+    const options = {
+      now: this.#options.clock.readWall(),
+      policy: this.#options.policy,
+      shortSince: this.#shortSince,
+      unlessOffset: isIdle ? this.#plannedOffset : -1,
+    };
+    this.#options.keeper.send({
+      type: 'project',
+      projector: new PlanProjector(options, (plan) => this.send({ type: 'started', plan })),
+    });
+  }
+
+  #runSlice(plan: StartedPlan): void {
+    let step: IteratorResult<undefined, Plan>;
+    try {
+      step = plan.steps.next();
+    } catch (error) {
+      this.#isPlanning = false;
+      throw error;
+    }
+    if (step.done !== true) {
+      this.send({ type: 'slice', plan });
+      return;
+    }
+    this.#isPlanning = false;
+    this.#plannedOffset = plan.nextOffset;
+    this.#plannedAt = this.#options.clock.readMonotonic();
+    this.#propose(step.value);
+  }
+
+  #propose({ bodies, reboots }: Plan): void {
+    if (reboots.length > 0) this.#options.runner.send({ type: 'reboot', hosts: reboots });
+    this.#round += 1;
+    this.#awaited = bodies.length;
+    this.#proposedAt = this.#options.clock.readMonotonic();
+    const round = this.#round;
+    bodies.forEach((body) => {
+      const reply = (id: RecordId): void => {
+        this.#options.keeper.send({
+          type: 'verdict',
+          id,
+          reply: (answer) => this.send({ type: 'verdict', round, body, answer }),
+        });
+      };
+      this.#options.writer.send({ type: 'append', body, reply });
+    });
+  }
+
+  #handleVerdict({ round, body, answer }: PlannerMessage & { type: 'verdict' }): void {
+    if (round === this.#round) this.#awaited = Math.max(0, this.#awaited - 1);
+    if (body.type !== 'maintenance-start' || answer.verdict.outcome !== 'accepted') return;
+    this.#options.runner.send({ type: 'reboot', hosts: body.hosts });
+  }
 }
--- /dev/null
+++ b/src/controller/HttpMaintenanceActions.ts
@@ -0,0 +1,37 @@
+import { Pool } from 'undici';
+import VError from 'verror';
+import { MaintenanceActions } from './MaintenanceActions.js';
+
+const REBOOT_TIMEOUT_MS = 5_000;
+const HTTP_ACCEPTED = 202;
+
+/** Reboots hosts through the platform: `POST /hosts/NAME/reboot`, answered with status 202. */
+export class HttpMaintenanceActions extends MaintenanceActions {
+  readonly #pool: Pool;
+
+  /** @param url Base URL of the platform. */
+  constructor(url: string) {
+    super();
+    this.#pool = new Pool(url, { connections: 2 });
+  }
+
+  override async reboot(host: string): Promise<void> {
+    const { statusCode, body } = await this.#pool.request({
+      method: 'POST',
+      path: `/hosts/${encodeURIComponent(host)}/reboot`,
+      signal: AbortSignal.timeout(REBOOT_TIMEOUT_MS),
+    });
+    await body.dump();
+    if (statusCode === HTTP_ACCEPTED) return;
+    throw new VError(
+      { name: 'RebootError', info: { host, statusCode } },
+      'the platform answered the reboot of host "%s" with status %d',
+      host,
+      statusCode,
+    );
+  }
+
+  override close(): Promise<void> {
+    return this.#pool.close();
+  }
+}
--- a/src/controller/_PlanProjector.ts
+++ b/src/controller/_PlanProjector.ts
@@ -1,16 +1,35 @@
-import { FleetProjector, planFleet, type Fleet } from '../fleet/mod.js';
-import type { RecordBody } from '../record/mod.js';
+import {
+  FleetProjector,
+  planFleet,
+  type Fleet,
+  type Plan,
+  type PlanOptions,
+} from '../fleet/mod.js';
 
-/** Plans in the keeper's turn and passes the proposals on. */
+/** The steps of a plan and the offset of the state that it was started on. */
+export interface StartedPlan {
+  steps: Generator<undefined, Plan>;
+  nextOffset: number;
+}
+
+/** Starts a plan in the keeper's turn, if the fleet has changed since the last plan. */
 export class PlanProjector extends FleetProjector {
-  readonly #propose: (bodies: RecordBody[]) => void;
+  readonly #options: PlanOptions & { unlessOffset: number };
+
+  readonly #reply: (plan: StartedPlan | undefined) => void;
 
-  constructor(propose: (bodies: RecordBody[]) => void) {
+  constructor(
+    options: PlanOptions & { unlessOffset: number },
+    reply: (plan: StartedPlan | undefined) => void,
+  ) {
     super();
-    this.#propose = propose;
+    this.#options = options;
+    this.#reply = reply;
   }
 
   override project(fleet: Fleet): void {
-    this.#propose(planFleet(fleet));
+    const { nextOffset } = fleet;
+    if (nextOffset === this.#options.unlessOffset) this.#reply(undefined);
+    else this.#reply({ steps: planFleet(fleet, this.#options), nextOffset });
   }
 }
--- a/src/controller/mod.ts
+++ b/src/controller/mod.ts
@@ -8,3 +8,5 @@
 export * from './ControllerClient.js';
 export * from './ControllerRecordSource.js';
 export * from './ControllerRouter.js';
+export * from './HttpMaintenanceActions.js';
+export * from './MaintenanceActions.js';
--- a/src/fleet/Fleet.property.test.ts
+++ b/src/fleet/Fleet.property.test.ts
@@ -3,8 +3,10 @@
 import fc from 'fast-check';
 import type { Pool } from '../pool/mod.js';
 import { ConfigChange, RecordBody, type LoggedRecord } from '../record/mod.js';
-import { readSeed } from '../testing/mod.js';
+import { SpreadPlacement } from '../contract/mod.js';
+import { readSeed, runSteps } from '../testing/mod.js';
 import { Fleet } from './Fleet.js';
+import { planFleet } from './planFleet.js';
 
 const DATA_CENTRES = ['d1', 'd2'];
 const POOLS = ['a', 'b', 'spare'];
@@ -48,15 +50,23 @@
 
   readonly gateways: Gateway[] = [];
 
+  /** The state that a planner with a frozen process still works with. */
+  #stale = new Fleet();
+
+  readonly #shortSince = new Map<string, number>();
+
   #opened = 0;
 
   constructor(budgets: number[], guards: boolean[]) {
     const pools = POOLS.map((name, index) => ({
       name,
-      need: 3,
-      headroom: 3,
+      need: 2,
+      headroom: 4 - 2 * index,
       availabilityBudget: budgets[index],
       guardRackLoss: guards[index],
+      lends: name === 'spare',
+      lendAfterSeconds: 5,
+      maintenance: { periodDays: 0.01 },
     }));
     const objects = [
       ...DATA_CENTRES.map((name) => ['dataCentre', { name, region: 'r' }]),
@@ -106,12 +116,12 @@
     gateway.queue.push(withOffset ? { ...drained, offset } : drained);
   }
 
-  append(body: RecordBody, writer = `w${this.log.length}`): void {
+  append(body: RecordBody, writer = `w${this.log.length}`): string {
     const offset = this.log.length;
-    this.fold({ offset, time: offset * 1_000, writer, sequence: 1, body });
+    return this.fold({ offset, time: offset * 1_000, writer, sequence: 1, body });
   }
 
-  fold(record: LoggedRecord): void {
+  fold(record: LoggedRecord): string {
     const before = POOLS.map((pool) => this.countTaken(pool));
     const states = this.listStates();
     this.log.push(record);
@@ -134,6 +144,7 @@
       assert.ok(now + atRisk <= pool.availabilityBudget, `budget of ${name}: ${now} + ${atRisk}`);
     });
     this.checkPools();
+    return outcome;
   }
 
   listStates(): [string, object][] {
@@ -178,6 +189,18 @@
     }
   }
 
+  /** Appends what a planner proposes on the present or on an older state. */
+  plan(isStale: boolean): void {
+    const options = { now: this.fleet.time, policy: new SpreadPlacement() };
+    const fleet = isStale ? this.#stale : this.fleet;
+    const { bodies } = runSteps(planFleet(fleet, { ...options, shortSince: this.#shortSince }));
+    bodies.forEach((body) => {
+      const outcome = this.append(body);
+      if (!isStale) assert.equal(outcome, 'accepted', `own proposal ${JSON.stringify(body)}`);
+    });
+    this.#stale = Fleet.restore(this.fleet.snapshot());
+  }
+
   checkCounters(): void {
     const copy = Fleet.restore(this.fleet.snapshot());
     assert.equal(copy.hash(), this.fleet.hash());
@@ -222,6 +245,7 @@
   fc.record({ type: maintenance, hosts, wave: fc.constantFrom(...WAVES) }),
 );
 const step: fc.Arbitrary<Step> = fc.oneof(
+  { weight: 2, arbitrary: fc.boolean().map((isStale) => (model: Model) => model.plan(isStale)) },
   {
     // What a planner with a fresh state would propose next for a host that drains.
     weight: 8,
--- a/src/fleet/Fleet.ts
+++ b/src/fleet/Fleet.ts
@@ -47,6 +47,11 @@
     return new Fleet(FleetData.fromSnapshot(snapshot));
   }
 
+  /** Copies what a plan depends on; the copy does not follow later records. */
+  copyForPlan(): FleetData {
+    return this.#data.copyForPlan();
+  }
+
   /** Offset of the next record to fold. */
   get nextOffset(): number {
     return this.#data.nextOffset;
--- a/src/fleet/_Configuration.ts
+++ b/src/fleet/_Configuration.ts
@@ -26,6 +26,16 @@
   /** Revisions of removals by `kind/name`, so that a race with a removal is seen. */
   readonly removed = new Map<string, number>();
 
+  /** Copies the maps; the objects in them are never changed in place. */
+  copy(): Configuration {
+    const copy = new Configuration();
+    (['dataCentre', 'host', 'pool', 'service', 'team'] as const).forEach((kind) => {
+      const target = copy[kind] as Map<string, unknown>;
+      this[kind].forEach((entry, name) => target.set(name, entry));
+    });
+    return copy;
+  }
+
   /** Finds the revision at which an object last changed or was removed; 0 if it never existed. */
   findRevision(kind: ObjectKind, name: string): number {
     const entry: Configured<unknown> | undefined = this[kind].get(name);
--- a/src/fleet/_FleetData.ts
+++ b/src/fleet/_FleetData.ts
@@ -40,9 +40,10 @@
 
   revision = 0;
 
-  readonly configuration = new Configuration();
+  readonly configuration: Configuration;
 
-  readonly hostStates = new Map<string, HostState>();
+  /** States are replaced, never changed in place, so that copies of the map stay valid. */
+  readonly hostStates: Map<string, HostState>;
 
   readonly sessions = new Map<string, SessionState>();
 
@@ -51,12 +52,22 @@
   readonly pendingChanges = new Map<string, ConfigChange[]>();
 
   /** Counters over `hostStates`; `changeHost` keeps them in step. */
-  readonly index = new FleetIndex();
+  readonly index: FleetIndex;
 
   readonly #writers = new Map<string, WriterState>();
 
   #writersPrunedAt = 0;
 
+  constructor(
+    configuration = new Configuration(),
+    hostStates = new Map<string, HostState>(),
+    index = new FleetIndex(),
+  ) {
+    this.configuration = configuration;
+    this.hostStates = hostStates;
+    this.index = index;
+  }
+
   /** Builds the data from a snapshot. */
   static fromSnapshot(snapshot: FleetSnapshot): FleetData {
     const data = new FleetData();
@@ -84,6 +95,20 @@
     return data;
   }
 
+  /** Copies what decisions about hosts depend on, for a plan to try them on. */
+  copyForPlan(): FleetData {
+    const copy = new FleetData(
+      this.configuration.copy(),
+      new Map(this.hostStates),
+      this.index.copy(),
+    );
+    copy.nextOffset = this.nextOffset;
+    copy.time = this.time;
+    copy.revision = this.revision;
+    this.sessions.forEach((session, name) => copy.sessions.set(name, { ...session }));
+    return copy;
+  }
+
   /** Replaces the state of a configured host, or removes it, and updates the counters. */
   changeHost(name: string, after: HostState | undefined): void {
     const host = this.configuration.host.get(name)?.object;
--- a/src/fleet/_FleetIndex.ts
+++ b/src/fleet/_FleetIndex.ts
@@ -15,6 +15,14 @@
 
   readonly #dataCentres = new Map<string, DataCentreCounts>();
 
+  /** Copies the counters, so that a plan can try changes. */
+  copy(): FleetIndex {
+    const copy = new FleetIndex();
+    this.#pools.forEach((ledger, pool) => copy.#pools.set(pool, ledger.copy()));
+    this.#dataCentres.forEach((counts, name) => copy.#dataCentres.set(name, { ...counts }));
+    return copy;
+  }
+
   /** Counts a host in with its state. */
   add(host: Host, state: HostState): void {
     const counts = this.#dataCentres.get(host.dataCentre) ?? { hosts: 0, live: 0 };
--- a/src/fleet/_HostTransition.ts
+++ b/src/fleet/_HostTransition.ts
@@ -1,6 +1,6 @@
-import type { Host, HostPhase, HostState } from '../host/mod.js';
+import { hasResources, type Host, type HostPhase, type HostState } from '../host/mod.js';
 import type { LoggedRecord, RecordBody } from '../record/mod.js';
-import { checkBudget, checkNeed, checkPartition, hasResources } from './_checkHostChange.js';
+import { checkBudget, checkNeed, checkPartition } from './_checkHostChange.js';
 import type { FleetData } from './_FleetData.js';
 import type { SessionState } from './FleetSnapshot.js';
 
@@ -22,7 +22,9 @@
   const gateways = new Map<string, SessionState[]>();
   data.sessions.forEach((session) => {
     if (session.role !== 'gateway') return;
-    gateways.set(session.dataCentre, [...(gateways.get(session.dataCentre) ?? []), session]);
+    const known = gateways.get(session.dataCentre);
+    if (known) known.push(session);
+    else gateways.set(session.dataCentre, [session]);
   });
   return gateways;
 }
@@ -103,7 +105,7 @@
       return `host "${name}" is not in pool "${fromPool}"`;
     }
     // A host that never came back from its maintenance is taken out of its pool from there.
-    const isLost = state.phase === 'maintenance' && state.status === 'failed';
+    const isLost = state.phase === 'maintenance' && state.status !== 'live';
     if (state.phase !== 'serving' && !isLost) return this.#describePhase(name, state);
     if (toPool === state.pool) return `host "${name}" is in pool "${toPool}" already`;
     const target = toPool === undefined ? undefined : this.#data.configuration.pool.get(toPool);
@@ -113,7 +115,7 @@
     }
     const partition = checkPartition(this.#data, host);
     if (partition !== undefined) return partition;
-    this.#put(name, state, { phase: 'releasing', toPool });
+    this.#put(name, state, { phase: 'releasing', toPool, wave: undefined });
     return this.#check(name, state, checkBudget) ?? this.#check(name, state, checkNeed);
   }
 
--- a/src/fleet/_checkHostChange.ts
+++ b/src/fleet/_checkHostChange.ts
@@ -1,16 +1,7 @@
-import type { Host, HostState, Resources } from '../host/mod.js';
+import type { Host, HostState } from '../host/mod.js';
 import type { Pool } from '../pool/mod.js';
 import type { FleetData } from './_FleetData.js';
 
-/** Whether a host offers what a pool requires of each of its hosts. */
-export function hasResources(host: Host, required: Resources): boolean {
-  return (
-    host.resources.cores >= required.cores &&
-    host.resources.memoryGb >= required.memoryGb &&
-    host.resources.accelerators >= required.accelerators
-  );
-}
-
 /**
  * Checks the availability rule with the host already counted out of service.
  *
--- a/src/fleet/planFleet.ts
+++ b/src/fleet/planFleet.ts
@@ -1,23 +1,55 @@
+import type { PlacementPolicy } from '../contract/mod.js';
 import type { RecordBody } from '../record/mod.js';
+import { HostLists } from './_HostLists.js';
+import { PlanDraft } from './_PlanDraft.js';
+import { listUnrebooted, planOngoing } from './_planOngoing.js';
+import { planPlacement, type Shortage } from './_planPlacement.js';
+import { planWaves } from './_planWaves.js';
 import type { Fleet } from './Fleet.js';
 
+/** What a plan depends on besides the state of the fleet. */
+export interface PlanOptions {
+  /** Present time, in milliseconds since the Unix epoch. */
+  now: number;
+  policy: PlacementPolicy;
+  /** Since when each pool has been short; the plan updates it for the next plan. */
+  shortSince: Map<string, number>;
+}
+
+/** What a planner proposes. */
+export interface Plan {
+  /** Records to append, in this order. */
+  bodies: RecordBody[];
+  /** Hosts in maintenance that have to be asked again to reboot. */
+  reboots: string[];
+  /** What the pools lack and no proposal provides. */
+  shortages: Shortage[];
+}
+
+function* runPlan(draft: PlanDraft, options: PlanOptions): Generator<undefined, Plan> {
+  const lists = yield* HostLists.collect(draft);
+  const reboots = listUnrebooted(draft, lists);
+  yield* planOngoing(draft, lists);
+  const shortages = yield* planPlacement({ draft, lists, ...options });
+  yield* planWaves(draft, lists);
+  return { bodies: draft.bodies, reboots, shortages };
+}
+
 /**
- * Plans the next records: fills the deficit of each pool from unassigned live hosts.
+ * Plans the next records.
+ *
+ * The fleet is copied in the call, which must be made in its owner's turn; the generator then works
+ * on the copy and yields between slices. The plan depends only on the copy and the options, and
+ * none of its records is rejected at that state.
  *
- * @returns Records to propose; none when the fleet is as the rules want it.
+ * @example
+ * ```ts
+ * const steps = planFleet(fleet, { now, policy: new SpreadPlacement(), shortSince: new Map() });
+ * let step = steps.next();
+ * while (!step.done) step = steps.next();
+ * step.value.bodies; // records to append
+ * ```
  */
-export function planFleet(fleet: Fleet): RecordBody[] {
-  const free = fleet.data
-    .listObjects('host')
-    .filter((host) => {
-      const state = fleet.findHostState(host.name);
-      return state?.phase === 'unassigned' && state.status === 'live';
-    })
-    .map((host) => host.name);
-  const states = [...fleet.data.hostStates.values()];
-  return fleet.data.listObjects('pool').flatMap((pool): RecordBody[] => {
-    const held = states.filter((state) => state.pool === pool.name).length;
-    const hosts = free.splice(0, Math.max(0, pool.need + pool.headroom - held));
-    return hosts.length === 0 ? [] : [{ type: 'host-assign', hosts, pool: pool.name }];
-  });
+export function planFleet(fleet: Fleet, options: PlanOptions): Generator<undefined, Plan> {
+  return runPlan(new PlanDraft(fleet, options.now), options);
 }
--- /dev/null
+++ b/src/host/hasResources.ts
@@ -0,0 +1,10 @@
+import type { Host, Resources } from './Host.js';
+
+/** Whether a host offers what a pool requires of each of its hosts. */
+export function hasResources(host: Host, required: Resources): boolean {
+  return (
+    host.resources.cores >= required.cores &&
+    host.resources.memoryGb >= required.memoryGb &&
+    host.resources.accelerators >= required.accelerators
+  );
+}
--- a/src/host/mod.ts
+++ b/src/host/mod.ts
@@ -5,3 +5,4 @@
  */
 export * from './Host.js';
 export * from './HostState.js';
+export * from './hasResources.js';
--- a/src/standin/PlatformStandin.ts
+++ b/src/standin/PlatformStandin.ts
@@ -13,6 +13,10 @@
   delayMs: z.number().nonnegative().default(0),
   /** This many appends take effect but their answer is lost. */
   loseAnswers: z.number().int().nonnegative().default(0),
+  /** How long a host is off the list while it reboots. */
+  rebootMs: z.number().nonnegative().default(1_000),
+  /** Hosts that never come back from a reboot. */
+  lostHosts: z.array(z.string()).default([]),
 });
 export type PlatformFaults = z.infer<typeof PlatformFaults>;
 
@@ -31,7 +35,7 @@
  * A small stand-in for the platform: a log with offsets, a list of hosts, and faults on demand.
  *
  * `POST /streams/NAME/entries`, `GET /streams/NAME/entries`, `GET /hosts`, `PUT /hosts`,
- * `PUT /faults`.
+ * `POST /hosts/NAME/reboot`, `PUT /faults`. A host that reboots is off the list until it is back.
  */
 export class PlatformStandin {
   readonly #retentionMs: number;
@@ -44,6 +48,9 @@
 
   #faults = PlatformFaults.parse({});
 
+  /** Timers of the hosts that reboot; a lost host has none. */
+  readonly #rebooting = new Map<string, NodeJS.Timeout | undefined>();
+
   constructor(retentionMs = DEFAULT_RETENTION_MS) {
     this.#retentionMs = retentionMs;
     this.#server = createServer((request, response) => {
@@ -68,8 +75,23 @@
     this.#hosts = hosts;
   }
 
+  /** Lists the hosts that are not rebooting. */
+  listHosts(): z.infer<typeof ListedHost>[] {
+    return this.#hosts.filter(({ host }) => !this.#rebooting.has(host));
+  }
+
+  /** Takes a host off the list for the time of a reboot; a repeated call changes nothing. */
+  startReboot(host: string): void {
+    if (this.#rebooting.has(host)) return;
+    const timer = this.#faults.lostHosts.includes(host)
+      ? undefined
+      : setTimeout(() => this.#rebooting.delete(host), this.#faults.rebootMs);
+    this.#rebooting.set(host, timer);
+  }
+
   /** Closes the server. */
   close(): Promise<void> {
+    this.#rebooting.forEach((timer) => clearTimeout(timer));
     return closeServer(this.#server);
   }
 
@@ -95,7 +117,14 @@
     if (url.pathname === '/hosts') {
       if (request.method === 'PUT')
         this.setHosts(z.array(ListedHost).parse(await readBody(request)));
-      reply(200, { hosts: this.#hosts });
+      reply(200, { hosts: this.listHosts() });
+      return;
+    }
+    const rebooted = /^\/hosts\/([\w.-]+)\/reboot$/.exec(url.pathname)?.[1];
+    if (rebooted !== undefined && request.method === 'POST') {
+      const isListed = this.#hosts.some(({ host }) => host === rebooted);
+      if (isListed) this.startReboot(rebooted);
+      reply(isListed ? 202 : 404, {});
       return;
     }
     const stream = /^\/streams\/([\w-]+)\/entries$/.exec(url.pathname)?.[1];
--- a/src/testing/mod.ts
+++ b/src/testing/mod.ts
@@ -6,3 +6,4 @@
 export * from './ProcessGroup.js';
 export * from './waitFor.js';
 export * from './readSeed.js';
+export * from './runSteps.js';
--- /dev/null
+++ b/src/wave/isWindowOpen.ts
@@ -0,0 +1,22 @@
+import type { MaintenanceTerms } from '../pool/mod.js';
+
+const HOUR_MS = 3_600_000;
+
+/**
+ * Whether hosts may be taken for maintenance at a time.
+ *
+ * A window whose end is not after its start passes midnight.
+ *
+ * @param now Milliseconds since the Unix epoch.
+ * @example
+ * ```ts
+ * isWindowOpen({ periodDays: 49, windows: [{ from: 22, to: 4 }] }, Date.UTC(2026, 0, 1, 23)); // true
+ * ```
+ */
+export function isWindowOpen({ windows }: MaintenanceTerms, now: number): boolean {
+  if (windows.length === 0) return true;
+  const hour = Math.floor(now / HOUR_MS) % 24;
+  return windows.some(({ from, to }) =>
+    from < to ? hour >= from && hour < to : hour >= from || hour < to,
+  );
+}
