Describe hosts and contracts

Cause: operators could read only counts by pool.

Change: describeHost tells what a host does, since when, for which sessions it waits and why it is late; describeContracts evaluates each promise of a pool with its margin and reason. The controller serves both as the queries host and contracts. Tests cover placement, a wave with hosts that never come back, a suspected partition, lending and the reboot call.

--- a/src/controller/ControllerApi.ts
+++ b/src/controller/ControllerApi.ts
@@ -1,9 +1,15 @@
-import type {
-  FleetKeeper,
-  FleetSnapshot,
-  FleetSummary,
-  SinceAnswer,
-  VerdictAnswer,
+import {
+  describeContracts,
+  describeFleet,
+  describeHost,
+  type ContractDescription,
+  type Fleet,
+  type FleetKeeper,
+  type FleetSnapshot,
+  type FleetSummary,
+  type HostDescription,
+  type SinceAnswer,
+  type VerdictAnswer,
 } from '../fleet/mod.js';
 import type { LogWriter, RecordId } from '../log/mod.js';
 import type { Operation, RecordBody } from '../record/mod.js';
@@ -46,10 +52,19 @@
 
   /** Describes the pools of the fleet. */
   describe(): Promise<FleetSummary> {
-    return this.#keeper.ask((reply) => ({
-      type: 'project',
-      projector: new DescribeProjector(reply),
-    }));
+    return this.#describe(describeFleet);
+  }
+
+  /** Describes a host; null for one that is not configured. */
+  describeHost(name: string): Promise<HostDescription | null> {
+    const now = Date.now();
+    return this.#describe((fleet) => describeHost(fleet, { name, now }) ?? null);
+  }
+
+  /** Describes the promises of the pools. */
+  describeContracts(): Promise<ContractDescription[]> {
+    const now = Date.now();
+    return this.#describe((fleet) => describeContracts(fleet, now));
   }
 
   /** Appends the parts of a change and returns the verdict on the whole. */
@@ -71,4 +86,11 @@
       VERDICT_TIMEOUT_MS,
     );
   }
+
+  #describe<Description>(describe: (fleet: Fleet) => Description): Promise<Description> {
+    return this.#keeper.ask<Description>((reply) => ({
+      type: 'project',
+      projector: new DescribeProjector(describe, reply),
+    }));
+  }
 }
--- a/src/controller/ControllerRouter.ts
+++ b/src/controller/ControllerRouter.ts
@@ -13,6 +13,10 @@
     .query(({ ctx, input }) => ctx.api.readSince(input.offset, input.waitMs)),
   snapshot: t.procedure.output(FleetSnapshot).query(({ ctx }) => ctx.api.readSnapshot()),
   fleet: t.procedure.query(({ ctx }) => ctx.api.describe()),
+  host: t.procedure
+    .input(z.object({ name: z.string() }))
+    .query(({ ctx, input }) => ctx.api.describeHost(input.name)),
+  contracts: t.procedure.query(({ ctx }) => ctx.api.describeContracts()),
   change: t.procedure
     .input(
       z.object({
--- /dev/null
+++ b/src/controller/HttpMaintenanceActions.test.ts
@@ -0,0 +1,26 @@
+import assert from 'node:assert/strict';
+import { after, describe, it } from 'node:test';
+import { PlatformStandin } from '../standin/mod.js';
+import { waitFor } from '../testing/mod.js';
+import { HttpMaintenanceActions } from './HttpMaintenanceActions.js';
+
+describe('HttpMaintenanceActions', () => {
+  const platform = new PlatformStandin();
+  after(() => platform.close());
+
+  // Guards against a reboot that is taken as accepted although the platform refused it.
+  it('reboots hosts, some of which never come back, and reports refusals', async () => {
+    const actions = new HttpMaintenanceActions(`http://${await platform.open()}`);
+    platform.setHosts([
+      { host: 'h1', state: 'live' },
+      { host: 'h2', state: 'live' },
+    ]);
+    platform.setFaults({ rebootMs: 10, lostHosts: ['h2'] });
+    await actions.reboot('h1');
+    await actions.reboot('h2');
+    await waitFor('h1 to be back', () => platform.listHosts().some(({ host }) => host === 'h1'));
+    assert.deepEqual(platform.listHosts(), [{ host: 'h1', state: 'live' }]);
+    await assert.rejects(actions.reboot('h3'), /host "h3" with status 404/);
+    await actions.close();
+  });
+});
--- a/src/controller/_DescribeProjector.ts
+++ b/src/controller/_DescribeProjector.ts
@@ -1,15 +1,18 @@
-import { describeFleet, FleetProjector, type Fleet, type FleetSummary } from '../fleet/mod.js';
+import { FleetProjector, type Fleet } from '../fleet/mod.js';
 
-/** Describes the fleet in the keeper's turn. */
-export class DescribeProjector extends FleetProjector {
-  readonly #reply: (summary: FleetSummary) => void;
+/** Describes something of the fleet in the keeper's turn. */
+export class DescribeProjector<Description> extends FleetProjector {
+  readonly #describe: (fleet: Fleet) => Description;
 
-  constructor(reply: (summary: FleetSummary) => void) {
+  readonly #reply: (description: Description) => void;
+
+  constructor(describe: (fleet: Fleet) => Description, reply: (description: Description) => void) {
     super();
+    this.#describe = describe;
     this.#reply = reply;
   }
 
   override project(fleet: Fleet): void {
-    this.#reply(describeFleet(fleet));
+    this.#reply(this.#describe(fleet));
   }
 }
--- /dev/null
+++ b/src/fleet/describeContracts.ts
@@ -0,0 +1,66 @@
+import { Contract, type PromiseResult } from '../contract/mod.js';
+import { computeDueTime } from '../wave/mod.js';
+import { describeHost } from './describeHost.js';
+import type { Fleet } from './Fleet.js';
+
+/** Late hosts listed by pool; the count is complete. */
+const MAX_LISTED = 20;
+
+/** A host that was not maintained within its period. */
+export interface LateHost {
+  host: string;
+  dueAt: number;
+  reason: string;
+}
+
+/** The promises of a pool as operators read them. */
+export interface ContractDescription {
+  pool: string;
+  promises: PromiseResult[];
+  /** The hosts that are late longest. */
+  late: LateHost[];
+  lateHosts: number;
+}
+
+/** Collects the late hosts by pool, in one pass over the fleet. */
+function collectLate(fleet: Fleet, now: number): Map<string, { host: string; dueAt: number }[]> {
+  const late = new Map<string, { host: string; dueAt: number }[]>();
+  fleet.data.hostStates.forEach((state, host) => {
+    const pool = fleet.data.configuration.pool.get(state.pool ?? '')?.object;
+    if (pool === undefined) return;
+    const dueAt = computeDueTime(state, pool.maintenance);
+    if (dueAt >= now) return;
+    const list = late.get(pool.name);
+    if (list) list.push({ host, dueAt });
+    else late.set(pool.name, [{ host, dueAt }]);
+  });
+  return late;
+}
+
+/**
+ * Describes which promises hold, with what margin, and what is late and why.
+ *
+ * @param now Milliseconds since the Unix epoch.
+ * @example
+ * ```ts
+ * describeContracts(fleet, now).flatMap((one) => one.promises.filter((promise) => !promise.holds));
+ * ```
+ */
+export function describeContracts(fleet: Fleet, now: number): ContractDescription[] {
+  const contract = new Contract();
+  const lateByPool = collectLate(fleet, now);
+  return fleet.data.listObjects('pool').map((pool) => {
+    const all = lateByPool.get(pool.name) ?? [];
+    all.sort((a, b) => a.dueAt - b.dueAt || (a.host < b.host ? -1 : 1));
+    const ledger = fleet.data.index.getLedger(pool.name);
+    return {
+      pool: pool.name,
+      promises: contract.check({ pool, ledger, lateHosts: all.length }),
+      late: all.slice(0, MAX_LISTED).map((one) => {
+        const reason = describeHost(fleet, { name: one.host, now })?.lateReason ?? '';
+        return { ...one, reason };
+      }),
+      lateHosts: all.length,
+    };
+  });
+}
--- /dev/null
+++ b/src/fleet/planFleet.test.ts
@@ -0,0 +1,150 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { SpreadPlacement } from '../contract/mod.js';
+import { ConfigChange, RecordBody } from '../record/mod.js';
+import { runSteps } from '../testing/mod.js';
+import { describeContracts } from './describeContracts.js';
+import { describeHost } from './describeHost.js';
+import { Fleet } from './Fleet.js';
+import { planFleet } from './planFleet.js';
+
+const MINUTE_MS = 60_000;
+const DAY_MS = 1_440 * MINUTE_MS;
+
+/** A fleet of 24 hosts, two to a rack, in three data centres, without gateway sessions. */
+class SmallFleet {
+  readonly fleet = new Fleet();
+
+  readonly shortSince = new Map<string, number>();
+
+  now = DAY_MS;
+
+  #offset = 0;
+
+  constructor(pools: object[], hosts = 24) {
+    const objects = [
+      ...[0, 1, 2].map((dc) => ['dataCentre', { name: `d${dc}`, region: 'r' }]),
+      ...pools.map((pool) => ['pool', pool]),
+      ...Array.from({ length: hosts }, (_, at) => {
+        const rack = `r${Math.floor(at / 6)}`;
+        return [
+          'host',
+          { name: `h${at}`, dataCentre: `d${at % 3}`, rack, address: `10.0.0.${at}:80` },
+        ];
+      }),
+    ];
+    const operations = objects.map(([kind, object]) => ({ action: 'put', kind, object }));
+    const head = { type: 'config-change', changeId: 'c', baseRevision: 0, part: 1, parts: 1 };
+    this.append(ConfigChange.parse({ ...head, operations }));
+  }
+
+  append(body: RecordBody): void {
+    const offset = this.#offset;
+    this.#offset += 1;
+    const record = { offset, time: this.now, writer: `w${offset}`, sequence: 1, body };
+    assert.deepEqual(this.fleet.apply(record), { outcome: 'accepted' });
+  }
+
+  report(names: string[], status: 'live' | 'failed'): void {
+    const observations = names.map((host) => ({ host, status }));
+    this.append({ type: 'host-observed', observations });
+  }
+
+  plan(): RecordBody[] {
+    const { now, shortSince } = this;
+    const plan = planFleet(this.fleet, { now, shortSince, policy: new SpreadPlacement() });
+    const { bodies } = runSteps(plan);
+    bodies.forEach((body) => this.append(body));
+    return bodies;
+  }
+
+  /** Plans until nothing more is proposed. */
+  runPlans(): void {
+    while (this.plan().length > 0);
+  }
+
+  list(pool: string): string[] {
+    return [...this.fleet.data.hostStates].filter(([, one]) => one.pool === pool).map(([h]) => h);
+  }
+}
+
+describe('planFleet', () => {
+  // Guards against a pool that one rack or data centre can take down although others are free.
+  it('spreads a pool over racks and data centres', () => {
+    const small = new SmallFleet([{ name: 'a', need: 12 }]);
+    small.runPlans();
+    assert.equal(small.list('a').length, 12);
+    assert.equal(small.fleet.data.index.getLedger('a').largestRack, 1);
+  });
+
+  // Guards against a wave that waits for ever for hosts that do not come back.
+  it('maintains every other host when some never come back', () => {
+    const pool = { name: 'a', need: 12, headroom: 6, availabilityBudget: 5 };
+    const small = new SmallFleet([{ ...pool, maintenance: { periodDays: 10 } }]);
+    small.runPlans();
+    const lost = ['h0', 'h7', 'h13', 'h20'];
+    const joinedAt = small.now;
+    const due = new Set(small.list('a'));
+    for (let hour = 0; hour < 240; hour += 1) {
+      small.now += 30 * MINUTE_MS;
+      small.runPlans();
+      const rebooting = [...small.fleet.data.hostStates]
+        .filter(([, state]) => state.phase === 'maintenance' && state.status === 'live')
+        .map(([name]) => name);
+      small.now += MINUTE_MS;
+      if (rebooting.length > 0) small.report(rebooting, 'failed');
+      small.now += 29 * MINUTE_MS;
+      const back = rebooting.filter((name) => !lost.includes(name));
+      if (back.length > 0) small.report(back, 'live');
+    }
+    const missed = [...due].filter((name) => {
+      const state = small.fleet.findHostState(name);
+      return state?.maintainedAt === joinedAt && !lost.includes(name);
+    });
+    assert.deepEqual(missed, []);
+    const [contract] = describeContracts(small.fleet, small.now);
+    assert.equal(contract?.lateHosts, 0);
+  });
+
+  // Guards against moves caused by a partition instead of by lost hosts.
+  it('moves nothing when a whole data centre disappears', () => {
+    const small = new SmallFleet([{ name: 'a', need: 12, lendAfterSeconds: 0 }]);
+    small.runPlans();
+    const gone = [...small.fleet.data.configuration.host.values()]
+      .filter(({ object }) => object.dataCentre === 'd1')
+      .map(({ object }) => object.name);
+    const before = small.list('a');
+    small.report(gone, 'failed');
+    small.now += DAY_MS / 24;
+    assert.deepEqual(small.plan(), []);
+    assert.deepEqual(small.list('a'), before);
+    const name = gone[0] ?? '';
+    const host = describeHost(small.fleet, { name, now: small.now });
+    assert.equal(host?.isPartitionSuspected, true);
+  });
+
+  // Guards against lending for a short flood, and against a lasting shortage left unmet.
+  it('borrows from a lending pool only after the shortage has lasted', () => {
+    const spare = { name: 'spare', need: 2, headroom: 6, availabilityBudget: 6, lends: true };
+    const small = new SmallFleet([{ ...spare, headroom: 22 }], 24);
+    small.runPlans();
+    assert.equal(small.list('spare').length, 24);
+    const operations = [
+      { action: 'put', kind: 'pool', object: spare },
+      { action: 'put', kind: 'pool', object: { name: 'a', need: 4, lendAfterSeconds: 30 } },
+    ];
+    const { revision } = small.fleet;
+    const head = { type: 'config-change', changeId: 'd', baseRevision: revision };
+    small.append(ConfigChange.parse({ ...head, part: 1, parts: 1, operations }));
+    assert.deepEqual(small.plan(), []);
+    const size = describeContracts(small.fleet, small.now)[0]?.promises;
+    assert.equal(
+      size?.find((one) => one.promise === 'size')?.reason,
+      '0 hosts of 4; 4 are lacking',
+    );
+    small.now += 31_000;
+    small.runPlans();
+    assert.equal(small.list('a').length, 4);
+    assert.equal(small.list('spare').length, 20);
+  });
+});
