--- a/src/wave/scheduleWave.ts
+++ b/src/wave/scheduleWave.ts
@@ -6,9 +6,6 @@
 const DAY_MS = 86_400_000;
 /** Hosts are started this part of the period before they are due, so that delays can be caught up. */
 const LEAD = 0.05;
-/** Starts are spaced a little closer than the required rate, to make up for hours without grants. */
-const SPACING = 0.9;
-
 function compareTurns(a: WaveTurn, b: WaveTurn): number {
   if (a.dueAt !== b.dueAt) return a.dueAt - b.dueAt;
   const rackA = toRackKey(a.host);
@@ -21,7 +18,8 @@
  * Schedules the members of a pool, oldest maintenance first.
  *
  * Hosts that became due together are spread over their period: going back from the last host, each
- * one starts early enough for all hosts after it to follow at the rate of one pool per period.
+ * one starts early enough for all hosts after it to follow at the rate of one pool per period. The
+ * lead closes up the spacing, so the first of them starts at once.
  *
  * @example
  * ```ts
@@ -34,7 +32,7 @@
   terms: MaintenanceTerms,
 ): WaveTurn[] {
   const periodMs = terms.periodDays * DAY_MS;
-  const intervalMs = (SPACING * periodMs) / Math.max(1, members.length);
+  const intervalMs = ((1 - LEAD) * periodMs) / Math.max(1, members.length);
   const turns = members
     .map((member): WaveTurn => {
       const dueAt = computeDueTime(member.state, terms);
