--- a/src/contract/_GroupHeap.ts
+++ b/src/contract/_GroupHeap.ts
@@ -18,6 +18,11 @@
 export class GroupHeap {
   readonly #groups: Group[] = [];
 
+  /** The cheapest group. */
+  get first(): Group | undefined {
+    return this.#groups[0];
+  }
+
   /** Adds a group at its cost. */
   add(group: Group): void {
     let at = this.#groups.length;
