--- a/src/controller/ControllerApi.ts
+++ b/src/controller/ControllerApi.ts
@@ -7,13 +7,13 @@
   describeWaves,
   queryFleet,
   readProcessStatus,
-  type ContractReport,
+  type ContractDescription,
   type FleetFollower,
   type FleetKeeper,
   type FleetSnapshot,
   type FleetSummary,
   type FollowerStatus,
-  type HostReport,
+  type HostDescription,
   type ProcessStatus,
   type SessionState,
   type SinceAnswer,
@@ -97,14 +97,16 @@
     return queryFleet(this.#keeper, describeFleet);
   }
 
-  /** Describes one host; undefined if the inventory does not have it. */
-  describeHost(name: string): Promise<HostReport | undefined> {
-    return queryFleet(this.#keeper, (fleet) => describeHost(fleet, name));
+  /** Describes a host; null for one that is not configured. */
+  describeHost(name: string): Promise<HostDescription | null> {
+    const now = Date.now();
+    return queryFleet(this.#keeper, (fleet) => describeHost(fleet, { name, now }) ?? null);
   }
 
-  /** Describes the promises of each pool with their margins. */
-  describeContracts(): Promise<ContractReport[]> {
-    return queryFleet(this.#keeper, describeContracts);
+  /** Describes the promises of the pools. */
+  describeContracts(): Promise<ContractDescription[]> {
+    const now = Date.now();
+    return queryFleet(this.#keeper, (fleet) => describeContracts(fleet, now));
   }
 
   /** Describes the maintenance waves. */
--- a/src/controller/ControllerRouter.ts
+++ b/src/controller/ControllerRouter.ts
@@ -1,6 +1,6 @@
 import { initTRPC } from '@trpc/server';
 import { z } from 'zod';
-import { ContractReport, HostReport, SessionState, WaveReport } from '../fleet/mod.js';
+import { SessionState, WaveReport } from '../fleet/mod.js';
 import { Operation, RecordBody } from '../record/mod.js';
 import type { ControllerApi } from './ControllerApi.js';
 
@@ -30,11 +30,8 @@
   fleet: t.procedure.query(({ ctx }) => ctx.api.describe()),
   host: t.procedure
     .input(z.object({ name: z.string() }))
-    .output(HostReport.optional())
     .query(({ ctx, input }) => ctx.api.describeHost(input.name)),
-  contracts: t.procedure
-    .output(z.array(ContractReport))
-    .query(({ ctx }) => ctx.api.describeContracts()),
+  contracts: t.procedure.query(({ ctx }) => ctx.api.describeContracts()),
   waves: t.procedure.output(z.array(WaveReport)).query(({ ctx }) => ctx.api.describeWaves()),
   sessions: t.procedure.output(z.array(SessionState)).query(({ ctx }) => ctx.api.listSessions()),
   change: t.procedure
--- a/src/controller/mod.ts
+++ b/src/controller/mod.ts
@@ -16,3 +16,5 @@
 export * from './HttpHostListClient.js';
 export * from './ProposalDelay.js';
 export * from './queryRollout.js';
+export * from './HttpMaintenanceActions.js';
+export * from './MaintenanceActions.js';
--- a/src/fleet/_FleetData.ts
+++ b/src/fleet/_FleetData.ts
@@ -1,6 +1,7 @@
 import type { HostState } from '../host/mod.js';
 import type { ConfigChange, ObjectKind } from '../record/mod.js';
 import { Configuration, type Configured } from './_Configuration.js';
+import { FleetIndex } from './_FleetIndex.js';
 import { FleetSnapshot, type SessionState } from './FleetSnapshot.js';
 
 /** A writer that was silent for this long is forgotten; it has long ended. */
@@ -39,9 +40,10 @@
 
   revision = 0;
 
-  readonly configuration = new Configuration();
+  readonly configuration: Configuration;
 
-  readonly hostStates = new Map<string, HostState>();
+  /** States are replaced, never changed in place, so that copies of the map stay valid. */
+  readonly hostStates: Map<string, HostState>;
 
   readonly sessions = new Map<string, SessionState>();
 
@@ -49,10 +51,23 @@
 
   readonly pendingChanges = new Map<string, ConfigChange[]>();
 
+  /** Counters over `hostStates`; `changeHost` keeps them in step. */
+  readonly index: FleetIndex;
+
   readonly #writers = new Map<string, WriterState>();
 
   #writersPrunedAt = 0;
 
+  constructor(
+    configuration = new Configuration(),
+    hostStates = new Map<string, HostState>(),
+    index = new FleetIndex(),
+  ) {
+    this.configuration = configuration;
+    this.hostStates = hostStates;
+    this.index = index;
+  }
+
   /** Builds the data from a snapshot, which must not be used afterwards. */
   static fromSnapshot(copy: FleetSnapshot): FleetData {
     const data = new FleetData();
@@ -72,9 +87,46 @@
     Object.entries(copy.pendingChanges).forEach(([id, parts]) =>
       data.pendingChanges.set(id, parts),
     );
+    data.hostStates.forEach((state, name) => {
+      const host = data.configuration.host.get(name)?.object;
+      if (host !== undefined) data.index.add(host, state);
+    });
     return data;
   }
 
+  /** Copies what decisions about hosts depend on, for a plan to try them on. */
+  copyForPlan(): FleetData {
+    const copy = new FleetData(
+      this.configuration.copy(),
+      new Map(this.hostStates),
+      this.index.copy(),
+    );
+    copy.nextOffset = this.nextOffset;
+    copy.time = this.time;
+    copy.revision = this.revision;
+    this.sessions.forEach((session, name) => copy.sessions.set(name, { ...session }));
+    return copy;
+  }
+
+  /** Replaces the state of a configured host, or removes it, and updates the counters. */
+  changeHost(name: string, after: HostState | undefined): void {
+    const host = this.configuration.host.get(name)?.object;
+    if (host === undefined) return;
+    const before = this.hostStates.get(name);
+    if (before !== undefined) this.index.remove(host, before);
+    if (after === undefined) this.hostStates.delete(name);
+    else {
+      this.hostStates.set(name, after);
+      this.index.add(host, after);
+    }
+  }
+
+  /** Whether every open gateway session of its data centre has reported a host drained. */
+  isDrained(name: string, gateways: readonly SessionState[]): boolean {
+    const drainedBy = this.hostStates.get(name)?.drainedBy ?? [];
+    return gateways.every(({ session }) => drainedBy.includes(session));
+  }
+
   /** Lists the open sessions of a role in the order of their ids. */
   listSessions(role: SessionState['role']): SessionState[] {
     return sortValues(this.sessions).filter((session) => session.role === role);
--- a/src/fleet/mod.ts
+++ b/src/fleet/mod.ts
@@ -20,3 +20,4 @@
 export * from './parseSnapshot.js';
 export * from './planFleet.js';
 export * from './readProcessStatus.js';
+export type { Shortage } from './_planPlacement.js';
--- a/src/testing/mod.ts
+++ b/src/testing/mod.ts
@@ -8,3 +8,4 @@
 export * from './buildRecords.js';
 export * from './readSeed.js';
 export * from './waitFor.js';
+export * from './runSteps.js';
