Add tests of the whole system under disturbances and cuts

Cause: the promises were proved part by part only. Change: a TCP relay that can be cut, a site of entry hosts as processes, callers that repeat keyed jobs at other gateways, and an oracle that compares what they were told with the runs counted by the upstreams.

--- a/src/standin/mod.ts
+++ b/src/standin/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from './LinkRelay.js';
 export * from './PlatformLog.js';
 export * from './PlatformStandin.js';
 export * from './UpstreamStandin.js';
--- /dev/null
+++ b/src/testing/CallerCrowd.ts
@@ -0,0 +1,120 @@
+import { request } from 'undici';
+import { Outcome } from '../job/mod.js';
+import { createKey } from './createKey.js';
+import { OutcomeLedger } from './OutcomeLedger.js';
+
+const PAUSE_MS = 15;
+const TIMEOUT_MS = 8_000;
+/** Arrivals of one key: the first and its repeats at other gateways. */
+const MAX_ARRIVALS = 4;
+
+/** Options of a crowd. */
+export interface CallerCrowdOptions {
+  /** Addresses of gateways; read anew for each request, since gateways are replaced. */
+  listGateways: () => string[];
+  path: string;
+  callers: number;
+  /** Returns a number from 0 to below 1. */
+  random: () => number;
+}
+
+interface Told {
+  outcome: Outcome | 'no answer';
+  isWhole: boolean;
+}
+
+/**
+ * Callers that send requests without a pause for thought: half of them with idempotency keys, which
+ * they repeat at another gateway until they are told that the job ran.
+ */
+export class CallerCrowd {
+  readonly ledger = new OutcomeLedger();
+
+  readonly #options: CallerCrowdOptions;
+
+  #isRunning = false;
+
+  #tasks: Promise<void>[] = [];
+
+  #reads = 0;
+
+  #goodReads = 0;
+
+  /** Answers that were passed on as whole but belong to another request or are incomplete. */
+  readonly wrongAnswers: string[] = [];
+
+  constructor(options: CallerCrowdOptions) {
+    this.#options = options;
+  }
+
+  /** Share of the idempotent requests that had a whole answer, repeats included. */
+  get goodput(): number {
+    return this.#reads === 0 ? 0 : this.#goodReads / this.#reads;
+  }
+
+  /** Starts to send. */
+  start(): void {
+    this.#isRunning = true;
+    this.#tasks = Array.from({ length: this.#options.callers }, (_, index) =>
+      this.#runCaller(index % 2 === 0),
+    );
+  }
+
+  /** Stops and waits for the requests in flight. */
+  async stop(): Promise<void> {
+    this.#isRunning = false;
+    await Promise.all(this.#tasks);
+  }
+
+  async #runCaller(isKeyed: boolean): Promise<void> {
+    while (this.#isRunning) {
+      await (isKeyed ? this.#sendKeyed() : this.#sendIdempotent());
+      await new Promise((resolve) => {
+        setTimeout(resolve, PAUSE_MS);
+      });
+    }
+  }
+
+  async #sendKeyed(): Promise<void> {
+    const key = createKey();
+    for (let arrival = 0; arrival < MAX_ARRIVALS; arrival += 1) {
+      const { outcome } = await this.#send('POST', key);
+      this.ledger.record(key, outcome);
+      if (outcome === 'ran') return;
+    }
+  }
+
+  async #sendIdempotent(): Promise<void> {
+    this.#reads += 1;
+    for (let arrival = 0; arrival < MAX_ARRIVALS; arrival += 1) {
+      const { outcome, isWhole } = await this.#send('GET');
+      if (outcome === 'ran' && isWhole) {
+        this.#goodReads += 1;
+        return;
+      }
+    }
+  }
+
+  async #send(method: 'GET' | 'POST', key?: string): Promise<Told> {
+    const gateways = this.#options.listGateways();
+    const gateway = gateways[Math.floor(this.#options.random() * gateways.length)];
+    const path = `${this.#options.path}/${createKey()}`;
+    try {
+      const answer = await request(`http://${gateway}${path}`, {
+        method,
+        headers: key === undefined ? {} : { 'idempotency-key': key },
+        body: key,
+        headersTimeout: TIMEOUT_MS,
+        bodyTimeout: TIMEOUT_MS,
+      });
+      const text = await answer.body.text();
+      const outcome = Outcome.parse(answer.headers['buckthornreach-outcome']);
+      const isWhole =
+        answer.statusCode === 200 && (JSON.parse(text) as { path: string }).path === path;
+      if (answer.statusCode === 200 && !isWhole) this.wrongAnswers.push(`${path}: ${text}`);
+      return { outcome, isWhole };
+    } catch {
+      return { outcome: 'no answer', isWhole: false };
+    }
+  }
+}
--- a/src/testing/ProcessGroup.ts
+++ b/src/testing/ProcessGroup.ts
@@ -70,19 +70,20 @@
     return file;
   }
 
+  /** Kills a process and waits for its end. */
+  // eslint-disable-next-line @typescript-eslint/class-methods-use-this -- part of the group for its users.
+  async kill({ child }: Started): Promise<void> {
+    if (child.exitCode !== null || child.signalCode !== null) return;
+    const ended = new Promise((resolve) => {
+      child.once('exit', resolve);
+    });
+    child.kill('SIGKILL');
+    await ended;
+  }
+
   /** Ends all processes and removes the folder. */
   async close(): Promise<void> {
-    await Promise.all(
-      this.#started.map(async ({ child }) => {
-        if (child.exitCode !== null || child.signalCode !== null) return;
-        const ended = new Promise((resolve) => {
-          child.once('exit', resolve);
-        });
-        child.kill('SIGCONT');
-        child.kill('SIGKILL');
-        await ended;
-      }),
-    );
+    await Promise.all(this.#started.map((started) => this.kill(started)));
     rmSync(this.#folder, { recursive: true, force: true });
   }
 
--- a/src/testing/mod.ts
+++ b/src/testing/mod.ts
@@ -9,3 +9,8 @@
 export * from './readSeed.js';
 export * from './waitFor.js';
 export * from './runSteps.js';
+export * from './CallerCrowd.js';
+export * from './createKey.js';
+export * from './findFreeAddress.js';
+export * from './OutcomeLedger.js';
+export * from './TestSite.js';
