--- /dev/null
+++ b/src/admission/FairPolicy.test.ts
@@ -0,0 +1,188 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import fc from 'fast-check';
+import { Urgency } from '../job/mod.js';
+import { FairPolicy, URGENT_START_MS } from './FairPolicy.js';
+import type { Ticket } from './AdmissionPolicy.js';
+
+const seed = Number(process.env.FC_SEED ?? 42);
+const URGENCIES = Urgency.options;
+
+function buildTicket(id: string, now: number, part: Partial<Ticket> = {}): Ticket {
+  return { id, team: 'a', urgency: 'normal', arrivedAt: now, deadline: now + 60_000, ...part };
+}
+
+const step = fc.oneof(
+  fc.record({
+    kind: fc.constant('submit' as const),
+    team: fc.constantFrom('a', 'b', 'unknown'),
+    urgency: fc.constantFrom(...URGENCIES),
+    timeoutMs: fc.integer({ min: 1, max: 5_000 }),
+  }),
+  fc.record({ kind: fc.constant('take' as const) }),
+  fc.record({ kind: fc.constant('finish' as const), runMs: fc.integer({ min: 0, max: 3_000 }) }),
+  fc.record({ kind: fc.constant('cancel' as const), nth: fc.nat(100) }),
+  fc.record({ kind: fc.constant('slots' as const), slots: fc.nat(10) }),
+  fc.record({ kind: fc.constant('pass' as const), ms: fc.integer({ min: 1, max: 1_500 }) }),
+);
+
+/** Guards against lost or doubled jobs, starts above the limit, and starts after the deadline. */
+describe('the fair admission policy under any order of events', () => {
+  it('accounts for each job once, within the limit, the bound and the deadlines', () => {
+    fc.assert(
+      fc.property(fc.array(step, { maxLength: 200 }), (steps) => {
+        const policy = new FairPolicy({ maxQueued: 4 });
+        policy.setQuotas(
+          new Map([
+            ['a', 3],
+            ['b', 1],
+          ]),
+        );
+        const waiting = new Map<string, Ticket>();
+        const running: string[] = [];
+        let now = 0;
+        steps.forEach((one, index) => {
+          if (one.kind === 'submit') {
+            const { team, urgency, timeoutMs } = one;
+            const ticket = buildTicket(`j${index}`, now, {
+              team,
+              urgency,
+              deadline: now + timeoutMs,
+            });
+            const answer = policy.submit(ticket, now);
+            if (answer.admitted) {
+              waiting.set(ticket.id, ticket);
+              answer.displaced.forEach(({ id }) => {
+                const victim = waiting.get(id);
+                assert.ok(victim && waiting.delete(id));
+                assert.ok(URGENCIES.indexOf(victim.urgency) >= URGENCIES.indexOf(urgency));
+              });
+            }
+          } else if (one.kind === 'take') {
+            const id = policy.take(now);
+            if (id !== undefined) {
+              const ticket = waiting.get(id);
+              assert.ok(ticket && waiting.delete(id), 'taken twice or after its cancellation');
+              assert.ok(now <= ticket.deadline);
+              if (ticket.urgency === 'urgent') assert.ok(now <= ticket.arrivedAt + URGENT_START_MS);
+              running.push(id);
+              assert.ok(running.length <= policy.limit);
+            }
+          } else if (one.kind === 'finish') {
+            const id = running.shift();
+            if (id !== undefined) policy.finish(id, { ran: true, runMs: one.runMs });
+          } else if (one.kind === 'cancel') {
+            const id = [...waiting.keys()][one.nth % Math.max(1, waiting.size)];
+            if (id !== undefined) assert.equal(policy.remove(id), waiting.delete(id));
+          } else if (one.kind === 'slots') policy.setSlots(one.slots);
+          else now += one.ms;
+          policy.expire(now).forEach(({ id }) => assert.ok(waiting.delete(id)));
+          assert.equal(policy.queued, waiting.size);
+          assert.equal(policy.running, running.length);
+          assert.ok(policy.queued <= 4);
+        });
+        // Whatever was admitted starts once there is room for it.
+        policy.setSlots(1_000);
+        for (let id = policy.take(now); id !== undefined; id = policy.take(now)) waiting.delete(id);
+        policy.expire(now).forEach(({ id }) => waiting.delete(id));
+        const left = [...waiting.values()].filter(({ urgency }) => urgency === 'urgent');
+        assert.equal(left.length, 0);
+      }),
+      { seed, numRuns: 300 },
+    );
+  });
+
+  it('orders the jobs of a team by their latest start', () => {
+    fc.assert(
+      fc.property(fc.array(fc.integer({ min: 1, max: 9_999 }), { maxLength: 60 }), (timeouts) => {
+        const policy = new FairPolicy();
+        policy.setSlots(100);
+        const deadlines = timeouts.map((timeoutMs, index) => {
+          policy.submit(buildTicket(String(index), 0, { deadline: timeoutMs }), 0);
+          return timeoutMs;
+        });
+        const taken = timeouts.map(() => Number(policy.take(0))).filter(Number.isInteger);
+        const order = taken.map((index) => deadlines[index] as number);
+        assert.equal(taken.length, timeouts.length);
+        assert.deepEqual(
+          order,
+          [...order].sort((a, b) => a - b),
+        );
+      }),
+      { seed, numRuns: 100 },
+    );
+  });
+});
+
+/** Fills the policy, keeps it full for some starts and counts the starts by a property of the job. */
+function countStarts(policy: FairPolicy, kinds: Partial<Ticket>[], starts: number): number[] {
+  const counts = kinds.map(() => 0);
+  let next = 0;
+  const submit = (kind: number): void => {
+    next += 1;
+    policy.submit(buildTicket(`${kind}:${next}`, 0, { deadline: 1e9, ...kinds[kind] }), 0);
+  };
+  kinds.forEach((_, kind) => Array.from({ length: 50 }, () => submit(kind)));
+  for (let done = 0; done < starts; done += 1) {
+    const id = policy.take(0) as string;
+    const kind = Number(id.split(':')[0]);
+    counts[kind] = (counts[kind] ?? 0) + 1;
+    policy.finish(id, { ran: true, runMs: 1 });
+    submit(kind);
+  }
+  return counts;
+}
+
+/** Guards against starvation of less urgent work and of teams with a small quota. */
+describe('shares of the fair admission policy', () => {
+  it('gives batch a start in twenty and normal its part under a flood of urgent work', () => {
+    const policy = new FairPolicy();
+    policy.setSlots(1);
+    const kinds = URGENCIES.map((urgency) => ({ urgency }));
+    const [urgent = 0, normal = 0, batch = 0] = countStarts(policy, kinds, 1_000);
+    assert.ok(batch >= 48 && batch <= 60, `batch: ${batch}`);
+    assert.ok(normal >= 390 && normal <= 420, `normal: ${normal}`);
+    assert.ok(urgent >= 520, `urgent: ${urgent}`);
+  });
+
+  it('divides starts by quota and lends the share of an idle team', () => {
+    fc.assert(
+      fc.property(fc.integer({ min: 1, max: 9 }), fc.integer({ min: 1, max: 9 }), (a, b) => {
+        const policy = new FairPolicy();
+        policy.setSlots(1);
+        policy.setQuotas(
+          new Map([
+            ['a', a / 4],
+            ['b', b / 4],
+            ['idle', 100],
+          ]),
+        );
+        const [first = 0] = countStarts(policy, [{ team: 'a' }, { team: 'b' }], 400);
+        assert.ok(Math.abs(first - (400 * a) / (a + b)) <= 10, `${first} of 400 for ${a}:${b}`);
+      }),
+      { seed, numRuns: 50 },
+    );
+  });
+
+  it('keeps a slot free of long batch jobs for urgent work', () => {
+    const policy = new FairPolicy();
+    policy.setSlots(8);
+    for (let job = 0; job < 20; job += 1) {
+      policy.submit(buildTicket(`b${job}`, 0, { urgency: 'batch' }), 0);
+    }
+    while (policy.take(0) !== undefined);
+    assert.equal(policy.running, 7);
+    policy.submit(buildTicket('u', 0, { urgency: 'urgent' }), 0);
+    assert.equal(policy.take(0), 'u');
+  });
+
+  it('refuses a job whose deadline cannot be met by measured run times', () => {
+    const policy = new FairPolicy();
+    policy.setSlots(1);
+    policy.submit(buildTicket('a', 0), 0);
+    policy.finish(policy.take(0) as string, { ran: true, runMs: 100 });
+    const refused = policy.submit(buildTicket('b', 0, { deadline: 50 }), 0);
+    assert.deepEqual(refused, { admitted: false, reason: 'deadline', waitMs: 0 });
+    assert.ok(policy.submit(buildTicket('c', 0, { deadline: 150 }), 0).admitted);
+  });
+});
