--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -1,9 +1,15 @@
 import { ActorScope, type FaultHandler } from '../actor/mod.js';
+import { FairPolicy, FifoPolicy } from '../admission/mod.js';
+import { UnclaimedPolicy } from '../claim/mod.js';
 import { SystemClock } from '../clock/mod.js';
 import { ControllerRecordSource } from '../controller/mod.js';
 import { FleetFollower, FleetKeeper } from '../fleet/mod.js';
+import { UnavailableForwarder } from '../link/mod.js';
+import { Metrics } from '../metrics/mod.js';
 import type { GatewaySettings } from '../settings/mod.js';
+import { Timeline } from '../timeline/mod.js';
 import { GatewayListener } from './GatewayListener.js';
+import type { GatewayParts } from './GatewayParts.js';
 import { GatewayViewProjector } from './GatewayView.js';
 
 /**
@@ -27,13 +33,24 @@
 
   readonly #listener: GatewayListener;
 
-  constructor(settings: GatewaySettings, onFault: FaultHandler) {
+  #closed: Promise<void> | undefined;
+
+  constructor(settings: GatewaySettings, onFault: FaultHandler, parts: Partial<GatewayParts> = {}) {
     this.#settings = settings;
     this.#scope = new ActorScope('gateway', onFault);
     this.#keeper = new FleetKeeper(this.#scope);
     const sources = settings.controllers.map((address) => new ControllerRecordSource(address));
     this.#follower = new FleetFollower(this.#scope, this.#keeper, sources);
-    this.#listener = new GatewayListener(this.#scope, new SystemClock());
+    const clock = new SystemClock();
+    this.#listener = new GatewayListener(this.#scope, {
+      clock,
+      claims: new UnclaimedPolicy(),
+      forwarder: new UnavailableForwarder(),
+      timeline: new Timeline(`gateway ${settings.address}`, { clock }),
+      metrics: new Metrics(),
+      createPolicy: () => (settings.admission === 'fifo' ? new FifoPolicy() : new FairPolicy()),
+      ...parts,
+    });
   }
 
   /** Opens the server for callers and returns its address. */
@@ -46,8 +63,14 @@
     return this.#listener.open(this.#settings.address);
   }
 
-  /** Closes the server and the links. */
-  async close(): Promise<void> {
+  /** Stops gracefully: no request in flight is cut off within the stop bound. */
+  close(): Promise<void> {
+    this.#closed ??= this.#stop();
+    return this.#closed;
+  }
+
+  async #stop(): Promise<void> {
+    await this.#listener.stop(this.#settings.stopNoticeMs);
     await this.#listener.close();
     await this.#follower.close();
     this.#keeper.close();
--- a/src/gateway/GatewayListener.ts
+++ b/src/gateway/GatewayListener.ts
@@ -1,45 +1,86 @@
 import { randomUUID } from 'node:crypto';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { Server as NetServer } from 'node:net';
 import { Actor, type ActorScope } from '../actor/mod.js';
-import type { Clock } from '../clock/mod.js';
-import { Urgency, type Job } from '../job/mod.js';
+import type { Job } from '../job/mod.js';
+import type { Exchange } from '../link/mod.js';
 import { closeServer, openServer } from '../net/mod.js';
 import { findService, type Service } from '../service/mod.js';
+import { BodyReader, type BodyReaderOptions } from './BodyReader.js';
+import { checkRequest, type JobHeaders } from './checkRequest.js';
+import type { GatewayParts } from './GatewayParts.js';
 import type { GatewayView } from './GatewayView.js';
 import { JobExchange } from './JobExchange.js';
+import { sendClientError } from './_sendClientError.js';
 import { sendProblem } from './sendProblem.js';
 import { ServiceDispatcher } from './ServiceDispatcher.js';
 
-const MAX_BODY_BYTES = 8 * 1024 * 1024;
 const DEFAULT_TIMEOUT_MS = 30_000;
 const NON_IDEMPOTENT_METHODS = new Set(['POST', 'PATCH']);
+const HEADERS_DEADLINE_MS = 10_000;
+const IDLE_DEADLINE_MS = 60_000;
+const CHECK_INTERVAL_MS = 1_000;
+/** Connections take about 20 KB each; this bounds them to a part of the memory of an entry host. */
+const MAX_CONNECTIONS = 4_096;
+/** A request may be on its way on an idle connection when the listener stops. */
+const LINGER_MS = 300;
+const STOP_MARGIN_MS = 5_000;
+const DEFAULT_JOB_TIMEOUT_MS = 30_000;
+const PROBE_PATHS = new Set(['/-/ready', '/-/health']);
 
 /** Messages of the listener. */
 export type GatewayListenerMessage =
   | { type: 'view'; view: GatewayView }
-  | { type: 'request'; request: IncomingMessage; response: ServerResponse; body: Buffer };
+  /** A job that another gateway passed on. */
+  | { type: 'submit'; exchange: Exchange };
+
+/** Bounds of a listener. */
+export interface GatewayListenerOptions {
+  body?: BodyReaderOptions;
+  maxConnections?: number;
+  headersDeadlineMs?: number;
+  idleDeadlineMs?: number;
+}
 
-function readHeader(request: IncomingMessage, name: string): string | undefined {
-  const value = request.headers[name];
-  return typeof value === 'string' ? value : undefined;
+function wait(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
 }
 
 /** Owns the server for callers: reads requests, makes jobs of them and submits them. */
 export class GatewayListener extends Actor<GatewayListenerMessage> {
   readonly #server: Server;
 
-  readonly #clock: Clock;
+  readonly #parts: GatewayParts;
+
+  readonly #bodies: BodyReader;
 
   #view: GatewayView | undefined;
 
   readonly #dispatchers = new Map<string, ServiceDispatcher>();
 
-  constructor(scope: ActorScope, clock: Clock) {
+  #inFlight = 0;
+
+  #isStopping = false;
+
+  #onDrained: (() => void) | undefined;
+
+  constructor(scope: ActorScope, parts: GatewayParts, options: GatewayListenerOptions = {}) {
     super(scope, 'gateway-listener');
-    this.#clock = clock;
-    this.#server = createServer((request, response) => {
-      this.#read(request, response).catch(() => response.destroy());
+    this.#parts = parts;
+    this.#bodies = new BodyReader(options.body);
+    this.#server = createServer({
+      headersTimeout: options.headersDeadlineMs ?? HEADERS_DEADLINE_MS,
+      // The body has a deadline of its own; the answer has the deadline of the job.
+      requestTimeout: 0,
+      keepAliveTimeout: options.idleDeadlineMs ?? IDLE_DEADLINE_MS,
+      connectionsCheckingInterval: CHECK_INTERVAL_MS,
+      noDelay: true,
     });
+    this.#server.maxConnections = options.maxConnections ?? MAX_CONNECTIONS;
+    this.#server.on('request', (request, response) => this.#handle(request, response));
+    this.#server.on('clientError', sendClientError);
   }
 
   /** Opens the server and returns its address. */
@@ -49,7 +90,26 @@
 
   protected override receive(message: GatewayListenerMessage): void {
     if (message.type === 'view') this.#updateDispatchers(message.view);
-    else this.#submit(message.request, message.response, message.body);
+    else this.#dispatchers.get(message.exchange.job.service)?.send(message);
+  }
+
+  /**
+   * Stops in order: not ready, accepting for the notice time, then no new connections, until every
+   * request in flight has its answer or the bound has passed.
+   */
+  async stop(noticeMs: number): Promise<void> {
+    this.#isStopping = true;
+    await wait(noticeMs);
+    // Unlike the method of the HTTP server, this leaves idle connections open: a request may be on
+    // its way on one of them.
+    NetServer.prototype.close.call(this.#server);
+    const timeouts = this.#view?.services.map(({ service }) => service.jobTimeoutMs) ?? [];
+    const boundMs = Math.max(DEFAULT_JOB_TIMEOUT_MS, ...timeouts) + STOP_MARGIN_MS;
+    const bound = performance.now() + boundMs;
+    do {
+      await this.#drain(bound - performance.now());
+      await wait(LINGER_MS);
+    } while (this.#inFlight > 0 && performance.now() < bound);
   }
 
   override async close(): Promise<void> {
@@ -58,70 +118,107 @@
     await Promise.all([...this.#dispatchers.values()].map((dispatcher) => dispatcher.close()));
   }
 
+  /** Waits until no request is in flight. */
+  #drain(boundMs: number): Promise<void> {
+    if (this.#inFlight === 0) return Promise.resolve();
+    return new Promise((resolve) => {
+      const timer = setTimeout(resolve, boundMs);
+      this.#onDrained = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+  }
+
   #updateDispatchers(view: GatewayView): void {
+    const { quotas } = view;
+    const names = new Set(view.services.map(({ service }) => service.name));
+    this.#view?.services.forEach(({ service }) => {
+      if (names.has(service.name)) return;
+      // A service that was removed finishes its jobs, without hosts for new ones.
+      const removed = { service, hosts: [], obstacle: 'the service was removed' };
+      this.#dispatchers.get(service.name)?.send({ type: 'view', view: removed, quotas });
+    });
     this.#view = view;
     view.services.forEach((serviceView) => {
       const { name } = serviceView.service;
-      const dispatcher = this.#dispatchers.get(name);
-      if (dispatcher) dispatcher.send({ type: 'view', view: serviceView });
-      else this.#dispatchers.set(name, new ServiceDispatcher(this.scope, serviceView));
+      let dispatcher = this.#dispatchers.get(name);
+      if (dispatcher === undefined) {
+        dispatcher = new ServiceDispatcher(this.scope, name, this.#parts);
+        this.#dispatchers.set(name, dispatcher);
+      }
+      dispatcher.send({ type: 'view', view: serviceView, quotas });
     });
   }
 
-  async #read(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const chunks: Buffer[] = [];
-    let size = 0;
-
-    for await (const chunk of request) {
-      size += (chunk as Buffer).length;
-      if (size > MAX_BODY_BYTES) {
-        const detail = `the limit is ${MAX_BODY_BYTES} bytes`;
-        const title = 'The body is too large';
-        sendProblem(response, {
-          type: 'about:blank',
-          title,
-          status: 413,
-          outcome: 'not-run',
-          detail,
-        });
-        return;
-      }
-      chunks.push(chunk as Buffer);
+  #handle(request: IncomingMessage, response: ServerResponse): void {
+    if (this.#isStopping) response.shouldKeepAlive = false;
+    if (PROBE_PATHS.has(request.url ?? '')) {
+      const isReady = this.#view !== undefined && !this.#isStopping;
+      response.writeHead(isReady ? 200 : 503).end(isReady ? 'ready\n' : 'not ready\n');
+      return;
     }
-    this.send({ type: 'request', request, response, body: Buffer.concat(chunks) });
+    this.#inFlight += 1;
+    response.once('close', () => {
+      this.#inFlight -= 1;
+      if (this.#inFlight === 0) this.#onDrained?.();
+    });
+    this.#read(request, response).catch((error: Error) => {
+      this.scope.reportFault(this.name, error);
+      response.destroy();
+    });
   }
 
-  #submit(request: IncomingMessage, response: ServerResponse, body: Buffer): void {
-    const path = (request.url ?? '/').split('?')[0] ?? '/';
+  async #read(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const arrivedAt = this.#parts.clock.readMonotonic();
+    const refuse = (problem: Parameters<typeof sendProblem>[1]): void => {
+      // The rest of a body that is not wanted ends with the connection.
+      response.shouldKeepAlive &&= BodyReader.isEmpty(request) || request.complete;
+      this.#parts.metrics.increase(`request.refused.${problem.status}`);
+      sendProblem(response, problem);
+      request.resume();
+    };
+    const check = checkRequest(request);
+    if ('problem' in check) {
+      refuse(check.problem);
+      return;
+    }
+    const [path = '/'] = (request.url ?? '/').split('?');
     const services = this.#view?.services.map((one) => one.service) ?? [];
     const service = findService(path, services);
     if (service === undefined) {
       const status = this.#view === undefined ? 503 : 404;
       const title = `No service for the path "${path}"`;
-      sendProblem(response, { type: 'about:blank', title, status, outcome: 'not-run' });
+      refuse({ type: 'about:blank', title, status, outcome: 'not-run', field: 'path' });
+      return;
+    }
+    const result = await this.#bodies.read(request);
+    if (result === undefined) return;
+    if ('problem' in result) {
+      refuse(result.problem);
       return;
     }
-    const exchange = new JobExchange(this.#createJob(request, service), request, body, response);
+    const { body } = result;
+    if (body.length > 0) response.once('close', () => this.#bodies.release(body.length));
+    const job = GatewayListener.#createJob(request, { headers: check.headers, service, arrivedAt });
+    const exchange = new JobExchange({ job, request, response, body });
     this.#dispatchers.get(service.name)?.send({ type: 'submit', exchange });
   }
 
-  #createJob(request: IncomingMessage, service: Service): Job {
-    const now = this.#clock.readMonotonic();
-    const timeoutMs = Number(
-      readHeader(request, 'buckthornreach-timeout-ms') ?? DEFAULT_TIMEOUT_MS,
-    );
-    const urgency = Urgency.safeParse(readHeader(request, 'buckthornreach-urgency'));
+  static #createJob(
+    request: IncomingMessage,
+    { headers, service, arrivedAt }: { headers: JobHeaders; service: Service; arrivedAt: number },
+  ): Job {
     const isSafe = !NON_IDEMPOTENT_METHODS.has(request.method ?? 'GET');
     return {
       id: randomUUID(),
       service: service.name,
-      team: readHeader(request, 'buckthornreach-team') ?? 'default',
-      urgency: urgency.success ? urgency.data : 'normal',
-      idempotent:
-        isSafe || service.idempotent || readHeader(request, 'buckthornreach-idempotent') === 'true',
-      key: readHeader(request, 'idempotency-key'),
-      arrivedAt: now,
-      deadline: now + (Number.isFinite(timeoutMs) ? timeoutMs : DEFAULT_TIMEOUT_MS),
+      team: headers['buckthornreach-team'],
+      urgency: headers['buckthornreach-urgency'],
+      idempotent: isSafe || service.idempotent || headers['buckthornreach-idempotent'] === 'true',
+      key: headers['idempotency-key'],
+      arrivedAt,
+      deadline: arrivedAt + (headers['buckthornreach-timeout-ms'] ?? DEFAULT_TIMEOUT_MS),
     };
   }
 }
--- a/src/gateway/GatewayView.ts
+++ b/src/gateway/GatewayView.ts
@@ -1,21 +1,14 @@
 import type { Fleet } from '../fleet/mod.js';
 import { FleetProjector } from '../fleet/mod.js';
+import type { UpstreamHost } from '../link/mod.js';
 import type { Service } from '../service/mod.js';
 
-/** An upstream host as a gateway sees it. */
-export interface UpstreamHost {
-  host: string;
-  address: string;
-  /** Share of the host's slots that this gateway may use. */
-  slots: number;
-  /** Share of the host's connections that this gateway may use. */
-  connections: number;
-}
-
 /** A service with the hosts of this data centre that may get new work for it. */
 export interface ServiceView {
   service: Service;
   hosts: UpstreamHost[];
+  /** Why no job of the service can ever run as things are configured. */
+  obstacle?: string;
 }
 
 /** What a gateway needs of the fleet. */
@@ -23,6 +16,20 @@
   nextOffset: number;
   revision: number;
   services: ServiceView[];
+  /** Weights of the configured teams. */
+  quotas: ReadonlyMap<string, number>;
+}
+
+/** Finds out why no host of any data centre could ever run the jobs of a service. */
+function findObstacle(fleet: Fleet, { pool: name }: Service): string | undefined {
+  const pool = fleet.data.configuration.pool.get(name)?.object;
+  if (pool === undefined) return `the pool "${name}" is not configured`;
+  const { cores, memoryGb, accelerators } = pool.requires;
+  const isFitting = fleet.data.listObjects('host').some(({ resources }) => {
+    const hasSize = resources.cores >= cores && resources.memoryGb >= memoryGb;
+    return hasSize && resources.accelerators >= accelerators;
+  });
+  return isFitting ? undefined : `no host has what the pool "${name}" requires`;
 }
 
 /** Reads from the fleet what a gateway of a data centre needs. */
@@ -30,6 +37,7 @@
   const hosts = fleet.data.listObjects('host').filter((host) => host.dataCentre === dataCentre);
   const services = fleet.data.listObjects('service').map((service) => ({
     service,
+    obstacle: findObstacle(fleet, service),
     hosts: hosts
       .filter((host) => {
         const state = fleet.findHostState(host.name);
@@ -42,7 +50,8 @@
         connections: service.connectionsPerHost,
       })),
   }));
-  return { nextOffset: fleet.nextOffset, revision: fleet.revision, services };
+  const quotas = new Map(fleet.data.listObjects('team').map(({ name, quota }) => [name, quota]));
+  return { nextOffset: fleet.nextOffset, revision: fleet.revision, services, quotas };
 }
 
 /** Sends the view of a data centre to a listener after each change. */
--- a/src/gateway/JobExchange.ts
+++ b/src/gateway/JobExchange.ts
@@ -1,65 +1,96 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { pipeline } from 'node:stream/promises';
-import type { Readable } from 'node:stream';
-import { stripHeaders, type HeaderMap } from '../link/stripHeaders.js';
-import { OUTCOME_HEADER, sendProblem } from './sendProblem.js';
+import { Exchange, stripHeaders, type AnswerHead, type HeaderMap } from '../link/mod.js';
 import type { Job, Outcome, Problem } from '../job/mod.js';
+import { OUTCOME_HEADER, sendProblem } from './sendProblem.js';
 
 export const REQUEST_ID_HEADER = 'x-request-id';
+/** Answer bytes held for a caller that reads slower than its upstream sends. */
+const MAX_HELD_BYTES = 256 * 1024;
+/** A caller that takes nothing for this long while an upstream's slot waits is cut off. */
+const STALL_DEADLINE_MS = 5_000;
 
-/** The start of an upstream's answer. */
-export interface AnswerHead {
-  status: number;
-  headers: HeaderMap;
+/** The parts of an exchange. */
+export interface JobExchangeOptions {
+  job: Job;
+  request: IncomingMessage;
+  response: ServerResponse;
+  body: Buffer;
+  isForwarded?: boolean;
 }
 
-/** One job with the caller's connection: its body has been read, its answer is still to come. */
-export class JobExchange {
-  readonly job: Job;
+/** An exchange over the HTTP connection of a caller or of another gateway. */
+export class JobExchange extends Exchange {
+  override readonly job: Job;
 
-  readonly method: string;
+  override readonly method: string;
 
-  readonly path: string;
+  override readonly path: string;
 
-  readonly headers: HeaderMap;
+  override readonly headers: HeaderMap;
 
-  readonly body: Buffer;
+  override readonly body: Buffer;
+
+  override readonly isForwarded: boolean;
 
   readonly #response: ServerResponse;
 
-  constructor(job: Job, request: IncomingMessage, body: Buffer, response: ServerResponse) {
+  constructor({ job, request, response, body, isForwarded = false }: JobExchangeOptions) {
+    super();
     this.job = job;
     this.method = request.method ?? 'GET';
     this.path = request.url ?? '/';
     this.headers = stripHeaders(request.headers);
+    // The sender states the length of the body that was read, whatever its coding was.
+    delete this.headers['content-length'];
     this.body = body;
+    this.isForwarded = isForwarded;
     this.#response = response;
   }
 
-  /** Whether the caller has gone away. */
-  get isAbandoned(): boolean {
-    return this.#response.destroyed;
+  override get isAbandoned(): boolean {
+    return this.#response.destroyed && !this.#response.writableFinished;
   }
 
-  /** Runs a function when the caller's connection closes, also after the end of the answer. */
-  addCloseListener(listener: () => void): void {
+  override get hasBegun(): boolean {
+    return this.#response.headersSent;
+  }
+
+  override addCloseListener(listener: () => void): void {
     this.#response.once('close', listener);
   }
 
-  /**
-   * Passes an upstream's answer on. When it ends short, the caller's connection is destroyed, so
-   * that a part is never taken for the whole.
-   */
-  async sendAnswer(head: AnswerHead, body: Readable): Promise<void> {
-    const headers = stripHeaders(head.headers);
-    headers[OUTCOME_HEADER] = 'ran' satisfies Outcome;
-    headers[REQUEST_ID_HEADER] = this.job.id;
-    this.#response.writeHead(head.status, headers);
-    await pipeline(body, this.#response);
+  override addDrainListener(listener: () => void): void {
+    const timer = setTimeout(() => this.cancel(), STALL_DEADLINE_MS);
+    const proceed = (): void => {
+      clearTimeout(timer);
+      this.#response.off('drain', proceed);
+      this.#response.off('close', proceed);
+      listener();
+    };
+    this.#response.on('drain', proceed);
+    this.#response.on('close', proceed);
+  }
+
+  override sendHead({ status, headers }: AnswerHead, outcome: Outcome): void {
+    const kept = stripHeaders(headers);
+    kept[OUTCOME_HEADER] = outcome;
+    kept[REQUEST_ID_HEADER] = this.job.id;
+    this.#response.writeHead(status, kept);
+  }
+
+  override writeChunk(chunk: Buffer): boolean {
+    return this.#response.write(chunk) || this.#response.writableLength < MAX_HELD_BYTES;
+  }
+
+  override finish(): void {
+    this.#response.end();
+  }
+
+  override cancel(): void {
+    this.#response.destroy();
   }
 
-  /** Refuses the job, or reports its failure, with a problem document. */
-  sendProblem(problem: Problem): void {
+  override sendProblem(problem: Problem): void {
     sendProblem(this.#response, { ...problem, requestId: this.job.id });
   }
 }
--- a/src/gateway/ServiceDispatcher.ts
+++ b/src/gateway/ServiceDispatcher.ts
@@ -1,102 +1,348 @@
 import { Actor, type ActorScope } from '../actor/mod.js';
-import { HostLink, type RunResult } from '../link/mod.js';
-import type { JobExchange } from './JobExchange.js';
+import { RetryBudget, type AdmissionPolicy, type ShedReason } from '../admission/mod.js';
+import type { ClaimAnswer } from '../claim/mod.js';
+import type { Outcome, Problem } from '../job/mod.js';
+import {
+  chooseNextStep,
+  HostLink,
+  HostRotation,
+  MAX_ATTEMPTS,
+  type Exchange,
+  type ForwardResult,
+  type ForwardTarget,
+  type RunResult,
+  type TakenSlot,
+} from '../link/mod.js';
+import { createJobEntry, type JobEntry } from './_JobEntry.js';
+import { buildForwardProblem, buildShedProblem, buildUnusableProblem } from './_problems.js';
+import { readHealthSign } from './_readHealthSign.js';
+import type { GatewayParts } from './GatewayParts.js';
 import type { ServiceView } from './GatewayView.js';
 
+/** How often queued jobs are checked for lateness and hosts for the end of their pause. */
+const TICK_MS = 25;
+/** A run cut off earlier than this, or than some mean run times, says nothing of its host. */
+const SLOW_RUN_MS = 1_000;
+const SLOW_RUN_FACTOR = 8;
+
 /** Messages of a dispatcher. */
 export type ServiceDispatcherMessage =
-  | { type: 'submit'; exchange: JobExchange }
-  | { type: 'finished'; exchange: JobExchange; result: RunResult }
-  | { type: 'view'; view: ServiceView };
-
-interface Lane {
-  link: HostLink;
-  running: number;
-}
+  | { type: 'submit'; exchange: Exchange }
+  | { type: 'claimed'; entry: JobEntry; answer: ClaimAnswer }
+  | { type: 'finished'; entry: JobEntry; result: RunResult }
+  | { type: 'forwarded'; entry: JobEntry; result: ForwardResult }
+  | { type: 'cancel'; id: string }
+  | { type: 'tick' }
+  | { type: 'view'; view: ServiceView; quotas: ReadonlyMap<string, number> };
 
-/** Owns the queue of one service and the links to its hosts. */
+/** Owns the queues of one service and the links to its hosts. */
 export class ServiceDispatcher extends Actor<ServiceDispatcherMessage> {
-  #view: ServiceView;
+  readonly #parts: GatewayParts;
+
+  readonly #service: string;
+
+  readonly #policy: AdmissionPolicy;
+
+  readonly #rotation = new HostRotation();
+
+  readonly #budget = new RetryBudget();
+
+  readonly #links = new Map<string, { address: string; link: HostLink; connections: number }>();
 
-  readonly #lanes = new Map<string, Lane>();
+  readonly #entries = new Map<string, JobEntry>();
 
-  readonly #queue: JobExchange[] = [];
+  #view: ServiceView | undefined;
 
-  constructor(scope: ActorScope, view: ServiceView) {
-    super(scope, `service-dispatcher ${view.service.name}`);
-    this.#view = view;
-    this.#updateLanes();
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(scope: ActorScope, service: string, parts: GatewayParts) {
+    super(scope, `service-dispatcher ${service}`);
+    this.#service = service;
+    this.#parts = parts;
+    this.#policy = parts.createPolicy();
   }
 
   protected override receive(message: ServiceDispatcherMessage): void {
     switch (message.type) {
       case 'submit':
-        this.#queue.push(message.exchange);
+        this.#submit(message.exchange);
+        break;
+      case 'claimed':
+        this.#handleClaim(message.entry, message.answer);
         break;
       case 'finished':
-        this.#finish(message.exchange, message.result);
+        this.#finishRun(message.entry, message.result);
         break;
-      default:
+      case 'forwarded':
+        this.#finishForward(message.entry, message.result);
+        break;
+      case 'cancel':
+        if (this.#policy.remove(message.id)) this.#entries.delete(message.id);
+        break;
+      case 'view':
         this.#view = message.view;
-        this.#updateLanes();
+        this.#policy.setQuotas(message.quotas);
+        this.#updateLinks();
+        break;
+      default:
+        this.#timer = undefined;
     }
     this.#dispatch();
   }
 
   override async close(): Promise<void> {
+    clearTimeout(this.#timer);
     super.close();
-    await Promise.all([...this.#lanes.values()].map((lane) => lane.link.close()));
+    await Promise.all([...this.#links.values()].map(({ link }) => link.close()));
   }
 
-  #updateLanes(): void {
-    const { hosts } = this.#view;
-    const names = new Set(hosts.map((host) => host.host));
+  #readNow(): number {
+    return this.#parts.clock.readMonotonic();
+  }
+
+  #updateLinks(): void {
+    const hosts = this.#view?.hosts ?? [];
+    this.#rotation.setHosts(hosts);
+    const addresses = new Map(hosts.map(({ host, address }) => [host, address]));
+    this.#links.forEach(({ address, link }, host) => {
+      if (addresses.get(host) === address) return;
+      this.#links.delete(host);
+      link.send({ type: 'retire' });
+    });
     hosts.forEach(({ host, address, connections }) => {
-      if (this.#lanes.has(host)) return;
-      const options = { address, connections };
-      this.#lanes.set(host, { link: new HostLink(this.scope, host, options), running: 0 });
+      const entry = this.#links.get(host);
+      if (entry?.connections === connections) return;
+      if (entry) entry.link.send({ type: 'share', connections });
+      const link = entry?.link ?? new HostLink(this.scope, host, { address, connections });
+      this.#links.set(host, { address, link, connections });
     });
-    this.#lanes.forEach((lane, host) => {
-      if (names.has(host) || lane.running > 0) return;
-      this.#lanes.delete(host);
-      lane.link.close().catch((error: Error) => this.scope.reportFault(this.name, error));
+  }
+
+  #submit(exchange: Exchange): void {
+    const { job } = exchange;
+    const now = this.#readNow();
+    const entry = createJobEntry(exchange);
+    if (this.#view?.obstacle !== undefined) {
+      this.#refuse(entry, buildUnusableProblem(this.#view.obstacle));
+      return;
+    }
+    this.#entries.set(job.id, entry);
+    if (!this.#rotation.hasUsable(now)) {
+      this.#forward(entry, { kind: 'other-data-centre', service: this.#service });
+      return;
+    }
+    const answer = this.#policy.submit(job, now);
+    if (!answer.admitted) {
+      this.#shed(job.id, answer.reason, answer.waitMs);
+      return;
+    }
+    answer.displaced.forEach(({ id, reason }) => this.#shed(id, reason));
+    exchange.addCloseListener(() => {
+      if (entry.phase === 'queued') this.send({ type: 'cancel', id: job.id });
     });
   }
 
+  /** Starts jobs as long as the policy allows one and a host has a free slot. */
   #dispatch(): void {
-    while (this.#queue.length > 0) {
-      const lane = this.#chooseLane();
-      if (lane === undefined) return;
-      const exchange = this.#queue.shift();
-      if (exchange === undefined) return;
-      lane.running += 1;
-      lane.link.send({
-        type: 'run',
-        exchange,
-        timeoutMs: this.#view.service.jobTimeoutMs,
-        reply: (result) => this.send({ type: 'finished', exchange, result }),
-      });
+    const now = this.#readNow();
+    this.#policy.setSlots(this.#rotation.countSlots(now));
+    while (this.#policy.queued > 0 && this.#rotation.hasFree(now)) {
+      const id = this.#policy.take(now);
+      const entry = id === undefined ? undefined : this.#entries.get(id);
+      if (entry === undefined) break;
+      this.#start(entry, this.#rotation.take(now) as TakenSlot);
+    }
+    this.#policy.expire(now).forEach(({ id, reason }) => this.#shed(id, reason));
+    if (this.#policy.queued > 0 && !this.isClosed) {
+      this.#timer ??= setTimeout(() => this.send({ type: 'tick' }), TICK_MS);
     }
   }
 
-  #chooseLane(): Lane | undefined {
-    const open = this.#view.hosts
-      .map(({ host, slots }) => ({ slots, lane: this.#lanes.get(host) }))
-      .filter(({ slots, lane }) => lane !== undefined && lane.running < slots)
-      .map(({ lane }) => lane as Lane);
-    return open.sort((a, b) => a.running - b.running)[0];
-  }
-
-  #finish(exchange: JobExchange, result: RunResult): void {
-    const lane = this.#lanes.get(result.host);
-    if (lane) lane.running -= 1;
-    if (result.answered) return;
-    exchange.sendProblem({
-      type: 'about:blank',
-      title: 'The upstream gave no whole answer',
-      status: 502,
-      outcome: result.sent ? 'unknown' : 'not-run',
-      detail: result.error?.message,
+  #start(entry: JobEntry, slot: TakenSlot): void {
+    const { job } = entry.exchange;
+    Object.assign(entry, { slot, startedAt: this.#readNow() });
+    this.#parts.metrics.recordLatency(
+      `job.wait.${this.#service}.${job.urgency}`,
+      this.#readNow() - job.arrivedAt,
+    );
+    if (job.idempotent || job.key === undefined) {
+      this.#send(entry);
+      return;
+    }
+    Object.assign(entry, { phase: 'claiming' });
+    this.#parts.claims.authorize(job).then(
+      (answer) => this.send({ type: 'claimed', entry, answer }),
+      (error: Error) => {
+        const reason = `the claim failed: ${error.message}`;
+        const answer: ClaimAnswer = { verdict: 'refused', outcome: 'not-run', status: 503, reason };
+        this.send({ type: 'claimed', entry, answer });
+      },
+    );
+  }
+
+  #handleClaim(entry: JobEntry, answer: ClaimAnswer): void {
+    if (answer.verdict === 'granted') {
+      this.#send(entry);
+      return;
+    }
+    this.#releaseSlot(entry);
+    this.#policy.finish(entry.exchange.job.id, { ran: false, runMs: 0 });
+    if (answer.verdict === 'forward') {
+      const { peerAddress, session } = answer;
+      this.#forward(entry, { kind: 'peer', peerAddress, session });
+      return;
+    }
+    const { outcome, status, reason, retryAfterSeconds } = answer;
+    const title = 'The idempotency key does not allow the job to run';
+    const problem = { type: 'about:blank', title, status, outcome, detail: reason };
+    this.#refuse(entry, retryAfterSeconds ? { ...problem, retryAfterSeconds } : problem);
+  }
+
+  /** Sends a job to the host on which it has a slot. */
+  #send(entry: JobEntry): void {
+    const now = this.#readNow();
+    const { exchange, slot, tried } = entry;
+    const { host } = slot as TakenSlot;
+    const { job } = exchange;
+    const isRetry = tried.size > 0;
+    Object.assign(entry, { phase: 'running' });
+    tried.add(host);
+    if (!isRetry) this.#budget.recordJob(now);
+    this.#report(entry, isRetry ? 'job.retried' : 'job.sent', `attempt ${tried.size}`);
+    const isRetryable =
+      job.idempotent &&
+      tried.size < MAX_ATTEMPTS &&
+      this.#budget.hasRetry(now) &&
+      this.#rotation.hasFree(now, tried);
+    const link = this.#links.get(host)?.link;
+    if (link === undefined) {
+      // The host went away while the claim was made.
+      const result = { host, sent: false, begun: false, leaving: false, runMs: 0 };
+      this.#finishRun(entry, { ...result, end: 'busy' });
+      return;
+    }
+    link.send({
+      type: 'run',
+      exchange,
+      isRetryable,
+      timeoutMs: Math.max(1, Math.min(job.deadline - now, this.#getJobTimeout())),
+      reply: (result) => this.send({ type: 'finished', entry, result }),
+    });
+  }
+
+  #getJobTimeout(): number {
+    return this.#view?.service.jobTimeoutMs ?? 0;
+  }
+
+  #releaseSlot(entry: JobEntry, result?: RunResult): void {
+    const { slot } = entry;
+    if (slot === undefined) return;
+    const mean = this.#policy.estimateRun(entry.exchange.job.urgency);
+    const slowMs = Math.max(SLOW_RUN_MS, SLOW_RUN_FACTOR * mean);
+    const sign = result
+      ? readHealthSign(result, Math.min(slowMs, this.#getJobTimeout()))
+      : ('neutral' as const);
+    const turn = this.#rotation.finish(slot, { sign, now: this.#readNow() });
+    Object.assign(entry, { slot: undefined });
+    if (turn === undefined) return;
+    const type = turn === 'out' ? 'host.ejected' : 'host.restored';
+    this.#parts.metrics.increase(type);
+    this.#parts.timeline.record({
+      type,
+      host: slot.host,
+      service: this.#service,
+      cause: entry.event,
+      detail: `${sign}: ${result?.message ?? `status ${result?.status}`}`,
+    });
+  }
+
+  #finishRun(entry: JobEntry, result: RunResult): void {
+    const { job } = entry.exchange;
+    const now = this.#readNow();
+    this.#releaseSlot(entry, result);
+    const next = chooseNextStep(result, {
+      idempotent: job.idempotent,
+      attempts: entry.tried.size,
+      sentBefore: entry.sentBefore,
+      hasBudget: this.#budget.hasRetry(now),
+      hasHost: this.#rotation.hasFree(now, entry.tried),
+      leftMs: job.deadline - now,
+    });
+    Object.assign(entry, { sentBefore: entry.sentBefore || result.sent });
+    if (next.next === 'retry') {
+      this.#budget.takeRetry(now);
+      this.#parts.metrics.increase(`job.retried.${this.#service}`);
+      Object.assign(entry, { slot: this.#rotation.take(now, entry.tried) });
+      this.#send(entry);
+      return;
+    }
+    const ran = result.end === 'answered' && readHealthSign(result, Infinity) === 'good';
+    this.#policy.finish(job.id, { ran, runMs: result.runMs });
+    if (next.next === 'problem') {
+      const { status, title, outcome } = next;
+      const problem = { type: 'about:blank', title, status, outcome, detail: result.message };
+      entry.exchange.sendProblem(problem);
+    }
+    this.#finish(entry, next.outcome, `${result.host}: ${result.end} ${result.status ?? ''}`);
+  }
+
+  #forward(entry: JobEntry, target: ForwardTarget): void {
+    if (entry.exchange.isForwarded) {
+      this.#refuse(entry, buildUnusableProblem('a forwarded job is not forwarded again'));
+      return;
+    }
+    Object.assign(entry, { phase: 'forwarding' });
+    this.#parts.forwarder.forward(entry.exchange, target).then(
+      (result) => this.send({ type: 'forwarded', entry, result }),
+      // Without a result, a byte may have been sent.
+      () => this.send({ type: 'forwarded', entry, result: { answered: false, sent: true } }),
+    );
+  }
+
+  #finishForward(entry: JobEntry, result: ForwardResult): void {
+    if (result.answered) {
+      this.#finish(entry, 'ran', 'answered by another gateway');
+      return;
+    }
+    this.#refuse(entry, buildForwardProblem(result));
+  }
+
+  #shed(id: string, reason: ShedReason, waitMs?: number): void {
+    const entry = this.#entries.get(id);
+    if (entry === undefined) return;
+    this.#entries.delete(id);
+    Object.assign(entry, { phase: 'running' });
+    this.#parts.metrics.increase(`job.shed.${this.#service}.${entry.exchange.job.urgency}`);
+    this.#report(entry, 'job.shed', reason);
+    entry.exchange.sendProblem(buildShedProblem(reason, waitMs));
+  }
+
+  #refuse(entry: JobEntry, problem: Problem): void {
+    entry.exchange.sendProblem(problem);
+    this.#finish(entry, problem.outcome, `${problem.title}: ${problem.detail ?? ''}`);
+  }
+
+  #finish(entry: JobEntry, outcome: Outcome, detail: string): void {
+    const { job } = entry.exchange;
+    this.#entries.delete(job.id);
+    this.#parts.metrics.increase(`job.outcome.${this.#service}.${outcome}`);
+    this.#parts.metrics.recordLatency(
+      `job.total.${this.#service}`,
+      this.#readNow() - job.arrivedAt,
+    );
+    this.#report(entry, 'job.finished', `${outcome}, ${detail}`);
+  }
+
+  #report(entry: JobEntry, type: string, detail: string): void {
+    Object.assign(entry, {
+      event: this.#parts.timeline.record({
+        type,
+        detail,
+        request: entry.exchange.job.id,
+        service: this.#service,
+        host: entry.slot?.host,
+        cause: entry.event,
+      }),
     });
   }
 }
--- /dev/null
+++ b/src/gateway/_problems.ts
@@ -0,0 +1,42 @@
+import type { ShedReason } from '../admission/mod.js';
+import type { ForwardResult } from '../link/mod.js';
+import type { Problem } from '../job/mod.js';
+
+const SHED_TITLES: Record<ShedReason, string> = {
+  'queue-full': 'The queue of the service is full',
+  deadline: 'The job could not be finished before its deadline',
+  'urgent-start': 'The job could not be started in time for urgent work',
+  displaced: 'More urgent work took the place of the job',
+};
+const MS_PER_SECOND = 1_000;
+
+/** Builds the problem of a job that was shed before it ran. */
+export function buildShedProblem(reason: ShedReason, waitMs = MS_PER_SECOND): Problem {
+  return {
+    type: 'about:blank',
+    title: SHED_TITLES[reason],
+    status: 503,
+    outcome: 'not-run',
+    detail: reason,
+    retryAfterSeconds: Math.max(1, waitMs / MS_PER_SECOND),
+  };
+}
+
+/** Builds the problem of a job that no host can run. */
+export function buildUnusableProblem(detail: string): Problem {
+  const title = 'No upstream host of the service can run the job';
+  return { type: 'about:blank', title, status: 503, outcome: 'not-run', detail };
+}
+
+/** Builds the problem of a job that another gateway did not answer. */
+export function buildForwardProblem({ sent, problem }: ForwardResult): Problem {
+  return (
+    problem ?? {
+      type: 'about:blank',
+      title: 'The job could not be forwarded to another gateway',
+      status: sent ? 502 : 503,
+      outcome: sent ? 'unknown' : 'not-run',
+      retryAfterSeconds: 1,
+    }
+  );
+}
--- a/src/gateway/mod.ts
+++ b/src/gateway/mod.ts
@@ -4,5 +4,7 @@
  * @module
  */
 export * from './Gateway.js';
+export * from './GatewayListener.js';
+export * from './GatewayParts.js';
 export * from './GatewayView.js';
 export * from './JobExchange.js';
--- a/src/link/HostLink.ts
+++ b/src/link/HostLink.ts
@@ -1,78 +1,153 @@
-import { Pool } from 'undici';
+import { Client } from 'undici';
 import { Actor, type ActorScope } from '../actor/mod.js';
-import type { JobExchange } from '../gateway/JobExchange.js';
-
-/** How a run on an upstream host ended. */
-export interface RunResult {
-  host: string;
-  /** False if no byte of the request can have reached the host. */
-  sent: boolean;
-  /** Whether the whole answer was passed on to the caller. */
-  answered: boolean;
-  error?: Error;
-}
+import type { Exchange } from './Exchange.js';
+import { HostRun } from './_HostRun.js';
+import type { RunResult } from './RunResult.js';
+
+/** A host in the same data centre that takes longer than this to accept is as good as gone. */
+const CONNECT_TIMEOUT_MS = 2_000;
+/** An idle connection is closed before the usual 5 s of HTTP servers, so that none is used late. */
+const IDLE_MS = 4_000;
 
 /** Messages of a link. */
-export interface HostLinkMessage {
-  type: 'run';
-  exchange: JobExchange;
-  timeoutMs: number;
-  reply: (result: RunResult) => void;
-}
+export type HostLinkMessage =
+  | {
+      type: 'run';
+      exchange: Exchange;
+      timeoutMs: number;
+      /** Whether a server error is kept from the caller, because the job may be retried. */
+      isRetryable: boolean;
+      reply: (result: RunResult) => void;
+    }
+  | { type: 'share'; connections: number }
+  /** The host is gone: runs under way end, then the link closes itself. */
+  | { type: 'retire' };
 
 /** Options of a link. */
 export interface HostLinkOptions {
   address: string;
+  /** Share of the host's connections; a message may change it. */
   connections: number;
 }
 
-/** Owns the connections to one upstream host. */
+/** Owns the connections to one upstream host; each carries one request at a time. */
 export class HostLink extends Actor<HostLinkMessage> {
   readonly #host: string;
 
-  readonly #pool: Pool;
+  readonly #origin: string;
+
+  #connections: number;
+
+  #isRetired = false;
+
+  readonly #idle: Client[] = [];
+
+  readonly #busy = new Set<Client>();
 
   constructor(scope: ActorScope, host: string, options: HostLinkOptions) {
     super(scope, `host-link ${host}`);
     this.#host = host;
-    this.#pool = new Pool(`http://${options.address}`, {
-      connections: options.connections,
-      pipelining: 1,
-    });
+    this.#origin = `http://${options.address}`;
+    this.#connections = options.connections;
   }
 
-  get host(): string {
-    return this.#host;
+  protected override receive(message: HostLinkMessage): void {
+    if (message.type === 'run') {
+      this.#run(message);
+      return;
+    }
+    this.#isRetired = message.type === 'retire';
+    this.#connections = message.type === 'retire' ? 0 : message.connections;
+    while (this.#idle.length > 0 && this.#idle.length + this.#busy.size > this.#connections) {
+      HostLink.#closeClient(this.#idle.pop() as Client);
+    }
+    this.#closeRetired();
   }
 
-  protected override receive(message: HostLinkMessage): void {
-    // Runs side by side with later messages; the pool bounds the connections.
-    this.#run(message).then(message.reply, (error: Error) => {
-      message.reply({ host: this.#host, sent: true, answered: false, error });
-    });
+  #closeRetired(): void {
+    if (!this.#isRetired || this.#busy.size > 0 || this.isClosed) return;
+    this.close().catch((error: Error) => this.scope.reportFault(this.name, error));
   }
 
   override async close(): Promise<void> {
     super.close();
-    await this.#pool.close();
+    await Promise.all([...this.#idle, ...this.#busy].map((client) => client.destroy()));
   }
 
-  async #run({ exchange, timeoutMs }: HostLinkMessage): Promise<RunResult> {
-    const abort = new AbortController();
-    exchange.addCloseListener(() => abort.abort());
-    const answer = await this.#pool.request({
-      method: exchange.method,
-      path: exchange.path,
-      headers: { ...exchange.headers, 'x-request-id': exchange.job.id },
-      body: exchange.body.length > 0 ? exchange.body : null,
-      headersTimeout: timeoutMs,
-      bodyTimeout: timeoutMs,
-      signal: abort.signal,
+  #run(message: Extract<HostLinkMessage, { type: 'run' }>): void {
+    const { exchange, isRetryable, timeoutMs } = message;
+    const client = this.#takeClient();
+    let timer: NodeJS.Timeout | undefined;
+    const run = new HostRun(exchange, {
+      host: this.#host,
+      isRetryable,
+      reply: (result) => {
+        clearTimeout(timer);
+        if (client) this.#release(client, result);
+        message.reply(result);
+      },
     });
-    await exchange.sendAnswer(
-      { status: answer.statusCode, headers: answer.headers as Record<string, string> },
-      answer.body,
+    timer = setTimeout(() => HostLink.#stop(client, run, 'timeout'), timeoutMs);
+    if (client === undefined) {
+      run.fail('busy', 'the share of connections is used up');
+      return;
+    }
+    if (exchange.isAbandoned) {
+      run.fail('abandoned', 'the caller has gone away');
+      return;
+    }
+    exchange.addCloseListener(() => HostLink.#stop(client, run, 'abandoned'));
+    client.dispatch(
+      {
+        method: exchange.method,
+        path: exchange.path,
+        headers: {
+          ...exchange.headers,
+          'x-request-id': exchange.job.id,
+          'buckthornreach-timeout-ms': String(Math.ceil(timeoutMs)),
+        },
+        body: exchange.body.length > 0 ? exchange.body : null,
+      },
+      run,
     );
-    return { host: this.#host, sent: true, answered: true };
+  }
+
+  /** Ends a run from this side. Destroying the client keeps an unsent request from being sent. */
+  static #stop(client: Client | undefined, run: HostRun, end: 'timeout' | 'abandoned'): void {
+    if (run.isEnded) return;
+    run.fail(end, end === 'timeout' ? 'the deadline has passed' : 'the caller has gone away');
+    if (client) HostLink.#closeClient(client);
+  }
+
+  #takeClient(): Client | undefined {
+    let client = this.#idle.pop();
+    if (client === undefined) {
+      if (this.#busy.size >= this.#connections) return undefined;
+      client = new Client(this.#origin, {
+        pipelining: 1,
+        // The deadline of the job bounds each run as a whole.
+        headersTimeout: 0,
+        bodyTimeout: 0,
+        keepAliveTimeout: IDLE_MS,
+        keepAliveMaxTimeout: IDLE_MS,
+        connect: { timeout: CONNECT_TIMEOUT_MS },
+      });
+    }
+    this.#busy.add(client);
+    return client;
+  }
+
+  /** Keeps a connection whose answer was complete, and destroys any other. */
+  #release(client: Client, { end }: RunResult): void {
+    this.#busy.delete(client);
+    const isClean = end === 'answered' || end === 'withheld';
+    const isWithinShare = this.#idle.length + this.#busy.size < this.#connections;
+    if (isClean && isWithinShare && !this.isClosed) this.#idle.push(client);
+    else HostLink.#closeClient(client);
+    this.#closeRetired();
+  }
+
+  static #closeClient(client: Client): void {
+    client.destroy().catch(() => undefined);
   }
 }
--- /dev/null
+++ b/src/link/HostRotation.ts
@@ -0,0 +1,119 @@
+import { HostHealth, type HealthSign } from './HostHealth.js';
+import type { UpstreamHost } from './UpstreamHost.js';
+
+interface RotationEntry {
+  host: string;
+  address: string;
+  /** Jobs that may run at the same time: each needs a slot and a connection. */
+  slots: number;
+  running: number;
+  health: HostHealth;
+  /** Whether the view still has the host. */
+  isListed: boolean;
+}
+
+/** A slot taken on a host; a probe is the one job that a host gets after a pause. */
+export interface TakenSlot {
+  host: string;
+  isProbe: boolean;
+}
+
+/** What a run says of a host, and when. */
+export interface RotationFinish {
+  sign: HealthSign;
+  now: number;
+}
+
+/**
+ * Chooses the host of each job of a service: within the shares, by load, without hosts that are
+ * ejected, leaving or gone. Deterministic; time comes in as an argument.
+ */
+export class HostRotation {
+  readonly #entries = new Map<string, RotationEntry>();
+
+  #cursor = 0;
+
+  /** Sets the hosts of the view. A host that is gone is kept until its last job has ended. */
+  setHosts(hosts: UpstreamHost[]): void {
+    const listed = new Set(hosts.map(({ host }) => host));
+    this.#entries.forEach((entry) => {
+      if (listed.has(entry.host)) return;
+      if (entry.running === 0) this.#entries.delete(entry.host);
+      else Object.assign(entry, { isListed: false, slots: 0 });
+    });
+    hosts.forEach(({ host, address, slots, connections }) => {
+      const entry = this.#entries.get(host);
+      const share = { slots: Math.min(slots, connections), address, isListed: true };
+      // A host at a new address is a new process, whose health is unknown.
+      if (entry) {
+        if (entry.address !== address) entry.health = new HostHealth();
+        Object.assign(entry, share);
+      } else this.#entries.set(host, { host, running: 0, health: new HostHealth(), ...share });
+    });
+  }
+
+  /** Whether some host of the view could get work, now or when a slot becomes free. */
+  hasUsable(now: number): boolean {
+    return [...this.#entries.values()].some(
+      ({ isListed, slots, health }) =>
+        isListed && slots > 0 && (!health.isOut || health.isOpen(now)),
+    );
+  }
+
+  /** Counts the slots of the hosts that may get work. */
+  countSlots(now: number): number {
+    let slots = 0;
+    this.#entries.forEach((entry) => {
+      if (!entry.health.isOut) slots += entry.slots;
+      else if (entry.slots > 0 && entry.health.isOpen(now)) slots += 1;
+      else slots += Math.min(entry.running, entry.slots);
+    });
+    return slots;
+  }
+
+  /** Whether a job could be started now on a host that it was not sent to before. */
+  hasFree(now: number, tried?: ReadonlySet<string>): boolean {
+    return [...this.#entries.values()].some((entry) => HostRotation.#isFree(entry, now, tried));
+  }
+
+  /** Takes a slot of the least loaded host; hosts that wait for a probe go first. */
+  take(now: number, tried?: ReadonlySet<string>): TakenSlot | undefined {
+    const entries = [...this.#entries.values()];
+    let best: RotationEntry | undefined;
+    let bestLoad = Infinity;
+    this.#cursor += 1;
+    entries.forEach((_, index) => {
+      // Starting at another host each time spreads jobs over hosts of equal load.
+      const entry = entries[(index + this.#cursor) % entries.length] as RotationEntry;
+      if (!HostRotation.#isFree(entry, now, tried)) return;
+      const load = entry.health.isOut ? -1 : entry.running / entry.slots;
+      if (load < bestLoad) [best, bestLoad] = [entry, load];
+    });
+    if (best === undefined) return undefined;
+    best.running += 1;
+    return { host: best.host, isProbe: best.health.take() };
+  }
+
+  /** Gives a slot back and records what the run says of the host. */
+  finish({ host, isProbe }: TakenSlot, { sign, now }: RotationFinish): 'out' | 'back' | undefined {
+    const entry = this.#entries.get(host);
+    if (entry === undefined) return undefined;
+    entry.running -= 1;
+    if (!entry.isListed) {
+      if (entry.running === 0) this.#entries.delete(host);
+      return undefined;
+    }
+    return entry.health.record(sign, { now, mayEject: this.#hasSpare(), isProbe });
+  }
+
+  /** Whether one more host may be ejected: at most half of the pool is out. */
+  #hasSpare(): boolean {
+    const listed = [...this.#entries.values()].filter(({ isListed }) => isListed);
+    const out = listed.filter(({ health }) => health.isOut).length;
+    return out + 1 <= Math.floor(listed.length / 2);
+  }
+
+  static #isFree(entry: RotationEntry, now: number, tried?: ReadonlySet<string>): boolean {
+    return entry.running < entry.slots && entry.health.isOpen(now) && !tried?.has(entry.host);
+  }
+}
--- /dev/null
+++ b/src/link/RunResult.ts
@@ -0,0 +1,35 @@
+import { z } from 'zod';
+
+/**
+ * How a run on an upstream host ended. `answered`: the whole answer was passed on. `withheld`: the
+ * host answered with a server error that was not passed on, because the job may be retried.
+ * `refused`: no connection could be opened. `busy`: the share of connections allows no more.
+ * `invalid`: the request can't be written as HTTP, which is the caller's fault.
+ */
+export const RunEnd = z.enum([
+  'answered',
+  'withheld',
+  'refused',
+  'busy',
+  'invalid',
+  'failed',
+  'timeout',
+  'abandoned',
+]);
+export type RunEnd = z.infer<typeof RunEnd>;
+
+/** The result of a run on an upstream host. */
+export const RunResult = z.object({
+  host: z.string(),
+  end: RunEnd,
+  /** False only if no byte of the request can have left this process. */
+  sent: z.boolean(),
+  /** Whether the caller may have received a part of the answer. */
+  begun: z.boolean(),
+  status: z.number().int().optional(),
+  /** Whether the host said that it is leaving: status 503 with `Connection: close`. */
+  leaving: z.boolean(),
+  runMs: z.number(),
+  message: z.string().optional(),
+});
+export type RunResult = z.infer<typeof RunResult>;
--- /dev/null
+++ b/src/metrics/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * Counters and latency histograms of a process.
+ *
+ * @module
+ */
+export * from './Metrics.js';
--- a/src/mod.ts
+++ b/src/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 export * from './actor/mod.js';
+export * from './admission/mod.js';
 export * from './claim/mod.js';
 export * from './clock/mod.js';
 export * from './controller/mod.js';
@@ -16,6 +17,7 @@
 export * from './link/mod.js';
 export * from './log/mod.js';
 export * from './logging/mod.js';
+export * from './metrics/mod.js';
 export * from './pool/mod.js';
 export * from './record/mod.js';
 export * from './service/mod.js';
--- a/src/settings/GatewaySettings.ts
+++ b/src/settings/GatewaySettings.ts
@@ -12,5 +12,9 @@
   peerAddress: Address,
   /** APIs of controllers to follow, in order of preference. */
   controllers: z.array(Address).min(1),
+  /** Time between "not ready" and the end of accepting: the notice that the load balancer needs. */
+  stopNoticeMs: z.number().int().nonnegative().default(5_000),
+  /** `fifo` is for comparison in measurements. */
+  admission: z.enum(['fair', 'fifo']).default('fair'),
 });
 export type GatewaySettings = z.infer<typeof GatewaySettings>;
--- a/src/standin/UpstreamStandin.ts
+++ b/src/standin/UpstreamStandin.ts
@@ -12,6 +12,10 @@
   truncating: z.boolean().default(false),
   /** New jobs are answered with status 503 and `Connection: close`. */
   leaving: z.boolean().default(false),
+  /** The connection is closed in the middle of each job, without an answer. */
+  cutting: z.boolean().default(false),
+  /** Bytes added to each answer. */
+  paddingBytes: z.number().int().nonnegative().default(0),
 });
 export type UpstreamBehaviour = z.infer<typeof UpstreamBehaviour>;
 
@@ -112,17 +116,22 @@
           setTimeout(resolve, behaviour.serviceMs);
         });
       }
+      if (behaviour.cutting) {
+        response.destroy();
+        return;
+      }
       const body = JSON.stringify({
         host: this.#name,
         method: request.method,
         path: request.url,
         received: Buffer.concat(chunks).length,
         id: request.headers['x-request-id'],
+        headers: request.headers,
+        ...(behaviour.paddingBytes > 0 ? { padding: 'x'.repeat(behaviour.paddingBytes) } : {}),
       });
       response.setHeader('content-length', Buffer.byteLength(body));
       if (behaviour.truncating) {
-        response.write(body.slice(0, body.length / 2));
-        response.destroy();
+        response.write(body.slice(0, body.length / 2), () => response.destroy());
         return;
       }
       response.writeHead(behaviour.failing ? 500 : 200, { 'content-type': 'application/json' });
--- /dev/null
+++ b/src/testing/GatewayRig.ts
@@ -0,0 +1,104 @@
+import { ActorScope } from '../actor/mod.js';
+import { FairPolicy } from '../admission/mod.js';
+import { UnclaimedPolicy } from '../claim/mod.js';
+import { SystemClock } from '../clock/mod.js';
+import { GatewayListener, type GatewayListenerOptions } from '../gateway/GatewayListener.js';
+import type { GatewayParts } from '../gateway/GatewayParts.js';
+import type { ServiceView } from '../gateway/GatewayView.js';
+import { UnavailableForwarder, type UpstreamHost } from '../link/mod.js';
+import { Metrics } from '../metrics/mod.js';
+import { Service } from '../service/mod.js';
+import { UpstreamStandin } from '../standin/mod.js';
+import { Timeline } from '../timeline/mod.js';
+
+/** Options of a rig. */
+export interface GatewayRigOptions {
+  upstreams?: number;
+  slots?: number;
+  parts?: Partial<GatewayParts>;
+  listener?: GatewayListenerOptions;
+  service?: Partial<Service>;
+}
+
+/** A listener with its dispatchers and upstream stand-ins over real sockets, in one process. */
+export class GatewayRig {
+  readonly upstreams: UpstreamStandin[];
+
+  readonly parts: GatewayParts;
+
+  readonly listener: GatewayListener;
+
+  readonly faults: Error[] = [];
+
+  readonly service: Service;
+
+  hosts: UpstreamHost[] = [];
+
+  address = '';
+
+  readonly #slots: number;
+
+  readonly #scope: ActorScope;
+
+  constructor(options: GatewayRigOptions = {}) {
+    const clock = new SystemClock();
+    const names = Array.from({ length: options.upstreams ?? 2 }, (_, index) => `h${index}`);
+    this.upstreams = names.map((name) => new UpstreamStandin(name));
+    this.#slots = options.slots ?? 8;
+    const service = { name: 'match', pathPrefix: '/match', pool: 'match', ...options.service };
+    this.service = Service.parse(service);
+    this.#scope = new ActorScope('rig', (_, error) => this.faults.push(error));
+    this.parts = {
+      clock,
+      claims: new UnclaimedPolicy(),
+      forwarder: new UnavailableForwarder(),
+      timeline: new Timeline('rig', { clock }),
+      metrics: new Metrics(),
+      createPolicy: () => new FairPolicy(),
+      ...options.parts,
+    };
+    this.listener = new GatewayListener(this.#scope, this.parts, options.listener);
+  }
+
+  /** Opens everything; `url` is valid from then on. */
+  async open(): Promise<void> {
+    const addresses = await Promise.all(this.upstreams.map((upstream) => upstream.open()));
+    this.address = await this.listener.open('127.0.0.1:0');
+    this.hosts = addresses.map((address, index) => ({
+      host: `h${index}`,
+      address,
+      slots: this.#slots,
+      connections: 64,
+    }));
+    this.updateView();
+  }
+
+  get url(): string {
+    return `http://${this.address}/match`;
+  }
+
+  /** Counts the runs of all upstream hosts. */
+  countRuns(): number {
+    return this.upstreams.reduce((sum, { counts }) => sum + counts.runs, 0);
+  }
+
+  /** Sends a view with the present hosts to the listener. */
+  updateView(part: Partial<ServiceView> = {}): void {
+    const services = [{ service: this.service, hosts: this.hosts, ...part }];
+    const view = { nextOffset: 1, revision: 1, services, quotas: new Map<string, number>() };
+    this.listener.send({ type: 'view', view });
+  }
+
+  /** Changes every host of the view; without an argument, removes them. */
+  setHosts(part?: Partial<UpstreamHost>): void {
+    this.hosts = part ? this.hosts.map((host) => ({ ...host, ...part })) : [];
+    this.updateView();
+  }
+
+  /** Closes everything. */
+  async close(): Promise<void> {
+    await this.listener.close();
+    await Promise.all(this.upstreams.map((upstream) => upstream.close()));
+    this.#scope.close();
+  }
+}
--- /dev/null
+++ b/src/testing/RecordingForwarder.ts
@@ -0,0 +1,16 @@
+import {
+  JobForwarder,
+  type Exchange,
+  type ForwardResult,
+  type ForwardTarget,
+} from '../link/mod.js';
+
+/** Sends nothing and keeps the targets that it was asked for. */
+export class RecordingForwarder extends JobForwarder {
+  readonly kinds: ForwardTarget['kind'][] = [];
+
+  override async forward(_: Exchange, target: ForwardTarget): Promise<ForwardResult> {
+    this.kinds.push(target.kind);
+    return { answered: false, sent: false };
+  }
+}
--- a/src/testing/mod.ts
+++ b/src/testing/mod.ts
@@ -3,5 +3,8 @@
  *
  * @module
  */
+export * from './FixedClaimPolicy.js';
+export * from './GatewayRig.js';
 export * from './ProcessGroup.js';
+export * from './RecordingForwarder.js';
 export * from './waitFor.js';
