--- a/src/gateway/Gateway.test.ts
+++ b/src/gateway/Gateway.test.ts
@@ -30,7 +30,12 @@
     });
     const fleet = {
       dataCentres: [{ name: 'rennes-1', region: 'brittany' }],
-      hosts: upstreams.map(({ address }, index) => ({ name: `h${index + 1}`, dataCentre: 'rennes-1', rack: 'r1', address })),
+      hosts: upstreams.map(({ address }, index) => ({
+        name: `h${index + 1}`,
+        dataCentre: 'rennes-1',
+        rack: 'r1',
+        address,
+      })),
       pools: [{ name: 'match', need: 4 }],
       services: [{ name: 'match', pathPrefix: '/match', pool: 'match' }],
     };
