--- a/scripts/measure.ts
+++ b/scripts/measure.ts
@@ -1,18 +1,20 @@
 /**
- * Runs a measurement: `npm run measure -- NAME` runs `dist/measure/NAME.js` with the other arguments.
+ * Runs the measurement `measure/NAME.ts`: `npm run measure -- NAME [arguments]`.
  *
  * @module
  */
-import { existsSync } from 'node:fs';
+import { existsSync, readdirSync } from 'node:fs';
 import path from 'node:path';
-import { pathToFileURL } from 'node:url';
+
+const FOLDER = path.resolve(import.meta.dirname, '..', 'measure');
+const EXIT_USAGE = 2;
 
 const [name = ''] = process.argv.slice(2);
-const file = path.resolve(import.meta.dirname, '..', 'measure', `${name}.js`);
-if (!/^[a-z]\w*$/i.test(name) || !existsSync(file)) {
-  console.error(`no measurement "${name}" in measure/`);
-  process.exitCode = 2;
-} else {
-  process.argv.splice(2, 1);
-  await import(pathToFileURL(file).href);
-}
+const file = path.join(FOLDER, `${name}.js`);
+if (name === '' || !existsSync(file)) {
+  const names = readdirSync(FOLDER)
+    .filter((one) => one.endsWith('.js'))
+    .map((one) => path.basename(one, '.js'));
+  console.error(`no measurement "${name}"; there are: ${names.join(', ')}`);
+  process.exitCode = EXIT_USAGE;
+} else await import(file);
--- a/src/admission/FairPolicy.test.ts
+++ b/src/admission/FairPolicy.test.ts
@@ -2,10 +2,11 @@
 import { describe, it } from 'node:test';
 import fc from 'fast-check';
 import { Urgency } from '../job/mod.js';
+import { readSeed } from '../testing/mod.js';
 import { FairPolicy, URGENT_START_MS } from './FairPolicy.js';
 import type { Ticket } from './AdmissionPolicy.js';
 
-const seed = Number(process.env.FC_SEED ?? 42);
+const seed = readSeed();
 const URGENCIES = Urgency.options;
 
 function buildTicket(id: string, now: number, part: Partial<Ticket> = {}): Ticket {
--- a/src/controller/ControllerApi.ts
+++ b/src/controller/ControllerApi.ts
@@ -1,17 +1,36 @@
-import type {
-  FleetKeeper,
-  FleetSnapshot,
-  FleetSummary,
-  SinceAnswer,
-  VerdictAnswer,
+import { setImmediate as yieldTurn } from 'node:timers/promises';
+import VError from 'verror';
+import {
+  describeContracts,
+  describeFleet,
+  describeHost,
+  describeWaves,
+  queryFleet,
+  readProcessStatus,
+  type ContractReport,
+  type FleetFollower,
+  type FleetKeeper,
+  type FleetSnapshot,
+  type FleetSummary,
+  type FollowerStatus,
+  type HostReport,
+  type ProcessStatus,
+  type SessionState,
+  type SinceAnswer,
+  type VerdictAnswer,
+  type WaveReport,
 } from '../fleet/mod.js';
-import type { LogWriter, RecordId } from '../log/mod.js';
+import type { ActorScope } from '../actor/mod.js';
+import type { LogWriter, SubmitAnswer } from '../log/mod.js';
 import type { Operation, RecordBody } from '../record/mod.js';
-import { DescribeProjector } from './_DescribeProjector.js';
+import type { HostWatcher } from './HostWatcher.js';
+import { queryRollout, type Rollout } from './queryRollout.js';
 import { splitChange } from './splitChange.js';
 
 /** How long a proposal may take to come back from the log before the caller is told so. */
 const VERDICT_TIMEOUT_MS = 10_000;
+/** How long a proposal may wait for the platform to confirm it. */
+const SUBMIT_TIMEOUT_MS = 10_000;
 
 /** A change as an operator sends it. */
 export interface ChangeRequest {
@@ -20,15 +39,30 @@
   operator: string;
 }
 
+/** The actors that the API of a controller speaks to. */
+export interface ControllerApiOptions {
+  keeper: FleetKeeper;
+  follower: FleetFollower;
+  writer: LogWriter;
+  watcher: HostWatcher;
+  /** Where submitted changes are recorded. */
+  scope: ActorScope;
+  session: string;
+  dataCentre: string;
+}
+
 /** What a controller does for its clients, apart from the encoding of the calls. */
 export class ControllerApi {
   readonly #keeper: FleetKeeper;
 
   readonly #writer: LogWriter;
 
-  constructor(keeper: FleetKeeper, writer: LogWriter) {
-    this.#keeper = keeper;
-    this.#writer = writer;
+  readonly #options: ControllerApiOptions;
+
+  constructor(options: ControllerApiOptions) {
+    this.#options = options;
+    this.#keeper = options.keeper;
+    this.#writer = options.writer;
   }
 
   /** Reads the records from an offset. */
@@ -39,36 +73,124 @@
     );
   }
 
-  /** Reads the whole state. */
-  readSnapshot(): Promise<FleetSnapshot> {
-    return this.#keeper.ask((reply) => ({ type: 'snapshot', reply }));
+  /**
+   * Reads the whole state.
+   *
+   * @throws When the controller has no state yet.
+   */
+  async readSnapshot(): Promise<FleetSnapshot> {
+    const { readiness, reason } = await this.#readFollower();
+    if (readiness === 'not-ready') throw new VError({ name: 'NotReadyError' }, '%s', reason);
+    const { text } = await this.#keeper.ask<{ text: string }>(
+      (reply) => ({ type: 'text', reply }),
+      VERDICT_TIMEOUT_MS,
+    );
+    // A turn for each of writing, parsing and encoding keeps each below 50 ms at 19,000 hosts.
+    await yieldTurn();
+    const snapshot = JSON.parse(text) as FleetSnapshot;
+    await yieldTurn();
+    return snapshot;
   }
 
   /** Describes the pools of the fleet. */
   describe(): Promise<FleetSummary> {
-    return this.#keeper.ask((reply) => ({
-      type: 'project',
-      projector: new DescribeProjector(reply),
-    }));
+    return queryFleet(this.#keeper, describeFleet);
+  }
+
+  /** Describes one host; undefined if the inventory does not have it. */
+  describeHost(name: string): Promise<HostReport | undefined> {
+    return queryFleet(this.#keeper, (fleet) => describeHost(fleet, name));
+  }
+
+  /** Describes the promises of each pool with their margins. */
+  describeContracts(): Promise<ContractReport[]> {
+    return queryFleet(this.#keeper, describeContracts);
+  }
+
+  /** Describes the maintenance waves. */
+  describeWaves(): Promise<WaveReport[]> {
+    return queryFleet(this.#keeper, describeWaves);
+  }
+
+  /** Lists the open sessions. */
+  listSessions(): Promise<SessionState[]> {
+    return queryFleet(this.#keeper, (fleet) => [
+      ...fleet.data.listSessions('controller'),
+      ...fleet.data.listSessions('gateway'),
+    ]);
+  }
+
+  /** Names the session, for the controllers that probe this one. */
+  answerProbe(): { session: string } {
+    return { session: this.#options.session };
+  }
+
+  /** Reads the state of the process; with a revision also when it folded that change. */
+  readStatus(revision?: number): Promise<ProcessStatus> {
+    return readProcessStatus({ ...this.#options, role: 'controller' }, revision);
+  }
+
+  /** Asks every process of the open sessions what it runs. */
+  async readRollout(revision?: number): Promise<Rollout> {
+    const sessions = await this.listSessions();
+    const asked = revision ?? (await this.readStatus()).revision;
+    return queryRollout(sessions, asked);
+  }
+
+  /** Takes a gateway's report of hosts that fail. */
+  report(reporter: string, hosts: string[]): void {
+    this.#options.watcher.send({ type: 'report', reporter, hosts });
   }
 
-  /** Appends the parts of a change and returns the verdict on the whole. */
+  /**
+   * Appends the parts of a change and returns the verdict on the whole.
+   *
+   * @throws `NotAppliedError` when the change certainly has no effect; `OutcomeUnknownError` when it
+   * may have taken effect or may still do so.
+   */
   async changeConfiguration(request: ChangeRequest): Promise<VerdictAnswer> {
-    const answers = await Promise.all(splitChange(request).map((part) => this.append(part)));
-    const last = answers.at(-1);
-    if (last === undefined) throw new RangeError('a change needs at least one operation');
-    return last;
+    const parts = splitChange(request);
+    if (parts.length === 0) throw new RangeError('a change needs at least one operation');
+    const [first] = parts;
+    this.#options.scope.recordEvent({
+      type: 'change.submitted',
+      change: first?.changeId,
+      detail: `${request.operations.length} operations by ${request.operator}`,
+    });
+    return this.#submit(parts);
   }
 
-  /** Appends a record and returns the verdict on it. */
-  async append(body: RecordBody): Promise<VerdictAnswer> {
-    const id = await this.#writer.ask<RecordId>(
-      (reply) => ({ type: 'append', body, reply }),
-      VERDICT_TIMEOUT_MS,
-    );
-    return this.#keeper.ask<VerdictAnswer>(
-      (reply) => ({ type: 'verdict', id, reply }),
-      VERDICT_TIMEOUT_MS,
+  /** Appends a record and returns the verdict on it; throws as `changeConfiguration` does. */
+  append(body: RecordBody): Promise<VerdictAnswer> {
+    return this.#submit([body]);
+  }
+
+  #readFollower(): Promise<FollowerStatus> {
+    return this.#options.follower.ask<FollowerStatus>((reply) => ({ type: 'status', reply }));
+  }
+
+  async #submit(bodies: RecordBody[]): Promise<VerdictAnswer> {
+    const answer = await this.#writer.ask<SubmitAnswer>(
+      (reply) => ({ type: 'submit', bodies, timeoutMs: SUBMIT_TIMEOUT_MS, reply }),
+      // The writer answers by itself; the margin keeps its answer from being missed.
+      SUBMIT_TIMEOUT_MS + VERDICT_TIMEOUT_MS,
     );
+    if (answer.outcome === 'not-applied') {
+      throw new VError({ name: 'NotAppliedError' }, 'not applied: %s', answer.reason);
+    }
+    if (answer.outcome === 'unknown') {
+      throw new VError({ name: 'OutcomeUnknownError' }, 'outcome unknown: %s', answer.reason);
+    }
+    const id = answer.ids.at(-1);
+    if (id === undefined) throw new RangeError('no record was appended');
+    try {
+      return await this.#keeper.ask<VerdictAnswer>(
+        (reply) => ({ type: 'verdict', id, reply }),
+        VERDICT_TIMEOUT_MS,
+      );
+    } catch {
+      const message = 'outcome unknown: appended, but not read back from the log in time';
+      throw new VError({ name: 'OutcomeUnknownError' }, message);
+    }
   }
 }
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -1,15 +1,15 @@
+import { createServer, type Server } from 'node:http';
 import { ActorScope, type FaultHandler } from '../actor/mod.js';
 import { FairPolicy, FifoPolicy } from '../admission/mod.js';
 import { UnclaimedPolicy } from '../claim/mod.js';
 import { SystemClock } from '../clock/mod.js';
 import { ControllerRecordSource } from '../controller/mod.js';
-import { FleetFollower, FleetKeeper } from '../fleet/mod.js';
+import { FleetFollower, FleetKeeper, readProcessStatus } from '../fleet/mod.js';
 import { UnavailableForwarder } from '../link/mod.js';
-import { Metrics } from '../metrics/mod.js';
+import { closeServer, openServer } from '../net/mod.js';
+import type { ProcessObserver } from '../observation/mod.js';
 import type { GatewaySettings } from '../settings/mod.js';
-import { Timeline } from '../timeline/mod.js';
 import { GatewayListener } from './GatewayListener.js';
-import type { GatewayParts } from './GatewayParts.js';
 import { GatewayViewProjector } from './GatewayView.js';
 
 /**
@@ -33,24 +33,42 @@
 
   readonly #listener: GatewayListener;
 
+  /** Serves the system's own processes. */
+  readonly #peerServer: Server;
+
+  #peerAddress = '';
+
   #closed: Promise<void> | undefined;
 
-  constructor(settings: GatewaySettings, onFault: FaultHandler, parts: Partial<GatewayParts> = {}) {
+  constructor(settings: GatewaySettings, onFault: FaultHandler, observer?: ProcessObserver) {
     this.#settings = settings;
-    this.#scope = new ActorScope('gateway', onFault);
+    this.#scope = new ActorScope('gateway', onFault, observer);
     this.#keeper = new FleetKeeper(this.#scope);
     const sources = settings.controllers.map((address) => new ControllerRecordSource(address));
     this.#follower = new FleetFollower(this.#scope, this.#keeper, sources);
-    const clock = new SystemClock();
     this.#listener = new GatewayListener(this.#scope, {
-      clock,
+      clock: new SystemClock(),
       claims: new UnclaimedPolicy(),
       forwarder: new UnavailableForwarder(),
-      timeline: new Timeline(`gateway ${settings.address}`, { clock }),
-      metrics: new Metrics(),
       createPolicy: () => (settings.admission === 'fifo' ? new FifoPolicy() : new FairPolicy()),
-      ...parts,
     });
+    this.#peerServer = createServer((request, response) => {
+      if (!observer?.answer(request, response)) response.writeHead(404).end();
+    });
+    observer?.setStatusReader(() =>
+      readProcessStatus({
+        keeper: this.#keeper,
+        follower: this.#follower,
+        session: observer.process,
+        role: settings.role,
+        dataCentre: settings.dataCentre,
+      }),
+    );
+  }
+
+  /** Where other processes reach it; empty before it is open. */
+  get peerAddress(): string {
+    return this.#peerAddress;
   }
 
   /** Opens the server for callers and returns its address. */
@@ -60,6 +78,7 @@
     );
     this.#keeper.send({ type: 'subscribe', projector });
     this.#follower.start();
+    this.#peerAddress = await openServer(this.#peerServer, this.#settings.peerAddress);
     return this.#listener.open(this.#settings.address);
   }
 
@@ -72,6 +91,7 @@
   async #stop(): Promise<void> {
     await this.#listener.stop(this.#settings.stopNoticeMs);
     await this.#listener.close();
+    await closeServer(this.#peerServer);
     await this.#follower.close();
     this.#keeper.close();
     this.#scope.close();
--- a/src/gateway/GatewayListener.test.ts
+++ b/src/gateway/GatewayListener.test.ts
@@ -141,7 +141,7 @@
       const runs = failing?.counts.runs ?? 0;
       await Promise.all(Array.from({ length: 100 }, () => send(rig.url)));
       assert.equal(failing?.counts.runs, runs);
-      const ejected = rig.parts.timeline.list().filter(({ type }) => type === 'host.ejected');
+      const ejected = rig.timeline.list().filter(({ type }) => type === 'host.ejected');
       assert.equal(ejected.length, 1);
       rig.upstreams.forEach((upstream) => upstream.setBehaviour({ serviceMs: 200 }));
       await Promise.all(
@@ -149,7 +149,7 @@
           send(rig.url, createPost({ 'buckthornreach-timeout-ms': '20' })),
         ),
       );
-      const all = rig.parts.timeline.list().filter(({ type }) => type === 'host.ejected');
+      const all = rig.timeline.list().filter(({ type }) => type === 'host.ejected');
       assert.equal(all.length, 1);
     }));
 
--- a/src/gateway/GatewayListener.ts
+++ b/src/gateway/GatewayListener.ts
@@ -174,7 +174,7 @@
     const refuse = (problem: Parameters<typeof sendProblem>[1]): void => {
       // The rest of a body that is not wanted ends with the connection.
       response.shouldKeepAlive &&= BodyReader.isEmpty(request) || request.complete;
-      this.#parts.metrics.increase(`request.refused.${problem.status}`);
+      this.scope.increaseCounter(`request.refused.${problem.status}`);
       sendProblem(response, problem);
       request.resume();
     };
@@ -202,6 +202,15 @@
     if (body.length > 0) response.once('close', () => this.#bodies.release(body.length));
     const job = GatewayListener.#createJob(request, { headers: check.headers, service, arrivedAt });
     const exchange = new JobExchange({ job, request, response, body });
+    this.scope.recordEvent({
+      type: 'request.received',
+      request: job.id,
+      service: service.name,
+      detail: `${request.method} ${path}`,
+    });
+    exchange.addCloseListener(() => {
+      this.scope.recordLatency('request', this.#parts.clock.readMonotonic() - job.arrivedAt);
+    });
     this.#dispatchers.get(service.name)?.send({ type: 'submit', exchange });
   }
 
--- a/src/gateway/ServiceDispatcher.ts
+++ b/src/gateway/ServiceDispatcher.ts
@@ -161,7 +161,7 @@
   #start(entry: JobEntry, slot: TakenSlot): void {
     const { job } = entry.exchange;
     Object.assign(entry, { slot, startedAt: this.#readNow() });
-    this.#parts.metrics.recordLatency(
+    this.scope.recordLatency(
       `job.wait.${this.#service}.${job.urgency}`,
       this.#readNow() - job.arrivedAt,
     );
@@ -208,7 +208,8 @@
     Object.assign(entry, { phase: 'running' });
     tried.add(host);
     if (!isRetry) this.#budget.recordJob(now);
-    this.#report(entry, isRetry ? 'job.retried' : 'job.sent', `attempt ${tried.size}`);
+    const type = isRetry ? 'request.retried' : 'request.sent';
+    this.#report(entry, type, { host, detail: `attempt ${tried.size}` });
     const isRetryable =
       job.idempotent &&
       tried.size < MAX_ATTEMPTS &&
@@ -246,8 +247,8 @@
     Object.assign(entry, { slot: undefined });
     if (turn === undefined) return;
     const type = turn === 'out' ? 'host.ejected' : 'host.restored';
-    this.#parts.metrics.increase(type);
-    this.#parts.timeline.record({
+    this.scope.increaseCounter(type);
+    this.scope.recordEvent({
       type,
       host: slot.host,
       service: this.#service,
@@ -271,7 +272,7 @@
     Object.assign(entry, { sentBefore: entry.sentBefore || result.sent });
     if (next.next === 'retry') {
       this.#budget.takeRetry(now);
-      this.#parts.metrics.increase(`job.retried.${this.#service}`);
+      this.scope.increaseCounter(`job.retried.${this.#service}`);
       Object.assign(entry, { slot: this.#rotation.take(now, entry.tried) });
       this.#send(entry);
       return;
@@ -283,7 +284,9 @@
       const problem = { type: 'about:blank', title, status, outcome, detail: result.message };
       entry.exchange.sendProblem(problem);
     }
-    this.#finish(entry, next.outcome, `${result.host}: ${result.end} ${result.status ?? ''}`);
+    this.scope.recordLatency('upstream', result.runMs);
+    const detail = `${next.outcome}: ${result.end} ${result.status ?? ''}`;
+    this.#finish(entry, { outcome: next.outcome, host: result.host, detail });
   }
 
   #forward(entry: JobEntry, target: ForwardTarget): void {
@@ -301,7 +304,7 @@
 
   #finishForward(entry: JobEntry, result: ForwardResult): void {
     if (result.answered) {
-      this.#finish(entry, 'ran', 'answered by another gateway');
+      this.#finish(entry, { outcome: 'ran', detail: 'by another gateway' });
       return;
     }
     this.#refuse(entry, buildForwardProblem(result));
@@ -312,37 +315,31 @@
     if (entry === undefined) return;
     this.#entries.delete(id);
     Object.assign(entry, { phase: 'running' });
-    this.#parts.metrics.increase(`job.shed.${this.#service}.${entry.exchange.job.urgency}`);
-    this.#report(entry, 'job.shed', reason);
+    this.scope.increaseCounter(`job.shed.${this.#service}.${entry.exchange.job.urgency}`);
+    this.#report(entry, 'request.shed', { detail: reason });
     entry.exchange.sendProblem(buildShedProblem(reason, waitMs));
   }
 
   #refuse(entry: JobEntry, problem: Problem): void {
     entry.exchange.sendProblem(problem);
-    this.#finish(entry, problem.outcome, `${problem.title}: ${problem.detail ?? ''}`);
+    const { outcome, title } = problem;
+    this.#finish(entry, { outcome, detail: `${outcome}: ${title}: ${problem.detail ?? ''}` });
   }
 
-  #finish(entry: JobEntry, outcome: Outcome, detail: string): void {
+  #finish(entry: JobEntry, end: { outcome: Outcome; host?: string; detail: string }): void {
     const { job } = entry.exchange;
+    const { outcome, detail, host } = end;
+    const isAnswered = outcome === 'ran';
     this.#entries.delete(job.id);
-    this.#parts.metrics.increase(`job.outcome.${this.#service}.${outcome}`);
-    this.#parts.metrics.recordLatency(
-      `job.total.${this.#service}`,
-      this.#readNow() - job.arrivedAt,
-    );
-    this.#report(entry, 'job.finished', `${outcome}, ${detail}`);
+    this.scope.increaseCounter(isAnswered ? 'answered' : 'failed');
+    this.scope.increaseCounter(`job.outcome.${this.#service}.${outcome}`);
+    this.#report(entry, isAnswered ? 'request.answered' : 'request.failed', { detail, host });
   }
 
-  #report(entry: JobEntry, type: string, detail: string): void {
-    Object.assign(entry, {
-      event: this.#parts.timeline.record({
-        type,
-        detail,
-        request: entry.exchange.job.id,
-        service: this.#service,
-        host: entry.slot?.host,
-        cause: entry.event,
-      }),
-    });
+  #report(entry: JobEntry, type: string, about: { detail: string; host?: string }): void {
+    const { job } = entry.exchange;
+    const cause = entry.event;
+    const event = { type, request: job.id, service: this.#service, cause, ...about };
+    Object.assign(entry, { event: this.scope.recordEvent(event) });
   }
 }
--- a/src/link/chooseNextStep.test.ts
+++ b/src/link/chooseNextStep.test.ts
@@ -6,8 +6,9 @@
 import { HostRotation } from './HostRotation.js';
 import { RunEnd, type RunResult } from './RunResult.js';
 import { RetryBudget } from '../admission/mod.js';
+import { readSeed } from '../testing/mod.js';
 
-const seed = Number(process.env.FC_SEED ?? 42);
+const seed = readSeed();
 
 /** Ends with what is possible for each: an answer needs a byte sent, a refusal means none was. */
 const run = fc
--- a/src/metrics/Metrics.ts
+++ b/src/metrics/Metrics.ts
@@ -1,67 +1,50 @@
 import { build, type Histogram } from 'hdr-histogram-js';
-import { z } from 'zod';
+import type { LatencyReport, MetricsReport } from './MetricsReport.js';
 
-/** Longest time told apart: a job of an hour. */
-const HIGHEST_MICROS = 3_600_000_000;
-const MICROS_PER_MS = 1_000;
+/** Values are recorded in microseconds, so that fractions of a millisecond keep their digits. */
+const UNITS_PER_MS = 1_000;
+/** Longer than any request may take; larger values are recorded as this one. */
+const MAX_MS = 3_600_000;
 
-/** A latency histogram in milliseconds, as exported. */
-export const LatencySummary = z.object({
-  count: z.number().int(),
-  mean: z.number(),
-  p50: z.number(),
-  p90: z.number(),
-  p99: z.number(),
-  max: z.number(),
-});
-export type LatencySummary = z.infer<typeof LatencySummary>;
-
-/** All metrics of a process at one moment. */
-export const MetricsExport = z.object({
-  counters: z.record(z.string(), z.number()),
-  latencies: z.record(z.string(), LatencySummary),
-});
-export type MetricsExport = z.infer<typeof MetricsExport>;
-
-function describeHistogram(histogram: Histogram): LatencySummary {
-  const find = (percentile: number): number =>
-    histogram.getValueAtPercentile(percentile) / MICROS_PER_MS;
+function describeHistogram(histogram: Histogram): LatencyReport {
+  const read = (percentile: number): number =>
+    histogram.getValueAtPercentile(percentile) / UNITS_PER_MS;
   return {
     count: histogram.totalCount,
-    mean: histogram.totalCount === 0 ? 0 : histogram.mean / MICROS_PER_MS,
-    p50: find(50),
-    p90: find(90),
-    p99: find(99),
-    max: histogram.maxValue / MICROS_PER_MS,
+    mean: histogram.totalCount === 0 ? 0 : histogram.mean / UNITS_PER_MS,
+    p50: read(50),
+    p90: read(90),
+    p99: read(99),
+    p999: read(99.9),
+    max: histogram.maxValue / UNITS_PER_MS,
   };
 }
 
 /**
- * The counters and latency histograms of one process.
+ * Latencies and counters of one process.
  *
  * @example
  * ```ts
  * const metrics = new Metrics();
- * metrics.increase('jobs.shed');
- * metrics.recordLatency('jobs.match', 12.5);
- * metrics.export().latencies['jobs.match']?.p99; // 12.5, to two digits
+ * metrics.recordLatency('request', 12.5);
+ * metrics.increase('refused');
+ * metrics.export().counters; // { refused: 1 }
  * ```
  */
 export class Metrics {
-  readonly #counters = new Map<string, number>();
+  readonly #histograms = new Map<string, Histogram>();
 
-  readonly #latencies = new Map<string, Histogram>();
+  readonly #counters = new Map<string, number>();
 
-  /** Records a time in milliseconds. */
-  recordLatency(name: string, milliseconds: number): void {
-    let histogram = this.#latencies.get(name);
+  /** Records a duration in milliseconds. */
+  recordLatency(name: string, ms: number): void {
+    let histogram = this.#histograms.get(name);
     if (histogram === undefined) {
-      // Two digits keep a histogram at some tens of kilobytes.
-      histogram = build({ numberOfSignificantValueDigits: 2, autoResize: true });
-      this.#latencies.set(name, histogram);
+      histogram = build({ highestTrackableValue: MAX_MS * UNITS_PER_MS, bitBucketSize: 32 });
+      this.#histograms.set(name, histogram);
     }
-    const micros = Math.round(milliseconds * MICROS_PER_MS);
-    histogram.recordValue(Math.min(HIGHEST_MICROS, Math.max(0, micros)));
+    const bounded = Math.min(MAX_MS, Math.max(0, ms));
+    histogram.recordValue(Math.round(bounded * UNITS_PER_MS));
   }
 
   /** Increases a counter. */
@@ -69,14 +52,12 @@
     this.#counters.set(name, (this.#counters.get(name) ?? 0) + by);
   }
 
-  /** Exports everything as plain values, in the order of names. */
-  export(): MetricsExport {
-    const latencies = [...this.#latencies]
-      .sort(([a], [b]) => (a < b ? -1 : 1))
-      .map(([name, histogram]) => [name, describeHistogram(histogram)] as const);
+  /** Exports everything recorded since the start, by name. */
+  export(): MetricsReport {
+    const latencies = [...this.#histograms].map(([name, one]) => [name, describeHistogram(one)]);
     return {
-      counters: Object.fromEntries([...this.#counters].sort()),
       latencies: Object.fromEntries(latencies),
+      counters: Object.fromEntries(this.#counters),
     };
   }
 }
--- a/src/standin/PlatformLog.ts
+++ b/src/standin/PlatformLog.ts
@@ -41,6 +41,7 @@
 
   /** Reads entries from an offset; undefined when it has expired. */
   read(from: number, max: number): LogEntry[] | undefined {
+    this.#prune(Date.now());
     if (from < this.earliest) return undefined;
     const start = from - this.earliest;
     return this.#entries.slice(start, start + max);
@@ -51,6 +52,8 @@
     if (this.#head > from || waitMs <= 0) return;
     await new Promise<void>((resolve) => {
       const timer = setTimeout(resolve, waitMs);
+      // The open server keeps the process running, an abandoned long poll does not.
+      timer.unref();
       this.#waiters.push(() => {
         clearTimeout(timer);
         resolve();
--- a/src/testing/GatewayRig.ts
+++ b/src/testing/GatewayRig.ts
@@ -28,6 +28,10 @@
 
   readonly listener: GatewayListener;
 
+  readonly timeline: Timeline;
+
+  readonly metrics = new Metrics();
+
   readonly faults: Error[] = [];
 
   readonly service: Service;
@@ -47,13 +51,14 @@
     this.#slots = options.slots ?? 8;
     const service = { name: 'match', pathPrefix: '/match', pool: 'match', ...options.service };
     this.service = Service.parse(service);
-    this.#scope = new ActorScope('rig', (_, error) => this.faults.push(error));
+    this.timeline = new Timeline('rig', { clock });
+    const onFault = (_: string, error: Error): unknown => this.faults.push(error);
+    const { timeline, metrics } = this;
+    this.#scope = new ActorScope('rig', onFault, { timeline, metrics });
     this.parts = {
       clock,
       claims: new UnclaimedPolicy(),
       forwarder: new UnavailableForwarder(),
-      timeline: new Timeline('rig', { clock }),
-      metrics: new Metrics(),
       createPolicy: () => new FairPolicy(),
       ...options.parts,
     };
--- a/src/testing/mod.ts
+++ b/src/testing/mod.ts
@@ -7,4 +7,7 @@
 export * from './GatewayRig.js';
 export * from './ProcessGroup.js';
 export * from './RecordingForwarder.js';
+export * from './arbitraryEntries.js';
+export * from './buildRecords.js';
+export * from './readSeed.js';
 export * from './waitFor.js';
--- a/src/timeline/Timeline.ts
+++ b/src/timeline/Timeline.ts
@@ -1,7 +1,8 @@
 import type { Clock } from '../clock/mod.js';
+import { EventRing } from './_EventRing.js';
 import { FleetEvent, type EventInput } from './FleetEvent.js';
 
-/** About 300 bytes an event bound the ring to about 3 MB. */
+/** About 300 bytes an event bound the two rings to about 3 MB; events about many hosts are larger. */
 const DEFAULT_CAPACITY = 10_000;
 
 /** Options of a time line. */
@@ -9,10 +10,15 @@
   clock: Clock;
   /** Most events kept; the oldest are overwritten. */
   capacity?: number;
+  /** Called with each event, for example to log it. */
+  onEvent?: (event: FleetEvent) => void;
 }
 
 /**
- * A bounded ring of the events of one process.
+ * The latest events of one process.
+ *
+ * Half of the capacity is for events of requests and half for all others, since a flood of requests
+ * would otherwise push the decisions about the fleet out within seconds.
  *
  * @example
  * ```ts
@@ -26,22 +32,33 @@
 
   readonly #clock: Clock;
 
-  readonly #capacity: number;
+  readonly #requests: EventRing;
+
+  readonly #others: EventRing;
 
-  readonly #events: FleetEvent[] = [];
+  readonly #onEvent: ((event: FleetEvent) => void) | undefined;
 
   #count = 0;
 
   constructor(process: string, options: TimelineOptions) {
+    const half = Math.max(1, Math.floor((options.capacity ?? DEFAULT_CAPACITY) / 2));
     this.#process = process;
     this.#clock = options.clock;
-    this.#capacity = options.capacity ?? DEFAULT_CAPACITY;
+    this.#onEvent = options.onEvent;
+    this.#requests = new EventRing(half);
+    this.#others = new EventRing(half);
+  }
+
+  /** Session or name of the process. */
+  get process(): string {
+    return this.#process;
   }
 
   /** Records an event and returns its id, which a later event may name as its cause. */
   record(event: EventInput): number {
     this.#count += 1;
-    this.#events[(this.#count - 1) % this.#capacity] = {
+    const ring = event.request === undefined ? this.#others : this.#requests;
+    const recorded: FleetEvent = {
       detail: '',
       ...event,
       id: this.#count,
@@ -49,13 +66,13 @@
       wall: this.#clock.readWall(),
       monotonic: this.#clock.readMonotonic(),
     };
+    ring.add(recorded);
+    this.#onEvent?.(recorded);
     return this.#count;
   }
 
   /** Lists the events kept, oldest first. */
   list(): FleetEvent[] {
-    const oldest = this.#count % this.#capacity;
-    if (this.#count <= this.#capacity) return this.#events.slice();
-    return [...this.#events.slice(oldest), ...this.#events.slice(0, oldest)];
+    return [...this.#requests.list(), ...this.#others.list()].sort((a, b) => a.id - b.id);
   }
 }
