--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -1,8 +1,11 @@
 import { createServer, type Server } from 'node:http';
 import { ActorScope, type FaultHandler } from '../actor/mod.js';
+import { FairPolicy, FifoPolicy } from '../admission/mod.js';
+import { UnclaimedPolicy } from '../claim/mod.js';
 import { SystemClock } from '../clock/mod.js';
 import { ControllerRecordSource } from '../controller/mod.js';
 import { FleetFollower, FleetKeeper, readProcessStatus } from '../fleet/mod.js';
+import { UnavailableForwarder } from '../link/mod.js';
 import { closeServer, openServer } from '../net/mod.js';
 import type { ProcessObserver } from '../observation/mod.js';
 import type { GatewaySettings } from '../settings/mod.js';
@@ -35,13 +38,20 @@
 
   #peerAddress = '';
 
+  #closed: Promise<void> | undefined;
+
   constructor(settings: GatewaySettings, onFault: FaultHandler, observer?: ProcessObserver) {
     this.#settings = settings;
     this.#scope = new ActorScope('gateway', onFault, observer);
     this.#keeper = new FleetKeeper(this.#scope);
     const sources = settings.controllers.map((address) => new ControllerRecordSource(address));
     this.#follower = new FleetFollower(this.#scope, this.#keeper, sources);
-    this.#listener = new GatewayListener(this.#scope, new SystemClock());
+    this.#listener = new GatewayListener(this.#scope, {
+      clock: new SystemClock(),
+      claims: new UnclaimedPolicy(),
+      forwarder: new UnavailableForwarder(),
+      createPolicy: () => (settings.admission === 'fifo' ? new FifoPolicy() : new FairPolicy()),
+    });
     this.#peerServer = createServer((request, response) => {
       if (!observer?.answer(request, response)) response.writeHead(404).end();
     });
@@ -72,8 +82,14 @@
     return this.#listener.open(this.#settings.address);
   }
 
-  /** Closes the server and the links. */
-  async close(): Promise<void> {
+  /** Stops gracefully: no request in flight is cut off within the stop bound. */
+  close(): Promise<void> {
+    this.#closed ??= this.#stop();
+    return this.#closed;
+  }
+
+  async #stop(): Promise<void> {
+    await this.#listener.stop(this.#settings.stopNoticeMs);
     await this.#listener.close();
     await closeServer(this.#peerServer);
     await this.#follower.close();
--- /dev/null
+++ b/src/gateway/GatewayParts.ts
@@ -0,0 +1,13 @@
+import type { AdmissionPolicy } from '../admission/mod.js';
+import type { ClaimPolicy } from '../claim/mod.js';
+import type { Clock } from '../clock/mod.js';
+import type { JobForwarder } from '../link/mod.js';
+
+/** What the actors of a gateway share: the clock and the policies that vary. */
+export interface GatewayParts {
+  clock: Clock;
+  claims: ClaimPolicy;
+  forwarder: JobForwarder;
+  /** Creates the admission policy of one service. */
+  createPolicy: () => AdmissionPolicy;
+}
--- a/src/mod.ts
+++ b/src/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 export * from './actor/mod.js';
+export * from './admission/mod.js';
 export * from './claim/mod.js';
 export * from './clock/mod.js';
 export * from './contract/mod.js';
--- a/src/testing/mod.ts
+++ b/src/testing/mod.ts
@@ -3,7 +3,10 @@
  *
  * @module
  */
+export * from './FixedClaimPolicy.js';
+export * from './GatewayRig.js';
 export * from './ProcessGroup.js';
+export * from './RecordingForwarder.js';
 export * from './arbitraryEntries.js';
 export * from './buildRecords.js';
 export * from './readSeed.js';
