--- a/src/system/disturbances.test.ts
+++ b/src/system/disturbances.test.ts
@@ -6,7 +6,8 @@
 
 const SERVICE = { name: 'match', pathPrefix: '/match', pool: 'match' };
 const UPSTREAMS = ['h1', 'h2', 'h3', 'h4'];
-const CALLERS = 12;
+const CALLERS = 24;
+const SERVICE_MS = 25;
 const DISTURBANCES = 7;
 const SLOTS = 8;
 const CONNECTIONS = 64;
@@ -107,7 +108,7 @@
           one.kind === 'upstream fails' ? { failing: true } : { leaving: true },
         );
         await pause(one.lastsMs);
-        await site.setBehaviour(one.upstream, { serviceMs: 5 });
+        await site.setBehaviour(one.upstream, { serviceMs: SERVICE_MS });
         break;
       default:
         need = need === 3 ? 4 : 3;
@@ -122,7 +123,7 @@
   before(async () => {
     await site.open();
     const addresses = await Promise.all(UPSTREAMS.map((name) => site.startUpstream(name)));
-    await Promise.all(UPSTREAMS.map((name) => site.setBehaviour(name, { serviceMs: 5 })));
+    await Promise.all(UPSTREAMS.map((name) => site.setBehaviour(name, { serviceMs: SERVICE_MS })));
     const links = { platform: site.platform, peers: [] };
     const first = await site.startEntryHost('rennes-1', links);
     const peers = [first.controller.address];
--- a/src/testing/CallerCrowd.ts
+++ b/src/testing/CallerCrowd.ts
@@ -7,6 +7,8 @@
 const TIMEOUT_MS = 8_000;
 /** Arrivals of one key: the first and its repeats at other gateways. */
 const MAX_ARRIVALS = 4;
+/** Share of the keys that are sent to two gateways at the same time. */
+const DOUBLED_SHARE = 0.25;
 
 /** Options of a crowd. */
 export interface CallerCrowdOptions {
@@ -75,19 +77,28 @@
     }
   }
 
+  /** Sends a key to two gateways at once now and then, and repeats it until it is told to have run. */
   async #sendKeyed(): Promise<void> {
     const key = createKey();
-    for (let arrival = 0; arrival < MAX_ARRIVALS; arrival += 1) {
-      const { outcome } = await this.#send('POST', key);
+    const first = this.#chooseGateway();
+    const isDoubled = this.#options.random() < DOUBLED_SHARE;
+    const told = await Promise.all(
+      (isDoubled ? [first, first + 1] : [first]).map((gateway) => this.#send(gateway, key)),
+    );
+    told.forEach(({ outcome }) => this.ledger.record(key, outcome));
+    let isDone = told.some(({ outcome }) => outcome === 'ran');
+    for (let arrival = 1; arrival < MAX_ARRIVALS && !isDone; arrival += 1) {
+      const { outcome } = await this.#send(first + arrival, key);
       this.ledger.record(key, outcome);
-      if (outcome === 'ran') return;
+      isDone = outcome === 'ran';
     }
   }
 
   async #sendIdempotent(): Promise<void> {
     this.#reads += 1;
+    const first = this.#chooseGateway();
     for (let arrival = 0; arrival < MAX_ARRIVALS; arrival += 1) {
-      const { outcome, isWhole } = await this.#send('GET');
+      const { outcome, isWhole } = await this.#send(first + arrival);
       if (outcome === 'ran' && isWhole) {
         this.#goodReads += 1;
         return;
@@ -95,13 +106,18 @@
     }
   }
 
-  async #send(method: 'GET' | 'POST', key?: string): Promise<Told> {
+  #chooseGateway(): number {
+    return Math.floor(this.#options.random() * this.#options.listGateways().length);
+  }
+
+  /** Sends one request; with a key it is a POST. Gateways are counted on past the last one. */
+  async #send(number: number, key?: string): Promise<Told> {
     const gateways = this.#options.listGateways();
-    const gateway = gateways[Math.floor(this.#options.random() * gateways.length)];
+    const gateway = gateways[number % gateways.length];
     const path = `${this.#options.path}/${createKey()}`;
     try {
       const answer = await request(`http://${gateway}${path}`, {
-        method,
+        method: key === undefined ? 'GET' : 'POST',
         headers: key === undefined ? {} : { 'idempotency-key': key },
         body: key,
         headersTimeout: TIMEOUT_MS,
