Fold gateway sessions with what claims and shares need

Cause: the fold forgot ended sessions at once, so neither the growth rule of slot shares nor the lease of claims could be computed from it. Change: ended sessions stay with the cause of their end until no share, lease or repeated record concerns them; each open session has a barrier, the time after which no claim is made without it; the sets of configured data centres are kept with the time from which keys use them.

--- a/src/fleet/FleetSnapshot.ts
+++ b/src/fleet/FleetSnapshot.ts
@@ -13,9 +13,34 @@
   openedTime: z.number(),
   /** Latest offset that the session has confirmed. */
   confirmedOffset: z.number().int(),
+  /**
+   * Platform time after which no claim is made without this session, as far as all older sessions
+   * have confirmed it or have ended. It may lie in the future.
+   */
+  claimBarrier: z.number(),
 });
 export type SessionState = z.infer<typeof SessionState>;
 
+/**
+ * A gateway session that has ended and still matters for slot shares or claims. `cause` tells why it
+ * makes no more claims: it ended itself, a surviving session refuses them, or its lease runs out.
+ */
+export const EndedSession = SessionState.pick({
+  session: true,
+  dataCentre: true,
+  openedOffset: true,
+  confirmedOffset: true,
+}).extend({
+  endedOffset: z.number().int(),
+  endedTime: z.number(),
+  cause: z.enum(['self', 'survivor', 'lease']),
+});
+export type EndedSession = z.infer<typeof EndedSession>;
+
+/** The configured data centres in force for keys created from a platform time on. */
+export const DataCentreSet = z.object({ inForceFrom: z.number(), names: z.array(z.string()) });
+export type DataCentreSet = z.infer<typeof DataCentreSet>;
+
 /** The whole state of the fleet at an offset, as plain JSON. */
 export const FleetSnapshot = z.object({
   /** Offset of the next record to fold. */
@@ -33,6 +58,12 @@
   removed: z.record(z.string(), z.number().int()),
   hostStates: z.record(z.string(), HostState),
   sessions: z.array(SessionState),
+  /** Gateway sessions that have ended, in the order of their ends. */
+  endedSessions: z.array(EndedSession),
+  /** When the last lease of sessions ended without a survivor runs out, by data centre. */
+  claimLeases: z.record(z.string(), z.number()),
+  /** Sets of data centres that a key of an accepted age may be homed in, oldest first. */
+  dataCentreSets: z.array(DataCentreSet),
   /** Offset that last changed the set of gateway sessions, by data centre. */
   views: z.record(z.string(), z.number().int()),
   /** Last sequence folded and its time, by writer. */
--- a/src/fleet/_FleetData.ts
+++ b/src/fleet/_FleetData.ts
@@ -1,7 +1,7 @@
 import type { HostState } from '../host/mod.js';
 import type { ConfigChange, ObjectKind } from '../record/mod.js';
 import { Configuration, type Configured } from './_Configuration.js';
-import { FleetSnapshot, type SessionState } from './FleetSnapshot.js';
+import type { DataCentreSet, EndedSession, FleetSnapshot, SessionState } from './FleetSnapshot.js';
 
 /** A writer that was silent for this long is forgotten; it has long ended. */
 const WRITER_MEMORY_MS = 24 * 3_600_000;
@@ -45,6 +45,12 @@
 
   readonly sessions = new Map<string, SessionState>();
 
+  endedSessions: EndedSession[] = [];
+
+  readonly claimLeases = new Map<string, number>();
+
+  readonly dataCentreSets: DataCentreSet[] = [];
+
   readonly views = new Map<string, number>();
 
   readonly pendingChanges = new Map<string, ConfigChange[]>();
@@ -68,6 +74,9 @@
     Object.entries(copy.removed).forEach(([key, at]) => data.configuration.removed.set(key, at));
     Object.entries(copy.hostStates).forEach(([name, state]) => data.hostStates.set(name, state));
     copy.sessions.forEach((session) => data.sessions.set(session.session, session));
+    data.endedSessions = copy.endedSessions;
+    Object.entries(copy.claimLeases).forEach(([name, until]) => data.claimLeases.set(name, until));
+    data.dataCentreSets.push(...copy.dataCentreSets);
     Object.entries(copy.views).forEach(([name, view]) => data.views.set(name, view));
     Object.entries(copy.writers).forEach(([name, writer]) => data.#writers.set(name, writer));
     Object.entries(copy.pendingChanges).forEach(([id, parts]) =>
@@ -112,6 +121,9 @@
       removed: sortEntries(this.configuration.removed),
       hostStates: sortEntries(this.hostStates),
       sessions: sortValues(this.sessions),
+      endedSessions: this.endedSessions,
+      claimLeases: sortEntries(this.claimLeases),
+      dataCentreSets: this.dataCentreSets,
       views: sortEntries(this.views),
       writers: sortEntries(this.#writers),
       pendingChanges: sortEntries(this.pendingChanges),
--- a/src/fleet/_applyConfigChange.ts
+++ b/src/fleet/_applyConfigChange.ts
@@ -2,6 +2,7 @@
 import type { FleetData } from './_FleetData.js';
 import type { ConfigChange, LoggedRecord, Operation } from '../record/mod.js';
 import { formatFinding } from '../finding/mod.js';
+import { recordDataCentres } from './_recordDataCentres.js';
 import { ACCEPTED, reject, type Verdict } from './Verdict.js';
 
 function describeObject(operation: Operation): { name: string; key: string } {
@@ -79,6 +80,7 @@
   const revision = record.offset + 1;
   operations.forEach((operation) => data.configuration.apply(operation, revision));
   updateHostStates(data, operations);
+  recordDataCentres(data, record.time);
   // eslint-disable-next-line no-param-reassign -- the fold changes its data in place.
   data.revision = revision;
   return ACCEPTED;
--- a/src/fleet/mod.ts
+++ b/src/fleet/mod.ts
@@ -11,3 +11,4 @@
 export * from './FleetKeeper.js';
 export * from './FleetProjector.js';
 export * from './planFleet.js';
+export * from './sessionTimes.js';
--- /dev/null
+++ b/src/session/collectShareViews.ts
@@ -0,0 +1,38 @@
+import { RELEASE_DELAY_MS, type EndedSession, type Fleet } from '../fleet/mod.js';
+
+/** Whether an ended session may still send: it was ended by another and may not know it yet. */
+function isHolding(ended: EndedSession, now: number, longestJobMs: number): boolean {
+  return ended.cause !== 'self' && now <= ended.endedTime + RELEASE_DELAY_MS + longestJobMs;
+}
+
+/**
+ * Collects the membership views of a data centre that some session may still have in force, oldest
+ * first, each as the ids of its sessions.
+ *
+ * The oldest is the one that the slowest session has confirmed. A session that takes the smallest of
+ * its shares over these views never holds a slot that another still counts as its own: the ranges
+ * of any two sessions that may send have a view in common, and the shares in one view add up.
+ *
+ * @param now Lower bound of the platform time in milliseconds.
+ */
+export function collectShareViews(fleet: Fleet, dataCentre: string, now: number): string[][] {
+  const open = fleet.listGateways(dataCentre);
+  const ended = fleet.data.endedSessions.filter((one) => one.dataCentre === dataCentre);
+  const services = fleet.data.listObjects('service');
+  const longestJobMs = Math.max(0, ...services.map((service) => service.jobTimeoutMs));
+  const holders = [...open, ...ended.filter((one) => isHolding(one, now, longestJobMs))];
+  const oldest = Math.min(...holders.map((one) => one.confirmedOffset));
+  const known = [
+    ...open.map((one) => ({ ...one, endedOffset: Infinity })),
+    ...ended.filter((one) => one.endedOffset > oldest),
+  ];
+  const changes = known.flatMap((one) => [one.openedOffset, one.endedOffset]);
+  const offsets = [oldest, ...changes.filter((at) => at > oldest && at < Infinity)];
+  return [...new Set(offsets)]
+    .sort((a, b) => a - b)
+    .map((at) =>
+      known
+        .filter((one) => one.openedOffset <= at && one.endedOffset > at)
+        .map((one) => one.session),
+    );
+}
