--- /dev/null
+++ b/src/claim/ClaimKeeper.ts
@@ -0,0 +1,279 @@
+import { Actor, type ActorScope } from '../actor/mod.js';
+import type { Clock } from '../clock/mod.js';
+import type { Job, Outcome } from '../job/mod.js';
+import type { PeerLink } from '../link/PeerLink.js';
+import type { Peer, SessionView } from '../session/mod.js';
+import type { ClaimAnswer } from './ClaimAnswer.js';
+import type { ClaimCursor } from './ClaimChunk.js';
+import { ClaimLedger, type HandOverPart, type PendingClaim } from './ClaimLedger.js';
+import type { ClaimRequest, MemberAnswer } from './ClaimRequest.js';
+import { ClaimTable } from './ClaimTable.js';
+import { refuseClaim } from './refuseClaim.js';
+
+/** About 30 bytes a claim; the control budget of a node is 256 MB. */
+const MAX_CLAIMS = 2_000_000;
+/** A claim that takes longer fails: the process may have been frozen in between. */
+const CLAIM_TIMEOUT_MS = 1_000;
+const TICK_INTERVAL_MS = 500;
+const TABLE_START: ClaimCursor = { hour: -1, index: 0 };
+
+/** Messages of the keeper. */
+export type ClaimKeeperMessage =
+  | { type: 'authorize'; job: Job; reply: (answer: ClaimAnswer) => void }
+  | { type: 'answered'; round: ClaimRound; member: number; answer: MemberAnswer | undefined }
+  | { type: 'timeout'; round: ClaimRound }
+  /** How a claimed job ended. */
+  | { type: 'finished'; key: string; outcome: Outcome }
+  | { type: 'record'; request: ClaimRequest; reply: (answers: MemberAnswer[]) => void }
+  | {
+      type: 'read-hand-over';
+      session: string;
+      cursor: ClaimCursor;
+      reply: (part: HandOverPart | undefined) => void;
+    }
+  | { type: 'hand-over'; transfer: HandOverTransfer; part: HandOverPart | undefined }
+  | { type: 'view'; view: SessionView }
+  | { type: 'hold'; isHeld: boolean }
+  | { type: 'status'; reply: (status: ClaimStatus) => void }
+  | { type: 'tick' };
+
+/** One claim on its way to the members of the view. */
+interface ClaimRound {
+  pending: PendingClaim;
+  answers: (MemberAnswer | undefined)[];
+  waiting: number;
+  startedAt: number;
+  timer: NodeJS.Timeout;
+  reply: ((answer: ClaimAnswer) => void) | undefined;
+}
+
+/** The table of a member on its way to this session. */
+interface HandOverTransfer {
+  session: string;
+  from: string;
+  cursor: ClaimCursor;
+  /** Latest coverage that the member gave with a part. */
+  coveredFrom: number;
+}
+
+/** Size and coverage of the table. */
+export interface ClaimStatus {
+  claims: number;
+  bytes: number;
+  coveredFrom: number | undefined;
+}
+
+/** Options of the keeper. */
+export interface ClaimKeeperOptions {
+  clock: Clock;
+  openLink: (peer: Peer) => PeerLink;
+  /** Called with each view once it is in force for claims. */
+  onView: (view: SessionView) => void;
+  maxClaims?: number;
+}
+
+/** Owns the claims of a gateway and the links over which they are replicated. */
+export class ClaimKeeper extends Actor<ClaimKeeperMessage> {
+  readonly #options: ClaimKeeperOptions;
+
+  readonly #ledger: ClaimLedger;
+
+  readonly #links = new Map<string, PeerLink>();
+
+  readonly #timer: NodeJS.Timeout;
+
+  #transfer: HandOverTransfer | undefined;
+
+  /** Session whose table is complete by a hand-over. */
+  #receivedFor: string | undefined;
+
+  /** Counts attempts, so that a member that can't help is followed by the next. */
+  #attempts = 0;
+
+  constructor(scope: ActorScope, options: ClaimKeeperOptions) {
+    super(scope, 'claim-keeper');
+    this.#options = options;
+    this.#ledger = new ClaimLedger(new ClaimTable(options.maxClaims ?? MAX_CLAIMS));
+    this.#timer = setInterval(() => this.send({ type: 'tick' }), TICK_INTERVAL_MS);
+  }
+
+  protected override receive(message: ClaimKeeperMessage): void {
+    switch (message.type) {
+      case 'authorize':
+        this.#authorize(message.job, message.reply);
+        break;
+      case 'answered':
+        this.#collectAnswer(message.round, message.member, message.answer);
+        break;
+      case 'timeout':
+        this.#finishRound(message.round);
+        break;
+      case 'finished':
+        this.#ledger.recordOutcome(message.key, message.outcome);
+        break;
+      case 'record':
+        message.reply(this.#recordClaims(message.request));
+        break;
+      case 'read-hand-over':
+        message.reply(this.#ledger.readHandOver(message.session, message.cursor));
+        break;
+      case 'hand-over':
+        this.#receivePart(message.transfer, message.part);
+        break;
+      case 'view':
+        this.#updateView(message.view);
+        break;
+      case 'hold':
+        this.#ledger.setHeld(message.isHeld);
+        break;
+      case 'status': {
+        const { table, coveredFrom } = this.#ledger;
+        message.reply({ claims: table.count, bytes: table.bytes, coveredFrom });
+        break;
+      }
+      default:
+        this.#ledger.table.prune(this.#options.clock.readWall());
+        this.#startHandOver();
+    }
+  }
+
+  override close(): void {
+    clearInterval(this.#timer);
+    this.#links.forEach((link) => link.close());
+    super.close();
+  }
+
+  #authorize(job: Job, reply: (answer: ClaimAnswer) => void): void {
+    if (job.idempotent || job.key === undefined) {
+      reply({ verdict: 'granted' });
+      return;
+    }
+    const { clock } = this.#options;
+    const begun = this.#ledger.openClaim(job.key, {
+      isForwarded: job.forwarded === true,
+      now: clock.readWall(),
+    });
+    if (begun.verdict !== 'pending') {
+      reply(begun);
+      return;
+    }
+    const round: ClaimRound = {
+      pending: begun,
+      answers: begun.members.map(() => undefined),
+      waiting: begun.members.length,
+      startedAt: clock.readMonotonic(),
+      timer: setTimeout(() => this.send({ type: 'timeout', round }), CLAIM_TIMEOUT_MS),
+      reply,
+    };
+    begun.members.forEach((peer, member) => {
+      this.#getLink(peer).send({
+        type: 'claim',
+        owner: begun.session,
+        view: begun.view,
+        key: begun.key.text,
+        reply: (answer) => this.send({ type: 'answered', round, member, answer }),
+      });
+    });
+    if (round.waiting === 0) this.#finishRound(round);
+  }
+
+  #collectAnswer(round: ClaimRound, member: number, answer: MemberAnswer | undefined): void {
+    const { answers } = round;
+    answers[member] = answer;
+    Object.assign(round, { waiting: round.waiting - 1 });
+    if (round.waiting === 0 || answer?.verdict !== 'recorded') this.#finishRound(round);
+  }
+
+  #finishRound(round: ClaimRound): void {
+    const { reply, pending, answers, startedAt } = round;
+    if (reply === undefined) return;
+    Object.assign(round, { reply: undefined });
+    clearTimeout(round.timer);
+    const { clock } = this.#options;
+    const validUntil = startedAt + CLAIM_TIMEOUT_MS;
+    const isLate = clock.readMonotonic() > validUntil;
+    const answer = this.#ledger.finishClaim(pending, isLate ? [] : answers, clock.readWall());
+    if (answer.verdict !== 'granted') {
+      reply(answer);
+    } else if (isLate) {
+      // Without other members nobody was asked, so only the time tells of a pause.
+      this.#ledger.recordOutcome(pending.key.text, 'not-run');
+      reply(refuseClaim('the claim took too long'));
+    } else {
+      reply({ ...answer, validUntil });
+    }
+  }
+
+  #recordClaims(request: ClaimRequest): MemberAnswer[] {
+    const now = this.#options.clock.readWall();
+    return request.keys.map((key) => this.#ledger.recordClaim(request, key, now));
+  }
+
+  #updateView(view: SessionView): void {
+    this.#ledger.updateView(view);
+    const members = new Set(view.members.map((peer) => peer.session));
+    this.#links.forEach((link, session) => {
+      if (members.has(session)) return;
+      this.#links.delete(session);
+      link.close();
+    });
+    this.#options.onView(view);
+    this.#startHandOver();
+  }
+
+  #getLink(peer: Peer): PeerLink {
+    let link = this.#links.get(peer.session);
+    if (link === undefined) {
+      link = this.#options.openLink(peer);
+      this.#links.set(peer.session, link);
+    }
+    return link;
+  }
+
+  /** Asks a member for its table, unless this session has one already. */
+  #startHandOver(): void {
+    const { view } = this.#ledger;
+    const session = view?.own?.session;
+    if (view === undefined || session === undefined || this.#receivedFor === session) return;
+    if (this.#transfer?.session === session) return;
+    const others = view.members.filter((peer) => peer.session !== session);
+    const peer = others[this.#attempts % Math.max(1, others.length)];
+    if (peer === undefined) return;
+    this.#attempts += 1;
+    const coveredFrom = -Infinity;
+    this.#askPart({ session, from: peer.session, cursor: TABLE_START, coveredFrom }, peer);
+  }
+
+  #askPart(transfer: HandOverTransfer, peer: Peer): void {
+    this.#transfer = transfer;
+    this.#getLink(peer).send({
+      type: 'hand-over',
+      session: transfer.session,
+      cursor: transfer.cursor,
+      reply: (part) => this.send({ type: 'hand-over', transfer, part }),
+    });
+  }
+
+  #receivePart(transfer: HandOverTransfer, part: HandOverPart | undefined): void {
+    if (this.#transfer !== transfer) return;
+    this.#transfer = undefined;
+    const { view } = this.#ledger;
+    const peer = view?.members.find((one) => one.session === transfer.from);
+    const isValid =
+      part !== undefined &&
+      view?.own?.session === transfer.session &&
+      part.session === transfer.from &&
+      part.chunk.cursor.hour === transfer.cursor.hour &&
+      part.chunk.cursor.index === transfer.cursor.index;
+    // The table is complete only if every part came from one member; otherwise the next tick begins
+    // again, and the parts merged so far do no harm.
+    if (!isValid || peer === undefined || !this.#ledger.table.mergeChunk(part.chunk)) return;
+    const coveredFrom = Math.max(transfer.coveredFrom, part.coveredFrom);
+    if (part.chunk.next !== null) {
+      this.#askPart({ ...transfer, cursor: part.chunk.next, coveredFrom }, peer);
+      return;
+    }
+    this.#receivedFor = transfer.session;
+    this.#ledger.finishHandOver(transfer.session, coveredFrom);
+  }
+}
--- /dev/null
+++ b/src/claim/ClaimLedger.ts
@@ -0,0 +1,277 @@
+import { CLOCK_SKEW_MS, KEY_MAX_AGE_MS, SESSION_LEASE_MS } from '../fleet/mod.js';
+import { sortByWeight, type Peer, type SessionView } from '../session/mod.js';
+import type { ClaimAnswer } from './ClaimAnswer.js';
+import type { ClaimChunk, ClaimCursor } from './ClaimChunk.js';
+import type { MemberAnswer } from './ClaimRequest.js';
+import { ClaimTable } from './ClaimTable.js';
+import { chooseHome } from './chooseHome.js';
+import { IdempotencyKey } from './IdempotencyKey.js';
+import { refuseClaim } from './refuseClaim.js';
+
+/** A claim that waits for the other members of the view. */
+export interface PendingClaim {
+  verdict: 'pending';
+  key: IdempotencyKey;
+  session: string;
+  view: number;
+  /** The members to ask. */
+  members: Peer[];
+}
+
+/** Options of a claim. */
+export interface ClaimOptions {
+  /** Whether another gateway forwarded the job; it is not forwarded again. */
+  isForwarded: boolean;
+  /** Wall-clock time in milliseconds. */
+  now: number;
+}
+
+/** A part of the table with the time from which on it is complete. */
+export interface HandOverPart {
+  session: string;
+  coveredFrom: number;
+  chunk: ClaimChunk;
+}
+
+const CHUNK_ENTRIES = 2_000;
+
+function refuseKey(status: number, outcome: 'not-run' | 'unknown', reason: string): ClaimAnswer {
+  return { verdict: 'refused', outcome, status, reason };
+}
+
+function refuseDuplicate(outcome: 'ran' | 'unknown'): ClaimAnswer {
+  return {
+    verdict: 'refused',
+    outcome,
+    status: 409,
+    reason: outcome === 'ran' ? 'the key has run' : 'the key was claimed before and may have run',
+  };
+}
+
+function chooseOwner(view: SessionView, key: IdempotencyKey): Peer | string {
+  const home = chooseHome(key, view.dataCentreSets);
+  if (home === undefined) return 'no data centre is configured';
+  const peers = home === view.dataCentre ? view.members : (view.gateways[home] ?? []);
+  const [session] = sortByWeight(
+    key.text,
+    peers.map((peer) => peer.session),
+  );
+  const owner = peers.find((peer) => peer.session === session);
+  return owner ?? `the key's data centre "${home}" has no gateway`;
+}
+
+/**
+ * Decides about the claims of one gateway, without I/O: as the owner of keys and as a member that
+ * other owners ask for its consent.
+ *
+ * At most one claim of a key is ever granted. Each view through which a claim is granted shares a
+ * member with every later one, or a chain of complete hand-overs leads from one to the other, or the
+ * key is newer than the time up to which older views could make claims.
+ */
+export class ClaimLedger {
+  readonly #table: ClaimTable;
+
+  #view: SessionView | undefined;
+
+  #isHeld = false;
+
+  /** Coverage by a completed hand-over, for the session that received it. */
+  #handedOver: { session: string; coveredFrom: number } | undefined;
+
+  constructor(table: ClaimTable) {
+    this.#table = table;
+  }
+
+  get table(): ClaimTable {
+    return this.#table;
+  }
+
+  get view(): SessionView | undefined {
+    return this.#view;
+  }
+
+  /** Takes over a newer state of the fleet. */
+  updateView(view: SessionView): void {
+    if (view.nextOffset >= (this.#view?.nextOffset ?? 0)) this.#view = view;
+  }
+
+  /** Holds or resumes grants, for example after a pause of the process or during a planned stop. */
+  setHeld(isHeld: boolean): void {
+    this.#isHeld = isHeld;
+  }
+
+  /** Time from which on this session knows every claim; undefined while it can't tell. */
+  get coveredFrom(): number | undefined {
+    const own = this.#view?.own;
+    if (own === undefined) return undefined;
+    const handed =
+      this.#handedOver?.session === own.session ? this.#handedOver.coveredFrom : undefined;
+    if (handed === undefined) return this.#view?.coveredFrom;
+    return Math.min(handed, this.#view?.coveredFrom ?? Infinity);
+  }
+
+  /** Begins the claim of a key: refuses it, forwards it, or names the members to ask. */
+  openClaim(text: string, { isForwarded, now }: ClaimOptions): ClaimAnswer | PendingClaim {
+    const parsed = IdempotencyKey.safeParse(text);
+    if (!parsed.success) return refuseKey(400, 'not-run', `the key "${text}" is no UUIDv7`);
+    const key = parsed.data;
+    if (key.createdAt > now + CLOCK_SKEW_MS) {
+      return refuseKey(400, 'not-run', 'the key was created in the future');
+    }
+    if (key.createdAt < now - KEY_MAX_AGE_MS || this.#table.hasDropped(key)) {
+      return refuseKey(409, 'unknown', 'the key is older than 24 h');
+    }
+    const view = this.#view;
+    if (view === undefined) return refuseClaim('the gateway has no fleet state yet');
+    if (key.createdAt > view.time + KEY_MAX_AGE_MS) {
+      return refuseClaim('the gateway has had no contact with the log for 24 h');
+    }
+    const owner = chooseOwner(view, key);
+    if (typeof owner === 'string') return refuseClaim(owner);
+    if (owner.session === view.own?.session) return this.#openOwnClaim(view, key, now);
+    if (isForwarded) return refuseClaim('the gateways differ about the owner of the key');
+    return { verdict: 'forward', peerAddress: owner.peerAddress, session: owner.session };
+  }
+
+  /** Grants or refuses a claim once every member was asked; undefined stands for no answer. */
+  finishClaim(
+    pending: PendingClaim,
+    answers: (MemberAnswer | undefined)[],
+    now: number,
+  ): ClaimAnswer {
+    const answer = this.#authorizeClaim(pending, answers, now);
+    if (answer.verdict !== 'granted') this.#markFailed(pending.key, pending.session);
+    return answer;
+  }
+
+  /** Takes note of how the run of a granted claim ended. */
+  recordOutcome(text: string, outcome: 'ran' | 'not-run' | 'unknown'): void {
+    const parsed = IdempotencyKey.safeParse(text);
+    const session = this.#view?.own?.session;
+    if (!parsed.success || session === undefined) return;
+    const claim = this.#table.find(parsed.data);
+    if (claim?.owner !== session || claim.state !== 'held') return;
+    if (outcome === 'ran') this.#table.put(parsed.data, { owner: session, state: 'ran' });
+    if (outcome === 'not-run') this.#markFailed(parsed.data, session);
+  }
+
+  /** Answers, as a member, whether the claim of another session is recorded. */
+  recordClaim(
+    request: { owner: string; member: string; view: number },
+    text: string,
+    now: number,
+  ): MemberAnswer {
+    const view = this.#view;
+    const own = view?.own?.session;
+    if (view === undefined || own === undefined || own !== request.member) {
+      return { verdict: 'refused', reason: `session "${request.member}" is not open here` };
+    }
+    if (view.number !== request.view) {
+      const reason = `the view is ${view.number}, the claim was made in view ${request.view}`;
+      return { verdict: 'refused', reason };
+    }
+    const key = IdempotencyKey.parse(text);
+    if (this.#table.hasDropped(key) || key.createdAt < now - KEY_MAX_AGE_MS - CLOCK_SKEW_MS) {
+      return { verdict: 'refused', reason: 'the key is older than 24 h' };
+    }
+    return this.#recordFor(request.owner, key, own);
+  }
+
+  /** Reads a part of the table for a new session that this one has in its view. */
+  readHandOver(
+    session: string,
+    cursor: ClaimCursor,
+    maxEntries = CHUNK_ENTRIES,
+  ): HandOverPart | undefined {
+    const { coveredFrom } = this;
+    const own = this.#view?.own?.session;
+    const isMember = this.#view?.members.some((one) => one.session === session);
+    if (coveredFrom === undefined || own === undefined || !isMember) return undefined;
+    const chunk = this.#table.readChunk(cursor, maxEntries);
+    return { session: own, coveredFrom, chunk };
+  }
+
+  /** Takes note that every part of another session's table has been merged. */
+  finishHandOver(session: string, coveredFrom: number): void {
+    this.#handedOver = { session, coveredFrom };
+  }
+
+  #recordFor(owner: string, key: IdempotencyKey, own: string): MemberAnswer {
+    const known = this.#table.find(key);
+    // The owner itself knows whether it ever granted its claim; this session knows it of its own.
+    const isFree =
+      known === undefined ||
+      known.owner === owner ||
+      (known.owner === own && known.state === 'failed');
+    if (!isFree) {
+      return { verdict: 'claimed', outcome: known.state === 'ran' ? 'ran' : 'unknown' };
+    }
+    if (!this.#table.put(key, { owner, state: 'held' })) {
+      return { verdict: 'refused', reason: 'the claim table is full' };
+    }
+    return { verdict: 'recorded', isCovered: this.#isCovered(key) };
+  }
+
+  #isCovered(key: IdempotencyKey): boolean {
+    const { coveredFrom } = this;
+    return coveredFrom !== undefined && key.createdAt > coveredFrom;
+  }
+
+  #openOwnClaim(view: SessionView, key: IdempotencyKey, now: number): ClaimAnswer | PendingClaim {
+    const session = view.own?.session ?? '';
+    const known = this.#table.find(key);
+    if (known !== undefined && !(known.owner === session && known.state === 'failed')) {
+      return refuseDuplicate(known.state === 'ran' ? 'ran' : 'unknown');
+    }
+    const reason = this.#findObstacle(view, now);
+    if (reason !== undefined) return refuseClaim(reason);
+    if (!this.#table.put(key, { owner: session, state: 'held' })) {
+      return refuseClaim('the claim table is full');
+    }
+    const members = view.members.filter((one) => one.session !== session);
+    return { verdict: 'pending', key, session, view: view.number, members };
+  }
+
+  /** Why this session may make no claims at the moment. */
+  #findObstacle(view: SessionView, now: number): string | undefined {
+    if (this.#isHeld) return 'the gateway refreshes its state';
+    // The skew is subtracted because the last contact is a time of the platform's clock.
+    if (now - view.time >= SESSION_LEASE_MS - CLOCK_SKEW_MS) {
+      return 'the gateway has had no contact with the log for the lease of its session';
+    }
+    return undefined;
+  }
+
+  #authorizeClaim(
+    pending: PendingClaim,
+    answers: (MemberAnswer | undefined)[],
+    now: number,
+  ): ClaimAnswer {
+    const claimed = answers.find((one) => one?.verdict === 'claimed');
+    if (claimed?.verdict === 'claimed') return refuseDuplicate(claimed.outcome);
+    const view = this.#view;
+    if (view?.own?.session !== pending.session || view.number !== pending.view) {
+      return refuseClaim('the gateways of the data centre changed');
+    }
+    const obstacle = this.#findObstacle(view, now);
+    if (obstacle !== undefined) return refuseClaim(obstacle);
+    const recorded = answers.filter((one) => one?.verdict === 'recorded');
+    if (recorded.length < pending.members.length) {
+      const refusal = answers.find((one) => one?.verdict === 'refused');
+      const reason = refusal?.verdict === 'refused' ? refusal.reason : 'a gateway did not answer';
+      return refuseClaim(reason);
+    }
+    const isCovered =
+      this.#isCovered(pending.key) ||
+      recorded.some((one) => one?.verdict === 'recorded' && one.isCovered);
+    if (isCovered) return { verdict: 'granted' };
+    return refuseKey(409, 'unknown', 'the key is older than the claims that the gateways know');
+  }
+
+  #markFailed(key: IdempotencyKey, session: string): void {
+    const claim = this.#table.find(key);
+    if (claim?.owner === session && claim.state === 'held') {
+      this.#table.put(key, { owner: session, state: 'failed' });
+    }
+  }
+}
--- /dev/null
+++ b/src/claim/KeeperClaimPolicy.ts
@@ -0,0 +1,29 @@
+import type { Job } from '../job/mod.js';
+import type { ClaimAnswer } from './ClaimAnswer.js';
+import type { ClaimKeeper } from './ClaimKeeper.js';
+import { ClaimPolicy } from './ClaimPolicy.js';
+import { refuseClaim } from './refuseClaim.js';
+
+/** Asks the claim keeper of the gateway. */
+export class KeeperClaimPolicy extends ClaimPolicy {
+  readonly #keeper: ClaimKeeper;
+
+  constructor(keeper: ClaimKeeper) {
+    super();
+    this.#keeper = keeper;
+  }
+
+  override async authorize(job: Job): Promise<ClaimAnswer> {
+    if (job.idempotent || job.key === undefined) return { verdict: 'granted' };
+    try {
+      return await this.#keeper.ask<ClaimAnswer>((reply) => ({ type: 'authorize', job, reply }));
+    } catch {
+      return refuseClaim('the claim took too long');
+    }
+  }
+
+  override recordOutcome(job: Job, outcome: 'ran' | 'not-run' | 'unknown'): void {
+    if (job.idempotent || job.key === undefined) return;
+    this.#keeper.send({ type: 'finished', key: job.key, outcome });
+  }
+}
--- a/src/claim/UnclaimedPolicy.ts
+++ b/src/claim/UnclaimedPolicy.ts
@@ -6,4 +6,8 @@
   override async authorize(): Promise<ClaimAnswer> {
     return { verdict: 'granted' };
   }
+
+  override recordOutcome(): void {
+    // Nothing is remembered.
+  }
 }
--- /dev/null
+++ b/src/claim/chooseHome.ts
@@ -0,0 +1,14 @@
+import type { DataCentreSet } from '../fleet/mod.js';
+import { sortByWeight } from '../session/mod.js';
+import type { IdempotencyKey } from './IdempotencyKey.js';
+
+/**
+ * Chooses the home data centre of a key: by rendezvous hashing over the data centres in force when
+ * the key was created. Undefined while none is configured.
+ *
+ * @param sets Oldest first; the last one in force at the key's creation counts.
+ */
+export function chooseHome(key: IdempotencyKey, sets: DataCentreSet[]): string | undefined {
+  const set = sets.findLast((one) => one.inForceFrom <= key.createdAt);
+  return set && sortByWeight(key.text, set.names)[0];
+}
--- a/src/claim/mod.ts
+++ b/src/claim/mod.ts
@@ -3,6 +3,15 @@
  *
  * @module
  */
+export * from './chooseHome.js';
 export * from './ClaimAnswer.js';
+export * from './ClaimChunk.js';
+export * from './ClaimKeeper.js';
+export * from './ClaimLedger.js';
 export * from './ClaimPolicy.js';
+export * from './ClaimRequest.js';
+export * from './ClaimTable.js';
+export * from './IdempotencyKey.js';
+export * from './KeeperClaimPolicy.js';
+export * from './refuseClaim.js';
 export * from './UnclaimedPolicy.js';
--- /dev/null
+++ b/src/claim/refuseClaim.ts
@@ -0,0 +1,9 @@
+import type { ClaimAnswer } from './ClaimAnswer.js';
+
+const RETRY_AFTER_SECONDS = 2;
+
+/** Refuses a job for a reason that passes: nothing was sent for this arrival. */
+export function refuseClaim(reason: string): ClaimAnswer {
+  const retryAfterSeconds = RETRY_AFTER_SECONDS;
+  return { verdict: 'refused', outcome: 'not-run', status: 503, reason, retryAfterSeconds };
+}
--- a/src/job/Job.ts
+++ b/src/job/Job.ts
@@ -18,6 +18,8 @@
   idempotent: z.boolean(),
   /** The caller's idempotency key, if any. */
   key: z.string().optional(),
+  /** Whether another gateway forwarded it; it is then not forwarded again. */
+  forwarded: z.boolean().optional(),
   arrivedAt: z.number(),
   deadline: z.number(),
 });
--- a/src/session/computeWeight.ts
+++ b/src/session/computeWeight.ts
@@ -1,3 +1,4 @@
+/* eslint-disable no-bitwise -- hashing works on bits. */
 const FNV_OFFSET = 0x811c9dc5;
 const FNV_PRIME = 0x01000193;
 
