Open sessions, replicate claims and forward jobs between gateways

Cause: gateways had neither sessions nor a way to talk to each other. Change: SessionKeeper keeps the session in the log, heartbeats its peers and holds sends after a pause; ClaimKeeper replicates claims before a grant and fetches the table of a member; PeerPort serves both and takes forwarded jobs; dispatchers ask the claim policy before they send, and report work in flight.

--- a/src/gateway/GatewayListener.ts
+++ b/src/gateway/GatewayListener.ts
@@ -5,10 +5,11 @@
 import { Urgency, type Job } from '../job/mod.js';
 import { closeServer, openServer } from '../net/mod.js';
 import { findService, type Service } from '../service/mod.js';
-import type { GatewayView } from './GatewayView.js';
+import type { GatewayView, ServiceView } from './GatewayView.js';
 import { JobExchange } from './JobExchange.js';
 import { sendProblem } from './sendProblem.js';
-import { ServiceDispatcher } from './ServiceDispatcher.js';
+import type { ForwardedRequest } from './PeerPort.js';
+import { ServiceDispatcher, type DispatcherTools } from './ServiceDispatcher.js';
 
 const MAX_BODY_BYTES = 8 * 1024 * 1024;
 const DEFAULT_TIMEOUT_MS = 30_000;
@@ -17,6 +18,8 @@
 /** Messages of the listener. */
 export type GatewayListenerMessage =
   | { type: 'view'; view: GatewayView }
+  | { type: 'hold'; isHeld: boolean }
+  | ({ type: 'forwarded' } & ForwardedRequest)
   | { type: 'request'; request: IncomingMessage; response: ServerResponse; body: Buffer };
 
 function readHeader(request: IncomingMessage, name: string): string | undefined {
@@ -30,13 +33,18 @@
 
   readonly #clock: Clock;
 
+  readonly #tools: DispatcherTools;
+
   #view: GatewayView | undefined;
 
+  #isHeld = false;
+
   readonly #dispatchers = new Map<string, ServiceDispatcher>();
 
-  constructor(scope: ActorScope, clock: Clock) {
+  constructor(scope: ActorScope, clock: Clock, tools: DispatcherTools) {
     super(scope, 'gateway-listener');
     this.#clock = clock;
+    this.#tools = tools;
     this.#server = createServer((request, response) => {
       this.#read(request, response).catch(() => response.destroy());
     });
@@ -48,8 +56,20 @@
   }
 
   protected override receive(message: GatewayListenerMessage): void {
-    if (message.type === 'view') this.#updateDispatchers(message.view);
-    else this.#submit(message.request, message.response, message.body);
+    switch (message.type) {
+      case 'view':
+        this.#updateDispatchers(message.view);
+        break;
+      case 'hold':
+        this.#isHeld = message.isHeld;
+        this.#dispatchers.forEach((dispatcher) => dispatcher.send(message));
+        break;
+      case 'forwarded':
+        this.#submitForwarded(message);
+        break;
+      default:
+        this.#submit(message.request, message.response, message.body);
+    }
   }
 
   override async close(): Promise<void> {
@@ -64,10 +84,27 @@
       const { name } = serviceView.service;
       const dispatcher = this.#dispatchers.get(name);
       if (dispatcher) dispatcher.send({ type: 'view', view: serviceView });
-      else this.#dispatchers.set(name, new ServiceDispatcher(this.scope, serviceView));
+      else this.#openDispatcher(serviceView);
     });
   }
 
+  #openDispatcher(view: ServiceView): void {
+    const dispatcher = new ServiceDispatcher(this.scope, view, this.#tools);
+    this.#dispatchers.set(view.service.name, dispatcher);
+    dispatcher.send({ type: 'hold', isHeld: this.#isHeld });
+  }
+
+  #submitForwarded({ job, request, body, response }: ForwardedRequest): void {
+    const exchange = new JobExchange(job, request, body, response);
+    const dispatcher = this.#dispatchers.get(job.service);
+    if (dispatcher) {
+      dispatcher.send({ type: 'submit', exchange });
+      return;
+    }
+    const title = `No service "${job.service}"`;
+    exchange.sendProblem({ type: 'about:blank', title, status: 503, outcome: 'not-run' });
+  }
+
   async #read(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const chunks: Buffer[] = [];
     let size = 0;
--- a/src/gateway/GatewayView.ts
+++ b/src/gateway/GatewayView.ts
@@ -1,6 +1,7 @@
-import type { Fleet } from '../fleet/mod.js';
-import { FleetProjector } from '../fleet/mod.js';
+import type { Clock } from '../clock/mod.js';
+import { CLOCK_SKEW_MS, FleetProjector, type Fleet } from '../fleet/mod.js';
 import type { Service } from '../service/mod.js';
+import { collectShareViews, computeSlotShare } from '../session/mod.js';
 
 /** An upstream host as a gateway sees it. */
 export interface UpstreamHost {
@@ -14,6 +15,7 @@
 
 /** A service with the hosts of this data centre that may get new work for it. */
 export interface ServiceView {
+  nextOffset: number;
   service: Service;
   hosts: UpstreamHost[];
 }
@@ -25,10 +27,23 @@
   services: ServiceView[];
 }
 
-/** Reads from the fleet what a gateway of a data centre needs. */
-export function createGatewayView(fleet: Fleet, dataCentre: string): GatewayView {
+/** Options of a view. */
+export interface GatewayViewOptions {
+  dataCentre: string;
+  session: string;
+  /** Lower bound of the platform time in milliseconds. */
+  now: number;
+}
+
+/** Reads from the fleet what a gateway session of a data centre needs. */
+export function createGatewayView(fleet: Fleet, options: GatewayViewOptions): GatewayView {
+  const { dataCentre, session, now } = options;
+  const shareViews = collectShareViews(fleet, dataCentre, now);
+  const computeShare = (host: string, total: number): number =>
+    computeSlotShare(shareViews, { host, session, total });
   const hosts = fleet.data.listObjects('host').filter((host) => host.dataCentre === dataCentre);
   const services = fleet.data.listObjects('service').map((service) => ({
+    nextOffset: fleet.nextOffset,
     service,
     hosts: hosts
       .filter((host) => {
@@ -38,8 +53,8 @@
       .map(({ name, address }) => ({
         host: name,
         address,
-        slots: service.slotsPerHost,
-        connections: service.connectionsPerHost,
+        slots: computeShare(name, service.slotsPerHost),
+        connections: computeShare(name, service.connectionsPerHost),
       })),
   }));
   return { nextOffset: fleet.nextOffset, revision: fleet.revision, services };
@@ -47,17 +62,29 @@
 
 /** Sends the view of a data centre to a listener after each change. */
 export class GatewayViewProjector extends FleetProjector {
-  readonly #dataCentre: string;
+  readonly #options: { dataCentre: string; clock: Clock };
 
   readonly #listener: (view: GatewayView) => void;
 
-  constructor(dataCentre: string, listener: (view: GatewayView) => void) {
+  #session = '';
+
+  constructor(
+    options: { dataCentre: string; clock: Clock },
+    listener: (view: GatewayView) => void,
+  ) {
     super();
-    this.#dataCentre = dataCentre;
+    this.#options = options;
     this.#listener = listener;
   }
 
+  /** Sets the session whose shares are sent from now on. */
+  setSession(session: string): void {
+    this.#session = session;
+  }
+
   override project(fleet: Fleet): void {
-    this.#listener(createGatewayView(fleet, this.#dataCentre));
+    const { dataCentre, clock } = this.#options;
+    const now = clock.readWall() - CLOCK_SKEW_MS;
+    this.#listener(createGatewayView(fleet, { dataCentre, session: this.#session, now }));
   }
 }
--- a/src/gateway/JobExchange.ts
+++ b/src/gateway/JobExchange.ts
@@ -11,6 +11,8 @@
 export interface AnswerHead {
   status: number;
   headers: HeaderMap;
+  /** As another gateway reported it; an upstream host's own answer means that the job ran. */
+  outcome?: Outcome;
 }
 
 /** One job with the caller's connection: its body has been read, its answer is still to come. */
@@ -52,7 +54,7 @@
    */
   async sendAnswer(head: AnswerHead, body: Readable): Promise<void> {
     const headers = stripHeaders(head.headers);
-    headers[OUTCOME_HEADER] = 'ran' satisfies Outcome;
+    headers[OUTCOME_HEADER] = head.outcome ?? ('ran' satisfies Outcome);
     headers[REQUEST_ID_HEADER] = this.job.id;
     this.#response.writeHead(head.status, headers);
     await pipeline(body, this.#response);
--- /dev/null
+++ b/src/gateway/KeeperPeerApi.ts
@@ -0,0 +1,42 @@
+import type {
+  ClaimCursor,
+  ClaimKeeper,
+  ClaimRequest,
+  HandOverPart,
+  MemberAnswer,
+} from '../claim/mod.js';
+import { PeerApi } from '../link/mod.js';
+import type { Heartbeat, SessionKeeper } from '../session/mod.js';
+
+/** Passes the calls of peers to the keepers of this gateway. */
+export class KeeperPeerApi extends PeerApi {
+  readonly #claims: ClaimKeeper;
+
+  readonly #findSession: () => SessionKeeper | undefined;
+
+  /** @param findSession Finds the session keeper, which starts after the peer port. */
+  constructor(claims: ClaimKeeper, findSession: () => SessionKeeper | undefined) {
+    super();
+    this.#claims = claims;
+    this.#findSession = findSession;
+  }
+
+  override async answerHeartbeat(): Promise<Heartbeat> {
+    const session = this.#findSession();
+    if (session === undefined) throw new Error('the gateway has no session yet');
+    return session.ask<Heartbeat>((reply) => ({ type: 'ask-heartbeat', reply }));
+  }
+
+  override recordClaims(request: ClaimRequest): Promise<MemberAnswer[]> {
+    return this.#claims.ask<MemberAnswer[]>((reply) => ({ type: 'record', request, reply }));
+  }
+
+  override readHandOver(session: string, cursor: ClaimCursor): Promise<HandOverPart | undefined> {
+    return this.#claims.ask<HandOverPart | undefined>((reply) => ({
+      type: 'read-hand-over',
+      session,
+      cursor,
+      reply,
+    }));
+  }
+}
--- a/src/gateway/mod.ts
+++ b/src/gateway/mod.ts
@@ -6,3 +6,5 @@
 export * from './Gateway.js';
 export * from './GatewayView.js';
 export * from './JobExchange.js';
+export * from './KeeperPeerApi.js';
+export * from './PeerPort.js';
--- /dev/null
+++ b/src/link/PeerLink.ts
@@ -0,0 +1,114 @@
+import { createTRPCClient, httpLink, type TRPCClient } from '@trpc/client';
+import { Actor, type ActorScope } from '../actor/mod.js';
+import type { ClaimCursor, HandOverPart, MemberAnswer } from '../claim/mod.js';
+import type { Heartbeat, Peer } from '../session/mod.js';
+import type { PeerRouter } from './PeerRouter.js';
+
+/** Claims of one batch; bounded by the schema of the request. */
+const MAX_BATCH = 256;
+/** Batches on their way at the same time; more claims wait and share the next batch. */
+const MAX_OUTSTANDING = 4;
+const CLAIM_TIMEOUT_MS = 800;
+const HEARTBEAT_TIMEOUT_MS = 1_000;
+const HAND_OVER_TIMEOUT_MS = 5_000;
+
+/** A claim to be recorded by the peer; `reply` gets undefined if the peer did not answer. */
+export interface ClaimMessage {
+  type: 'claim';
+  owner: string;
+  view: number;
+  key: string;
+  reply: (answer: MemberAnswer | undefined) => void;
+}
+
+/** Messages of a link. */
+export type PeerLinkMessage =
+  | ClaimMessage
+  | { type: 'flush' }
+  | { type: 'sent' }
+  | { type: 'heartbeat'; reply: (answer: Heartbeat | undefined) => void }
+  | {
+      type: 'hand-over';
+      session: string;
+      cursor: ClaimCursor;
+      reply: (part: HandOverPart | undefined) => void;
+    };
+
+/** Owns the calls to one session of another gateway. Claims made at about the same time share one. */
+export class PeerLink extends Actor<PeerLinkMessage> {
+  readonly #peer: Peer;
+
+  readonly #client: TRPCClient<PeerRouter>;
+
+  #queue: ClaimMessage[] = [];
+
+  #outstanding = 0;
+
+  constructor(scope: ActorScope, peer: Peer) {
+    super(scope, `peer-link ${peer.session}`);
+    this.#peer = peer;
+    this.#client = createTRPCClient<PeerRouter>({
+      links: [httpLink({ url: `http://${peer.peerAddress}` })],
+    });
+  }
+
+  protected override receive(message: PeerLinkMessage): void {
+    switch (message.type) {
+      case 'claim':
+        this.#queue.push(message);
+        // Claims that are in the mailbox already join the batch.
+        if (this.#queue.length === 1) this.send({ type: 'flush' });
+        break;
+      case 'sent':
+        this.#outstanding -= 1;
+        this.#flush();
+        break;
+      case 'flush':
+        this.#flush();
+        break;
+      case 'heartbeat':
+        this.#client.heartbeat
+          .query(undefined, { signal: AbortSignal.timeout(HEARTBEAT_TIMEOUT_MS) })
+          .then(message.reply, () => message.reply(undefined));
+        break;
+      default:
+        this.#client.handOver
+          .query(
+            { session: message.session, cursor: message.cursor },
+            { signal: AbortSignal.timeout(HAND_OVER_TIMEOUT_MS) },
+          )
+          .then(
+            (part) => message.reply(part ?? undefined),
+            () => message.reply(undefined),
+          );
+    }
+  }
+
+  override close(): void {
+    this.#queue.forEach((claim) => claim.reply(undefined));
+    this.#queue = [];
+    super.close();
+  }
+
+  #flush(): void {
+    while (this.#queue.length > 0 && this.#outstanding < MAX_OUTSTANDING) {
+      const [{ owner, view }] = this.#queue as [ClaimMessage];
+      const isOther = (one: ClaimMessage): boolean => one.owner !== owner || one.view !== view;
+      const end = this.#queue.findIndex(isOther);
+      const size = Math.min(MAX_BATCH, end < 0 ? this.#queue.length : end);
+      this.#sendBatch(this.#queue.splice(0, size), { owner, view });
+    }
+  }
+
+  #sendBatch(batch: ClaimMessage[], from: { owner: string; view: number }): void {
+    this.#outstanding += 1;
+    const request = { ...from, member: this.#peer.session, keys: batch.map((one) => one.key) };
+    this.#client.claim
+      .mutate(request, { signal: AbortSignal.timeout(CLAIM_TIMEOUT_MS) })
+      .then(
+        (answers) => batch.forEach((one, index) => one.reply(answers[index])),
+        () => batch.forEach((one) => one.reply(undefined)),
+      )
+      .finally(() => this.send({ type: 'sent' }));
+  }
+}
--- a/src/mod.ts
+++ b/src/mod.ts
@@ -19,6 +19,7 @@
 export * from './pool/mod.js';
 export * from './record/mod.js';
 export * from './service/mod.js';
+export * from './session/mod.js';
 export * from './settings/mod.js';
 export * from './team/mod.js';
 export * from './timeline/mod.js';
--- /dev/null
+++ b/src/session/SessionKeeper.ts
@@ -0,0 +1,208 @@
+import { randomUUID } from 'node:crypto';
+import { Actor, type ActorScope } from '../actor/mod.js';
+import type { Clock } from '../clock/mod.js';
+import type { FleetKeeper, VerdictAnswer } from '../fleet/mod.js';
+import type { PeerLink } from '../link/PeerLink.js';
+import type { RecordBody } from '../record/mod.js';
+import type { DispatcherLoad } from './DispatcherLoad.js';
+import type { Heartbeat } from './Heartbeat.js';
+import type { RecordAppender } from './RecordAppender.js';
+import { SessionLifecycle, type SessionAction } from './SessionLifecycle.js';
+import type { Peer, SessionView } from './SessionView.js';
+
+const TICK_INTERVAL_MS = 100;
+/** A planned stop waits this long for its record; peers end the session if it is lost. */
+const STOP_TIMEOUT_MS = 3_000;
+
+/** Messages of the keeper. */
+export type SessionKeeperMessage =
+  | { type: 'tick' }
+  /** A state of the fleet that the claim keeper has in force already. */
+  | { type: 'view'; view: SessionView }
+  /** A report of a dispatcher about its work in flight. */
+  | { type: 'load'; load: DispatcherLoad }
+  | { type: 'appended'; body: RecordBody; answer: VerdictAnswer | undefined }
+  | { type: 'heartbeat'; peer: Peer; answer: Heartbeat | undefined }
+  | { type: 'refreshed'; nextOffset: number | undefined }
+  | { type: 'ask-heartbeat'; reply: (answer: Heartbeat) => void }
+  | { type: 'stop'; reply: (isEnded: boolean) => void };
+
+/** Options of the keeper. */
+export interface SessionKeeperOptions {
+  dataCentre: string;
+  address: string;
+  peerAddress: string;
+  clock: Clock;
+  fleet: FleetKeeper;
+  appender: RecordAppender;
+  /** Opens a link to a peer. */
+  openLink: (peer: Peer) => PeerLink;
+  /** Called when the gateway gets a new session id, before its record is written. */
+  onSession: (session: string) => void;
+  /** Called when all sends are to be held, or may go on. */
+  onHold: (isHeld: boolean) => void;
+}
+
+/** Owns the session of a gateway: its records, its heartbeats and the hold on sends. */
+export class SessionKeeper extends Actor<SessionKeeperMessage> {
+  readonly #options: SessionKeeperOptions;
+
+  readonly #lifecycle: SessionLifecycle;
+
+  readonly #links = new Map<string, PeerLink>();
+
+  readonly #timer: NodeJS.Timeout;
+
+  #view: SessionView | undefined;
+
+  #isRefreshing = false;
+
+  #stopReply: ((isEnded: boolean) => void) | undefined;
+
+  constructor(scope: ActorScope, options: SessionKeeperOptions) {
+    super(scope, 'session-keeper');
+    this.#options = options;
+    const { dataCentre, address, peerAddress, clock } = options;
+    const now = clock.readMonotonic();
+    this.#lifecycle = new SessionLifecycle({
+      dataCentre,
+      address,
+      peerAddress,
+      now,
+      createId: randomUUID,
+    });
+    options.onSession(this.#lifecycle.session);
+    this.#timer = setInterval(() => this.send({ type: 'tick' }), TICK_INTERVAL_MS);
+  }
+
+  /** Ends the session for a planned stop; false if its record could not be written in time. */
+  stop(): Promise<boolean> {
+    return this.ask<boolean>((reply) => ({ type: 'stop', reply }), STOP_TIMEOUT_MS).catch(
+      () => false,
+    );
+  }
+
+  protected override receive(message: SessionKeeperMessage): void {
+    const now = this.#options.clock.readMonotonic();
+    switch (message.type) {
+      case 'view':
+        this.#view = message.view;
+        if (this.#lifecycle.updateView(message.view, now)) this.#publishSession();
+        this.#closeStaleLinks();
+        break;
+      case 'load':
+        this.#lifecycle.updateLoad(message.load);
+        break;
+      case 'appended':
+        if (this.#lifecycle.finishAppend(message.body, message.answer, now)) {
+          this.#publishSession();
+        }
+        break;
+      case 'heartbeat':
+        if (message.answer?.session === message.peer.session) {
+          this.#lifecycle.markAnswered(message.peer.session, now);
+        }
+        break;
+      case 'refreshed':
+        this.#isRefreshing = false;
+        if (message.nextOffset !== undefined) this.#lifecycle.markRefreshed(message.nextOffset);
+        break;
+      case 'ask-heartbeat': {
+        const { session } = this.#lifecycle;
+        message.reply({ session, nextOffset: this.#view?.nextOffset ?? 0 });
+        return;
+      }
+      case 'stop':
+        this.#stopReply = message.reply;
+        this.#lifecycle.stop();
+        break;
+      default:
+    }
+    this.#runActions(now);
+  }
+
+  override close(): void {
+    clearInterval(this.#timer);
+    this.#links.forEach((link) => link.close());
+    super.close();
+  }
+
+  #runActions(now: number): void {
+    const reading = { monotonic: now, wall: this.#options.clock.readWall() };
+    this.#lifecycle.plan(reading).forEach((action) => this.#runAction(action));
+    if (this.#stopReply === undefined || !this.#lifecycle.isEnded) return;
+    this.#stopReply(true);
+    this.#stopReply = undefined;
+  }
+
+  #runAction(action: SessionAction): void {
+    switch (action.type) {
+      case 'append':
+        this.#append(action.body);
+        break;
+      case 'heartbeat':
+        action.peers.forEach((peer) => this.#sendHeartbeat(peer));
+        break;
+      case 'hold':
+        this.#options.onHold(action.isHeld);
+        break;
+      default:
+        this.#fetchState();
+    }
+  }
+
+  #publishSession(): void {
+    this.#options.onHold(true);
+    this.#options.onSession(this.#lifecycle.session);
+  }
+
+  #append(body: RecordBody): void {
+    this.#options.appender.append(body).then(
+      (answer) => this.send({ type: 'appended', body, answer }),
+      // Whether the record is in the log shows in the state; the decision is taken again from there.
+      () => this.send({ type: 'appended', body, answer: undefined }),
+    );
+  }
+
+  #sendHeartbeat(peer: Peer): void {
+    let link = this.#links.get(peer.session);
+    if (link === undefined) {
+      link = this.#options.openLink(peer);
+      this.#links.set(peer.session, link);
+    }
+    const reply = (answer: Heartbeat | undefined): void =>
+      this.send({ type: 'heartbeat', peer, answer });
+    link.send({ type: 'heartbeat', reply });
+  }
+
+  #closeStaleLinks(): void {
+    const members = new Set(this.#view?.members.map((peer) => peer.session));
+    this.#links.forEach((link, session) => {
+      if (members.has(session)) return;
+      this.#links.delete(session);
+      link.close();
+    });
+  }
+
+  /** Learns from a controller, or else from a peer, how far the log has got. */
+  #fetchState(): void {
+    if (this.#isRefreshing) return;
+    this.#isRefreshing = true;
+    const { appender, fleet } = this.#options;
+    appender.readNow(this.#view?.nextOffset ?? 0).then(
+      (batch) => {
+        fleet.send({ type: 'records', batch });
+        this.send({ type: 'refreshed', nextOffset: batch.nextOffset });
+      },
+      () => this.#askPeer(),
+    );
+  }
+
+  #askPeer(): void {
+    const [link] = [...this.#links.values()];
+    const reply = (answer: Heartbeat | undefined): void =>
+      this.send({ type: 'refreshed', nextOffset: answer?.nextOffset });
+    if (link) link.send({ type: 'heartbeat', reply });
+    else reply(undefined);
+  }
+}
--- /dev/null
+++ b/src/session/SessionLifecycle.ts
@@ -0,0 +1,260 @@
+import type { VerdictAnswer } from '../fleet/mod.js';
+import type { RecordBody } from '../record/mod.js';
+import type { DispatcherLoad } from './DispatcherLoad.js';
+import { PauseDetector } from './PauseDetector.js';
+import type { Peer, SessionView } from './SessionView.js';
+
+export const HEARTBEAT_INTERVAL_MS = 700;
+/** A peer without an answer for this long is ended. */
+export const PEER_TIMEOUT_MS = 2_000;
+/** Survivors propose one after another, so that mostly one record is written. */
+const RANK_DELAY_MS = 250;
+/** Without records for this long a session confirms again, so that it sees the platform's time. */
+const RENEWAL_MS = 120_000;
+const RETRY_MS = 500;
+
+/** What the actor is to do. */
+export type SessionAction =
+  | { type: 'append'; body: RecordBody }
+  | { type: 'heartbeat'; peers: Peer[] }
+  | { type: 'refresh' }
+  | { type: 'hold'; isHeld: boolean };
+
+/** Options of a life cycle. */
+export interface SessionLifecycleOptions {
+  dataCentre: string;
+  address: string;
+  peerAddress: string;
+  /** Creates the id of a new session. */
+  createId: () => string;
+  /** Monotonic time in milliseconds. */
+  now: number;
+}
+
+/** The time as a tick reads it, in milliseconds. */
+export interface Reading {
+  monotonic: number;
+  wall: number;
+}
+
+/** Decides, without I/O, which records a gateway session needs and whether the gateway may send. */
+export class SessionLifecycle {
+  readonly #options: SessionLifecycleOptions;
+
+  readonly #pause: PauseDetector;
+
+  readonly #loads = new Map<string, DispatcherLoad>();
+
+  readonly #answeredAt = new Map<string, number>();
+
+  /** First offset at which this gateway saw a host drain. */
+  readonly #drainSeenAt = new Map<string, number>();
+
+  #session: string;
+
+  #wasOpen = false;
+
+  #view: SessionView | undefined;
+
+  #isAppending = false;
+
+  #appendAfter = 0;
+
+  /** The state must contain the last record before the next is decided on. */
+  #appendedOffset = -1;
+
+  #heartbeatAt = -Infinity;
+
+  #isStopping = false;
+
+  #isHeld = true;
+
+  /** Offset that the state must have reached after a pause; infinite until a source told it. */
+  #refreshTo = 0;
+
+  constructor(options: SessionLifecycleOptions) {
+    this.#options = options;
+    this.#session = options.createId();
+    this.#pause = new PauseDetector(options.now);
+  }
+
+  /** Id of the session, also before its record is in the log. */
+  get session(): string {
+    return this.#session;
+  }
+
+  get isHeld(): boolean {
+    return this.#isHeld;
+  }
+
+  /** Whether a planned stop has ended the session. */
+  get isEnded(): boolean {
+    return this.#isStopping && this.#view?.own === undefined;
+  }
+
+  /** Takes over a newer state of the fleet; true if this session was found ended and replaced. */
+  updateView(view: SessionView, now: number): boolean {
+    if (view.nextOffset < (this.#view?.nextOffset ?? 0)) return false;
+    this.#view = view;
+    const members = new Set(view.members.map((peer) => peer.session));
+    members.forEach((member) => {
+      if (!this.#answeredAt.has(member)) this.#answeredAt.set(member, now);
+    });
+    [...this.#answeredAt.keys()]
+      .filter((member) => !members.has(member))
+      .forEach((member) => this.#answeredAt.delete(member));
+    this.#updateDrains(view);
+    if (view.own !== undefined) this.#wasOpen = true;
+    const isLost = view.own === undefined && this.#wasOpen && !this.#isStopping;
+    if (isLost) this.#replaceSession();
+    return isLost;
+  }
+
+  /** Takes note of a dispatcher's report. */
+  updateLoad(load: DispatcherLoad): void {
+    this.#loads.set(load.service, load);
+  }
+
+  /** Takes note that a peer answered. */
+  markAnswered(session: string, now: number): void {
+    if (this.#answeredAt.has(session)) this.#answeredAt.set(session, now);
+  }
+
+  /**
+   * Takes note of the answer to an append, or that it was lost; true if the session was replaced.
+   * After a lost answer the next record waits, since the state may show that the lost one arrived.
+   */
+  finishAppend(body: RecordBody, answer: VerdictAnswer | undefined, now: number): boolean {
+    this.#isAppending = false;
+    if (answer === undefined) return false;
+    this.#appendAfter = now;
+    this.#appendedOffset = answer.offset;
+    const isOwnOpen = body.type === 'session-open' && body.session === this.#session;
+    if (answer.verdict.outcome !== 'rejected' || !isOwnOpen) return false;
+    if (this.#view?.own !== undefined) return false;
+    this.#replaceSession();
+    return true;
+  }
+
+  /** Takes note of an offset that a controller or a peer had reached after the pause. */
+  markRefreshed(nextOffset: number): void {
+    if (this.#refreshTo === Infinity) this.#refreshTo = nextOffset;
+  }
+
+  /** Begins the planned stop. */
+  stop(): void {
+    this.#isStopping = true;
+  }
+
+  /** Decides what is due. */
+  plan({ monotonic, wall }: Reading): SessionAction[] {
+    const actions: SessionAction[] = [];
+    if (this.#pause.readTick(monotonic)) {
+      this.#refreshTo = Infinity;
+      // The peers could not answer a frozen process.
+      this.#answeredAt.forEach((_at, peer) => this.#answeredAt.set(peer, monotonic));
+    }
+    if (this.#refreshTo === Infinity) actions.push({ type: 'refresh' });
+    const isHeld = this.#checkHold();
+    if (isHeld !== this.#isHeld) actions.push({ type: 'hold', isHeld });
+    this.#isHeld = isHeld;
+    if (monotonic - this.#heartbeatAt >= HEARTBEAT_INTERVAL_MS) {
+      this.#heartbeatAt = monotonic;
+      const peers = this.#listPeers();
+      if (peers.length > 0) actions.push({ type: 'heartbeat', peers });
+    }
+    const body = this.#chooseRecord(monotonic, wall);
+    if (body !== undefined) actions.push({ type: 'append', body });
+    return actions;
+  }
+
+  #checkHold(): boolean {
+    const view = this.#view;
+    return view?.own === undefined || view.nextOffset < this.#refreshTo;
+  }
+
+  #replaceSession(): void {
+    this.#session = this.#options.createId();
+    this.#wasOpen = false;
+    this.#isHeld = true;
+  }
+
+  #updateDrains(view: SessionView): void {
+    const draining = new Set(view.draining);
+    draining.forEach((host) => {
+      if (!this.#drainSeenAt.has(host)) this.#drainSeenAt.set(host, view.nextOffset);
+    });
+    [...this.#drainSeenAt.keys()]
+      .filter((host) => !draining.has(host))
+      .forEach((host) => this.#drainSeenAt.delete(host));
+  }
+
+  #listPeers(): Peer[] {
+    return (this.#view?.members ?? []).filter((peer) => peer.session !== this.#session);
+  }
+
+  #chooseRecord(monotonic: number, wall: number): RecordBody | undefined {
+    if (this.#isAppending || monotonic < this.#appendAfter || this.#refreshTo === Infinity) {
+      return undefined;
+    }
+    if ((this.#view?.nextOffset ?? 0) <= this.#appendedOffset) return undefined;
+    const body = this.#findRecord(monotonic, wall);
+    if (body === undefined) return undefined;
+    this.#isAppending = true;
+    this.#appendAfter = monotonic + RETRY_MS;
+    return body;
+  }
+
+  #findRecord(monotonic: number, wall: number): RecordBody | undefined {
+    const view = this.#view;
+    const session = this.#session;
+    if (view?.own === undefined) return this.#isStopping ? undefined : this.#buildOpen();
+    if (this.#isStopping) return { type: 'session-end', session, by: session };
+    const dead = this.#findDeadPeer(monotonic);
+    if (dead !== undefined) return { type: 'session-end', session: dead, by: session };
+    const offset = this.#findOffsetInForce(view);
+    const isRenewal = wall - view.time > RENEWAL_MS;
+    if (offset !== undefined && offset >= view.number) {
+      if (view.own.confirmedOffset < view.number || isRenewal) {
+        return { type: 'session-confirm', session, offset };
+      }
+    }
+    if (isRenewal) {
+      return { type: 'session-confirm', session, offset: view.own.confirmedOffset };
+    }
+    const hosts = this.#listDrained(view);
+    return hosts.length === 0 ? undefined : { type: 'host-drained', session, hosts };
+  }
+
+  #buildOpen(): RecordBody {
+    const { dataCentre, address, peerAddress } = this.#options;
+    const session = this.#session;
+    return { type: 'session-open', session, role: 'gateway', dataCentre, address, peerAddress };
+  }
+
+  #findDeadPeer(now: number): string | undefined {
+    const ids = (this.#view?.members ?? []).map((peer) => peer.session);
+    const isDead = (id: string): boolean =>
+      id !== this.#session && now - (this.#answeredAt.get(id) ?? now) > PEER_TIMEOUT_MS;
+    const rank = ids.filter((id) => !isDead(id)).indexOf(this.#session);
+    const delay = PEER_TIMEOUT_MS + rank * RANK_DELAY_MS;
+    return ids.find((id) => isDead(id) && now - (this.#answeredAt.get(id) ?? now) > delay);
+  }
+
+  /** Latest offset that every dispatcher has in force; undefined while one is above its share. */
+  #findOffsetInForce(view: SessionView): number | undefined {
+    const loads = view.services.map((service) => this.#loads.get(service));
+    if (loads.some((load) => load === undefined || load.isAboveShare)) return undefined;
+    return Math.min(view.nextOffset, ...loads.map((load) => load?.nextOffset ?? 0)) - 1;
+  }
+
+  #listDrained(view: SessionView): string[] {
+    const loads = view.services.map((service) => this.#loads.get(service));
+    return view.draining.filter((host) => {
+      const seenAt = this.#drainSeenAt.get(host) ?? Infinity;
+      return loads.every(
+        (load) => load !== undefined && load.nextOffset >= seenAt && !load.leaving.includes(host),
+      );
+    });
+  }
+}
--- /dev/null
+++ b/src/session/SessionViewProjector.ts
@@ -0,0 +1,28 @@
+import { FleetProjector, type Fleet } from '../fleet/mod.js';
+import { createSessionView, type SessionView } from './SessionView.js';
+
+/** Sends the session view of a gateway to a listener after each change. */
+export class SessionViewProjector extends FleetProjector {
+  readonly #dataCentre: string;
+
+  readonly #listener: (view: SessionView) => void;
+
+  #session = '';
+
+  constructor(dataCentre: string, listener: (view: SessionView) => void) {
+    super();
+    this.#dataCentre = dataCentre;
+    this.#listener = listener;
+  }
+
+  /** Sets the session whose view is sent from now on. */
+  setSession(session: string): void {
+    this.#session = session;
+  }
+
+  override project(fleet: Fleet): void {
+    this.#listener(
+      createSessionView(fleet, { dataCentre: this.#dataCentre, session: this.#session }),
+    );
+  }
+}
