Test keyed jobs while a gateway process is killed

Cause: the death of an owner must not let its keys run again. Change: one of three gateways gets SIGKILL in the middle of a batch.

--- a/src/gateway/claims.test.ts
+++ b/src/gateway/claims.test.ts
@@ -103,4 +103,12 @@
   it('runs each key once, over every gateway', async () => {
     await waitForService(gateways);
   });
+
+  it('runs no key twice while a gateway is killed', async () => {
+    const [first, second, killed] = gateways as [Started, Started, Started];
+    const batch = sendBatch(gateways);
+    killed.child.kill('SIGKILL');
+    await checkBatch(await batch);
+    await waitForService([first, second]);
+  });
 });
