Merge session into gateway: sessions, claims and forwarding on the request path

A job with a key is located first: one that another gateway owns waits there and takes no place here. Its claim is made once it holds a slot; the outcome of its run reaches the claim keeper, and "not run" releases the claim so that the key can be used again.

Dispatchers hold sends from the start until the session is in the state, and a gateway is not ready while it holds.

--- a/src/claim/UnclaimedPolicy.ts
+++ b/src/claim/UnclaimedPolicy.ts
@@ -1,9 +1,17 @@
-import type { ClaimAnswer } from './ClaimAnswer.js';
+import type { ClaimAnswer, ClaimLocation } from './ClaimAnswer.js';
 import { ClaimPolicy } from './ClaimPolicy.js';
 
 /** Grants every job; for a single gateway in tests. */
 export class UnclaimedPolicy extends ClaimPolicy {
+  override async locate(): Promise<ClaimLocation> {
+    return { verdict: 'here' };
+  }
+
   override async authorize(): Promise<ClaimAnswer> {
     return { verdict: 'granted' };
   }
+
+  override recordOutcome(): void {
+    // Nothing is remembered.
+  }
 }
--- a/src/controller/ControllerRouter.ts
+++ b/src/controller/ControllerRouter.ts
@@ -1,6 +1,12 @@
 import { initTRPC } from '@trpc/server';
 import { z } from 'zod';
-import { ContractReport, HostReport, SessionState, WaveReport } from '../fleet/mod.js';
+import {
+  AskedRevision,
+  ContractReport,
+  HostReport,
+  SessionState,
+  WaveReport,
+} from '../fleet/mod.js';
 import { Operation, RecordBody } from '../record/mod.js';
 import type { ControllerApi } from './ControllerApi.js';
 
@@ -9,8 +15,6 @@
 /** More failing hosts than one data centre has are not one gateway's own experience. */
 const MAX_REPORTED = 2_000;
 
-const AskedRevision = z.object({ revision: z.number().int().nonnegative().optional() }).optional();
-
 /** The tRPC procedures that a controller serves to operators, gateways and other controllers. */
 export const controllerRouter = t.router({
   since: t.procedure
--- a/src/gateway/GatewayListener.ts
+++ b/src/gateway/GatewayListener.ts
@@ -10,6 +10,7 @@
 import { checkRequest, type JobHeaders } from './checkRequest.js';
 import type { GatewayParts } from './GatewayParts.js';
 import type { GatewayView } from './GatewayView.js';
+import { buildUnusableProblem } from './_problems.js';
 import { JobExchange } from './JobExchange.js';
 import { sendClientError } from './_sendClientError.js';
 import { sendProblem } from './sendProblem.js';
@@ -31,6 +32,8 @@
 /** Messages of the listener. */
 export type GatewayListenerMessage =
   | { type: 'view'; view: GatewayView }
+  /** While held, nothing is sent to upstream hosts. */
+  | { type: 'hold'; isHeld: boolean }
   /** A job that another gateway passed on. */
   | { type: 'submit'; exchange: Exchange };
 
@@ -62,6 +65,8 @@
 
   #inFlight = 0;
 
+  #isHeld = false;
+
   #isStopping = false;
 
   #onDrained: (() => void) | undefined;
@@ -89,8 +94,17 @@
   }
 
   protected override receive(message: GatewayListenerMessage): void {
-    if (message.type === 'view') this.#updateDispatchers(message.view);
-    else this.#dispatchers.get(message.exchange.job.service)?.send(message);
+    switch (message.type) {
+      case 'view':
+        this.#updateDispatchers(message.view);
+        break;
+      case 'hold':
+        this.#isHeld = message.isHeld;
+        this.#dispatchers.forEach((dispatcher) => dispatcher.send(message));
+        break;
+      default:
+        this.#submitForwarded(message.exchange);
+    }
   }
 
   /**
@@ -137,7 +151,9 @@
       if (names.has(service.name)) return;
       // A service that was removed finishes its jobs, without hosts for new ones.
       const removed = { service, hosts: [], obstacle: 'the service was removed' };
-      this.#dispatchers.get(service.name)?.send({ type: 'view', view: removed, quotas });
+      const { nextOffset } = view;
+      const message = { type: 'view', view: { ...removed, nextOffset }, quotas } as const;
+      this.#dispatchers.get(service.name)?.send(message);
     });
     this.#view = view;
     view.services.forEach((serviceView) => {
@@ -146,6 +162,7 @@
       if (dispatcher === undefined) {
         dispatcher = new ServiceDispatcher(this.scope, name, this.#parts);
         this.#dispatchers.set(name, dispatcher);
+        dispatcher.send({ type: 'hold', isHeld: this.#isHeld });
       }
       dispatcher.send({ type: 'view', view: serviceView, quotas });
     });
@@ -154,21 +171,38 @@
   #handle(request: IncomingMessage, response: ServerResponse): void {
     if (this.#isStopping) response.shouldKeepAlive = false;
     if (PROBE_PATHS.has(request.url ?? '')) {
-      const isReady = this.#view !== undefined && !this.#isStopping;
+      const isReady = this.#view !== undefined && !this.#isStopping && !this.#isHeld;
       response.writeHead(isReady ? 200 : 503).end(isReady ? 'ready\n' : 'not ready\n');
       return;
     }
-    this.#inFlight += 1;
-    response.once('close', () => {
-      this.#inFlight -= 1;
-      if (this.#inFlight === 0) this.#onDrained?.();
-    });
+    this.#countRequest((listener) => response.once('close', listener));
     this.#read(request, response).catch((error: Error) => {
       this.scope.reportFault(this.name, error);
       response.destroy();
     });
   }
 
+  /** Counts a request as in flight until its connection closes or its answer has ended. */
+  #countRequest(addCloseListener: (listener: () => void) => void): void {
+    this.#inFlight += 1;
+    addCloseListener(() => {
+      this.#inFlight -= 1;
+      if (this.#inFlight === 0) this.#onDrained?.();
+    });
+  }
+
+  #submitForwarded(exchange: Exchange): void {
+    if (exchange.isAbandoned) return;
+    const { service } = exchange.job;
+    const dispatcher = this.#dispatchers.get(service);
+    if (dispatcher === undefined) {
+      exchange.sendProblem(buildUnusableProblem(`no service "${service}" is known here`));
+      return;
+    }
+    this.#countRequest((listener) => exchange.addCloseListener(listener));
+    dispatcher.send({ type: 'submit', exchange });
+  }
+
   async #read(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const arrivedAt = this.#parts.clock.readMonotonic();
     const refuse = (problem: Parameters<typeof sendProblem>[1]): void => {
--- a/src/gateway/mod.ts
+++ b/src/gateway/mod.ts
@@ -8,3 +8,5 @@
 export * from './GatewayParts.js';
 export * from './GatewayView.js';
 export * from './JobExchange.js';
+export * from './KeeperPeerApi.js';
+export * from './PeerPort.js';
--- a/src/link/Exchange.ts
+++ b/src/link/Exchange.ts
@@ -21,9 +21,6 @@
 
   abstract readonly body: Buffer;
 
-  /** Whether another gateway passed the job on; it must not be forwarded again. */
-  abstract readonly isForwarded: boolean;
-
   /** Whether the caller has gone away before the end of the answer. */
   abstract get isAbandoned(): boolean;
 
--- a/src/link/HostLink.ts
+++ b/src/link/HostLink.ts
@@ -5,7 +5,7 @@
 import type { RunResult } from './RunResult.js';
 
 /** A host in the same data centre that takes longer than this to accept is as good as gone. */
-const CONNECT_TIMEOUT_MS = 2_000;
+export const CONNECT_TIMEOUT_MS = 2_000;
 /** An idle connection is closed before the usual 5 s of HTTP servers, so that none is used late. */
 const IDLE_MS = 4_000;
 
@@ -17,6 +17,8 @@
       timeoutMs: number;
       /** Whether a server error is kept from the caller, because the job may be retried. */
       isRetryable: boolean;
+      /** Monotonic time in milliseconds after which no byte may be written any more. */
+      sendBefore: number;
       reply: (result: RunResult) => void;
     }
   | { type: 'share'; connections: number }
@@ -75,12 +77,13 @@
   }
 
   #run(message: Extract<HostLinkMessage, { type: 'run' }>): void {
-    const { exchange, isRetryable, timeoutMs } = message;
+    const { exchange, isRetryable, sendBefore, timeoutMs } = message;
     const client = this.#takeClient();
     let timer: NodeJS.Timeout | undefined;
     const run = new HostRun(exchange, {
       host: this.#host,
       isRetryable,
+      sendBefore,
       reply: (result) => {
         clearTimeout(timer);
         if (client) this.#release(client, result);
--- a/src/testing/GatewayRig.ts
+++ b/src/testing/GatewayRig.ts
@@ -8,6 +8,7 @@
 import { UnavailableForwarder, type UpstreamHost } from '../link/mod.js';
 import { Metrics } from '../metrics/mod.js';
 import { Service } from '../service/mod.js';
+import type { DispatcherLoad } from '../session/mod.js';
 import { UpstreamStandin } from '../standin/mod.js';
 import { Timeline } from '../timeline/mod.js';
 
@@ -34,6 +35,9 @@
 
   readonly faults: Error[] = [];
 
+  /** Reports of the dispatchers. */
+  readonly loads: DispatcherLoad[] = [];
+
   readonly service: Service;
 
   hosts: UpstreamHost[] = [];
@@ -42,6 +46,8 @@
 
   readonly #slots: number;
 
+  #nextOffset = 0;
+
   readonly #scope: ActorScope;
 
   constructor(options: GatewayRigOptions = {}) {
@@ -60,6 +66,7 @@
       claims: new UnclaimedPolicy(),
       forwarder: new UnavailableForwarder(),
       createPolicy: () => new FairPolicy(),
+      onLoad: (load) => this.loads.push(load),
       ...options.parts,
     };
     this.listener = new GatewayListener(this.#scope, this.parts, options.listener);
@@ -89,8 +96,10 @@
 
   /** Sends a view with the present hosts to the listener. */
   updateView(part: Partial<ServiceView> = {}): void {
-    const services = [{ service: this.service, hosts: this.hosts, ...part }];
-    const view = { nextOffset: 1, revision: 1, services, quotas: new Map<string, number>() };
+    this.#nextOffset += 1;
+    const nextOffset = this.#nextOffset;
+    const services = [{ service: this.service, hosts: this.hosts, nextOffset, ...part }];
+    const view = { nextOffset, revision: 1, services, quotas: new Map<string, number>() };
     this.listener.send({ type: 'view', view });
   }
 
--- a/src/testing/mod.ts
+++ b/src/testing/mod.ts
@@ -1,5 +1,5 @@
 /**
- * Help for tests: waiting for conditions and running processes.
+ * Help for tests: waiting for conditions, running processes, and a log in memory.
  *
  * @module
  */
@@ -10,4 +10,5 @@
 export * from './arbitraryEntries.js';
 export * from './buildRecords.js';
 export * from './readSeed.js';
+export * from './SessionLog.js';
 export * from './waitFor.js';
