Merge sessions and claims on the request path

Cause: fleet decisions and sessions both changed the fold. Change: the data centre set is recorded after the operations of a change; one index and one history.

--- a/src/fleet/ProcessStatus.ts
+++ b/src/fleet/ProcessStatus.ts
@@ -4,6 +4,11 @@
 export const FoldedChange = z.object({ appendedAt: z.number(), foldedAt: z.number() });
 export type FoldedChange = z.infer<typeof FoldedChange>;
 
+/** The revision of which a process is asked when it folded it. */
+export const AskedRevision = z
+  .object({ revision: z.number().int().nonnegative().optional() })
+  .optional();
+
 /** What a process of the system answers when asked how it fares. Times are in milliseconds. */
 export const ProcessStatus = z.object({
   session: z.string(),
--- a/src/fleet/_applyConfigChange.ts
+++ b/src/fleet/_applyConfigChange.ts
@@ -2,6 +2,7 @@
 import type { FleetData } from './_FleetData.js';
 import type { ConfigChange, LoggedRecord, Operation } from '../record/mod.js';
 import { formatFinding } from '../finding/mod.js';
+import { recordDataCentres } from './_recordDataCentres.js';
 import { ACCEPTED, reject, type Verdict } from './Verdict.js';
 
 function describeObject(operation: Operation): { name: string; key: string } {
@@ -69,6 +70,7 @@
   if (reasons.length > 0) return reject(...reasons);
   const revision = record.offset + 1;
   operations.forEach((operation) => applyOperation(data, operation, revision));
+  recordDataCentres(data, record.time);
   // eslint-disable-next-line no-param-reassign -- the fold changes its data in place.
   data.revision = revision;
   return ACCEPTED;
--- a/src/fleet/mod.ts
+++ b/src/fleet/mod.ts
@@ -21,3 +21,4 @@
 export * from './planFleet.js';
 export * from './readProcessStatus.js';
 export type { Shortage } from './_planPlacement.js';
+export * from './sessionTimes.js';
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -1,19 +1,25 @@
-import { createServer, type Server } from 'node:http';
 import { ActorScope, type FaultHandler } from '../actor/mod.js';
 import { FairPolicy, FifoPolicy } from '../admission/mod.js';
-import { UnclaimedPolicy } from '../claim/mod.js';
+import { ClaimKeeper, KeeperClaimPolicy } from '../claim/mod.js';
 import { SystemClock } from '../clock/mod.js';
 import { ControllerRecordSource } from '../controller/mod.js';
-import { FleetFollower, FleetKeeper, readProcessStatus } from '../fleet/mod.js';
-import { UnavailableForwarder } from '../link/mod.js';
-import { closeServer, openServer } from '../net/mod.js';
+import { FleetFollower, FleetKeeper, readProcessStatus, type ProcessStatus } from '../fleet/mod.js';
+import { PeerForwarder, PeerLink, type Exchange } from '../link/mod.js';
 import type { ProcessObserver } from '../observation/mod.js';
+import { ControllerAppender, SessionKeeper, SessionViewProjector } from '../session/mod.js';
 import type { GatewaySettings } from '../settings/mod.js';
+import { buildUnusableProblem } from './_problems.js';
+import { createSessionIds } from './_createSessionIds.js';
 import { GatewayListener } from './GatewayListener.js';
 import { GatewayViewProjector } from './GatewayView.js';
+import { KeeperPeerApi } from './KeeperPeerApi.js';
+import { PeerPort } from './PeerPort.js';
+
+/** Shares also grow with time alone, without a record that changes the state. */
+const SHARE_INTERVAL_MS = 5_000;
 
 /**
- * A gateway: follows a controller and serves callers.
+ * A gateway: follows a controller, keeps a session and serves callers.
  *
  * @example
  * ```ts
@@ -25,45 +31,69 @@
 export class Gateway {
   readonly #settings: GatewaySettings;
 
+  readonly #observer: ProcessObserver | undefined;
+
   readonly #scope: ActorScope;
 
+  readonly #clock = new SystemClock();
+
   readonly #keeper: FleetKeeper;
 
   readonly #follower: FleetFollower;
 
+  readonly #claims: ClaimKeeper;
+
+  readonly #forwarder: PeerForwarder;
+
   readonly #listener: GatewayListener;
 
-  /** Serves the system's own processes. */
-  readonly #peerServer: Server;
+  readonly #peerPort: PeerPort;
+
+  #session: SessionKeeper | undefined;
+
+  #timer: NodeJS.Timeout | undefined;
 
   #peerAddress = '';
 
+  /** Whether the session is about to end, so that no job is taken any more. */
+  #isEnding = false;
+
   #closed: Promise<void> | undefined;
 
   constructor(settings: GatewaySettings, onFault: FaultHandler, observer?: ProcessObserver) {
     this.#settings = settings;
+    this.#observer = observer;
     this.#scope = new ActorScope('gateway', onFault, observer);
     this.#keeper = new FleetKeeper(this.#scope);
     const sources = settings.controllers.map((address) => new ControllerRecordSource(address));
     this.#follower = new FleetFollower(this.#scope, this.#keeper, sources);
+    const clock = this.#clock;
+    this.#claims = new ClaimKeeper(this.#scope, {
+      clock,
+      openLink: (peer) => new PeerLink(this.#scope, peer),
+      onView: (view) => this.#session?.send({ type: 'view', view }),
+    });
+    this.#forwarder = new PeerForwarder(this.#scope, clock);
     this.#listener = new GatewayListener(this.#scope, {
-      clock: new SystemClock(),
-      claims: new UnclaimedPolicy(),
-      forwarder: new UnavailableForwarder(),
+      clock,
+      claims: new KeeperClaimPolicy(this.#claims),
+      forwarder: this.#forwarder,
       createPolicy: () => (settings.admission === 'fifo' ? new FifoPolicy() : new FairPolicy()),
+      onLoad: (load) => this.#session?.send({ type: 'load', load }),
     });
-    this.#peerServer = createServer((request, response) => {
-      if (!observer?.answer(request, response)) response.writeHead(404).end();
+    this.#listener.send({ type: 'hold', isHeld: true });
+    const api = new KeeperPeerApi({
+      claims: this.#claims,
+      findSession: () => this.#session,
+      readStatus: (session, revision) => this.#readStatus(session, revision),
     });
-    observer?.setStatusReader(() =>
-      readProcessStatus({
-        keeper: this.#keeper,
-        follower: this.#follower,
-        session: observer.process,
-        role: settings.role,
-        dataCentre: settings.dataCentre,
-      }),
-    );
+    this.#peerPort = new PeerPort(this.#scope, {
+      api,
+      clock,
+      answerOwn: (request, response) => observer?.answer(request, response) ?? false,
+      onForwarded: (exchange) => this.#takeForwarded(exchange),
+    });
+    observer?.setStatusReader(() => api.readStatus());
   }
 
   /** Where other processes reach it; empty before it is open. */
@@ -71,15 +101,13 @@
     return this.#peerAddress;
   }
 
-  /** Opens the server for callers and returns its address. */
+  /** Opens the servers for callers and peers, and the session; returns the callers' address. */
   async open(): Promise<string> {
-    const projector = new GatewayViewProjector(this.#settings.dataCentre, (view) =>
-      this.#listener.send({ type: 'view', view }),
-    );
-    this.#keeper.send({ type: 'subscribe', projector });
+    this.#peerAddress = await this.#peerPort.open(this.#settings.peerAddress);
+    const address = await this.#listener.open(this.#settings.address);
+    this.#openSession(address);
     this.#follower.start();
-    this.#peerAddress = await openServer(this.#peerServer, this.#settings.peerAddress);
-    return this.#listener.open(this.#settings.address);
+    return address;
   }
 
   /** Stops gracefully: no request in flight is cut off within the stop bound. */
@@ -88,12 +116,67 @@
     return this.#closed;
   }
 
+  /** Drains the jobs while the session lasts, since its end gives its slots to others. */
   async #stop(): Promise<void> {
     await this.#listener.stop(this.#settings.stopNoticeMs);
+    clearInterval(this.#timer);
+    this.#isEnding = true;
+    this.#claims.send({ type: 'hold', isHeld: true });
     await this.#listener.close();
-    await closeServer(this.#peerServer);
+    await this.#session?.stop();
+    this.#session?.close();
+    this.#claims.close();
+    await this.#forwarder.close();
+    await this.#peerPort.close();
     await this.#follower.close();
     this.#keeper.close();
     this.#scope.close();
   }
+
+  #takeForwarded(exchange: Exchange): void {
+    if (this.#isEnding) exchange.sendProblem(buildUnusableProblem('the gateway stops'));
+    else this.#listener.send({ type: 'submit', exchange });
+  }
+
+  #readStatus(session: string, revision?: number): Promise<ProcessStatus> {
+    const { role, dataCentre } = this.#settings;
+    const [keeper, follower] = [this.#keeper, this.#follower];
+    return readProcessStatus({ keeper, follower, session, role, dataCentre }, revision);
+  }
+
+  #openSession(address: string): void {
+    const { dataCentre, controllers } = this.#settings;
+    const views = new GatewayViewProjector({ dataCentre, clock: this.#clock }, (view) =>
+      this.#listener.send({ type: 'view', view }),
+    );
+    const sessions = new SessionViewProjector(dataCentre, (view) => {
+      this.#forwarder.updateView(view);
+      this.#claims.send({ type: 'view', view });
+    });
+    this.#session = new SessionKeeper(this.#scope, {
+      dataCentre,
+      address,
+      peerAddress: this.#peerAddress,
+      clock: this.#clock,
+      fleet: this.#keeper,
+      appender: new ControllerAppender(controllers),
+      createId: createSessionIds(this.#observer?.process),
+      openLink: (peer) => new PeerLink(this.#scope, peer),
+      onSession: (session) => {
+        sessions.setSession(session);
+        views.setSession(session);
+        [views, sessions].forEach((projector) => this.#keeper.send({ type: 'project', projector }));
+      },
+      onHold: (isHeld) => {
+        this.#claims.send({ type: 'hold', isHeld });
+        this.#listener.send({ type: 'hold', isHeld });
+      },
+    });
+    this.#keeper.send({ type: 'subscribe', projector: views });
+    this.#keeper.send({ type: 'subscribe', projector: sessions });
+    this.#timer = setInterval(
+      () => this.#keeper.send({ type: 'project', projector: views }),
+      SHARE_INTERVAL_MS,
+    );
+  }
 }
--- a/src/gateway/JobExchange.ts
+++ b/src/gateway/JobExchange.ts
@@ -15,7 +15,6 @@
   request: IncomingMessage;
   response: ServerResponse;
   body: Buffer;
-  isForwarded?: boolean;
 }
 
 /** An exchange over the HTTP connection of a caller or of another gateway. */
@@ -30,11 +29,9 @@
 
   override readonly body: Buffer;
 
-  override readonly isForwarded: boolean;
-
   readonly #response: ServerResponse;
 
-  constructor({ job, request, response, body, isForwarded = false }: JobExchangeOptions) {
+  constructor({ job, request, response, body }: JobExchangeOptions) {
     super();
     this.job = job;
     this.method = request.method ?? 'GET';
@@ -43,7 +40,6 @@
     // The sender states the length of the body that was read, whatever its coding was.
     delete this.headers['content-length'];
     this.body = body;
-    this.isForwarded = isForwarded;
     this.#response = response;
   }
 
--- /dev/null
+++ b/src/gateway/PeerPort.ts
@@ -0,0 +1,98 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { createHTTPHandler } from '@trpc/server/adapters/standalone';
+import { Actor, type ActorScope } from '../actor/mod.js';
+import type { Clock } from '../clock/mod.js';
+import { decodeForwardedJob, FORWARDED_JOB_HEADER, peerRouter } from '../link/mod.js';
+import type { Exchange, PeerApi } from '../link/mod.js';
+import { closeServer, openServer } from '../net/mod.js';
+import { BodyReader } from './BodyReader.js';
+import { JobExchange } from './JobExchange.js';
+import { sendProblem } from './sendProblem.js';
+
+/** Bodies of forwarded requests held at the same time, besides those of callers. */
+const MAX_BUFFERED_BYTES = 32 * 1024 * 1024;
+
+/** Messages of the port. */
+export interface PeerPortMessage {
+  type: 'request';
+  request: IncomingMessage;
+  response: ServerResponse;
+}
+
+/** Options of the port. */
+export interface PeerPortOptions {
+  api: PeerApi;
+  clock: Clock;
+  /** Answers a request under the process's own paths; false for any other path. */
+  answerOwn: (request: IncomingMessage, response: ServerResponse) => boolean;
+  onForwarded: (exchange: Exchange) => void;
+}
+
+/**
+ * Owns the server for the system's own processes: what the process records of itself, the calls of
+ * other gateways and controllers, and the requests that gateways forward.
+ */
+export class PeerPort extends Actor<PeerPortMessage> {
+  readonly #options: PeerPortOptions;
+
+  readonly #server: Server;
+
+  readonly #bodies = new BodyReader({ maxBufferedBytes: MAX_BUFFERED_BYTES });
+
+  readonly #handleCall: (request: IncomingMessage, response: ServerResponse) => void;
+
+  constructor(scope: ActorScope, options: PeerPortOptions) {
+    super(scope, 'peer-port');
+    this.#options = options;
+    const { api } = options;
+    this.#handleCall = createHTTPHandler({ router: peerRouter, createContext: () => ({ api }) });
+    this.#server = createServer((request, response) =>
+      this.send({ type: 'request', request, response }),
+    );
+  }
+
+  /** Opens the server and returns its address. */
+  open(address: string): Promise<string> {
+    return openServer(this.#server, address);
+  }
+
+  protected override receive({ request, response }: PeerPortMessage): void {
+    if (this.#options.answerOwn(request, response)) return;
+    const header = request.headers[FORWARDED_JOB_HEADER];
+    if (typeof header !== 'string') {
+      this.#handleCall(request, response);
+      return;
+    }
+    this.#readForwarded(header, request, response).catch((error: Error) => {
+      this.scope.reportFault(this.name, error);
+      response.destroy();
+    });
+  }
+
+  override async close(): Promise<void> {
+    super.close();
+    await closeServer(this.#server);
+  }
+
+  async #readForwarded(
+    header: string,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const job = decodeForwardedJob(header, this.#options.clock.readMonotonic());
+    const result = await this.#bodies.read(request);
+    if (result === undefined) return;
+    if ('problem' in result) {
+      sendProblem(response, result.problem);
+      return;
+    }
+    const { body } = result;
+    if (body.length > 0) response.once('close', () => this.#bodies.release(body.length));
+    if (job === undefined) {
+      const title = 'The forwarded request is broken';
+      sendProblem(response, { type: 'about:blank', title, status: 400, outcome: 'not-run' });
+      return;
+    }
+    this.#options.onForwarded(new JobExchange({ job, request, response, body }));
+  }
+}
--- a/src/gateway/ServiceDispatcher.ts
+++ b/src/gateway/ServiceDispatcher.ts
@@ -1,11 +1,10 @@
 import { Actor, type ActorScope } from '../actor/mod.js';
 import { RetryBudget, type AdmissionPolicy, type ShedReason } from '../admission/mod.js';
-import type { ClaimAnswer } from '../claim/mod.js';
-import type { Outcome, Problem } from '../job/mod.js';
+import type { ClaimAnswer, ClaimLocation } from '../claim/mod.js';
+import type { Job, Problem } from '../job/mod.js';
 import {
   chooseNextStep,
-  HostLink,
-  HostRotation,
+  CONNECT_TIMEOUT_MS,
   MAX_ATTEMPTS,
   type Exchange,
   type ForwardResult,
@@ -14,8 +13,15 @@
   type TakenSlot,
 } from '../link/mod.js';
 import { createJobEntry, type JobEntry } from './_JobEntry.js';
-import { buildForwardProblem, buildShedProblem, buildUnusableProblem } from './_problems.js';
+import { JobRecorder, type JobEnd } from './_JobRecorder.js';
+import {
+  buildClaimProblem,
+  buildForwardProblem,
+  buildShedProblem,
+  buildUnusableProblem,
+} from './_problems.js';
 import { readHealthSign } from './_readHealthSign.js';
+import { ServiceHosts } from './_ServiceHosts.js';
 import type { GatewayParts } from './GatewayParts.js';
 import type { ServiceView } from './GatewayView.js';
 
@@ -24,17 +30,26 @@
 /** A run cut off earlier than this, or than some mean run times, says nothing of its host. */
 const SLOW_RUN_MS = 1_000;
 const SLOW_RUN_FACTOR = 8;
+/** Longer than connecting takes; a request that is written later was held up by a pause. */
+const SEND_DEADLINE_MS = CONNECT_TIMEOUT_MS + 500;
 
 /** Messages of a dispatcher. */
 export type ServiceDispatcherMessage =
   | { type: 'submit'; exchange: Exchange }
+  | { type: 'located'; entry: JobEntry; location: ClaimLocation }
   | { type: 'claimed'; entry: JobEntry; answer: ClaimAnswer }
   | { type: 'finished'; entry: JobEntry; result: RunResult }
   | { type: 'forwarded'; entry: JobEntry; result: ForwardResult }
   | { type: 'cancel'; id: string }
   | { type: 'tick' }
+  /** While held, nothing is sent to a host; jobs wait. */
+  | { type: 'hold'; isHeld: boolean }
   | { type: 'view'; view: ServiceView; quotas: ReadonlyMap<string, number> };
 
+function isKeyed(job: Job): boolean {
+  return !job.idempotent && job.key !== undefined;
+}
+
 /** Owns the queues of one service and the links to its hosts. */
 export class ServiceDispatcher extends Actor<ServiceDispatcherMessage> {
   readonly #parts: GatewayParts;
@@ -43,16 +58,18 @@
 
   readonly #policy: AdmissionPolicy;
 
-  readonly #rotation = new HostRotation();
+  readonly #hosts: ServiceHosts;
 
-  readonly #budget = new RetryBudget();
+  readonly #recorder: JobRecorder;
 
-  readonly #links = new Map<string, { address: string; link: HostLink; connections: number }>();
+  readonly #budget = new RetryBudget();
 
   readonly #entries = new Map<string, JobEntry>();
 
   #view: ServiceView | undefined;
 
+  #isHeld = false;
+
   #timer: NodeJS.Timeout | undefined;
 
   constructor(scope: ActorScope, service: string, parts: GatewayParts) {
@@ -60,6 +77,8 @@
     this.#service = service;
     this.#parts = parts;
     this.#policy = parts.createPolicy();
+    this.#hosts = new ServiceHosts(scope);
+    this.#recorder = new JobRecorder(scope, service);
   }
 
   protected override receive(message: ServiceDispatcherMessage): void {
@@ -67,6 +86,9 @@
       case 'submit':
         this.#submit(message.exchange);
         break;
+      case 'located':
+        this.#handleLocation(message.entry, message.location);
+        break;
       case 'claimed':
         this.#handleClaim(message.entry, message.answer);
         break;
@@ -79,56 +101,70 @@
       case 'cancel':
         if (this.#policy.remove(message.id)) this.#entries.delete(message.id);
         break;
+      case 'hold':
+        this.#isHeld = message.isHeld;
+        break;
       case 'view':
         this.#view = message.view;
         this.#policy.setQuotas(message.quotas);
-        this.#updateLinks();
+        this.#hosts.update(message.view.hosts);
         break;
       default:
         this.#timer = undefined;
     }
     this.#dispatch();
+    const load = this.#view && this.#hosts.readLoad(this.#view);
+    if (load) this.#parts.onLoad(load);
   }
 
   override async close(): Promise<void> {
     clearTimeout(this.#timer);
     super.close();
-    await Promise.all([...this.#links.values()].map(({ link }) => link.close()));
+    await this.#hosts.close();
   }
 
   #readNow(): number {
     return this.#parts.clock.readMonotonic();
   }
 
-  #updateLinks(): void {
-    const hosts = this.#view?.hosts ?? [];
-    this.#rotation.setHosts(hosts);
-    const addresses = new Map(hosts.map(({ host, address }) => [host, address]));
-    this.#links.forEach(({ address, link }, host) => {
-      if (addresses.get(host) === address) return;
-      this.#links.delete(host);
-      link.send({ type: 'retire' });
-    });
-    hosts.forEach(({ host, address, connections }) => {
-      const entry = this.#links.get(host);
-      if (entry?.connections === connections) return;
-      if (entry) entry.link.send({ type: 'share', connections });
-      const link = entry?.link ?? new HostLink(this.scope, host, { address, connections });
-      this.#links.set(host, { address, link, connections });
-    });
-  }
-
   #submit(exchange: Exchange): void {
     const { job } = exchange;
-    const now = this.#readNow();
     const entry = createJobEntry(exchange);
     if (this.#view?.obstacle !== undefined) {
       this.#refuse(entry, buildUnusableProblem(this.#view.obstacle));
       return;
     }
     this.#entries.set(job.id, entry);
-    if (!this.#rotation.hasUsable(now)) {
-      this.#forward(entry, { kind: 'other-data-centre', service: this.#service });
+    if (!isKeyed(job)) {
+      this.#admit(entry);
+      return;
+    }
+    // A job that another gateway has to run waits there and takes no place here.
+    this.#parts.claims.locate(job).then(
+      (location) => this.send({ type: 'located', entry, location }),
+      (error: Error) => this.scope.reportFault(this.name, error),
+    );
+  }
+
+  #handleLocation(entry: JobEntry, location: ClaimLocation): void {
+    if (location.verdict === 'here') {
+      this.#admit(entry);
+    } else if (location.verdict === 'forward') {
+      const { peerAddress, session } = location;
+      this.#forward(entry, { kind: 'peer', peerAddress, session });
+    } else {
+      this.#refuse(entry, buildClaimProblem(location));
+    }
+  }
+
+  #admit(entry: JobEntry): void {
+    const { exchange } = entry;
+    const { job } = exchange;
+    const now = this.#readNow();
+    if (!this.#isHeld && !this.#hosts.rotation.hasUsable(now)) {
+      // Only this gateway may run a job whose key it owns.
+      if (isKeyed(job)) this.#refuse(entry, buildUnusableProblem('no host can be used now'));
+      else this.#forward(entry, { kind: 'other-data-centre', service: this.#service });
       return;
     }
     const answer = this.#policy.submit(job, now);
@@ -136,21 +172,25 @@
       this.#shed(job.id, answer.reason, answer.waitMs);
       return;
     }
+    Object.assign(entry, { phase: 'queued' });
     answer.displaced.forEach(({ id, reason }) => this.#shed(id, reason));
-    exchange.addCloseListener(() => {
+    const cancel = (): void => {
       if (entry.phase === 'queued') this.send({ type: 'cancel', id: job.id });
-    });
+    };
+    if (exchange.isAbandoned) cancel();
+    else exchange.addCloseListener(cancel);
   }
 
   /** Starts jobs as long as the policy allows one and a host has a free slot. */
   #dispatch(): void {
     const now = this.#readNow();
-    this.#policy.setSlots(this.#rotation.countSlots(now));
-    while (this.#policy.queued > 0 && this.#rotation.hasFree(now)) {
+    const { rotation } = this.#hosts;
+    this.#policy.setSlots(rotation.countSlots(now));
+    while (!this.#isHeld && this.#policy.queued > 0 && rotation.hasFree(now)) {
       const id = this.#policy.take(now);
       const entry = id === undefined ? undefined : this.#entries.get(id);
       if (entry === undefined) break;
-      this.#start(entry, this.#rotation.take(now) as TakenSlot);
+      this.#start(entry, rotation.take(now) as TakenSlot);
     }
     this.#policy.expire(now).forEach(({ id, reason }) => this.#shed(id, reason));
     if (this.#policy.queued > 0 && !this.isClosed) {
@@ -160,16 +200,12 @@
 
   #start(entry: JobEntry, slot: TakenSlot): void {
     const { job } = entry.exchange;
-    Object.assign(entry, { slot, startedAt: this.#readNow() });
-    this.scope.recordLatency(
-      `job.wait.${this.#service}.${job.urgency}`,
-      this.#readNow() - job.arrivedAt,
-    );
-    if (job.idempotent || job.key === undefined) {
+    Object.assign(entry, { slot, phase: 'claiming' });
+    this.#recorder.recordStart(entry, this.#readNow() - job.arrivedAt);
+    if (!isKeyed(job)) {
       this.#send(entry);
       return;
     }
-    Object.assign(entry, { phase: 'claiming' });
     this.#parts.claims.authorize(job).then(
       (answer) => this.send({ type: 'claimed', entry, answer }),
       (error: Error) => {
@@ -182,50 +218,42 @@
 
   #handleClaim(entry: JobEntry, answer: ClaimAnswer): void {
     if (answer.verdict === 'granted') {
+      Object.assign(entry, { claim: { validUntil: answer.validUntil ?? Infinity } });
       this.#send(entry);
       return;
     }
     this.#releaseSlot(entry);
     this.#policy.finish(entry.exchange.job.id, { ran: false, runMs: 0 });
-    if (answer.verdict === 'forward') {
-      const { peerAddress, session } = answer;
-      this.#forward(entry, { kind: 'peer', peerAddress, session });
-      return;
-    }
-    const { outcome, status, reason, retryAfterSeconds } = answer;
-    const title = 'The idempotency key does not allow the job to run';
-    const problem = { type: 'about:blank', title, status, outcome, detail: reason };
-    this.#refuse(entry, retryAfterSeconds ? { ...problem, retryAfterSeconds } : problem);
+    this.#handleLocation(entry, answer);
   }
 
   /** Sends a job to the host on which it has a slot. */
   #send(entry: JobEntry): void {
     const now = this.#readNow();
-    const { exchange, slot, tried } = entry;
+    const { exchange, slot, tried, claim } = entry;
     const { host } = slot as TakenSlot;
     const { job } = exchange;
-    const isRetry = tried.size > 0;
     Object.assign(entry, { phase: 'running' });
     tried.add(host);
-    if (!isRetry) this.#budget.recordJob(now);
-    const type = isRetry ? 'request.retried' : 'request.sent';
-    this.#report(entry, type, { host, detail: `attempt ${tried.size}` });
-    const isRetryable =
-      job.idempotent &&
-      tried.size < MAX_ATTEMPTS &&
-      this.#budget.hasRetry(now) &&
-      this.#rotation.hasFree(now, tried);
-    const link = this.#links.get(host)?.link;
-    if (link === undefined) {
-      // The host went away while the claim was made.
-      const result = { host, sent: false, begun: false, leaving: false, runMs: 0 };
+    const link = this.#hosts.findLink(host);
+    const sendBefore = Math.min(claim?.validUntil ?? Infinity, now + SEND_DEADLINE_MS);
+    if (this.#isHeld || now > sendBefore || link === undefined) {
+      const message = link ? 'the gateway refreshes its state' : 'the host went away';
+      const result = { host, sent: false, begun: false, leaving: false, runMs: 0, message };
       this.#finishRun(entry, { ...result, end: 'busy' });
       return;
     }
+    if (tried.size === 1) this.#budget.recordJob(now);
+    this.#recorder.recordSent(entry, host);
     link.send({
       type: 'run',
       exchange,
-      isRetryable,
+      sendBefore,
+      isRetryable:
+        job.idempotent &&
+        tried.size < MAX_ATTEMPTS &&
+        this.#budget.hasRetry(now) &&
+        this.#hosts.rotation.hasFree(now, tried),
       timeoutMs: Math.max(1, Math.min(job.deadline - now, this.#getJobTimeout())),
       reply: (result) => this.send({ type: 'finished', entry, result }),
     });
@@ -243,54 +271,48 @@
     const sign = result
       ? readHealthSign(result, Math.min(slowMs, this.#getJobTimeout()))
       : ('neutral' as const);
-    const turn = this.#rotation.finish(slot, { sign, now: this.#readNow() });
+    const turn = this.#hosts.rotation.finish(slot, { sign, now: this.#readNow() });
     Object.assign(entry, { slot: undefined });
     if (turn === undefined) return;
-    const type = turn === 'out' ? 'host.ejected' : 'host.restored';
-    this.scope.increaseCounter(type);
-    this.scope.recordEvent({
-      type,
-      host: slot.host,
-      service: this.#service,
-      cause: entry.event,
-      detail: `${sign}: ${result?.message ?? `status ${result?.status}`}`,
-    });
+    const detail = `${sign}: ${result?.message ?? `status ${result?.status}`}`;
+    this.#recorder.recordTurn(entry, turn, { host: slot.host, detail });
   }
 
   #finishRun(entry: JobEntry, result: RunResult): void {
     const { job } = entry.exchange;
     const now = this.#readNow();
     this.#releaseSlot(entry, result);
+    const { rotation } = this.#hosts;
     const next = chooseNextStep(result, {
       idempotent: job.idempotent,
       attempts: entry.tried.size,
       sentBefore: entry.sentBefore,
       hasBudget: this.#budget.hasRetry(now),
-      hasHost: this.#rotation.hasFree(now, entry.tried),
+      hasHost: !this.#isHeld && rotation.hasFree(now, entry.tried),
       leftMs: job.deadline - now,
     });
     Object.assign(entry, { sentBefore: entry.sentBefore || result.sent });
     if (next.next === 'retry') {
       this.#budget.takeRetry(now);
-      this.scope.increaseCounter(`job.retried.${this.#service}`);
-      Object.assign(entry, { slot: this.#rotation.take(now, entry.tried) });
+      Object.assign(entry, { slot: rotation.take(now, entry.tried) });
       this.#send(entry);
       return;
     }
     const ran = result.end === 'answered' && readHealthSign(result, Infinity) === 'good';
     this.#policy.finish(job.id, { ran, runMs: result.runMs });
+    this.scope.recordLatency('upstream', result.runMs);
+    if (entry.claim) this.#parts.claims.recordOutcome(job, next.outcome);
     if (next.next === 'problem') {
       const { status, title, outcome } = next;
       const problem = { type: 'about:blank', title, status, outcome, detail: result.message };
       entry.exchange.sendProblem(problem);
     }
-    this.scope.recordLatency('upstream', result.runMs);
-    const detail = `${next.outcome}: ${result.end} ${result.status ?? ''}`;
+    const detail = `${result.end} ${result.status ?? ''}`;
     this.#finish(entry, { outcome: next.outcome, host: result.host, detail });
   }
 
   #forward(entry: JobEntry, target: ForwardTarget): void {
-    if (entry.exchange.isForwarded) {
+    if (entry.exchange.job.forwarded === true) {
       this.#refuse(entry, buildUnusableProblem('a forwarded job is not forwarded again'));
       return;
     }
@@ -298,16 +320,17 @@
     this.#parts.forwarder.forward(entry.exchange, target).then(
       (result) => this.send({ type: 'forwarded', entry, result }),
       // Without a result, a byte may have been sent.
-      () => this.send({ type: 'forwarded', entry, result: { answered: false, sent: true } }),
+      (error: Error) => {
+        const result = { answered: false, sent: true, detail: error.message };
+        this.send({ type: 'forwarded', entry, result: { ...result, outcome: 'unknown' } });
+      },
     );
   }
 
   #finishForward(entry: JobEntry, result: ForwardResult): void {
-    if (result.answered) {
-      this.#finish(entry, { outcome: 'ran', detail: 'by another gateway' });
-      return;
-    }
-    this.#refuse(entry, buildForwardProblem(result));
+    const { answered, outcome, detail } = result;
+    if (!answered) entry.exchange.sendProblem(buildForwardProblem(result));
+    this.#finish(entry, { outcome, detail: detail ?? 'by another gateway' });
   }
 
   #shed(id: string, reason: ShedReason, waitMs?: number): void {
@@ -315,31 +338,18 @@
     if (entry === undefined) return;
     this.#entries.delete(id);
     Object.assign(entry, { phase: 'running' });
-    this.scope.increaseCounter(`job.shed.${this.#service}.${entry.exchange.job.urgency}`);
-    this.#report(entry, 'request.shed', { detail: reason });
+    this.#recorder.recordShed(entry, reason);
     entry.exchange.sendProblem(buildShedProblem(reason, waitMs));
   }
 
   #refuse(entry: JobEntry, problem: Problem): void {
-    entry.exchange.sendProblem(problem);
     const { outcome, title } = problem;
-    this.#finish(entry, { outcome, detail: `${outcome}: ${title}: ${problem.detail ?? ''}` });
-  }
-
-  #finish(entry: JobEntry, end: { outcome: Outcome; host?: string; detail: string }): void {
-    const { job } = entry.exchange;
-    const { outcome, detail, host } = end;
-    const isAnswered = outcome === 'ran';
-    this.#entries.delete(job.id);
-    this.scope.increaseCounter(isAnswered ? 'answered' : 'failed');
-    this.scope.increaseCounter(`job.outcome.${this.#service}.${outcome}`);
-    this.#report(entry, isAnswered ? 'request.answered' : 'request.failed', { detail, host });
+    entry.exchange.sendProblem(problem);
+    this.#finish(entry, { outcome, detail: `${title}: ${problem.detail ?? ''}` });
   }
 
-  #report(entry: JobEntry, type: string, about: { detail: string; host?: string }): void {
-    const { job } = entry.exchange;
-    const cause = entry.event;
-    const event = { type, request: job.id, service: this.#service, cause, ...about };
-    Object.assign(entry, { event: this.scope.recordEvent(event) });
+  #finish(entry: JobEntry, end: JobEnd): void {
+    this.#entries.delete(entry.exchange.job.id);
+    this.#recorder.recordEnd(entry, end);
   }
 }
--- a/src/gateway/_problems.ts
+++ b/src/gateway/_problems.ts
@@ -1,3 +1,4 @@
+import type { ClaimRefusal } from '../claim/mod.js';
 import type { ShedReason } from '../admission/mod.js';
 import type { ForwardResult } from '../link/mod.js';
 import type { Problem } from '../job/mod.js';
@@ -29,14 +30,20 @@
 }
 
 /** Builds the problem of a job that another gateway did not answer. */
-export function buildForwardProblem({ sent, problem }: ForwardResult): Problem {
-  return (
-    problem ?? {
-      type: 'about:blank',
-      title: 'The job could not be forwarded to another gateway',
-      status: sent ? 502 : 503,
-      outcome: sent ? 'unknown' : 'not-run',
-      retryAfterSeconds: 1,
-    }
-  );
+export function buildForwardProblem({ sent, outcome, detail }: ForwardResult): Problem {
+  return {
+    type: 'about:blank',
+    title: 'The job could not be forwarded to another gateway',
+    status: sent ? 502 : 503,
+    outcome,
+    detail,
+    retryAfterSeconds: 1,
+  };
+}
+
+/** Builds the problem of a job whose key does not allow it to run here. */
+export function buildClaimProblem(refusal: ClaimRefusal): Problem {
+  const { outcome, status, reason, retryAfterSeconds } = refusal;
+  const title = 'The idempotency key does not allow the job to run';
+  return { type: 'about:blank', title, status, outcome, detail: reason, retryAfterSeconds };
 }
--- a/src/link/HostRotation.ts
+++ b/src/link/HostRotation.ts
@@ -106,6 +106,15 @@
     return entry.health.record(sign, { now, mayEject: this.#hasSpare(), isProbe });
   }
 
+  /** Reads which unlisted hosts still have work, and whether some host has more than its share. */
+  readLoad(): { leaving: string[]; isAboveShare: boolean } {
+    const busy = [...this.#entries.values()].filter(({ running }) => running > 0);
+    return {
+      leaving: busy.filter(({ isListed }) => !isListed).map(({ host }) => host),
+      isAboveShare: busy.some(({ isListed, running, slots }) => isListed && running > slots),
+    };
+  }
+
   /** Whether one more host may be ejected: at most half of the pool is out. */
   #hasSpare(): boolean {
     const listed = [...this.#entries.values()].filter(({ isListed }) => isListed);
--- a/src/link/JobForwarder.ts
+++ b/src/link/JobForwarder.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
 import { Address } from '../host/mod.js';
-import { Problem } from '../job/mod.js';
+import { Outcome } from '../job/mod.js';
 import type { Exchange } from './Exchange.js';
 
 /** Where a job goes: the gateway that owns its key, or any gateway of another data centre. */
@@ -16,8 +16,9 @@
   answered: z.boolean(),
   /** False only if no byte of the job can have left this process. */
   sent: z.boolean(),
-  /** What the caller is told if it has no answer. */
-  problem: Problem.optional(),
+  /** What became of the job, as far as the other gateway stated it. */
+  outcome: Outcome,
+  detail: z.string().optional(),
 });
 export type ForwardResult = z.infer<typeof ForwardResult>;
 
@@ -28,4 +29,7 @@
 export abstract class JobForwarder {
   /** Forwards a job. A rejection counts as "may have been sent". */
   abstract forward(exchange: Exchange, target: ForwardTarget): Promise<ForwardResult>;
+
+  /** Closes the connections. */
+  abstract close(): Promise<void>;
 }
--- /dev/null
+++ b/src/link/_ExchangeRun.ts
@@ -0,0 +1,130 @@
+import { errors, type Dispatcher } from 'undici';
+import type { Outcome } from '../job/mod.js';
+import type { AnswerHead, Exchange } from './Exchange.js';
+import type { RunEnd } from './RunResult.js';
+import type { HeaderMap } from './stripHeaders.js';
+
+const FIRST_FINAL_STATUS = 200;
+
+/** Options of a run. */
+export interface ExchangeRunOptions {
+  /** Monotonic time in milliseconds after which no byte may be written any more. */
+  sendBefore: number;
+}
+
+/** How a run ended. */
+export interface ExchangeRunEnd {
+  end: RunEnd;
+  /** False only if no byte of the request can have left this process. */
+  sent: boolean;
+  runMs: number;
+  message?: string;
+}
+
+/** What follows from the head of an answer; a head that is withheld keeps the answer from the caller. */
+export type HeadDecision = { outcome: Outcome } | 'withheld';
+
+/** Reads header pairs byte by byte: a server's values need not be valid UTF-8. */
+function decodeHeaders(raw: unknown): HeaderMap {
+  const parts = raw as Buffer[];
+  const headers: HeaderMap = {};
+  for (let index = 0; index + 1 < parts.length; index += 2) {
+    const name = (parts[index] as Buffer).toString('latin1').toLowerCase();
+    const value = (parts[index + 1] as Buffer).toString('latin1');
+    const earlier = headers[name];
+    headers[name] = earlier === undefined ? value : [earlier, value].flat();
+  }
+  return headers;
+}
+
+/** One run on one connection: passes the answer on and states truthfully what was sent. */
+export abstract class ExchangeRun implements Dispatcher.DispatchHandler {
+  protected readonly exchange: Exchange;
+
+  readonly #sendBefore: number;
+
+  readonly #startedAt = performance.now();
+
+  #controller: Dispatcher.DispatchController | undefined;
+
+  #withheld = false;
+
+  #ended = false;
+
+  constructor(exchange: Exchange, { sendBefore }: ExchangeRunOptions) {
+    this.exchange = exchange;
+    this.#sendBefore = sendBefore;
+  }
+
+  get isEnded(): boolean {
+    return this.#ended;
+  }
+
+  /** Decides what the head of an answer means. */
+  protected abstract readHead(head: AnswerHead): HeadDecision;
+
+  /** Takes the end of the run. */
+  protected abstract handleEnd(end: ExchangeRunEnd): void;
+
+  /** Called just before the first byte of the request is written. */
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    if (!this.#ended && performance.now() > this.#sendBefore) {
+      // The process was paused: what allowed the request may not hold any more.
+      this.fail('busy', 'the request was not written in time');
+    }
+    if (this.#controller !== undefined || this.#ended) {
+      // A request is written once: the client must not repeat it on another connection.
+      controller.abort(new Error('the request has ended or was written before'));
+      return;
+    }
+    this.#controller = controller;
+  }
+
+  onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
+    if (status < FIRST_FINAL_STATUS || this.#ended) return;
+    const head = { status, headers: decodeHeaders(controller.rawHeaders) };
+    const decision = this.readHead(head);
+    this.#withheld = decision === 'withheld';
+    if (decision !== 'withheld') this.exchange.sendHead(head, decision.outcome);
+  }
+
+  onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (this.#withheld || this.#ended) return;
+    if (this.exchange.writeChunk(chunk)) return;
+    controller.pause();
+    this.exchange.addDrainListener(() => controller.resume());
+  }
+
+  onResponseEnd(): void {
+    if (this.#ended) return;
+    if (this.#withheld) {
+      this.#finish('withheld');
+      return;
+    }
+    this.exchange.finish();
+    this.#finish('answered');
+  }
+
+  onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+    if (this.#controller !== undefined) this.fail('failed', error.message);
+    else
+      this.fail(
+        error instanceof errors.InvalidArgumentError ? 'invalid' : 'refused',
+        error.message,
+      );
+  }
+
+  /** Ends the run without a complete answer; the connection must not be used again. */
+  fail(end: RunEnd, message: string): void {
+    if (this.#ended) return;
+    if (this.exchange.hasBegun) this.exchange.cancel();
+    this.#finish(end, message);
+    this.#controller?.abort(new Error(message));
+  }
+
+  #finish(end: RunEnd, message?: string): void {
+    this.#ended = true;
+    const sent = this.#controller !== undefined;
+    this.handleEnd({ end, sent, runMs: performance.now() - this.#startedAt, message });
+  }
+}
--- /dev/null
+++ b/src/link/_ForwardRun.ts
@@ -0,0 +1,40 @@
+import { Outcome } from '../job/mod.js';
+import type { AnswerHead, Exchange } from './Exchange.js';
+import {
+  ExchangeRun,
+  type ExchangeRunEnd,
+  type ExchangeRunOptions,
+  type HeadDecision,
+} from './_ExchangeRun.js';
+import type { ForwardResult } from './JobForwarder.js';
+
+const OUTCOME_HEADER = 'buckthornreach-outcome';
+
+/** Options of a hop. */
+export interface ForwardRunOptions extends ExchangeRunOptions {
+  reply: (result: ForwardResult) => void;
+}
+
+/** A hop to another gateway, whose statement of the outcome is passed on. */
+export class ForwardRun extends ExchangeRun {
+  readonly #reply: ForwardRunOptions['reply'];
+
+  #outcome: Outcome = 'unknown';
+
+  constructor(exchange: Exchange, options: ForwardRunOptions) {
+    super(exchange, options);
+    this.#reply = options.reply;
+  }
+
+  protected override readHead({ headers }: AnswerHead): HeadDecision {
+    const outcome = Outcome.safeParse(headers[OUTCOME_HEADER]);
+    if (outcome.success) this.#outcome = outcome.data;
+    return { outcome: this.#outcome };
+  }
+
+  protected override handleEnd({ end, sent, message }: ExchangeRunEnd): void {
+    const answered = end === 'answered';
+    const failed = sent ? 'unknown' : 'not-run';
+    this.#reply({ answered, sent, outcome: answered ? this.#outcome : failed, detail: message });
+  }
+}
--- a/src/testing/RecordingForwarder.ts
+++ b/src/testing/RecordingForwarder.ts
@@ -11,6 +11,10 @@
 
   override async forward(_: Exchange, target: ForwardTarget): Promise<ForwardResult> {
     this.kinds.push(target.kind);
-    return { answered: false, sent: false };
+    return { answered: false, sent: false, outcome: 'not-run' };
+  }
+
+  override async close(): Promise<void> {
+    // There is nothing to close.
   }
 }
--- a/src/testing/mod.ts
+++ b/src/testing/mod.ts
@@ -1,5 +1,5 @@
 /**
- * Help for tests: waiting for conditions and running processes.
+ * Help for tests: waiting for conditions, running processes, and a log in memory.
  *
  * @module
  */
@@ -10,6 +10,7 @@
 export * from './arbitraryEntries.js';
 export * from './buildRecords.js';
 export * from './readSeed.js';
+export * from './SessionLog.js';
 export * from './waitFor.js';
 export * from './runSteps.js';
 export * from './CallerCrowd.js';
