Let gateways without shares forward keyed jobs, and count only the own session

A gateway that was frozen gets a new session whose shares grow only 30 s and the longest job time after the end of its old one. It owned a third of the keys all the same and refused them for that time, so that the test of a frozen gateway gave up after 40 s. Keys are now owned by the sessions that are in every view which may be in force, and a gateway without a share of any host is not ready.

A state that was read for an earlier session no longer ends the hold of its successor: a new session sends nothing before its state includes its own session-open.

--- a/src/claim/ClaimLedger.ts
+++ b/src/claim/ClaimLedger.ts
@@ -51,7 +51,7 @@
 function chooseOwner(view: SessionView, key: IdempotencyKey): Peer | string {
   const home = chooseHome(key, view.dataCentreSets);
   if (home === undefined) return 'no data centre is configured';
-  const peers = home === view.dataCentre ? view.members : (view.gateways[home] ?? []);
+  const peers = view.gateways[home] ?? [];
   const [session] = sortByWeight(
     key.text,
     peers.map((peer) => peer.session),
--- a/src/gateway/GatewayListener.ts
+++ b/src/gateway/GatewayListener.ts
@@ -171,7 +171,7 @@
   #handle(request: IncomingMessage, response: ServerResponse): void {
     if (this.#isStopping) response.shouldKeepAlive = false;
     if (PROBE_PATHS.has(request.url ?? '')) {
-      const isReady = this.#view !== undefined && !this.#isStopping && !this.#isHeld;
+      const isReady = !this.#isStopping && !this.#isHeld && this.#hasShare();
       response.writeHead(isReady ? 200 : 503).end(isReady ? 'ready\n' : 'not ready\n');
       return;
     }
@@ -182,6 +182,16 @@
     });
   }
 
+  /**
+   * Whether jobs can run: a session that took the place of an ended one has no share of any host
+   * until those of the ended one are released.
+   */
+  #hasShare(): boolean {
+    if (this.#view === undefined) return false;
+    const hosts = this.#view.services.flatMap((service) => service.hosts);
+    return hosts.length === 0 || hosts.some(({ slots }) => slots > 0);
+  }
+
   /** Counts a request as in flight until its connection closes or its answer has ended. */
   #countRequest(addCloseListener: (listener: () => void) => void): void {
     this.#inFlight += 1;
--- a/src/gateway/claims.test.ts
+++ b/src/gateway/claims.test.ts
@@ -104,6 +104,15 @@
     await waitForService(gateways);
   });
 
+  it('runs no key twice while a gateway is frozen and after it goes on', async () => {
+    const [first, second, frozen] = gateways as [Started, Started, Started];
+    frozen.child.kill('SIGSTOP');
+    await waitForService([first, second]);
+    frozen.child.kill('SIGCONT');
+    await checkBatch(await sendBatch(gateways));
+    await waitForService(gateways);
+  });
+
   it('runs no key twice while a gateway is killed', async () => {
     const [first, second, killed] = gateways as [Started, Started, Started];
     const batch = sendBatch(gateways);
--- a/src/session/SessionLifecycle.ts
+++ b/src/session/SessionLifecycle.ts
@@ -1,4 +1,4 @@
-import type { VerdictAnswer } from '../fleet/mod.js';
+import type { SessionState, VerdictAnswer } from '../fleet/mod.js';
 import type { RecordBody } from '../record/mod.js';
 import type { DispatcherLoad } from './DispatcherLoad.js';
 import { PauseDetector } from './PauseDetector.js';
@@ -89,7 +89,7 @@
 
   /** Whether a planned stop has ended the session. */
   get isEnded(): boolean {
-    return this.#isStopping && this.#view?.own === undefined;
+    return this.#isStopping && this.#findOwn() === undefined;
   }
 
   /** Takes over a newer state of the fleet; true if this session was found ended and replaced. */
@@ -104,8 +104,9 @@
       .filter((member) => !members.has(member))
       .forEach((member) => this.#answeredAt.delete(member));
     this.#updateDrains(view);
-    if (view.own !== undefined) this.#wasOpen = true;
-    const isLost = view.own === undefined && this.#wasOpen && !this.#isStopping;
+    const own = this.#findOwn();
+    if (own !== undefined) this.#wasOpen = true;
+    const isLost = own === undefined && this.#wasOpen && !this.#isStopping;
     if (isLost) this.#replaceSession();
     return isLost;
   }
@@ -131,7 +132,7 @@
     this.#appendedOffset = answer.offset;
     const isOwnOpen = body.type === 'session-open' && body.session === this.#session;
     if (answer.verdict.outcome !== 'rejected' || !isOwnOpen) return false;
-    if (this.#view?.own !== undefined) return false;
+    if (this.#findOwn() !== undefined) return false;
     this.#replaceSession();
     return true;
   }
@@ -169,8 +170,14 @@
   }
 
   #checkHold(): boolean {
-    const view = this.#view;
-    return view?.own === undefined || view.nextOffset < this.#refreshTo;
+    const nextOffset = this.#view?.nextOffset ?? 0;
+    return this.#isStopping || this.#findOwn() === undefined || nextOffset < this.#refreshTo;
+  }
+
+  /** This session in the state; a state that was read for an earlier session does not count. */
+  #findOwn(): SessionState | undefined {
+    const own = this.#view?.own;
+    return own?.session === this.#session ? own : undefined;
   }
 
   #replaceSession(): void {
@@ -208,19 +215,21 @@
   #findRecord(monotonic: number, wall: number): RecordBody | undefined {
     const view = this.#view;
     const session = this.#session;
-    if (view?.own === undefined) return this.#isStopping ? undefined : this.#buildOpen();
+    const own = this.#findOwn();
+    if (view === undefined || own === undefined)
+      return this.#isStopping ? undefined : this.#buildOpen();
     if (this.#isStopping) return { type: 'session-end', session, by: session };
     const dead = this.#findDeadPeer(monotonic);
     if (dead !== undefined) return { type: 'session-end', session: dead, by: session };
     const offset = this.#findOffsetInForce(view);
     const isRenewal = wall - view.time > RENEWAL_MS;
     if (offset !== undefined && offset >= view.number) {
-      if (view.own.confirmedOffset < view.number || isRenewal) {
+      if (own.confirmedOffset < view.number || isRenewal) {
         return { type: 'session-confirm', session, offset };
       }
     }
     if (isRenewal) {
-      return { type: 'session-confirm', session, offset: view.own.confirmedOffset };
+      return { type: 'session-confirm', session, offset: own.confirmedOffset };
     }
     const hosts = this.#listDrained(view);
     return hosts.length === 0 ? undefined : { type: 'host-drained', session, hosts };
--- a/src/session/SessionView.ts
+++ b/src/session/SessionView.ts
@@ -1,4 +1,5 @@
 import { CLOCK_SKEW_MS } from '../fleet/mod.js';
+import { collectShareViews } from './collectShareViews.js';
 import type { SessionState, DataCentreSet, Fleet } from '../fleet/mod.js';
 
 /** A gateway as its peers see it. */
@@ -28,7 +29,7 @@
   draining: string[];
   services: string[];
   dataCentreSets: DataCentreSet[];
-  /** Gateways of every data centre. */
+  /** Gateways of every data centre that have slots, or all of one where none has. */
   gateways: Record<string, Peer[]>;
 }
 
@@ -62,6 +63,18 @@
   return { session, peerAddress };
 }
 
+/**
+ * Lists the gateways of a data centre that are in every view which may still be in force. A session
+ * that took the place of an ended one has no slots until the shares of that one are released, about
+ * a minute later; a key that it owned would be refused for that time.
+ */
+function listSettled(fleet: Fleet, dataCentre: string): Peer[] {
+  const open = fleet.listGateways(dataCentre);
+  const views = collectShareViews(fleet, dataCentre, fleet.time);
+  const settled = open.filter(({ session }) => views.every((ids) => ids.includes(session)));
+  return (settled.length > 0 ? settled : open).map(toPeer);
+}
+
 /** Reads from the fleet what a gateway session needs. */
 export function createSessionView(
   fleet: Fleet,
@@ -70,10 +83,8 @@
   const { dataCentre, session } = options;
   const open = fleet.listGateways(dataCentre);
   const own = open.find((one) => one.session === session);
-  const gateways: Record<string, Peer[]> = {};
-  fleet.data.listSessions('gateway').forEach((one) => {
-    (gateways[one.dataCentre] ??= []).push(toPeer(one));
-  });
+  const names = new Set(fleet.data.listSessions('gateway').map((one) => one.dataCentre));
+  const gateways = Object.fromEntries([...names].map((name) => [name, listSettled(fleet, name)]));
   return {
     dataCentre,
     number: fleet.data.views.get(dataCentre) ?? -1,
