Link decisions to their cause and bound the size of events

Cause: the time line led an assignment only to its proposal, not to the change or failure behind it, and an event listed every host of its record, so the memory of the ring grew with the size of a change. Events keep at most 20 hosts with the count, and text of 300 characters. A host that an event does not list is still explained, by the offsets and platform times that the fleet knows of it.

--- a/src/fleet/FleetKeeper.ts
+++ b/src/fleet/FleetKeeper.ts
@@ -7,6 +7,7 @@
 import type { FleetProjector } from './FleetProjector.js';
 import type { FoldedChange } from './ProcessStatus.js';
 import { FleetSnapshot } from './FleetSnapshot.js';
+import { RecordCauses } from './_RecordCauses.js';
 import { RecordRing } from './_RecordRing.js';
 import type { SinceAnswer } from './SinceAnswer.js';
 import { SinceWaiters } from './_SinceWaiters.js';
@@ -77,6 +78,8 @@
 
   readonly #ring = new RecordRing();
 
+  readonly #causes = new RecordCauses();
+
   readonly #waiters = new SinceWaiters((waiter) => this.send({ type: 'expire', waiter }));
 
   readonly #verdicts = new Map<string, VerdictAnswer>();
@@ -151,10 +154,12 @@
     if (fromOffset > before || nextOffset <= before) return;
     records.forEach((record) => {
       if (record.offset < this.#fleet.nextOffset) return;
+      const because = this.#causes.find(this.#fleet.data, record.body);
+      this.#causes.add(this.#fleet.data, record);
       const verdict = this.#fleet.apply(record);
       this.#ring.add(record);
       this.#recordVerdict(record, verdict);
-      this.scope.recordEvent(describeRecord(record, verdict));
+      this.scope.recordEvent(describeRecord(record, { ...verdict, because }));
     });
     this.#fleet.increase(nextOffset);
     if (broken > 0) {
--- a/src/timeline/FleetEvent.ts
+++ b/src/timeline/FleetEvent.ts
@@ -14,8 +14,10 @@
   type: z.string(),
   /** What it is about. */
   host: z.string().optional(),
-  /** Hosts of an event that is about several. */
+  /** Hosts of an event that is about several; the first ones when there are many. */
   hosts: z.array(z.string()).optional(),
+  /** Number of hosts when `hosts` does not list all of them. */
+  hostCount: z.number().int().optional(),
   pool: z.string().optional(),
   service: z.string().optional(),
   dataCentre: z.string().optional(),
@@ -26,6 +28,10 @@
   offset: z.number().int().optional(),
   /** The record that the event follows from, as `writer/sequence`. */
   record: z.string().optional(),
+  /** Platform time at which the record was appended, in milliseconds. */
+  appendedAt: z.number().optional(),
+  /** Offset of the record that led to the decision that the event is about. */
+  because: z.number().int().optional(),
   /** The record that the event proposes, as `writer/sequence`; it precedes what follows from it. */
   proposes: z.string().optional(),
   /** Event of the same process that caused this one. */
--- a/src/timeline/Timeline.ts
+++ b/src/timeline/Timeline.ts
@@ -2,8 +2,28 @@
 import { EventRing } from './_EventRing.js';
 import { FleetEvent, type EventInput } from './FleetEvent.js';
 
-/** About 300 bytes an event bound the two rings to about 3 MB; events about many hosts are larger. */
+/** About 300 bytes an event make about 3 MB; an event is at most 4 KB, since long ones are pruned. */
 const DEFAULT_CAPACITY = 10_000;
+/** A change of the inventory can be about thousands of hosts; the count is kept. */
+const MAX_HOSTS = 20;
+const MAX_TEXT = 300;
+
+function pruneText(text: string): string {
+  return text.length <= MAX_TEXT ? text : `${text.slice(0, MAX_TEXT - 1)}…`;
+}
+
+/** Prunes an event to a size that does not depend on how many hosts it is about. */
+function pruneEvent(event: FleetEvent): FleetEvent {
+  const entries = Object.entries(event).map(([name, value]) => [
+    name,
+    typeof value === 'string' ? pruneText(value) : value,
+  ]);
+  const pruned = Object.fromEntries(entries) as FleetEvent;
+  if (event.hosts === undefined) return pruned;
+  const hosts = event.hosts.slice(0, MAX_HOSTS).map(pruneText);
+  const hostCount = event.hostCount ?? event.hosts.length;
+  return hostCount > hosts.length ? { ...pruned, hosts, hostCount } : { ...pruned, hosts };
+}
 
 /** Options of a time line. */
 export interface TimelineOptions {
@@ -58,14 +78,14 @@
   record(event: EventInput): number {
     this.#count += 1;
     const ring = event.request === undefined ? this.#others : this.#requests;
-    const recorded: FleetEvent = {
+    const recorded = pruneEvent({
       detail: '',
       ...event,
       id: this.#count,
       process: this.#process,
       wall: this.#clock.readWall(),
       monotonic: this.#clock.readMonotonic(),
-    };
+    });
     ring.add(recorded);
     this.#onEvent?.(recorded);
     return this.#count;
--- a/src/timeline/_EventGraph.ts
+++ b/src/timeline/_EventGraph.ts
@@ -24,6 +24,12 @@
   /** Records by their offset, as far as some process has folded them. */
   readonly #records = new Map<number, string>();
 
+  /** Events of folded records by offset, of any process. */
+  readonly #folded = new Map<number, FleetEvent>();
+
+  /** The same by `process@offset`. */
+  readonly #foldedHere = new Map<string, FleetEvent>();
+
   constructor(inputs: Iterable<readonly FleetEvent[]>) {
     const lanes = new Map<string, FleetEvent[]>();
     [...inputs].flat().forEach((event) => {
@@ -32,6 +38,8 @@
       this.#byKey.set(key, event);
       if (event.offset !== undefined && event.record !== undefined) {
         this.#records.set(event.offset, event.record);
+        this.#folded.set(event.offset, event);
+        this.#foldedHere.set(`${event.process}@${event.offset}`, event);
       }
       if (event.proposes !== undefined) this.#proposals.set(event.proposes, event);
       const lane = lanes.get(event.process);
@@ -47,6 +55,12 @@
     return this.#byKey.get(formatEventKey({ process: event.process, id: event.cause }));
   }
 
+  /** Finds the event of the record that led to a decision, as the same process folded it. */
+  findBasis({ process, because }: FleetEvent): FleetEvent | undefined {
+    if (because === undefined) return undefined;
+    return this.#foldedHere.get(`${process}@${because}`) ?? this.#folded.get(because);
+  }
+
   /** Finds the proposal of the record that an event follows from, by its id or its offset. */
   findProposal(event: FleetEvent): FleetEvent | undefined {
     const { offset, record = offset === undefined ? undefined : this.#records.get(offset) } = event;
--- a/src/timeline/describeRecord.ts
+++ b/src/timeline/describeRecord.ts
@@ -5,6 +5,8 @@
 export interface FoldOutcome {
   outcome: string;
   reasons?: string[];
+  /** Offset of the record that led to this one. */
+  because?: number;
 }
 
 function describeBody(body: RecordBody): Omit<EventInput, 'type'> {
@@ -72,6 +74,8 @@
     type: `${record.body.type}.${verdict.outcome}`,
     offset: record.offset,
     record: `${record.writer}/${record.sequence}`,
+    appendedAt: record.time,
+    ...(verdict.because !== undefined && { because: verdict.because }),
     detail: detail.join('; '),
   };
 }
--- a/src/timeline/explainSubject.ts
+++ b/src/timeline/explainSubject.ts
@@ -6,6 +6,11 @@
 export interface Subject {
   kind: 'host' | 'request' | 'change';
   name: string;
+  /**
+   * Offsets and platform times of records that the fleet knows to have changed the subject. An
+   * event about more hosts than it lists is about the subject if it is of one of these.
+   */
+  records?: { offsets: readonly number[]; times: readonly number[] };
 }
 
 /** A step of an explanation. */
@@ -16,8 +21,13 @@
   isAboutSubject: boolean;
 }
 
-function isAbout(event: FleetEvent, { kind, name }: Subject): boolean {
-  return event[kind] === name || (kind === 'host' && (event.hosts?.includes(name) ?? false));
+function isAbout(event: FleetEvent, { kind, name, records }: Subject): boolean {
+  if (event[kind] === name) return true;
+  if (kind !== 'host') return false;
+  if (event.hosts?.includes(name)) return true;
+  if (event.hostCount === undefined || records === undefined) return false;
+  const { offset = -1, appendedAt = -1 } = event;
+  return records.offsets.includes(offset) || records.times.includes(appendedAt);
 }
 
 /** Events of requests that went well say nothing about a host, and there are thousands of them. */
@@ -44,7 +54,8 @@
  * it with everything that is known to have led to them, in merged order.
  *
  * Causes are the event that a process names itself, the proposal of the record that an event follows
- * from, and, for an event of a request at a host, what the process last saw of that host.
+ * from, the change or failure that led to a decision, and, for an event of a request at a host, what
+ * the process last saw of that host.
  *
  * @example
  * ```ts
@@ -68,6 +79,7 @@
     const found = [
       graph.findCause(event),
       graph.findProposal(event),
+      graph.findBasis(event),
       findHostEvent(lanes.get(event.process) ?? [], event),
     ].filter((one) => one !== undefined);
     causes.set(key, [...new Set(found.map(formatEventKey))]);
--- a/src/timeline/formatEvent.ts
+++ b/src/timeline/formatEvent.ts
@@ -1,12 +1,14 @@
+import type { FleetEvent } from './FleetEvent.js';
 import type { MergedEvent } from './mergeTimelines.js';
 
 /** Most hosts named on one line; a change of an inventory can be about thousands. */
 const MAX_HOSTS = 5;
 const PROCESS_WIDTH = 20;
 
-function formatHosts(hosts: readonly string[] | undefined): string | undefined {
+function formatHosts({ hosts, hostCount }: FleetEvent): string | undefined {
   if (hosts === undefined || hosts.length === 0) return undefined;
-  const more = hosts.length > MAX_HOSTS ? ` and ${hosts.length - MAX_HOSTS} more` : '';
+  const count = hostCount ?? hosts.length;
+  const more = count > MAX_HOSTS ? ` and ${count - MAX_HOSTS} more` : '';
   return `${hosts.slice(0, MAX_HOSTS).join(',')}${more}`;
 }
 
@@ -21,7 +23,7 @@
  */
 export function formatEvent({ event, skewMs }: MergedEvent): string {
   const fields = {
-    host: event.host ?? formatHosts(event.hosts),
+    host: event.host ?? formatHosts(event),
     pool: event.pool,
     service: event.service,
     request: event.request,
--- /dev/null
+++ b/src/timeline/listWithdrawals.ts
@@ -0,0 +1,45 @@
+import { EventGraph } from './_EventGraph.js';
+import type { FleetEvent } from './FleetEvent.js';
+
+/** A maintenance grant that was withdrawn. */
+export interface Withdrawal {
+  host: string;
+  /** Platform time of the record in milliseconds. */
+  at: number;
+  reason: string;
+}
+
+/**
+ * Lists the last withdrawal of each host that was not granted again since, latest first.
+ *
+ * The state of a host does not tell that a grant was withdrawn, so this goes back only as far as
+ * the time lines do.
+ *
+ * @example
+ * ```ts
+ * listWithdrawals([controller.list()])[0]?.host; // 'h7'
+ * ```
+ */
+export function listWithdrawals(inputs: readonly (readonly FleetEvent[])[]): Withdrawal[] {
+  const graph = new EventGraph(inputs);
+  const records = new Map<number, FleetEvent>();
+  graph.lanes.flat().forEach((event) => {
+    if (event.offset === undefined || event.record === undefined) return;
+    if (/^maintenance-(grant|withdraw)\.accepted$/.test(event.type)) {
+      records.set(event.offset, event);
+    }
+  });
+  const last = new Map<string, FleetEvent>();
+  [...records]
+    .sort(([a], [b]) => a - b)
+    .forEach(([, event]) => event.hosts?.forEach((host) => last.set(host, event)));
+  return [...last]
+    .filter(([, event]) => event.type === 'maintenance-withdraw.accepted')
+    .map(([host, event]) => {
+      const basis = graph.findBasis(event);
+      const cause = basis === undefined ? '' : ` (offset ${basis.offset}: ${basis.detail})`;
+      const at = event.appendedAt ?? event.wall;
+      return { host, at, reason: `losses used up the budget of its pool${cause}` };
+    })
+    .sort((a, b) => b.at - a.at);
+}
--- a/src/timeline/mod.ts
+++ b/src/timeline/mod.ts
@@ -8,5 +8,6 @@
 export * from './FleetEvent.js';
 export * from './formatEvent.js';
 export * from './formatExplanation.js';
+export * from './listWithdrawals.js';
 export * from './mergeTimelines.js';
 export * from './Timeline.js';
