Compute the hosts that an inventory cannot give to its pools

Cause: the check compared only the sums of hosts and targets, and so missed pools whose requirements too few hosts meet. Change: computeShortfalls gives out the hosts by augmenting paths over classes of equal hosts.

--- a/src/pool/mod.ts
+++ b/src/pool/mod.ts
@@ -3,4 +3,5 @@
  *
  * @module
  */
+export * from './computeShortfalls.js';
 export * from './Pool.js';
