Bring the commands up to the merged fleet and controllers

Cause: host, contracts, waves and rollout showed the fields of an earlier state, and a change without a verdict was one plain error line. Change: host says what a host is doing and why; explain puts that before the chain of causes; waves lists hosts as draining, granted, away, withdrawn or late with the reason; rollout uses the procedure of the controller, with times, readiness and reasons; apply tells "not applied" from "outcome unknown" by the name of the error, with what to do next, and apply and fleet state what the inventory cannot give to the pools. Tests: the formats of host, waves and contracts changed, so their expectations did; the test of rollout also covers a revision ahead and a frozen process.

--- a/src/cli/ApplyCommand.ts
+++ b/src/cli/ApplyCommand.ts
@@ -1,8 +1,11 @@
 import { FindingsError, formatFinding } from '../finding/mod.js';
+import { compareDocument, type VerdictAnswer } from '../fleet/mod.js';
 import type { Operation } from '../record/mod.js';
 import { loadDocuments, mergeDocuments, type FleetDocument } from '../settings/mod.js';
 import { Command, EXIT_FAILURE, EXIT_OK, type CommandCall, type CommandOption } from './Command.js';
-import { compareDocument } from '../fleet/mod.js';
+import type { ControllerGroup } from './ControllerGroup.js';
+import { describeChangeFailure, type ChangeFailure } from './describeChangeFailure.js';
+import { describeShortfalls } from './describeShortfalls.js';
 import { UsageError } from './UsageError.js';
 
 function loadFleet({ args, output }: CommandCall): FleetDocument {
@@ -24,6 +27,20 @@
   }));
 }
 
+/** The change has been accepted, whether or not its effect can be read. */
+async function listShortfalls(controllers: ControllerGroup): Promise<string[]> {
+  try {
+    return describeShortfalls(await controllers.query((client) => client.fleet.query()));
+  } catch (error) {
+    return [`the shortfall could not be read: ${(error as Error).message}`];
+  }
+}
+
+function formatFailure({ outcome, reason, next }: ChangeFailure): string {
+  const head = outcome === 'unknown' ? 'outcome unknown' : 'not applied';
+  return [`${head}: ${reason}`, next].join('\n');
+}
+
 /** Loads an inventory and rules into the fleet. */
 export class ApplyCommand extends Command {
   override readonly usage = 'apply <file>';
@@ -48,10 +65,7 @@
     const { controllers, options, output } = call;
     const document = loadFleet(call);
     const current = await controllers.query((client) => client.snapshot.query());
-    const seen = options.revision === undefined ? current.revision : Number(options.revision);
-    if (!Number.isInteger(seen) || seen < 0) {
-      throw new UsageError(`--revision: expected a revision, got "${String(options.revision)}"`);
-    }
+    const baseRevision = Command.readRevision(call) ?? current.revision;
     const operations = compareDocument(document, current);
     if (options['dry-run'] === true || operations.length === 0) {
       const rows = listRows(operations);
@@ -62,17 +76,36 @@
       return EXIT_OK;
     }
     const operator = String(options.operator ?? process.env.USER ?? 'operator');
-    const request = { baseRevision: seen, operations, operator };
-    const answer = await controllers.queryCurrent((client) => client.change.mutate(request));
+    const request = { baseRevision, operations, operator };
+    let answer: VerdictAnswer;
+    try {
+      answer = await controllers.queryCurrent((client) => client.change.mutate(request));
+    } catch (error) {
+      const failure = describeChangeFailure(error, current.revision);
+      output.print({ changed: 0, baseRevision, ...failure }, () => formatFailure(failure));
+      return EXIT_FAILURE;
+    }
+    return ApplyCommand.#printVerdict(call, answer, request);
+  }
+
+  static async #printVerdict(
+    { controllers, output }: CommandCall,
+    answer: VerdictAnswer,
+    { baseRevision, operations }: { baseRevision: number; operations: readonly Operation[] },
+  ): Promise<number> {
     const { verdict, revision } = answer;
-    const reasons = verdict.outcome === 'rejected' ? verdict.reasons : [];
-    const isAccepted = verdict.outcome === 'accepted';
-    const changed = isAccepted ? operations.length : 0;
-    output.print({ changed, baseRevision: seen, ...answer }, () =>
-      isAccepted
-        ? `accepted: ${operations.length} operation(s), revision ${seen} -> ${revision}`
-        : [`rejected: your revision is ${seen}, the fleet's is ${revision}`, ...reasons].join('\n'),
+    if (verdict.outcome !== 'accepted') {
+      const reasons = verdict.outcome === 'rejected' ? verdict.reasons : [];
+      const head = `rejected: your revision is ${baseRevision}, the fleet's is ${revision}`;
+      output.print({ changed: 0, baseRevision, ...answer }, () => [head, ...reasons].join('\n'));
+      return EXIT_FAILURE;
+    }
+    const shortfalls = await listShortfalls(controllers);
+    const changed = operations.length;
+    const head = `accepted: ${changed} operation(s), revision ${baseRevision} -> ${revision}`;
+    output.print({ changed, baseRevision, ...answer, shortfalls }, () =>
+      [head, ...shortfalls].join('\n'),
     );
-    return isAccepted ? EXIT_OK : EXIT_FAILURE;
+    return EXIT_OK;
   }
 }
--- a/src/cli/Command.ts
+++ b/src/cli/Command.ts
@@ -53,6 +53,14 @@
       .filter((value) => value !== '');
   }
 
+  /** Reads the option `--revision`; undefined when it is absent. */
+  protected static readRevision({ options }: CommandCall): number | undefined {
+    if (options.revision === undefined) return undefined;
+    const revision = Number(options.revision);
+    if (Number.isInteger(revision) && revision >= 0) return revision;
+    throw new UsageError(`--revision: expected a revision, got "${String(options.revision)}"`);
+  }
+
   /** Checks that there are not more arguments than the command takes. */
   checkArguments(args: readonly string[]): void {
     const extra = args[this.maxArguments];
--- a/src/cli/CommandLine.test.ts
+++ b/src/cli/CommandLine.test.ts
@@ -65,6 +65,20 @@
     );
   });
 
+  it('states a shortfall that the rules leave open when it accepts them', async () => {
+    const file = group.writeFile(
+      'more.jsonc',
+      JSON.stringify({ pools: [{ name: 'match', need: 3 }] }),
+    );
+    const applied = await run('apply', file);
+    assert.equal(applied.code, 0, applied.stdout);
+    assert.match(applied.stdout, /^shortfall: match asks for 3 hosts, 2 more than the inventory/m);
+    assert.match((await run('fleet')).stdout, /^shortfall: match asks for 3 hosts, 2 more/m);
+    const back = await run('apply', rules);
+    assert.doesNotMatch(back.stdout, /shortfall/);
+    revision = /-> (\d+)$/m.exec(back.stdout)?.[1] ?? '';
+  });
+
   it('prints both revisions of a conflict and exits with 1', async () => {
     const changed = JSON.stringify({ pools: [{ name: 'match', need: 0 }] });
     const file = group.writeFile('changed.jsonc', changed);
@@ -77,13 +91,17 @@
 
   it('shows hosts, contracts and waves as tables and as JSON', async () => {
     await waitFor('the host to serve', async () =>
-      / serving +match /.test((await run('host', 'h1')).stdout),
+      /^h1 serves match: match asks for 1 \+ 0 hosts/.test((await run('host', 'h1')).stdout),
     );
     const shown = await run('host', 'h1', '--json');
     assert.equal(JSON.parse(shown.stdout).state.pool, 'match');
     assert.equal((await run('host', 'h2')).code, 1);
-    assert.match((await run('contracts')).stdout, /^match +need +yes +0 +0 +-$/m);
-    assert.deepEqual(JSON.parse((await run('waves', '--json')).stdout), []);
+    assert.match((await run('contracts')).stdout, /^match +need +yes +0 +-$/m);
+    assert.deepEqual(JSON.parse((await run('waves', '--json')).stdout), {
+      waves: [],
+      withdrawn: [],
+      late: [],
+    });
   });
 
   it('explains a request over the time lines of two processes', async () => {
@@ -110,12 +128,23 @@
     const metrics = JSON.parse((await run('metrics', '--process', peer, '--json')).stdout);
     assert.ok(metrics.every((one: { gauges: object }) => 'bytesIn' in one.gauges));
     assert.match((await run('metrics', '--process', peer)).stdout, / request +1 /);
-    const rollout = await run('rollout', '--process', peer);
+    const rollout = await run('rollout', '--process', peer, '--revision', revision);
     assert.equal(rollout.code, 0, rollout.stdout);
-    assert.match(rollout.stdout, new RegExp(`gateway +rennes-1 +${revision} .* in force`));
+    assert.match(rollout.stdout, new RegExp(`gateway +rennes-1 +${revision} .* in force .* ready`));
+    // The controller says when it had the change in force.
+    assert.match(rollout.stdout, /^controller .* in force +\d+ +ready/m);
     const missing = await run('rollout', '--process', '127.0.0.1:1');
     assert.equal(missing.code, 1);
-    assert.match(missing.stdout, /^127\.0\.0\.1:1 .* missing$/m);
+    assert.match(missing.stdout, / missing .* 127\.0\.0\.1:1\b/);
+    const ahead = await run('rollout', '--revision', '999999');
+    assert.equal(ahead.code, 1);
+    assert.match(ahead.stdout, /^revision 999999: .* [1-9]\d* behind, 0 missing/);
+    // A frozen process accepts connections and does not answer.
+    gateway.child.kill('SIGSTOP');
+    const frozen = await run('rollout', '--process', peer);
+    gateway.child.kill('SIGCONT');
+    assert.equal(frozen.code, 1);
+    assert.match(frozen.stdout, new RegExp(` missing .* ${peer}: .*timeout`));
   });
 
   it('asks the next controller when the first does not answer', async () => {
--- a/src/cli/ExplainCommand.ts
+++ b/src/cli/ExplainCommand.ts
@@ -1,8 +1,30 @@
+import type { HostDescription } from '../fleet/mod.js';
 import { explainSubject, formatExplanation, type Subject } from '../timeline/mod.js';
 import { EXIT_FAILURE, EXIT_OK, type CommandCall } from './Command.js';
+import { describeHostLines } from './describeHostLines.js';
 import { ProcessCommand } from './ProcessCommand.js';
 
-const KINDS: readonly Subject['kind'][] = ['host', 'request', 'change'];
+/** Finds the host of this name in the fleet; null when it is none or no controller answers. */
+async function queryHost({ controllers, output }: CommandCall, name: string) {
+  try {
+    return await controllers.query((client) => client.host.query({ name }));
+  } catch (error) {
+    output.report((error as Error).message);
+    return null;
+  }
+}
+
+function listSubjects(name: string, host: HostDescription | null): Subject[] {
+  const records = host && {
+    offsets: [host.revisions.host, host.revisions.pool ?? 0].map((revision) => revision - 1),
+    times: [host.state.phaseSince, host.state.statusSince],
+  };
+  return [
+    { kind: 'host', name, ...(records && { records }) },
+    { kind: 'request', name },
+    { kind: 'change', name },
+  ];
+}
 
 /** Explains what happened to a host, a request or a change, and why. */
 export class ExplainCommand extends ProcessCommand {
@@ -20,16 +42,22 @@
 
   override async run(call: CommandCall): Promise<number> {
     const name = call.args[0] as string;
-    const timelines = await ProcessCommand.collectTimelines(call);
-    const subjects = KINDS.map((kind): Subject => ({ kind, name }));
-    const found = subjects
+    const [host, timelines] = await Promise.all([
+      queryHost(call, name),
+      ProcessCommand.collectTimelines(call),
+    ]);
+    const found = listSubjects(name, host)
       .map((subject) => ({ subject, steps: explainSubject(timelines, subject) }))
       .find(({ steps }) => steps.length > 0);
-    if (found === undefined) {
-      call.output.report(`no event about "${name}" in ${timelines.length} time line(s)`);
-      return EXIT_FAILURE;
-    }
-    call.output.print(found, () => formatExplanation(found.steps));
+    const missing = `no event about "${name}" in ${timelines.length} time line(s)`;
+    if (found === undefined) call.output.report(missing);
+    if (found === undefined && host === null) return EXIT_FAILURE;
+    call.output.print({ ...found, ...(host && { host }) }, () =>
+      [
+        ...(host ? describeHostLines(host) : []),
+        ...(found ? [formatExplanation(found.steps)] : []),
+      ].join('\n'),
+    );
     return EXIT_OK;
   }
 }
--- a/src/cli/FleetCommand.ts
+++ b/src/cli/FleetCommand.ts
@@ -1,11 +1,13 @@
 import { Command, EXIT_OK, type CommandCall } from './Command.js';
+import { describeShortfalls } from './describeShortfalls.js';
 import { renderTable } from './renderTable.js';
 
 /** Shows the pools of the fleet. */
 export class FleetCommand extends Command {
   override readonly usage = 'fleet';
 
-  override readonly summary = 'Show the pools of the fleet';
+  override readonly summary =
+    'Show the pools of the fleet, and what the inventory cannot give them';
 
   override readonly examples = ['fleet', 'fleet --json --controller 10.0.0.4:7100'];
 
@@ -13,7 +15,8 @@
     const fleet = await controllers.query((client) => client.fleet.query());
     output.print(fleet, () => {
       const head = `revision ${fleet.revision}, ${fleet.hosts} hosts, ${fleet.unassigned} unassigned`;
-      return `${head}\n${renderTable(fleet.pools.map((pool) => ({ ...pool })))}`;
+      const table = renderTable(fleet.pools.map((pool) => ({ ...pool })));
+      return `${head}\n${table}${describeShortfalls(fleet).join('\n')}`;
     });
     return EXIT_OK;
   }
--- a/src/cli/WavesCommand.ts
+++ b/src/cli/WavesCommand.ts
@@ -1,23 +1,59 @@
-import { Command, EXIT_OK, type CommandCall } from './Command.js';
+import { listWithdrawals } from '../timeline/mod.js';
+import { EXIT_OK, type CommandCall } from './Command.js';
+import { formatTime } from './formatTime.js';
+import { ProcessCommand } from './ProcessCommand.js';
 
 /** Shows the maintenance waves in progress. */
-export class WavesCommand extends Command {
+export class WavesCommand extends ProcessCommand {
   override readonly usage = 'waves';
 
-  override readonly summary = 'Show the maintenance waves in progress';
+  override readonly summary =
+    'Show maintenance: hosts draining, granted, away, withdrawn and late, and why';
 
-  override readonly examples = ['waves'];
+  override readonly examples = ['waves', 'waves --json'];
 
-  override async run({ controllers, output }: CommandCall): Promise<number> {
+  override async run(call: CommandCall): Promise<number> {
+    const { controllers, output } = call;
     const waves = await controllers.query((client) => client.waves.query());
-    output.printRows(
-      waves,
-      waves.map(({ wave, granted, maintenance }) => ({
+    const contracts = await controllers.query((client) => client.contracts.query());
+    const withdrawn = listWithdrawals(await ProcessCommand.collectTimelines(call));
+    const busy = waves.flatMap(({ wave, pool, hosts }) =>
+      hosts.map(({ host, step, since, waitsFor, isLate }) => ({
+        pool,
+        host,
+        step: isLate ? `${step}, late` : step,
+        since: formatTime(since),
+        why: `waits for ${waitsFor}`,
         wave,
-        granted: granted.join(' '),
-        maintenance: maintenance.join(' '),
       })),
     );
+    const known = new Set(busy.map(({ host }) => host));
+    const late = contracts.flatMap(({ pool, late: hosts }) =>
+      hosts
+        .filter(({ host }) => !known.has(host))
+        .map(({ host, dueAt, reason }) => ({
+          pool,
+          host,
+          step: 'late',
+          since: formatTime(dueAt),
+          why: reason,
+          wave: undefined,
+        })),
+    );
+    const taken = withdrawn
+      .filter(({ host }) => !known.has(host))
+      .map(({ host, at, reason }) => ({
+        pool: undefined,
+        host,
+        step: 'withdrawn',
+        since: formatTime(at),
+        why: reason,
+        wave: undefined,
+      }));
+    const lateHosts = contracts.flatMap(({ pool, late: hosts, lateHosts: count }) =>
+      count === 0 ? [] : [{ pool, count, hosts }],
+    );
+    output.printRows({ waves, withdrawn, late: lateHosts }, [...busy, ...taken, ...late]);
     return EXIT_OK;
   }
 }
--- /dev/null
+++ b/src/cli/describeChangeFailure.test.ts
@@ -0,0 +1,52 @@
+import assert from 'node:assert/strict';
+import { after, describe, it } from 'node:test';
+import { Controller, createControllerClient } from '../controller/mod.js';
+import { ControllerSettings } from '../settings/mod.js';
+import { PlatformStandin } from '../standin/mod.js';
+import { describeChangeFailure } from './describeChangeFailure.js';
+
+/** Guards against an operator who repeats a change that is still on its way. */
+describe('describeChangeFailure', () => {
+  const platform = new PlatformStandin();
+  let controller: Controller | undefined;
+
+  after(async () => {
+    platform.setFaults({});
+    await controller?.close();
+    await platform.close();
+  });
+
+  async function submit(address: string, baseRevision: number): Promise<unknown> {
+    const object = { name: 'brest-1', region: 'brittany' };
+    const operation = { action: 'put', kind: 'dataCentre', object } as const;
+    const change = { baseRevision, operations: [operation], operator: 'nolwenn' };
+    try {
+      return await createControllerClient(address).change.mutate(change);
+    } catch (error) {
+      return describeChangeFailure(error, 7);
+    }
+  }
+
+  it('tells a refused connection and a refused input from an answer that never came', async () => {
+    assert.match(JSON.stringify(await submit('127.0.0.1:40', 0)), /"outcome":"not-applied"/);
+    const lost = describeChangeFailure(new Error('socket hang up'), 7);
+    assert.equal(lost.outcome, 'unknown');
+    assert.match(lost.next, /--revision 7/);
+    const address = '127.0.0.1:0';
+    controller = new Controller(
+      ControllerSettings.parse({
+        role: 'controller',
+        dataCentre: 'rennes-1',
+        address,
+        platform: `http://${await platform.open()}`,
+      }),
+      () => undefined,
+    );
+    const open = await controller.open();
+    assert.match(JSON.stringify(await submit(open, -1)), /"outcome":"not-applied"/);
+    // The platform takes the append but its answers are lost, then it is down.
+    platform.setFaults({ lateAppends: 1_000, lateMs: 60_000 });
+    const unknown = JSON.stringify(await submit(open, 0));
+    assert.match(unknown, /"outcome":"unknown","reason":"(?!outcome unknown)/);
+  });
+});
--- /dev/null
+++ b/src/cli/describeShortfalls.ts
@@ -0,0 +1,18 @@
+import type { FleetSummary } from '../fleet/mod.js';
+
+/**
+ * Describes what the rules ask for and the inventory cannot provide, one line a pool.
+ *
+ * @example
+ * ```ts
+ * describeShortfalls(summary); // ['shortfall: match asks for 8 hosts, 2 more than ...']
+ * ```
+ */
+export function describeShortfalls({ pools }: FleetSummary): string[] {
+  return pools
+    .filter(({ shortfall }) => shortfall > 0)
+    .map(
+      ({ pool, target, shortfall }) =>
+        `shortfall: ${pool} asks for ${target} hosts, ${shortfall} more than the inventory can give it`,
+    );
+}
--- a/src/controller/ControllerApi.ts
+++ b/src/controller/ControllerApi.ts
@@ -111,7 +111,8 @@
 
   /** Describes the maintenance waves. */
   describeWaves(): Promise<WaveReport[]> {
-    return queryFleet(this.#keeper, describeWaves);
+    const now = Date.now();
+    return queryFleet(this.#keeper, (fleet) => describeWaves(fleet, now));
   }
 
   /** Lists the open sessions. */
--- a/src/controller/ControllerRouter.ts
+++ b/src/controller/ControllerRouter.ts
@@ -4,7 +4,13 @@
 import { Operation, RecordBody } from '../record/mod.js';
 import type { ControllerApi } from './ControllerApi.js';
 
-const t = initTRPC.context<{ api: ControllerApi }>().create();
+/** Errors carry their name, so that a client can tell "not applied" from "outcome unknown". */
+const t = initTRPC.context<{ api: ControllerApi }>().create({
+  errorFormatter: ({ shape, error }) => ({
+    ...shape,
+    data: { ...shape.data, name: error.cause?.name },
+  }),
+});
 
 /** More failing hosts than one data centre has are not one gateway's own experience. */
 const MAX_REPORTED = 2_000;
--- /dev/null
+++ b/src/fleet/describeActivity.ts
@@ -0,0 +1,65 @@
+import { hasResources, type Host, type HostState } from '../host/mod.js';
+import type { Fleet } from './Fleet.js';
+
+/** What a host is doing and why, each as a phrase for operators. */
+export interface HostActivity {
+  doing: string;
+  because: string;
+}
+
+function explainUnassigned(fleet: Fleet, host: Host): string {
+  const lacking = fleet.data.listObjects('pool').filter((pool) => {
+    const { members, incoming } = fleet.data.index.getLedger(pool.name);
+    return members + incoming < pool.need + pool.headroom;
+  });
+  if (lacking.length === 0) return 'every pool has the hosts that it asks for';
+  const fitting = lacking.filter((pool) => hasResources(host, pool.requires));
+  const names = lacking.map(({ name }) => name).join(', ');
+  if (fitting.length === 0) return `it is too small for the pools that lack hosts (${names})`;
+  return `it is about to be assigned; ${fitting.map(({ name }) => name).join(', ')} lack hosts`;
+}
+
+function explainMember(fleet: Fleet, { pool: name = '' }: HostState): string {
+  const pool = fleet.data.configuration.pool.get(name)?.object;
+  if (pool === undefined) return `pool "${name}" is not configured`;
+  const { members } = fleet.data.index.getLedger(name);
+  return `${name} asks for ${pool.need} + ${pool.headroom} hosts and has ${members}`;
+}
+
+function describePhase(fleet: Fleet, host: Host, state: HostState): HostActivity {
+  const { phase, pool, toPool, wave = '' } = state;
+  switch (phase) {
+    case 'unassigned':
+      return { doing: 'is in no pool', because: explainUnassigned(fleet, host) };
+    case 'releasing':
+      return {
+        doing: `drains in ${pool}, on its way to ${toPool ?? 'no pool'}`,
+        because: explainMember(fleet, toPool === undefined ? state : { ...state, pool: toPool }),
+      };
+    case 'granted':
+      return { doing: `drains in ${pool} for maintenance`, because: `its turn in wave ${wave}` };
+    case 'maintenance':
+      return { doing: `is away from ${pool} for maintenance`, because: `wave ${wave}` };
+    default:
+      return { doing: `serves ${pool}`, because: explainMember(fleet, state) };
+  }
+}
+
+/**
+ * Describes what a host is doing and why, from the state of the fleet alone.
+ *
+ * @example
+ * ```ts
+ * describeActivity(fleet, { host, state }).doing; // 'drains in match for maintenance'
+ * ```
+ */
+export function describeActivity(
+  fleet: Fleet,
+  { host, state }: { host: Host; state: HostState },
+): HostActivity {
+  const activity = describePhase(fleet, host, state);
+  if (state.status === 'live') return activity;
+  const status = state.status === 'failed' ? 'it has failed' : 'the platform takes it away';
+  if (state.phase !== 'serving') return { ...activity, doing: `${activity.doing}; ${status}` };
+  return { doing: `belongs to ${state.pool} and gets no work`, because: status };
+}
--- a/src/fleet/describeFleet.ts
+++ b/src/fleet/describeFleet.ts
@@ -1,3 +1,4 @@
+import { computeShortfalls } from '../pool/mod.js';
 import type { Fleet } from './Fleet.js';
 
 /** One pool as operators read it. Counts are hosts. */
@@ -9,6 +10,8 @@
   serving: number;
   unavailable: number;
   availabilityBudget: number;
+  /** Hosts that the pool cannot get from the inventory, however the hosts are given out. */
+  shortfall: number;
 }
 
 /** The fleet as operators read it. */
@@ -20,10 +23,19 @@
   pools: PoolSummary[];
 }
 
-/** Describes how many hosts each pool has and how many serve. */
+/**
+ * Describes how many hosts each pool has, how many serve, and what the inventory cannot provide.
+ *
+ * @example
+ * ```ts
+ * describeFleet(fleet).pools.filter(({ shortfall }) => shortfall > 0);
+ * ```
+ */
 export function describeFleet(fleet: Fleet): FleetSummary {
   const states = [...fleet.data.hostStates.values()];
-  const pools = fleet.data.listObjects('pool').map((pool) => {
+  const configured = fleet.data.listObjects('pool');
+  const shortfalls = computeShortfalls(fleet.data.listObjects('host'), configured);
+  const pools = configured.map((pool) => {
     const members = states.filter((state) => state.pool === pool.name);
     const serving = members.filter(
       (state) => state.phase === 'serving' && state.status === 'live',
@@ -36,6 +48,7 @@
       serving,
       unavailable: members.length - serving,
       availabilityBudget: pool.availabilityBudget,
+      shortfall: shortfalls.get(pool.name) ?? 0,
     };
   });
   return {
--- a/src/fleet/describeHost.ts
+++ b/src/fleet/describeHost.ts
@@ -1,11 +1,15 @@
 import type { Host, HostState } from '../host/mod.js';
 import { computeDueTime, explainLateness } from '../wave/mod.js';
+import { describeActivity, type HostActivity } from './describeActivity.js';
 import type { Fleet } from './Fleet.js';
 
 /** A host as operators read it: what it does, why, since when and what it waits for. */
 export interface HostDescription {
   host: Host;
   state: HostState;
+  activity: HostActivity;
+  /** Revisions at which operators last changed the host and its pool. */
+  revisions: { host: number; pool?: number };
   /** Gateway sessions that have not reported the host drained, while it drains. */
   waitsFor: string[];
   isPartitionSuspected: boolean;
@@ -44,6 +48,11 @@
   const description = {
     host: structuredClone(host),
     state: structuredClone(state),
+    activity: describeActivity(fleet, { host, state }),
+    revisions: {
+      host: data.configuration.findRevision('host', name),
+      ...(state.pool && { pool: data.configuration.findRevision('pool', state.pool) }),
+    },
     waitsFor,
     isPartitionSuspected,
   };
--- a/src/fleet/describeWaves.ts
+++ b/src/fleet/describeWaves.ts
@@ -1,22 +1,66 @@
 import { z } from 'zod';
+import { describeHost, type HostDescription } from './describeHost.js';
 import type { Fleet } from './Fleet.js';
 
-/** A maintenance wave in progress: its hosts by phase. */
+/** How far a host of a wave has come; a `granted` host is drained and waits to be started. */
+export const WaveStep = z.enum(['draining', 'granted', 'away']);
+export type WaveStep = z.infer<typeof WaveStep>;
+
+/** A maintenance wave in progress with its hosts. Times are in milliseconds. */
 export const WaveReport = z.object({
   wave: z.string(),
-  granted: z.array(z.string()),
-  maintenance: z.array(z.string()),
+  pool: z.string(),
+  hosts: z.array(
+    z.object({
+      host: z.string(),
+      step: WaveStep,
+      /** When the host was granted or went away. */
+      since: z.number(),
+      /** What the host waits for. */
+      waitsFor: z.string(),
+      isLate: z.boolean(),
+    }),
+  ),
 });
 export type WaveReport = z.infer<typeof WaveReport>;
 
-/** Describes the maintenance waves that have hosts granted or in maintenance. */
-export function describeWaves(fleet: Fleet): WaveReport[] {
+function findStep({ state, waitsFor }: HostDescription): WaveStep {
+  if (state.phase === 'maintenance') return 'away';
+  return waitsFor.length > 0 ? 'draining' : 'granted';
+}
+
+function explainStep({ state, waitsFor }: HostDescription): string {
+  if (state.phase === 'maintenance') {
+    return state.status === 'live' ? 'the end of its maintenance' : 'its return from the reboot';
+  }
+  return waitsFor.length > 0 ? `drain by ${waitsFor.join(' ')}` : 'its start';
+}
+
+/**
+ * Describes the maintenance waves that have hosts granted or in maintenance.
+ *
+ * @param now Milliseconds since the Unix epoch.
+ * @example
+ * ```ts
+ * describeWaves(fleet, now)[0]?.hosts.filter(({ step }) => step === 'away');
+ * ```
+ */
+export function describeWaves(fleet: Fleet, now: number): WaveReport[] {
   const waves = new Map<string, WaveReport>();
-  [...fleet.data.hostStates].forEach(([host, { phase, wave = '' }]) => {
+  fleet.data.hostStates.forEach(({ phase, pool = '', wave = '' }, name) => {
     if (phase !== 'granted' && phase !== 'maintenance') return;
-    const report = waves.get(wave) ?? { wave, granted: [], maintenance: [] };
-    report[phase].push(host);
-    waves.set(wave, report);
+    const described = describeHost(fleet, { name, now });
+    if (described === undefined) return;
+    const key = `${pool}/${wave}`;
+    const report = waves.get(key) ?? { wave, pool, hosts: [] };
+    waves.set(key, report);
+    report.hosts.push({
+      host: name,
+      step: findStep(described),
+      since: described.state.phaseSince,
+      waitsFor: explainStep(described),
+      isLate: described.lateReason !== undefined,
+    });
   });
-  return [...waves.values()].sort((a, b) => (a.wave < b.wave ? -1 : 1));
+  return [...waves].sort(([a], [b]) => (a < b ? -1 : 1)).map(([, report]) => report);
 }
--- a/src/fleet/mod.ts
+++ b/src/fleet/mod.ts
@@ -7,6 +7,7 @@
 export * from './FleetSnapshot.js';
 export * from './Verdict.js';
 export * from './compareDocument.js';
+export * from './describeActivity.js';
 export * from './describeContracts.js';
 export * from './describeFleet.js';
 export * from './describeHost.js';
