Serve fleet, contracts and rollout as read-only JSON pages

Cause: a dashboard or a script without tRPC could not read the fleet. Change: GET /-/fleet, /-/contracts and /-/rollout on the API port of a controller call the same functions of ControllerApi as the commands; the observer holds its pages by name instead of a switch. Other methods get 405, a wrong query 400. Changes still go through the calls only.

--- a/src/cli/CommandLine.test.ts
+++ b/src/cli/CommandLine.test.ts
@@ -147,6 +147,30 @@
     assert.match(frozen.stdout, new RegExp(` missing .* ${peer}: .*timeout`));
   });
 
+  it('serves what the commands show as JSON over plain HTTP, to read only', async () => {
+    const pages = [
+      ['fleet', ['fleet']],
+      ['contracts', ['contracts']],
+      [`rollout?revision=${revision}`, ['rollout', '--revision', revision]],
+    ] as const;
+    for (const [page, command] of pages) {
+      const url = `http://${controller.address}/-/${page}`;
+      const answer = await request(url);
+      const shown = (await answer.body.json()) as Record<string, unknown>;
+      const printed = JSON.parse((await run(...command, '--json')).stdout);
+      const key = page === 'contracts' ? '0' : 'revision';
+      assert.deepEqual(shown[key], printed[key]);
+      assert.deepEqual(Object.keys(shown), Object.keys(printed));
+      const refused = await request(url, { method: 'POST', body: '{}' });
+      await refused.body.dump();
+      assert.equal(refused.statusCode, 405);
+    }
+    const broken = await request(`http://${controller.address}/-/rollout?revision=x`);
+    const { error } = (await broken.body.json()) as { error: string };
+    assert.equal(error, 'revision: expected a revision, got "x"');
+    assert.equal(broken.statusCode, 400);
+  });
+
   it('asks the next controller when the first does not answer', async () => {
     const several = `127.0.0.1:1,${controller.address}`;
     assert.equal((await group.runCommand('fleet', '--controller', several)).code, 0);
--- a/src/controller/Controller.ts
+++ b/src/controller/Controller.ts
@@ -20,6 +20,7 @@
 import { HostWatcher } from './HostWatcher.js';
 import { HttpMaintenanceActions } from './HttpMaintenanceActions.js';
 import { MaintenanceRunner } from './MaintenanceRunner.js';
+import { publishPages } from './_publishPages.js';
 import { SequenceProjector } from './_SequenceProjector.js';
 
 /** How long a planned stop waits for the log to take the end of the session. */
@@ -111,7 +112,7 @@
         if (!observer?.answer(request, response)) next();
       },
     });
-    observer?.setStatusReader(() => this.#buildApi().readStatus());
+    if (observer) publishPages(observer, () => this.#buildApi());
   }
 
   /** Opens the API and returns its address. */
--- /dev/null
+++ b/src/controller/_publishPages.ts
@@ -0,0 +1,21 @@
+import type { ProcessObserver } from '../observation/mod.js';
+import type { ControllerApi } from './ControllerApi.js';
+
+function parseRevision(query: URLSearchParams): number | undefined {
+  const text = query.get('revision');
+  if (text === null) return undefined;
+  const revision = Number(text);
+  if (Number.isInteger(revision) && revision >= 0) return revision;
+  throw new RangeError(`revision: expected a revision, got "${text}"`);
+}
+
+/**
+ * Serves what operators read as plain JSON, `GET /-/NAME`, over the same functions as the calls.
+ * Changes go through the calls only.
+ */
+export function publishPages(observer: ProcessObserver, buildApi: () => ControllerApi): void {
+  observer.setStatusReader(() => buildApi().readStatus());
+  observer.setPageReader('fleet', () => buildApi().describe());
+  observer.setPageReader('contracts', () => buildApi().describeContracts());
+  observer.setPageReader('rollout', (query) => buildApi().readRollout(parseRevision(query)));
+}
--- a/src/observation/ProcessObserver.ts
+++ b/src/observation/ProcessObserver.ts
@@ -18,6 +18,12 @@
 /** Reads which state of the fleet a process has in force. */
 export type StatusReader = () => Promise<ProcessStatus>;
 
+/**
+ * Reads what a page under `/-/` shows, as a value that JSON can carry. A `RangeError` means that the
+ * query is wrong.
+ */
+export type PageReader = (query: URLSearchParams) => Promise<unknown>;
+
 /**
  * What a daemon records about itself, and its answers to those who ask for it.
  *
@@ -37,7 +43,10 @@
 
   readonly #meter = new ProcessMeter();
 
-  #readStatus: StatusReader | undefined;
+  readonly #pages = new Map<string, PageReader>([
+    ['metrics', () => this.#readMetrics()],
+    ['timeline', () => this.#readTimeline()],
+  ]);
 
   constructor(process: string, options: ProcessObserverOptions) {
     const { clock, timelineEvents: capacity, onEvent } = options;
@@ -51,23 +60,30 @@
 
   /** Sets how the status is read. */
   setStatusReader(reader: StatusReader): void {
-    this.#readStatus = reader;
+    this.setPageReader('status', reader);
+  }
+
+  /** Sets how the page `/-/NAME` is read. */
+  setPageReader(name: string, reader: PageReader): void {
+    this.#pages.set(name, reader);
   }
 
   /** Answers a request under `/-/`; false, with the request untouched, for any other path. */
   answer(request: IncomingMessage, response: ServerResponse): boolean {
-    const path = (request.url ?? '/').split('?')[0] ?? '/';
-    if (!path.startsWith(OWN_PREFIX)) return false;
-    this.#read(path).then(
-      (body) => {
-        response
-          .writeHead(body === undefined ? 404 : 200, { 'content-type': 'application/json' })
-          .end(JSON.stringify(body ?? { error: `no such path: ${path}` }));
-      },
-      (error: Error) => {
-        response.writeHead(503, { 'content-type': 'application/json' });
-        response.end(JSON.stringify({ error: error.message }));
-      },
+    if (!request.url?.startsWith(OWN_PREFIX)) return false;
+    const reply = (status: number, body: unknown): void => {
+      response.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify(body));
+    };
+    if (request.method !== 'GET' && request.method !== 'HEAD') {
+      reply(405, { error: 'pages are read-only' });
+      return true;
+    }
+    this.#read(request.url).then(
+      (body) =>
+        body === undefined
+          ? reply(404, { error: `no such path: ${request.url}` })
+          : reply(200, body),
+      (error: Error) => reply(error instanceof RangeError ? 400 : 503, { error: error.message }),
     );
     return true;
   }
@@ -77,20 +93,17 @@
     this.#meter.close();
   }
 
-  async #read(path: string): Promise<unknown> {
-    switch (path.slice(OWN_PREFIX.length)) {
-      case 'metrics':
-        return {
-          process: this.process,
-          ...this.metrics.export(),
-          gauges: this.#meter.read(),
-        } satisfies ProcessMetrics;
-      case 'timeline':
-        return { process: this.process, events: this.timeline.list() } satisfies ProcessTimeline;
-      case 'status':
-        return this.#readStatus?.();
-      default:
-        return undefined;
-    }
+  async #read(target: string): Promise<unknown> {
+    const [path = '', query] = target.split('?', 2);
+    const reader = this.#pages.get(path.slice(OWN_PREFIX.length));
+    return reader?.(new URLSearchParams(query));
+  }
+
+  async #readMetrics(): Promise<ProcessMetrics> {
+    return { process: this.process, ...this.metrics.export(), gauges: this.#meter.read() };
+  }
+
+  async #readTimeline(): Promise<ProcessTimeline> {
+    return { process: this.process, events: this.timeline.list() };
   }
 }
