Add the scenarios maintenance, failure and race to the demo

Cause: the demo showed one run and ended with code 0 whatever happened. Change: an abstract DemoScenario with four scenarios on a common stage; each statement is a claim that is checked, and the exit code is 0 only if all came true and no message handler failed. The fleet of the demo has eight hosts in racks of two. An explanation shows a record that several processes folded alike as one line; before, each host event of the demo stood there four times.

--- a/src/cli/CommandLine.test.ts
+++ b/src/cli/CommandLine.test.ts
@@ -200,6 +200,7 @@
     [['fleet', '--bogus'], /Unknown option: --bogus/],
     [['host'], /Insufficient arguments/],
     [['fleet', 'x'], /unexpected argument "x"/],
+    [['demo', '--scenario', 'x'], /--scenario: expected one of tour, .*, got "x"/],
     [['fleet', '--controller'], /--controller needs a value/],
     [['check', '/nonexistent.jsonc'], /^$/],
   ];
@@ -224,4 +225,14 @@
     assert.match(stdout, /host-observed\.accepted/);
     assert.doesNotMatch(stdout, /^fault/m);
   });
+
+  ['maintenance', 'failure', 'race'].forEach((scenario) => {
+    it(`shows the scenario ${scenario} and ends with code 0 in under 20 s`, async () => {
+      const begin = performance.now();
+      const { code, stdout } = await group.runCommand('demo', '--scenario', scenario);
+      assert.equal(code, 0, stdout);
+      assert.doesNotMatch(stdout, /NOT TRUE|^fault/m);
+      assert.ok(performance.now() - begin < 20_000);
+    });
+  });
 });
--- a/src/demo/DemoFleet.ts
+++ b/src/demo/DemoFleet.ts
@@ -1,3 +1,4 @@
+import type { z } from 'zod';
 import { SystemClock } from '../clock/mod.js';
 import { Controller } from '../controller/mod.js';
 import { Gateway } from '../gateway/mod.js';
@@ -10,11 +11,13 @@
 
 const FREE_PORT = '127.0.0.1:0';
 const DATA_CENTRES = ['rennes-1', 'brest-1'] as const;
-const HOSTS_PER_DATA_CENTRE = 3;
+const HOSTS_PER_DATA_CENTRE = 4;
+const HOSTS_PER_RACK = 2;
 
 interface DemoHost {
   name: string;
   dataCentre: string;
+  rack: string;
   address: string;
   upstream: UpstreamStandin;
 }
@@ -31,7 +34,7 @@
 }
 
 /**
- * A small fleet in one process: the platform stand-in, six upstream stand-ins in two data centres,
+ * A small fleet in one process: the platform stand-in, eight upstream stand-ins in two data centres,
  * and a controller and a gateway for each, on free loopback ports.
  *
  * @example
@@ -53,6 +56,8 @@
 
   readonly #faults: string[] = [];
 
+  readonly #lost = new Set<string>();
+
   /** What has been opened, in order. */
   readonly #opened: Closable[] = [];
 
@@ -80,21 +85,18 @@
     for (const dataCentre of DATA_CENTRES) await this.#openSite(dataCentre, platform);
   }
 
-  /** Builds the inventory and rules; `need` is that of the pool `match`. */
-  buildDocument(need: number): FleetDocument {
+  /** Builds the inventory, the rules of the given pools, and the service `match`. */
+  buildDocument(pools: readonly z.input<typeof Pool>[]): FleetDocument {
     return {
       dataCentres: DATA_CENTRES.map((name) => ({ name, region: 'brittany' })),
-      hosts: this.#hosts.map(({ name, dataCentre, address }, index) => ({
+      hosts: this.#hosts.map(({ name, dataCentre, rack, address }) => ({
         name,
         dataCentre,
         address,
-        rack: `r${1 + Math.floor(index / DATA_CENTRES.length)}`,
+        rack,
         resources: { cores: 64, memoryGb: 128, accelerators: 0 },
       })),
-      pools: [
-        Pool.parse({ name: 'match', need, availabilityBudget: 1 }),
-        Pool.parse({ name: 'contracts', need: 1, availabilityBudget: 1, lends: true }),
-      ],
+      pools: pools.map((pool) => Pool.parse(pool)),
       services: [
         Service.parse({
           name: 'match',
@@ -106,12 +108,17 @@
     };
   }
 
-  /** Kills the upstream of a host and takes it off the platform's list. */
-  async stopUpstream(host: string): Promise<void> {
-    const found = this.#hosts.find(({ name }) => name === host);
-    await found?.upstream.close();
-    const others = this.#hosts.filter(({ name }) => name !== host);
-    this.#platform.setHosts(others.map(({ name }) => ({ host: name, state: 'live' })));
+  /** Lists the hosts that the platform has on its list now. */
+  listPresent(): string[] {
+    return this.#platform.listHosts().map(({ host }) => host);
+  }
+
+  /** Kills the upstreams of hosts; the platform's list lags, and no reboot brings them back. */
+  async stopUpstreams(names: readonly string[]): Promise<void> {
+    const stopped = this.#hosts.filter(({ name }) => names.includes(name));
+    await Promise.all(stopped.map(({ upstream }) => upstream.close()));
+    stopped.forEach(({ name }) => this.#lost.add(name));
+    this.#platform.setFaults({ lostHosts: [...this.#lost] });
   }
 
   /** Lists the events of each process. */
@@ -128,8 +135,9 @@
     const name = `${dataCentre}-h${index}`;
     const upstream = new UpstreamStandin(name);
     const address = await upstream.open();
+    const rack = `r${Math.ceil(index / HOSTS_PER_RACK)}`;
     this.#opened.push(upstream);
-    this.#hosts.push({ name, dataCentre, address, upstream });
+    this.#hosts.push({ name, dataCentre, rack, address, upstream });
   }
 
   async #openSite(dataCentre: string, platform: string): Promise<void> {
--- a/src/demo/mod.ts
+++ b/src/demo/mod.ts
@@ -4,4 +4,6 @@
  * @module
  */
 export * from './DemoFleet.js';
+export * from './DemoScenario.js';
+export * from './DemoStage.js';
 export * from './runDemo.js';
--- a/src/timeline/explainSubject.test.ts
+++ b/src/timeline/explainSubject.test.ts
@@ -42,6 +42,18 @@
     assert.ok(!steps.some((step) => step.event.host === 'h2'));
   });
 
+  it('shows a record that several processes folded as one step', () => {
+    const folded = { type: 'host-assign.accepted', hosts: ['h1'], record: 'w/1', offset: 3 };
+    const lanes = ['a', 'b'].map((name) => {
+      const timeline = new Timeline(name, { clock: new ManualClock() });
+      timeline.record(folded);
+      timeline.record({ type: 'request.failed', request: `r-${name}`, host: 'h1' });
+      return timeline.list();
+    });
+    const text = formatExplanation(explainSubject(lanes, { kind: 'host', name: 'h1' }));
+    assert.match(text, /^1 .*host-assign\.accepted.*\(in 2 processes\)\n2 .* <- 1\n3 .* <- 1$/);
+  });
+
   it('finds the proposal of an event that knows only the offset', () => {
     const steps = explainSubject(createRun(), { kind: 'host', name: 'h2' });
     assert.deepEqual(steps.at(-1)?.causes, ['controller#1']);
--- a/src/timeline/formatExplanation.ts
+++ b/src/timeline/formatExplanation.ts
@@ -2,25 +2,59 @@
 import type { ExplainedEvent } from './explainSubject.js';
 import { formatEvent } from './formatEvent.js';
 
+/** The same step as several processes saw it. */
+interface StepGroup {
+  step: ExplainedEvent;
+  causes: string[];
+  processes: number;
+}
+
+/** Processes that fold the same record with the same verdict say the same of it. */
+function formatGroupKey({ event }: ExplainedEvent): string {
+  if (event.record === undefined || event.request !== undefined) return formatEventKey(event);
+  return `${event.type} ${event.record}`;
+}
+
+function groupSteps(steps: readonly ExplainedEvent[]): Map<string, StepGroup> {
+  const groups = new Map<string, StepGroup>();
+  steps.forEach((step) => {
+    const key = formatGroupKey(step);
+    const group = groups.get(key);
+    if (group === undefined) groups.set(key, { step, causes: [...step.causes], processes: 1 });
+    else {
+      group.causes.push(...step.causes);
+      group.processes += 1;
+    }
+  });
+  return groups;
+}
+
 /**
  * Formats an explanation with one numbered step a line; `<- 1, 2` names the steps that led to it.
- * Steps that are there only as causes of others are indented.
+ * Steps that are there only as causes of others are indented. A record that several processes folded
+ * alike is one step, shown as the first of them saw it.
  *
  * @example
  * ```ts
  * const steps = explainSubject([timeline.list()], { kind: 'host', name: 'h7' });
- * formatExplanation(steps).split('\n').length === steps.length; // true
+ * formatExplanation(steps).split('\n').length <= steps.length; // true
  * ```
  */
 export function formatExplanation(steps: readonly ExplainedEvent[]): string {
-  const numbers = new Map(steps.map((step, index) => [formatEventKey(step.event), index + 1]));
-  const width = String(steps.length).length;
-  return steps
-    .map((step, index) => {
-      const causes = step.causes.map((key) => numbers.get(key)).filter((one) => one !== undefined);
-      const because = causes.length === 0 ? '' : ` <- ${causes.join(', ')}`;
+  const groups = groupSteps(steps);
+  const numbers = new Map([...groups.keys()].map((key, index) => [key, index + 1]));
+  const groupOf = new Map(steps.map((step) => [formatEventKey(step.event), formatGroupKey(step)]));
+  const width = String(groups.size).length;
+  return [...groups.values()]
+    .map(({ step, causes, processes }, index) => {
+      const found = causes
+        .map((key) => numbers.get(groupOf.get(key) ?? ''))
+        .filter((one): one is number => one !== undefined);
+      const because = found.length === 0 ? '' : ` <- ${[...new Set(found)].join(', ')}`;
       const number = String(index + 1).padStart(width);
-      return `${number}${step.isAboutSubject ? '' : '  '} ${formatEvent(step)}${because}`;
+      const others = processes > 1 ? ` (in ${processes} processes)` : '';
+      const indent = step.isAboutSubject ? '' : '  ';
+      return `${number}${indent} ${formatEvent(step)}${others}${because}`;
     })
     .join('\n');
 }
