--- a/src/cli/ApplyCommand.ts
+++ b/src/cli/ApplyCommand.ts
@@ -38,7 +38,7 @@
 
 function formatFailure({ outcome, reason, next }: ChangeFailure): string {
   const head = outcome === 'unknown' ? 'outcome unknown' : 'not applied';
-  return [`${head}: ${reason}`, next].join('\n');
+  return [`${head}: ${reason}`, ...next.split(/(?<=\.) /)].join('\n');
 }
 
 /** Loads an inventory and rules into the fleet. */
@@ -96,8 +96,14 @@
     const { verdict, revision } = answer;
     if (verdict.outcome !== 'accepted') {
       const reasons = verdict.outcome === 'rejected' ? verdict.reasons : [];
+      const isRace = reasons.some((reason) => reason.includes(' changed at revision '));
       const head = `rejected: your revision is ${baseRevision}, the fleet's is ${revision}`;
-      output.print({ changed: 0, baseRevision, ...answer }, () => [head, ...reasons].join('\n'));
+      const next = isRace
+        ? 'Nothing was changed. Read the fleet, merge the other change into your files, apply again.'
+        : 'Nothing was changed. Correct the files, or do first what the reasons ask for.';
+      output.print({ changed: 0, baseRevision, ...answer, next }, () =>
+        [head, ...reasons, next].join('\n'),
+      );
       return EXIT_FAILURE;
     }
     const shortfalls = await listShortfalls(controllers);
