--- a/src/cli/CommandLine.test.ts
+++ b/src/cli/CommandLine.test.ts
@@ -65,6 +65,20 @@
     );
   });
 
+  it('states a shortfall that the rules leave open when it accepts them', async () => {
+    const file = group.writeFile(
+      'more.jsonc',
+      JSON.stringify({ pools: [{ name: 'match', need: 3 }] }),
+    );
+    const applied = await run('apply', file);
+    assert.equal(applied.code, 0, applied.stdout);
+    assert.match(applied.stdout, /^shortfall: match asks for 3 hosts, 2 more than the inventory/m);
+    assert.match((await run('fleet')).stdout, /^shortfall: match asks for 3 hosts, 2 more/m);
+    const back = await run('apply', rules);
+    assert.doesNotMatch(back.stdout, /shortfall/);
+    revision = /-> (\d+)$/m.exec(back.stdout)?.[1] ?? '';
+  });
+
   it('prints both revisions of a conflict and exits with 1', async () => {
     const changed = JSON.stringify({ pools: [{ name: 'match', need: 0 }] });
     const file = group.writeFile('changed.jsonc', changed);
@@ -77,13 +91,17 @@
 
   it('shows hosts, contracts and waves as tables and as JSON', async () => {
     await waitFor('the host to serve', async () =>
-      / serving +match /.test((await run('host', 'h1')).stdout),
+      /^h1 serves match: match asks for 1 \+ 0 hosts/.test((await run('host', 'h1')).stdout),
     );
     const shown = await run('host', 'h1', '--json');
     assert.equal(JSON.parse(shown.stdout).state.pool, 'match');
     assert.equal((await run('host', 'h2')).code, 1);
-    assert.match((await run('contracts')).stdout, /^match +need +yes +0 +0 +-$/m);
-    assert.deepEqual(JSON.parse((await run('waves', '--json')).stdout), []);
+    assert.match((await run('contracts')).stdout, /^match +need +yes +0 +-$/m);
+    assert.deepEqual(JSON.parse((await run('waves', '--json')).stdout), {
+      waves: [],
+      withdrawn: [],
+      late: [],
+    });
   });
 
   it('explains a request over the time lines of two processes', async () => {
@@ -110,12 +128,47 @@
     const metrics = JSON.parse((await run('metrics', '--process', peer, '--json')).stdout);
     assert.ok(metrics.every((one: { gauges: object }) => 'bytesIn' in one.gauges));
     assert.match((await run('metrics', '--process', peer)).stdout, / request +1 /);
-    const rollout = await run('rollout', '--process', peer);
+    const rollout = await run('rollout', '--process', peer, '--revision', revision);
     assert.equal(rollout.code, 0, rollout.stdout);
-    assert.match(rollout.stdout, new RegExp(`gateway +rennes-1 +${revision} .* in force`));
+    assert.match(rollout.stdout, new RegExp(`gateway +rennes-1 +${revision} .* in force .* ready`));
+    // The controller says when it had the change in force.
+    assert.match(rollout.stdout, /^controller .* in force +\d+ +ready/m);
     const missing = await run('rollout', '--process', '127.0.0.1:1');
     assert.equal(missing.code, 1);
-    assert.match(missing.stdout, /^127\.0\.0\.1:1 .* missing$/m);
+    assert.match(missing.stdout, / missing .* 127\.0\.0\.1:1\b/);
+    const ahead = await run('rollout', '--revision', '999999');
+    assert.equal(ahead.code, 1);
+    assert.match(ahead.stdout, /^revision 999999: .* [1-9]\d* behind, 0 missing/);
+    // A frozen process accepts connections and does not answer.
+    gateway.child.kill('SIGSTOP');
+    const frozen = await run('rollout', '--process', peer);
+    gateway.child.kill('SIGCONT');
+    assert.equal(frozen.code, 1);
+    assert.match(frozen.stdout, new RegExp(` missing .* ${peer}: .*timeout`));
+  });
+
+  it('serves what the commands show as JSON over plain HTTP, to read only', async () => {
+    const pages = [
+      ['fleet', ['fleet']],
+      ['contracts', ['contracts']],
+      [`rollout?revision=${revision}`, ['rollout', '--revision', revision]],
+    ] as const;
+    for (const [page, command] of pages) {
+      const url = `http://${controller.address}/-/${page}`;
+      const answer = await request(url);
+      const shown = (await answer.body.json()) as Record<string, unknown>;
+      const printed = JSON.parse((await run(...command, '--json')).stdout);
+      const key = page === 'contracts' ? '0' : 'revision';
+      assert.deepEqual(shown[key], printed[key]);
+      assert.deepEqual(Object.keys(shown), Object.keys(printed));
+      const refused = await request(url, { method: 'POST', body: '{}' });
+      await refused.body.dump();
+      assert.equal(refused.statusCode, 405);
+    }
+    const broken = await request(`http://${controller.address}/-/rollout?revision=x`);
+    const { error } = (await broken.body.json()) as { error: string };
+    assert.equal(error, 'revision: expected a revision, got "x"');
+    assert.equal(broken.statusCode, 400);
   });
 
   it('asks the next controller when the first does not answer', async () => {
@@ -147,6 +200,7 @@
     [['fleet', '--bogus'], /Unknown option: --bogus/],
     [['host'], /Insufficient arguments/],
     [['fleet', 'x'], /unexpected argument "x"/],
+    [['demo', '--scenario', 'x'], /--scenario: expected one of tour, .*, got "x"/],
     [['fleet', '--controller'], /--controller needs a value/],
     [['check', '/nonexistent.jsonc'], /^$/],
   ];
@@ -171,4 +225,14 @@
     assert.match(stdout, /host-observed\.accepted/);
     assert.doesNotMatch(stdout, /^fault/m);
   });
+
+  ['maintenance', 'failure', 'race'].forEach((scenario) => {
+    it(`shows the scenario ${scenario} and ends with code 0 in under 20 s`, async () => {
+      const begin = performance.now();
+      const { code, stdout } = await group.runCommand('demo', '--scenario', scenario);
+      assert.equal(code, 0, stdout);
+      assert.doesNotMatch(stdout, /NOT TRUE|^fault/m);
+      assert.ok(performance.now() - begin < 20_000);
+    });
+  });
 });
