Refuse shared host addresses and drop abandoned parts of changes

Two hosts with one address are one upstream process that could serve two pools, so a change that would lead there is rejected, in whatever spelling of the address. The address of a host that a pool has cannot change either, since gateways with an older state still send to the old one. Parts of a change that is not complete an hour (platform time) after its first part are dropped; a repeated part counts once. The simulated fleets get distinct addresses.

--- a/measure/SimulatedFleet.ts
+++ b/measure/SimulatedFleet.ts
@@ -176,7 +176,8 @@
       ...Array.from({ length: hosts }, (_, at) => {
         const rack = Math.floor(at / 4);
         const dataCentre = `d${rack % dataCentres}`;
-        return ['host', { name: `h${at}`, dataCentre, rack: `r${rack}`, address: '10.0.0.1:80' }];
+        const address = `10.0.${Math.floor(at / 250)}.${at % 250}:80`;
+        return ['host', { name: `h${at}`, dataCentre, rack: `r${rack}`, address }];
       }),
     ];
     const operations = objects.map(([kind, object]) => ({ action: 'put', kind, object }));
--- a/src/fleet/Fleet.ts
+++ b/src/fleet/Fleet.ts
@@ -98,7 +98,7 @@
   apply(record: LoggedRecord): Verdict {
     if (record.offset < this.#data.nextOffset) return { outcome: 'duplicate' };
     this.#data.nextOffset = record.offset + 1;
-    this.#data.time = Math.max(this.#data.time, record.time);
+    this.#data.increaseTime(record.time);
     if (!this.#data.claimSequence(record.writer, record.sequence)) return { outcome: 'duplicate' };
     return applyBody(this.#data, record, record.body);
   }
--- a/src/fleet/FleetSnapshot.ts
+++ b/src/fleet/FleetSnapshot.ts
@@ -16,6 +16,14 @@
 });
 export type SessionState = z.infer<typeof SessionState>;
 
+/** The parts received of a change that is not complete yet. */
+export const PendingChange = z.object({
+  /** Platform time of the first part. */
+  time: z.number(),
+  parts: z.array(ConfigChange),
+});
+export type PendingChange = z.infer<typeof PendingChange>;
+
 /** The whole state of the fleet at an offset, as plain JSON. */
 export const FleetSnapshot = z.object({
   /** Offset of the next record to fold. */
@@ -38,6 +46,6 @@
   /** Last sequence folded and its time, by writer. */
   writers: z.record(z.string(), z.object({ sequence: z.number().int(), time: z.number() })),
   /** Parts received of changes that are not complete yet, by change id. */
-  pendingChanges: z.record(z.string(), z.array(ConfigChange)),
+  pendingChanges: z.record(z.string(), PendingChange),
 });
 export type FleetSnapshot = z.infer<typeof FleetSnapshot>;
--- a/src/fleet/_Configuration.ts
+++ b/src/fleet/_Configuration.ts
@@ -1,6 +1,6 @@
 import type { ObjectKind, Operation } from '../record/mod.js';
 import type { DataCentre } from '../dataCentre/mod.js';
-import type { Host } from '../host/mod.js';
+import { toAddressKey, type Host } from '../host/mod.js';
 import type { Pool } from '../pool/mod.js';
 import type { Service } from '../service/mod.js';
 import type { Team } from '../team/mod.js';
@@ -26,6 +26,9 @@
   /** Revisions of removals by `kind/name`, so that a race with a removal is seen. */
   readonly removed = new Map<string, number>();
 
+  /** Names of hosts by address; two hosts with one address would share its pools. */
+  readonly #hostsByAddress = new Map<string, string>();
+
   /** Copies the maps; the objects in them are never changed in place. */
   copy(): Configuration {
     const copy = new Configuration();
@@ -33,9 +36,25 @@
       const target = copy[kind] as Map<string, unknown>;
       this[kind].forEach((entry, name) => target.set(name, entry));
     });
+    this.#hostsByAddress.forEach((name, address) => copy.#hostsByAddress.set(address, name));
     return copy;
   }
 
+  /** Finds the name of the host that has an address. */
+  findHostAt(address: string): string | undefined {
+    return this.#hostsByAddress.get(toAddressKey(address));
+  }
+
+  /** Puts an object as it is in a snapshot. */
+  restore<T extends { name: string }>(kind: ObjectKind, entries: Configured<T>[]): void {
+    const objects = this[kind] as unknown as Map<string, Configured<T>>;
+    entries.forEach((entry) => objects.set(entry.object.name, entry));
+    if (kind !== 'host') return;
+    this.host.forEach(({ object }, name) =>
+      this.#hostsByAddress.set(toAddressKey(object.address), name),
+    );
+  }
+
   /** Finds the revision at which an object last changed or was removed; 0 if it never existed. */
   findRevision(kind: ObjectKind, name: string): number {
     const entry: Configured<unknown> | undefined = this[kind].get(name);
@@ -44,6 +63,8 @@
 
   /** Carries out one operation at a revision. */
   apply(operation: Operation, revision: number): void {
+    const name = operation.action === 'remove' ? operation.name : operation.object.name;
+    if (operation.kind === 'host') this.#removeAddress(name);
     if (operation.action === 'remove') {
       this[operation.kind].delete(operation.name);
       this.removed.set(`${operation.kind}/${operation.name}`, revision);
@@ -52,5 +73,14 @@
     const objects = this[operation.kind] as Map<string, Configured<unknown>>;
     objects.set(operation.object.name, { object: operation.object, revision });
     this.removed.delete(`${operation.kind}/${operation.object.name}`);
+    if (operation.kind !== 'host') return;
+    this.#hostsByAddress.set(toAddressKey(operation.object.address), name);
+  }
+
+  /** Frees the address of a host, unless another host of the same change has taken it already. */
+  #removeAddress(name: string): void {
+    const address = this.host.get(name)?.object.address;
+    if (address === undefined || this.findHostAt(address) !== name) return;
+    this.#hostsByAddress.delete(toAddressKey(address));
   }
 }
--- a/src/fleet/_FleetData.ts
+++ b/src/fleet/_FleetData.ts
@@ -1,11 +1,13 @@
 import type { HostState } from '../host/mod.js';
-import type { ConfigChange, ObjectKind } from '../record/mod.js';
+import type { ObjectKind } from '../record/mod.js';
 import { Configuration, type Configured } from './_Configuration.js';
 import { FleetIndex } from './_FleetIndex.js';
-import { FleetSnapshot, type SessionState } from './FleetSnapshot.js';
+import { FleetSnapshot, type PendingChange, type SessionState } from './FleetSnapshot.js';
 
 /** A writer that was silent for this long is forgotten; it has long ended. */
 const WRITER_MEMORY_MS = 24 * 3_600_000;
+/** A change whose last part has not come by then was given up by its writer. */
+const PENDING_CHANGE_MS = 3_600_000;
 
 interface WriterState {
   sequence: number;
@@ -25,13 +27,6 @@
   return Object.fromEntries([...map].sort(compareNames));
 }
 
-function restoreObjects<T extends { name: string }>(
-  target: Map<string, Configured<T>>,
-  source: Configured<T>[],
-): void {
-  source.forEach((entry) => target.set(entry.object.name, entry));
-}
-
 /** The mutable data of the fold; only the `_apply` modules change it. */
 export class FleetData {
   nextOffset = 0;
@@ -49,7 +44,7 @@
 
   readonly views = new Map<string, number>();
 
-  readonly pendingChanges = new Map<string, ConfigChange[]>();
+  readonly pendingChanges = new Map<string, PendingChange>();
 
   /** Counters over `hostStates`; `changeHost` keeps them in step. */
   readonly index: FleetIndex;
@@ -74,18 +69,18 @@
     data.nextOffset = copy.nextOffset;
     data.time = copy.time;
     data.revision = copy.revision;
-    restoreObjects(data.configuration.dataCentre, copy.dataCentres);
-    restoreObjects(data.configuration.host, copy.hosts);
-    restoreObjects(data.configuration.pool, copy.pools);
-    restoreObjects(data.configuration.service, copy.services);
-    restoreObjects(data.configuration.team, copy.teams);
+    data.configuration.restore('dataCentre', copy.dataCentres);
+    data.configuration.restore('host', copy.hosts);
+    data.configuration.restore('pool', copy.pools);
+    data.configuration.restore('service', copy.services);
+    data.configuration.restore('team', copy.teams);
     Object.entries(copy.removed).forEach(([key, at]) => data.configuration.removed.set(key, at));
     Object.entries(copy.hostStates).forEach(([name, state]) => data.hostStates.set(name, state));
     copy.sessions.forEach((session) => data.sessions.set(session.session, session));
     Object.entries(copy.views).forEach(([name, view]) => data.views.set(name, view));
     Object.entries(copy.writers).forEach(([name, writer]) => data.#writers.set(name, writer));
-    Object.entries(copy.pendingChanges).forEach(([id, parts]) =>
-      data.pendingChanges.set(id, parts),
+    Object.entries(copy.pendingChanges).forEach(([id, pending]) =>
+      data.pendingChanges.set(id, pending),
     );
     data.hostStates.forEach((state, name) => {
       const host = data.configuration.host.get(name)?.object;
@@ -140,6 +135,14 @@
     return sortValues(objects).map((entry) => entry.object);
   }
 
+  /** Moves platform time on and drops what has expired by then; time never goes back. */
+  increaseTime(time: number): void {
+    this.time = Math.max(this.time, time);
+    this.pendingChanges.forEach((pending, changeId) => {
+      if (this.time - pending.time > PENDING_CHANGE_MS) this.pendingChanges.delete(changeId);
+    });
+  }
+
   /** Takes note of a writer's sequence; false if it was folded before. */
   claimSequence(writer: string, sequence: number): boolean {
     const last = this.#writers.get(writer)?.sequence ?? 0;
--- a/src/fleet/_applyConfigChange.ts
+++ b/src/fleet/_applyConfigChange.ts
@@ -45,10 +45,12 @@
 }
 
 function collectParts(data: FleetData, change: ConfigChange): ConfigChange[] | undefined {
-  const parts = data.pendingChanges.get(change.changeId) ?? [];
-  parts.push(change);
+  const pending = data.pendingChanges.get(change.changeId);
+  // A part that comes twice, from a writer that started again, counts once.
+  const known = (pending?.parts ?? []).filter(({ part }) => part !== change.part);
+  const parts = [...known, change];
   if (parts.length < change.parts) {
-    data.pendingChanges.set(change.changeId, parts);
+    data.pendingChanges.set(change.changeId, { time: pending?.time ?? data.time, parts });
     return undefined;
   }
   data.pendingChanges.delete(change.changeId);
--- a/src/fleet/_checkChange.ts
+++ b/src/fleet/_checkChange.ts
@@ -1,5 +1,5 @@
 import type { Finding } from '../finding/mod.js';
-import type { Host } from '../host/mod.js';
+import { toAddressKey, type Host } from '../host/mod.js';
 import type { Pool } from '../pool/mod.js';
 import type { ObjectKind, Operation } from '../record/mod.js';
 import type { FleetData } from './_FleetData.js';
@@ -18,6 +18,9 @@
 
   readonly #findings: Finding[] = [];
 
+  /** Hosts that the change puts, by address. */
+  readonly #addresses = new Map<string, string>();
+
   constructor(data: FleetData, operations: readonly Operation[]) {
     this.#data = data;
     operations.forEach((operation) => {
@@ -52,17 +55,32 @@
     return this.#data.configuration[kind].has(name);
   }
 
-  #checkHost({ name, dataCentre }: Host): void {
+  #checkHost({ name, dataCentre, address }: Host): void {
+    this.#checkAddress(name, address);
     if (!this.#has('dataCentre', dataCentre)) {
       this.#add(`hosts.${name}.dataCentre`, `unknown data centre "${dataCentre}"`);
     }
     const before = this.#data.configuration.host.get(name)?.object;
     const state = this.#data.hostStates.get(name);
-    if (before === undefined || before.dataCentre === dataCentre) return;
-    // The sessions of the old data centre may still send to it.
-    if (state !== undefined && state.phase !== 'unassigned') {
-      this.#add(`hosts.${name}.dataCentre`, `cannot change while the host is ${state.phase}`);
+    if (before === undefined || state === undefined || state.phase === 'unassigned') return;
+    // The sessions of the old data centre may still send to it, and those with an older state to the
+    // old address, which another host may get.
+    const message = `cannot change while the host is ${state.phase}`;
+    if (before.dataCentre !== dataCentre) this.#add(`hosts.${name}.dataCentre`, message);
+    if (toAddressKey(before.address) === toAddressKey(address)) return;
+    this.#add(`hosts.${name}.address`, message);
+  }
+
+  /** Two hosts with one address are one process, which would serve two pools. */
+  #checkAddress(name: string, address: string): void {
+    const key = toAddressKey(address);
+    const holder = this.#data.configuration.findHostAt(address);
+    const isKept = holder !== undefined && !this.#last.has(`host/${holder}`);
+    const other = this.#addresses.get(key) ?? (isKept ? holder : undefined);
+    if (other !== undefined && other !== name) {
+      this.#add(`hosts.${name}.address`, `"${address}" is the address of host "${other}"`);
     }
+    this.#addresses.set(key, name);
   }
 
   #checkPool({ name, need, headroom, availabilityBudget }: Pool): void {
--- a/src/host/mod.ts
+++ b/src/host/mod.ts
@@ -7,3 +7,4 @@
 export * from './HostHysteresis.js';
 export * from './HostState.js';
 export * from './hasResources.js';
+export * from './toAddressKey.js';
