Take hosts in maintenance for no failures and no partition

A host in maintenance is now away after 2 s, back after 5 s, without a flap, and does not count among the hosts that should answer. The suspicion of a partition is one rule, applied by the fold to its counters; the watcher asks the fold.

--- a/src/controller/HostWatcher.ts
+++ b/src/controller/HostWatcher.ts
@@ -1,11 +1,11 @@
 import { Actor, type ActorScope } from '../actor/mod.js';
 import type { Clock } from '../clock/mod.js';
 import type { FleetKeeper } from '../fleet/mod.js';
-import { HostHysteresis, type KnownHost, type ListedHost } from '../host/mod.js';
+import { HostHysteresis, type ListedHost } from '../host/mod.js';
 import type { LogWriter } from '../log/mod.js';
 import type { RecordBody } from '../record/mod.js';
 import type { HostListClient } from './HostListClient.js';
-import { KnownHostsProjector } from './_KnownHostsProjector.js';
+import { KnownHostsProjector, type KnownFleet } from './_KnownHostsProjector.js';
 import { ProposalDelay } from './ProposalDelay.js';
 
 const POLL_INTERVAL_MS = 2_000;
@@ -20,7 +20,7 @@
 type WatcherMessage =
   | { type: 'tick' }
   | { type: 'list'; list: ListedHost[] }
-  | { type: 'known'; known: KnownHost[]; list: ListedHost[] }
+  | { type: 'known'; known: KnownFleet; list: ListedHost[] }
   | { type: 'failure'; error: Error }
   | { type: 'report'; reporter: string; hosts: string[] }
   | { type: 'rank'; rank: number };
@@ -69,7 +69,7 @@
           this.#isPolling = false;
           break;
         }
-        const emit = (known: KnownHost[]): void => this.send({ type: 'known', known, list });
+        const emit = (known: KnownFleet): void => this.send({ type: 'known', known, list });
         keeper.send({ type: 'project', projector: new KnownHostsProjector(emit) });
         break;
       }
@@ -111,10 +111,10 @@
     return this.#options.clock.readMonotonic() - compared.at >= COMPARE_INTERVAL_MS;
   }
 
-  #compare(known: KnownHost[], list: ListedHost[]): void {
+  #compare({ hosts, suspected }: KnownFleet, list: ListedHost[]): void {
     const { clock, writer } = this.#options;
     const now = clock.readMonotonic();
-    const { observations, suspected } = this.#hysteresis.apply(known, { list, now });
+    const { observations } = this.#hysteresis.apply(hosts, { list, now });
     suspected
       .filter((dataCentre) => !this.#suspected.includes(dataCentre))
       .forEach((dataCentre) =>
--- a/src/controller/_KnownHostsProjector.ts
+++ b/src/controller/_KnownHostsProjector.ts
@@ -1,21 +1,27 @@
 import { FleetProjector, type Fleet } from '../fleet/mod.js';
 import type { KnownHost } from '../host/mod.js';
 
+/** What the fold knows of the hosts that are watched. */
+export interface KnownFleet {
+  hosts: KnownHost[];
+  /** Data centres that are suspected to be partitioned. */
+  suspected: string[];
+}
+
 /** Lists the hosts of the inventory with their status in the fold. */
 export class KnownHostsProjector extends FleetProjector {
-  readonly #emit: (known: KnownHost[]) => void;
+  readonly #emit: (known: KnownFleet) => void;
 
-  constructor(emit: (known: KnownHost[]) => void) {
+  constructor(emit: (known: KnownFleet) => void) {
     super();
     this.#emit = emit;
   }
 
   override project(fleet: Fleet): void {
-    const known: KnownHost[] = [];
-    fleet.data.configuration.host.forEach(({ object }, host) => {
-      const status = fleet.findHostState(host)?.status;
-      if (status) known.push({ host, dataCentre: object.dataCentre, status });
+    const hosts: KnownHost[] = [];
+    fleet.data.hostStates.forEach(({ status, phase }, host) => {
+      hosts.push({ host, status, isInMaintenance: phase === 'maintenance' });
     });
-    this.#emit(known);
+    this.#emit({ hosts, suspected: fleet.data.index.listSuspected() });
   }
 }
--- a/src/dataCentre/mod.ts
+++ b/src/dataCentre/mod.ts
@@ -4,3 +4,4 @@
  * @module
  */
 export * from './DataCentre.js';
+export * from './isPartitionSuspected.js';
--- a/src/fleet/_FleetIndex.ts
+++ b/src/fleet/_FleetIndex.ts
@@ -1,14 +1,11 @@
 import { PoolLedger } from '../contract/mod.js';
+import { isPartitionSuspected, type PartitionCounts } from '../dataCentre/mod.js';
 import type { Host, HostState } from '../host/mod.js';
 
-interface DataCentreCounts {
+interface DataCentreCounts extends PartitionCounts {
   hosts: number;
-  live: number;
 }
 
-/** A data centre with one host only cannot tell a partition from a failed host. */
-const MIN_HOSTS_OF_PARTITION = 2;
-
 /** Counters over the states of the hosts. Derived data: rebuilt on restore, not in the snapshot. */
 export class FleetIndex {
   readonly #pools = new Map<string, PoolLedger>();
@@ -25,9 +22,10 @@
 
   /** Counts a host in with its state. */
   add(host: Host, state: HostState): void {
-    const counts = this.#dataCentres.get(host.dataCentre) ?? { hosts: 0, live: 0 };
+    const counts = this.#dataCentres.get(host.dataCentre) ?? { hosts: 0, live: 0, expected: 0 };
     counts.hosts += 1;
     if (state.status === 'live') counts.live += 1;
+    if (state.phase !== 'maintenance') counts.expected += 1;
     this.#dataCentres.set(host.dataCentre, counts);
     if (state.pool !== undefined) this.#openLedger(state.pool).add(host, state);
     if (state.toPool !== undefined) this.#openLedger(state.toPool).incoming += 1;
@@ -39,6 +37,7 @@
     if (counts !== undefined) {
       counts.hosts -= 1;
       if (state.status === 'live') counts.live -= 1;
+      if (state.phase !== 'maintenance') counts.expected -= 1;
     }
     if (state.pool !== undefined) this.#openLedger(state.pool).remove(host, state);
     if (state.toPool !== undefined) this.#openLedger(state.toPool).incoming -= 1;
@@ -57,7 +56,12 @@
   /** Whether all hosts of a data centre have disappeared, so that a partition is suspected. */
   isPartitionSuspected(dataCentre: string): boolean {
     const counts = this.#dataCentres.get(dataCentre);
-    return counts !== undefined && counts.hosts >= MIN_HOSTS_OF_PARTITION && counts.live === 0;
+    return counts !== undefined && isPartitionSuspected(counts);
+  }
+
+  /** Lists the data centres that are suspected to be partitioned. */
+  listSuspected(): string[] {
+    return [...this.#dataCentres.keys()].filter((name) => this.isPartitionSuspected(name)).sort();
   }
 
   #openLedger(pool: string): PoolLedger {
--- a/src/fleet/planFleet.test.ts
+++ b/src/fleet/planFleet.test.ts
@@ -123,6 +123,19 @@
     assert.equal(host?.isPartitionSuspected, true);
   });
 
+  // Guards against a wave over a whole small data centre that is taken for a partition.
+  it('suspects no partition when only hosts in maintenance are away', () => {
+    const small = new SmallFleet([{ name: 'a', need: 0, headroom: 6, availabilityBudget: 6 }], 6);
+    small.runPlans();
+    const hosts = ['h0', 'h3'];
+    small.append({ type: 'maintenance-grant', hosts, wave: 'w' });
+    small.append({ type: 'maintenance-start', hosts, wave: 'w' });
+    small.report(hosts, 'failed');
+    assert.deepEqual(small.fleet.data.index.listSuspected(), []);
+    small.report(['h1', 'h4'], 'failed');
+    assert.deepEqual(small.fleet.data.index.listSuspected(), ['d1']);
+  });
+
   // Guards against lending for a short flood, and against a lasting shortage left unmet.
   it('borrows from a lending pool only after the shortage has lasted', () => {
     const spare = { name: 'spare', need: 2, headroom: 6, availabilityBudget: 6, lends: true };
--- a/src/host/HostHysteresis.ts
+++ b/src/host/HostHysteresis.ts
@@ -2,6 +2,10 @@
 
 /** The list lags; a host that is missing from it for less than this may only be late. */
 const ABSENT_MS = 10_000;
+/** A host in maintenance is expected to go; it must be missing from two lists, 2 s apart. */
+const ABSENT_IN_MAINTENANCE_MS = 2_000;
+/** A host that comes back from its maintenance has not failed; it must be in a few lists in a row. */
+const RECOVER_IN_MAINTENANCE_MS = 5_000;
 /** A failed host must look well for this long; doubled with each flap. */
 const RECOVER_MS = 30_000;
 /** 30 s doubled six times; a host that flaps without end costs one record pair in half an hour. */
@@ -16,8 +20,9 @@
 /** A host of the inventory as the fold has it. */
 export interface KnownHost {
   host: string;
-  dataCentre: string;
   status: HostStatus;
+  /** Whether its maintenance has started, so that it goes away on purpose. */
+  isInMaintenance: boolean;
 }
 
 /** A host in the platform's list. */
@@ -29,8 +34,6 @@
 /** What the fold should be told. */
 export interface HostFindings {
   observations: { host: string; status: HostStatus }[];
-  /** Data centres all of whose hosts are missing: a partition is suspected. */
-  suspected: string[];
 }
 
 /** Most time that counts between two lists, which are compared at least every 5 s. */
@@ -46,21 +49,26 @@
   status: HostStatus;
   /** Status in the fold when last seen. */
   folded: HostStatus;
+  isInMaintenance: boolean;
   /** First and last report by gateway. */
   reports: Map<string, { first: number; last: number }>;
 }
 
+function computeRecoverMs({ isInMaintenance, flaps }: Watched): number {
+  if (isInMaintenance) return RECOVER_IN_MAINTENANCE_MS;
+  return Math.min(MAX_RECOVER_MS, RECOVER_MS * 2 ** Math.min(Math.max(0, flaps - 1), 10));
+}
+
 function chooseStatus(
   watched: Watched,
   seen: { state: 'live' | 'leaving' | undefined; isReported: boolean; now: number },
 ): HostStatus {
-  if (seen.isReported || seen.now - watched.presentAt >= ABSENT_MS) return 'failed';
+  const absentMs = watched.isInMaintenance ? ABSENT_IN_MAINTENANCE_MS : ABSENT_MS;
+  if (seen.isReported || seen.now - watched.presentAt >= absentMs) return 'failed';
   // A host that left its list of failures only to leave is not taken back in between.
   if (seen.state === 'leaving') return watched.status === 'failed' ? 'failed' : 'leaving';
   if (watched.status === 'live' || watched.wellSince === undefined) return watched.status;
-  const flaps = Math.max(0, watched.flaps - 1);
-  const recoverMs = Math.min(MAX_RECOVER_MS, RECOVER_MS * 2 ** Math.min(flaps, 10));
-  return seen.now - watched.wellSince >= recoverMs ? 'live' : watched.status;
+  return seen.now - watched.wellSince >= computeRecoverMs(watched) ? 'live' : watched.status;
 }
 
 function isReported({ reports }: Watched, now: number): boolean {
@@ -88,7 +96,7 @@
     }
     return status;
   }
-  if (watched.status === 'live') watched.flaps += 1;
+  if (watched.status === 'live' && !watched.isInMaintenance) watched.flaps += 1;
   watched.status = status;
   watched.changedAt = now;
   return status;
@@ -100,7 +108,8 @@
  *
  * A host counts as leaving at once, as failed after it was missing for 10 s or reported, and as live
  * again after it looked well for 30 s, doubled with each flap. Times are monotonic milliseconds. An
- * empty list is no news: the platform has lost its list, not every host.
+ * empty list is no news: the platform has lost its list, not every host. A host in maintenance goes
+ * away on purpose: it is failed after 2 s and live again after 5 s, and that is no flap.
  *
  * @example
  * ```ts
@@ -127,7 +136,7 @@
 
   /** Compares a list with the fold and returns what differs. */
   apply(known: KnownHost[], { list, now }: { list: ListedHost[]; now: number }): HostFindings {
-    if (list.length === 0) return { observations: [], suspected: [] };
+    if (list.length === 0) return { observations: [] };
     this.#prune(known);
     this.#increaseElapsed(now);
     const elapsed = this.#elapsedMs;
@@ -137,7 +146,7 @@
       const status = computeStatus(watched, { state: listed.get(one.host), now: elapsed });
       return status === one.status ? [] : [{ host: one.host, status }];
     });
-    return { observations, suspected: this.#findSuspected(known, elapsed) };
+    return { observations };
   }
 
   /** A frozen process or a silent platform must not turn one late list into many failures. */
@@ -147,13 +156,14 @@
     this.#elapsedMs += Math.max(0, Math.min(gap, MAX_GAP_MS));
   }
 
-  #updateWatched({ host, status }: KnownHost, now: number): Watched {
+  #updateWatched({ host, status, isInMaintenance }: KnownHost, now: number): Watched {
     const known = this.#watched.get(host);
     if (known) {
+      known.isInMaintenance = isInMaintenance;
       // Another controller decided otherwise. Taking its word keeps two that see different reports
       // from overruling each other in turn.
       if (known.folded !== status && known.status !== status) {
-        if (known.status === 'live') known.flaps += 1;
+        if (known.status === 'live' && !isInMaintenance) known.flaps += 1;
         known.wellSince = undefined;
         known.status = status;
         known.changedAt = now;
@@ -168,22 +178,13 @@
       changedAt: now,
       status,
       folded: status,
+      isInMaintenance,
       reports: new Map(),
     };
     this.#watched.set(host, watched);
     return watched;
   }
 
-  #findSuspected(known: KnownHost[], now: number): string[] {
-    const present = new Map<string, boolean>();
-    known.forEach(({ host, dataCentre }) => {
-      const presentAt = this.#watched.get(host)?.presentAt ?? now;
-      const isPresent = now - presentAt < ABSENT_MS;
-      present.set(dataCentre, (present.get(dataCentre) ?? false) || isPresent);
-    });
-    return [...present].filter(([, isPresent]) => !isPresent).map(([dataCentre]) => dataCentre);
-  }
-
   #prune(known: KnownHost[]): void {
     if (this.#watched.size <= known.length) return;
     const names = new Set(known.map((one) => one.host));
