Keep a host that gateways report as failing out until it is healthy

A host that fails everything stays on the platform's list, so it came back 30 s after the reports ended, which they do as soon as it gets no work. The observation now names its source; a host failed by gateways' reports is faulty in the fold and counts as live only when a gateway reports it healthy (new field of the procedure report) or when a maintenance has brought it back. A faulty host is maintained before its turn, at most once an hour. A host that had failed before its maintenance is back only after it was seen away, or after 10 min.

Each test was seen to fail with its rule removed: the fold's, the hysteresis', and the wait for the reboot.

--- a/src/controller/ControllerApi.ts
+++ b/src/controller/ControllerApi.ts
@@ -39,6 +39,15 @@
   operator: string;
 }
 
+/** What a gateway saw of hosts; it repeats the report about every 5 s while it lasts. */
+export interface HostReport {
+  reporter: string;
+  /** Hosts that fail everything. */
+  hosts: string[];
+  /** Failed hosts that answered a probe. */
+  healthy: string[];
+}
+
 /** The actors that the API of a controller speaks to. */
 export interface ControllerApiOptions {
   keeper: FleetKeeper;
@@ -139,9 +148,11 @@
     return queryRollout(sessions, asked);
   }
 
-  /** Takes a gateway's report of hosts that fail. */
-  report(reporter: string, hosts: string[]): void {
-    this.#options.watcher.send({ type: 'report', reporter, hosts });
+  /** Takes a gateway's report of hosts that fail, and of failed hosts that work again. */
+  report({ reporter, hosts, healthy }: HostReport): void {
+    const { watcher } = this.#options;
+    watcher.send({ type: 'report', reporter, hosts, isHealthy: false });
+    watcher.send({ type: 'report', reporter, hosts: healthy, isHealthy: true });
   }
 
   /**
--- a/src/controller/ControllerRouter.ts
+++ b/src/controller/ControllerRouter.ts
@@ -25,8 +25,14 @@
     .input(AskedRevision)
     .query(({ ctx, input }) => ctx.api.readRollout(input?.revision)),
   report: t.procedure
-    .input(z.object({ reporter: z.string(), hosts: z.array(z.string()).max(MAX_REPORTED) }))
-    .mutation(({ ctx, input }) => ctx.api.report(input.reporter, input.hosts)),
+    .input(
+      z.object({
+        reporter: z.string(),
+        hosts: z.array(z.string()).max(MAX_REPORTED),
+        healthy: z.array(z.string()).max(MAX_REPORTED).default([]),
+      }),
+    )
+    .mutation(({ ctx, input }) => ctx.api.report(input)),
   fleet: t.procedure.query(({ ctx }) => ctx.api.describe()),
   host: t.procedure
     .input(z.object({ name: z.string() }))
--- a/src/controller/HostWatcher.ts
+++ b/src/controller/HostWatcher.ts
@@ -22,7 +22,7 @@
   | { type: 'list'; list: ListedHost[] }
   | { type: 'known'; known: KnownFleet; list: ListedHost[] }
   | { type: 'failure'; error: Error }
-  | { type: 'report'; reporter: string; hosts: string[] }
+  | { type: 'report'; reporter: string; hosts: string[]; isHealthy: boolean }
   | { type: 'rank'; rank: number };
 
 /** Options of a host watcher. */
@@ -82,7 +82,11 @@
         break;
       case 'report':
         message.hosts.forEach((host) =>
-          this.#hysteresis.report({ host, reporter: message.reporter }),
+          this.#hysteresis.report({
+            host,
+            reporter: message.reporter,
+            isHealthy: message.isHealthy,
+          }),
         );
         break;
       default:
--- a/src/controller/_KnownHostsProjector.ts
+++ b/src/controller/_KnownHostsProjector.ts
@@ -19,8 +19,11 @@
 
   override project(fleet: Fleet): void {
     const hosts: KnownHost[] = [];
-    fleet.data.hostStates.forEach(({ status, phase }, host) => {
-      hosts.push({ host, status, isInMaintenance: phase === 'maintenance' });
+    fleet.data.hostStates.forEach((state, host) => {
+      const { status } = state;
+      const isInMaintenance = state.phase === 'maintenance';
+      const isAway = isInMaintenance && status !== 'live' && state.statusSince > state.phaseSince;
+      hosts.push({ host, status, isInMaintenance, isAway, isFaulty: state.isFaulty === true });
     });
     this.#emit({ hosts, suspected: fleet.data.index.listSuspected() });
   }
--- a/src/fleet/_applyHostRecord.ts
+++ b/src/fleet/_applyHostRecord.ts
@@ -14,17 +14,42 @@
   return ignored.length === 0 ? ACCEPTED : { outcome: 'accepted', ignored };
 }
 
+type Observation = BodyOf<'host-observed'>['observations'][number];
+
+/**
+ * Computes the state after an observation; undefined when the observation does not count.
+ *
+ * A faulty host is taken back when gateways report it healthy or its maintenance brought it back.
+ * The list names it as live all the time, so that it would get work and fail it without end.
+ */
+function computeObserved(
+  state: HostState,
+  { status, source }: Observation,
+  time: number,
+): HostState | undefined {
+  const isGateways = source === 'gateways';
+  const isRepaired = isGateways || state.phase === 'maintenance';
+  if (state.isFaulty && status !== 'failed' && !isRepaired) return undefined;
+  const { isFaulty, ...rest } = state;
+  const becomesFaulty = status === 'failed' && (isGateways || isFaulty);
+  const statusSince = status === state.status ? state.statusSince : time;
+  return { ...rest, status, statusSince, ...(becomesFaulty && { isFaulty: true as const }) };
+}
+
 function applyObserved(
   data: FleetData,
   record: LoggedRecord,
   body: BodyOf<'host-observed'>,
 ): Verdict {
   const ignored: string[] = [];
-  body.observations.forEach(({ host, status }) => {
+  body.observations.forEach((observation) => {
+    const { host } = observation;
     const state = data.hostStates.get(host);
+    const after = state && computeObserved(state, observation, record.time);
     if (state === undefined) ignored.push(`unknown host "${host}"`);
-    else if (state.status !== status) {
-      data.changeHost(host, { ...state, status, statusSince: record.time });
+    else if (after === undefined) ignored.push(`host "${host}" was not reported healthy`);
+    else if (after.status !== state.status || after.isFaulty !== state.isFaulty) {
+      data.changeHost(host, after);
     }
   });
   return acceptReport(ignored);
--- a/src/fleet/_planWaves.ts
+++ b/src/fleet/_planWaves.ts
@@ -4,12 +4,18 @@
 import type { HostLists } from './_HostLists.js';
 import type { PlanDraft } from './_PlanDraft.js';
 
+/**
+ * A faulty host is maintained before its turn, since a reboot may repair it, but not more often than
+ * this; it is unavailable anyway and costs no budget.
+ */
+const REPAIR_INTERVAL_MS = 3_600_000;
 /** After this many refusals in a row the budget of a pool is taken as used up. */
 const MAX_REFUSALS = 50;
 
 function canBeGranted(draft: PlanDraft, { host, state, startAt }: WaveTurn): boolean {
+  const isRepair = state.isFaulty && draft.now - state.maintainedAt >= REPAIR_INTERVAL_MS;
   return (
-    startAt <= draft.now &&
+    (startAt <= draft.now || isRepair === true) &&
     state.phase === 'serving' &&
     state.status !== 'leaving' &&
     !draft.data.index.isPartitionSuspected(host.dataCentre)
--- a/src/fleet/planFleet.test.ts
+++ b/src/fleet/planFleet.test.ts
@@ -45,6 +45,11 @@
     assert.deepEqual(this.fleet.apply(record), { outcome: 'accepted' });
   }
 
+  /** Leaves out an offset that the test used itself. */
+  skip(): void {
+    this.#offset += 1;
+  }
+
   report(names: string[], status: 'live' | 'failed'): void {
     const observations = names.map((host) => ({ host, status }));
     this.append({ type: 'host-observed', observations });
@@ -136,6 +141,38 @@
     assert.deepEqual(small.fleet.data.index.listSuspected(), ['d1']);
   });
 
+  // Guards against a host that gets work again and again although it fails everything.
+  it('takes a faulty host back only after a maintenance or a report that it is healthy', () => {
+    const small = new SmallFleet([{ name: 'a', need: 6, headroom: 6, availabilityBudget: 3 }], 12);
+    small.runPlans();
+    const status = (): string | undefined => small.fleet.findHostState('h0')?.status;
+    const observe = (to: 'live' | 'failed', source?: 'gateways'): void => {
+      const one = { host: 'h0', status: to, ...(source && { source }) };
+      const record = {
+        time: small.now,
+        writer: 'o',
+        body: RecordBody.parse({ type: 'host-observed', observations: [one] }),
+      };
+      const offset = small.fleet.nextOffset;
+      small.fleet.apply({ ...record, offset, sequence: offset + 1 });
+      small.skip();
+    };
+    observe('failed', 'gateways');
+    observe('live');
+    assert.equal(status(), 'failed');
+    observe('live', 'gateways');
+    assert.equal(status(), 'live');
+    observe('failed', 'gateways');
+    small.now += DAY_MS;
+    small.runPlans();
+    assert.equal(small.fleet.findHostState('h0')?.phase, 'maintenance');
+    small.now += MINUTE_MS;
+    observe('live');
+    small.runPlans();
+    const { phase, isFaulty } = small.fleet.findHostState('h0') ?? {};
+    assert.deepEqual([phase, isFaulty, status()], ['serving', undefined, 'live']);
+  });
+
   // Guards against lending for a short flood, and against a lasting shortage left unmet.
   it('borrows from a lending pool only after the shortage has lasted', () => {
     const spare = { name: 'spare', need: 2, headroom: 6, availabilityBudget: 6, lends: true };
--- a/src/host/HostHysteresis.test.ts
+++ b/src/host/HostHysteresis.test.ts
@@ -16,15 +16,24 @@
   now = 0;
 
   constructor(hosts: string[]) {
-    this.known = hosts.map((host) => ({ host, status: 'live', isInMaintenance: false }));
+    this.known = hosts.map((host) => ({
+      host,
+      status: 'live',
+      isInMaintenance: false,
+      isAway: false,
+      isFaulty: false,
+    }));
   }
 
   apply(list: ListedHost[], stepMs = 1_000): void {
     this.now += stepMs;
     const findings = this.hysteresis.apply(this.known, { list, now: this.now });
-    findings.observations.forEach(({ host, status }) => {
+    findings.observations.forEach(({ host, status, source }) => {
       const known = this.known.find((one) => one.host === host);
-      if (known) known.status = status;
+      if (known) {
+        known.status = status;
+        known.isFaulty = status === 'failed' && (known.isFaulty || source === 'gateways');
+      }
       this.changes.push({ host, status, at: this.now });
     });
   }
@@ -106,4 +115,31 @@
     }
     assert.equal(watch.changes.length, 10);
   });
+
+  // Guards against a host that fails all its work and gets more each time the reports stop.
+  it('keeps a reported host failed until a gateway reports it healthy', () => {
+    const watch = new Watch(['a', 'b']);
+    watch.apply([A, B]);
+    ['g1', 'g2'].forEach((reporter) => watch.hysteresis.report({ host: 'a', reporter }));
+    for (let second = 0; second < 600; second += 1) watch.apply([A, B]);
+    assert.deepEqual(watch.changes, [{ host: 'a', status: 'failed', at: 2_000 }]);
+    watch.hysteresis.report({ host: 'a', reporter: 'g1', isHealthy: true });
+    watch.apply([A, B]);
+    assert.deepEqual(watch.changes.slice(1), [{ host: 'a', status: 'live', at: 602_000 }]);
+  });
+
+  // Guards against a failed host that counts as maintained before it was rebooted.
+  it('waits for the reboot of a host that had failed before its maintenance', () => {
+    const watch = new Watch(['a', 'b']);
+    watch.apply([A, B]);
+    ['g1', 'g2'].forEach((reporter) => watch.hysteresis.report({ host: 'a', reporter }));
+    watch.apply([A, B]);
+    const [a] = watch.known;
+    if (a) a.isInMaintenance = true;
+    for (let second = 0; second < 60; second += 1) watch.apply([A, B]);
+    assert.equal(watch.changes.length, 1);
+    for (let second = 0; second < 4; second += 1) watch.apply([B]);
+    for (let second = 0; second < 7; second += 1) watch.apply([A, B]);
+    assert.equal(watch.changes.at(-1)?.status, 'live');
+  });
 });
--- a/src/host/HostHysteresis.ts
+++ b/src/host/HostHysteresis.ts
@@ -10,6 +10,8 @@
 const RECOVER_MS = 30_000;
 /** 30 s doubled six times; a host that flaps without end costs one record pair in half an hour. */
 const MAX_RECOVER_MS = 1_920_000;
+/** A host that had failed before its maintenance and was not seen to reboot is back after this time. */
+const UNSEEN_REBOOT_MS = 600_000;
 /** After this long without a change, one flap is forgiven. */
 const FORGIVE_MS = 3_600_000;
 /** A report counts for this long; gateways repeat it while the host fails. */
@@ -23,6 +25,10 @@
   status: HostStatus;
   /** Whether its maintenance has started, so that it goes away on purpose. */
   isInMaintenance: boolean;
+  /** Whether it was seen to go away since its maintenance started. */
+  isAway: boolean;
+  /** Whether gateways reported that it fails its work. */
+  isFaulty: boolean;
 }
 
 /** A host in the platform's list. */
@@ -33,7 +39,7 @@
 
 /** What the fold should be told. */
 export interface HostFindings {
-  observations: { host: string; status: HostStatus }[];
+  observations: { host: string; status: HostStatus; source?: 'gateways' }[];
 }
 
 /** Most time that counts between two lists, which are compared at least every 5 s. */
@@ -50,12 +56,17 @@
   /** Status in the fold when last seen. */
   folded: HostStatus;
   isInMaintenance: boolean;
+  isFaulty: boolean;
+  /** Whether it was missing since its maintenance started. */
+  wasAway: boolean;
+  /** When a gateway last reported that it works; monotonic like the other times. */
+  healthyAt: number;
   /** First and last report by gateway. */
   reports: Map<string, { first: number; last: number }>;
 }
 
-function computeRecoverMs({ isInMaintenance, flaps }: Watched): number {
-  if (isInMaintenance) return RECOVER_IN_MAINTENANCE_MS;
+function computeRecoverMs({ isInMaintenance, wasAway, flaps }: Watched): number {
+  if (isInMaintenance) return wasAway ? RECOVER_IN_MAINTENANCE_MS : UNSEEN_REBOOT_MS;
   return Math.min(MAX_RECOVER_MS, RECOVER_MS * 2 ** Math.min(Math.max(0, flaps - 1), 10));
 }
 
@@ -68,6 +79,8 @@
   // A host that left its list of failures only to leave is not taken back in between.
   if (seen.state === 'leaving') return watched.status === 'failed' ? 'failed' : 'leaving';
   if (watched.status === 'live' || watched.wellSince === undefined) return watched.status;
+  const isHealthy = seen.now - watched.healthyAt <= REPORT_MS;
+  if (watched.isFaulty && !watched.isInMaintenance && !isHealthy) return 'failed';
   return seen.now - watched.wellSince >= computeRecoverMs(watched) ? 'live' : watched.status;
 }
 
@@ -81,14 +94,15 @@
 
 function computeStatus(
   watched: Watched,
-  { state, now }: { state: 'live' | 'leaving' | undefined; now: number },
+  seen: { state: 'live' | 'leaving' | undefined; isReported: boolean; now: number },
 ): HostStatus {
   /* eslint-disable no-param-reassign -- the watched host is this object's own state. */
+  const { state, now } = seen;
   if (state !== undefined) watched.presentAt = now;
-  const isFailing = isReported(watched, now);
-  const isWell = state === 'live' && !isFailing;
+  else if (watched.isInMaintenance) watched.wasAway = true;
+  const isWell = state === 'live' && !seen.isReported;
   watched.wellSince = isWell ? (watched.wellSince ?? now) : undefined;
-  const status = chooseStatus(watched, { state, isReported: isFailing, now });
+  const status = chooseStatus(watched, seen);
   if (status === watched.status) {
     if (watched.flaps > 0 && now - watched.changedAt > FORGIVE_MS) {
       watched.flaps -= 1;
@@ -124,11 +138,17 @@
   /** Time during which lists came, in milliseconds; all waiting times count in it. */
   #elapsedMs = 0;
 
-  /** Takes note that a gateway sees a host fail. */
-  report(report: { host: string; reporter: string }): void {
+  /** Takes note that a gateway sees a host fail, or work again. */
+  report(report: { host: string; reporter: string; isHealthy?: boolean }): void {
     const now = this.#elapsedMs;
-    const reports = this.#watched.get(report.host)?.reports;
-    if (reports === undefined) return;
+    const watched = this.#watched.get(report.host);
+    if (watched === undefined) return;
+    const { reports } = watched;
+    if (report.isHealthy) {
+      reports.delete(report.reporter);
+      watched.healthyAt = now;
+      return;
+    }
     const known = reports.get(report.reporter);
     const isFresh = known !== undefined && now - known.last <= REPORT_MS;
     reports.set(report.reporter, { first: isFresh ? known.first : now, last: now });
@@ -143,8 +163,14 @@
     const listed = new Map(list.map((one) => [one.host, one.state]));
     const observations = known.flatMap((one) => {
       const watched = this.#updateWatched(one, elapsed);
-      const status = computeStatus(watched, { state: listed.get(one.host), now: elapsed });
-      return status === one.status ? [] : [{ host: one.host, status }];
+      const state = listed.get(one.host);
+      const isFailing = isReported(watched, elapsed);
+      const status = computeStatus(watched, { state, isReported: isFailing, now: elapsed });
+      const { host } = one;
+      if (isFailing && !one.isFaulty) return [{ host, status, source: 'gateways' as const }];
+      if (status === one.status) return [];
+      const isHealed = one.isFaulty && !one.isInMaintenance;
+      return [{ host, status, ...(isHealed && { source: 'gateways' as const }) }];
     });
     return { observations };
   }
@@ -156,10 +182,15 @@
     this.#elapsedMs += Math.max(0, Math.min(gap, MAX_GAP_MS));
   }
 
-  #updateWatched({ host, status, isInMaintenance }: KnownHost, now: number): Watched {
+  #updateWatched(one: KnownHost, now: number): Watched {
+    const { host, status, isInMaintenance, isFaulty } = one;
     const known = this.#watched.get(host);
     if (known) {
+      // What looked well before a maintenance says nothing about the time after it.
+      if (known.isInMaintenance !== isInMaintenance) known.wellSince = undefined;
       known.isInMaintenance = isInMaintenance;
+      known.isFaulty = isFaulty;
+      known.wasAway = isInMaintenance && (known.wasAway || one.isAway);
       // Another controller decided otherwise. Taking its word keeps two that see different reports
       // from overruling each other in turn.
       if (known.folded !== status && known.status !== status) {
@@ -179,6 +210,9 @@
       status,
       folded: status,
       isInMaintenance,
+      isFaulty,
+      wasAway: one.isAway,
+      healthyAt: Number.NEGATIVE_INFINITY,
       reports: new Map(),
     };
     this.#watched.set(host, watched);
--- a/src/host/HostState.ts
+++ b/src/host/HostState.ts
@@ -15,6 +15,8 @@
 export const HostState = z.object({
   status: HostStatus,
   phase: HostPhase,
+  /** Gateways reported that it fails its work; the host list does not show whether it still does. */
+  isFaulty: z.literal(true).optional(),
   /** The pool that the host belongs to; absent while it is unassigned. */
   pool: z.string().optional(),
   /** Where a releasing host goes; absent when it becomes unassigned. */
--- a/src/record/HostRecord.ts
+++ b/src/record/HostRecord.ts
@@ -4,7 +4,14 @@
 /** What controllers observed of hosts. */
 export const HostObserved = z.object({
   type: z.literal('host-observed'),
-  observations: z.array(z.object({ host: z.string(), status: HostStatus })),
+  observations: z.array(
+    z.object({
+      host: z.string(),
+      status: HostStatus,
+      /** Who saw it; gateways see a host that is listed but fails what it is sent. */
+      source: z.enum(['list', 'gateways']).optional(),
+    }),
+  ),
 });
 
 /**
