Lend hosts for lasting shortages and take every loan back

Cause: hosts that a lending pool gave up never came back, failures did not count as a shortage, and members that no longer fit their pool and surplus hosts stayed where they were.

A release can be a loan: the host keeps its owner, the fold accepts it only while the lender keeps need, demand and budget, and the owner's size counts it. LendingPolicy decides about loans from a description of the pools alone; LastingLending lends after lendAfterSeconds (with a demand not before the 60 s that a loan costs) and takes back when the owner is short or the borrower has been calm for 10 min. pool-demand records state what a lasting overload asks for. Unfit members are released while the pool keeps its need; a surplus that lasts 10 min goes to pools that are short, and to none from pools that do not lend. Hosts behind a suspected partition do not count as failed for lending.

Reboots are asked for only within 5 s of the proposal of their start, and repeated only by a process that has not been frozen for 10 s, since a late reboot would hit a host that serves again.

The properties were seen to fail without the wait before a loan, with a return after 1 s, with a floor of need alone, and without returns.

--- a/measure/SimulatedFleet.ts
+++ b/measure/SimulatedFleet.ts
@@ -1,4 +1,5 @@
-import { SpreadPlacement } from '../src/contract/mod.js';
+import { ConditionTimer } from '../src/clock/mod.js';
+import { LastingLending, SpreadPlacement } from '../src/contract/mod.js';
 import { Fleet, planFleet } from '../src/fleet/mod.js';
 import { ConfigChange, type RecordBody } from '../src/record/mod.js';
 
@@ -68,9 +69,9 @@
 
   readonly #shape: FleetShape;
 
-  readonly #shortSince = new Map<string, number>();
+  readonly #timer = new ConditionTimer();
 
-  readonly #policy = new SpreadPlacement();
+  readonly #policies = { policy: new SpreadPlacement(), lending: new LastingLending() };
 
   /** Hosts that come back, by time. */
   #returns: { host: string; at: number }[] = [];
@@ -115,7 +116,7 @@
       this.costs.longestStretchMs = Math.max(this.costs.longestStretchMs, at - from);
       from = at;
     };
-    const options = { now, policy: this.#policy, shortSince: this.#shortSince };
+    const options = { now, ...this.#policies, timer: this.#timer };
     const steps = planFleet(this.fleet, options);
     let step = steps.next();
     mark();
--- a/src/clock/mod.ts
+++ b/src/clock/mod.ts
@@ -6,3 +6,4 @@
 export * from './Clock.js';
 export * from './ManualClock.js';
 export * from './SystemClock.js';
+export * from './ConditionTimer.js';
--- /dev/null
+++ b/src/contract/LastingLending.test.ts
@@ -0,0 +1,161 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import fc from 'fast-check';
+import { ConditionTimer } from '../clock/mod.js';
+import { Pool } from '../pool/mod.js';
+import { readSeed } from '../testing/mod.js';
+import {
+  computeFloor,
+  computeReturnable,
+  computeShortage,
+  type PoolSupply,
+} from './computeShortage.js';
+import { LastingLending } from './LastingLending.js';
+
+const STEP_MS = 5_000;
+const LEND_AFTER_MS = 30_000;
+const QUIET_MS = 700_000;
+
+/** What befalls a pool: hosts that an overload asks for, hosts that fail, and for how many steps. */
+interface Phase {
+  pool: string;
+  extra: number;
+  failed: number;
+  steps: number;
+}
+
+const RULES = [
+  { name: 'a', need: 4, headroom: 2, availabilityBudget: 2 },
+  { name: 'b', need: 4, headroom: 1, availabilityBudget: 1 },
+  { name: 'spare', need: 2, headroom: 6, availabilityBudget: 2, lends: true },
+  { name: 'other', need: 1, headroom: 3, availabilityBudget: 1, lends: true },
+].map((rules) => Pool.parse({ lendAfterSeconds: LEND_AFTER_MS / 1_000, ...rules }));
+
+/** Pools between which the decisions of the policy move hosts at once. */
+class Simulation {
+  moves: { from: string; to: string; at: number; isCalmReturn: boolean }[] = [];
+
+  #now = 0;
+
+  /** Hosts lent, by `owner/borrower`. */
+  readonly #loans = new Map<string, number>();
+
+  readonly #timer = new ConditionTimer();
+
+  readonly #policy = new LastingLending();
+
+  run({ pool, extra, failed, steps }: Phase): void {
+    for (let step = 0; step < steps; step += 1) {
+      this.#now += STEP_MS;
+      const measured = RULES.map((rules) => {
+        const isHit = rules.name === pool;
+        const supply = this.describe(rules, isHit ? { extra, failed } : { extra: 0, failed: 0 });
+        const { now, name } = { now: this.#now, name: rules.name };
+        const holds = computeShortage(supply) > 0;
+        const isCalm = computeReturnable(supply) > 0;
+        return {
+          ...supply,
+          shortMs: this.#timer.measure(`short/${name}`, { holds, now }),
+          calmMs: this.#timer.measure(`calm/${name}`, { holds: isCalm, now }),
+        };
+      });
+      const { loans, returns } = this.#policy.decide(measured);
+      returns.forEach(({ from, to, count }) => {
+        const isRecall = (measured.find((one) => one.pool.name === to)?.shortMs ?? -1) >= 0;
+        const isCalmReturn = !isRecall;
+        this.move(`${to}/${from}`, -count);
+        this.moves.push({ from, to, at: this.#now, isCalmReturn });
+      });
+      loans.forEach(({ from, to, count }) => {
+        this.move(`${from}/${to}`, count);
+        this.moves.push({ from, to, at: this.#now, isCalmReturn: false });
+        const rules = RULES.find((one) => one.name === from) as Pool;
+        const hit = from === pool ? { extra, failed } : { extra: 0, failed: 0 };
+        const supply = this.describe(rules, hit);
+        assert.ok(supply.staying - supply.failed >= computeFloor(supply), `${from} lent too much`);
+      });
+    }
+  }
+
+  describe(pool: Pool, { extra, failed }: { extra: number; failed: number }): PoolSupply {
+    let lent = 0;
+    const borrowed = new Map<string, number>();
+    this.#loans.forEach((count, pair) => {
+      const [owner = '', borrower] = pair.split('/');
+      if (owner === pool.name) lent += count;
+      if (borrower === pool.name && count > 0) borrowed.set(owner, count);
+    });
+    const loans = [...borrowed.values()].reduce((sum, count) => sum + count, 0);
+    const staying = pool.need + pool.headroom - lent + loans;
+    return { pool, staying, failed, incoming: 0, extra, lent, borrowed };
+  }
+
+  move(pair: string, by: number): void {
+    const count = (this.#loans.get(pair) ?? 0) + by;
+    assert.ok(count >= 0, `${pair} returned more than it borrowed`);
+    this.#loans.set(pair, count);
+  }
+
+  countLoans(): number {
+    return [...this.#loans.values()].reduce((sum, count) => sum + count, 0);
+  }
+}
+
+function buildPhases(maxSteps: number): fc.Arbitrary<Phase[]> {
+  return fc.array(
+    fc.record({
+      pool: fc.constantFrom(...RULES.map(({ name }) => name)),
+      extra: fc.nat({ max: 6 }),
+      failed: fc.nat({ max: 4 }),
+      steps: fc.integer({ min: 1, max: maxSteps }),
+    }),
+    { minLength: 1, maxLength: 40 },
+  );
+}
+
+const OPTIONS = { seed: readSeed(), numRuns: 500 };
+
+describe('LastingLending', () => {
+  // Guards against hosts that move for a flood, which is over before they serve.
+  it('moves nothing for floods and failures of some seconds', () => {
+    const short = buildPhases(LEND_AFTER_MS / STEP_MS - 1);
+    fc.assert(
+      fc.property(short, (phases) => {
+        const simulation = new Simulation();
+        phases.forEach((phase) => {
+          simulation.run(phase);
+          simulation.run({ pool: '', extra: 0, failed: 0, steps: 1 });
+        });
+        assert.deepEqual(simulation.moves, []);
+      }),
+      OPTIONS,
+    );
+  });
+
+  // Guards against hosts that go to and fro, a lender that lends what it needs itself, and loans
+  // that never come back.
+  it('lends only above need and budget, without flapping, and takes every loan back', () => {
+    let loans = 0;
+    fc.assert(
+      fc.property(buildPhases(200), (phases) => {
+        const simulation = new Simulation();
+        phases.forEach((phase) => simulation.run(phase));
+        simulation.run({ pool: '', extra: 0, failed: 0, steps: QUIET_MS / STEP_MS });
+        assert.equal(simulation.countLoans(), 0, 'loans that did not come back');
+        const { moves } = simulation;
+        loans += moves.length;
+        moves.forEach((move, index) => {
+          const before = moves
+            .slice(0, index)
+            .findLast((one) => one.from === move.to && one.to === move.from);
+          if (before === undefined) return;
+          const leastMs = move.isCalmReturn ? 600_000 : LEND_AFTER_MS;
+          const what = `${before.from} to ${before.to} and back`;
+          assert.ok(move.at - before.at >= leastMs, `${what} in ${move.at - before.at} ms`);
+        });
+      }),
+      OPTIONS,
+    );
+    assert.ok(loans > 1_000, `only ${loans} moves in all runs`);
+  });
+});
--- a/src/contract/PoolLedger.ts
+++ b/src/contract/PoolLedger.ts
@@ -7,6 +7,10 @@
   return state.phase === 'serving' && state.status === 'live';
 }
 
+function isDown({ phase, status }: HostState): boolean {
+  return status !== 'live' && phase !== 'releasing' && phase !== 'maintenance';
+}
+
 /**
  * The hosts of one pool, counted for its availability budget.
  *
@@ -20,6 +24,9 @@
   /** Members that are failed, leaving, releasing, granted or in maintenance. */
   unavailable = 0;
 
+  /** Members that do not answer, other than those that drain away or are in maintenance. */
+  failed = 0;
+
   /** Members that drain towards another pool or none. */
   releasing = 0;
 
@@ -47,6 +54,7 @@
   add(host: Host, state: HostState): void {
     this.members += 1;
     if (state.phase === 'releasing') this.releasing += 1;
+    if (isDown(state)) this.failed += 1;
     if (isAvailable(state)) {
       this.#racks.increase(toRackKey(host));
       this.#dataCentres.increase(host.dataCentre);
@@ -57,6 +65,7 @@
   remove(host: Host, state: HostState): void {
     this.members -= 1;
     if (state.phase === 'releasing') this.releasing -= 1;
+    if (isDown(state)) this.failed -= 1;
     if (isAvailable(state)) {
       this.#racks.decrease(toRackKey(host));
       this.#dataCentres.decrease(host.dataCentre);
@@ -74,6 +83,7 @@
     const copy = new PoolLedger();
     copy.members = this.members;
     copy.unavailable = this.unavailable;
+    copy.failed = this.failed;
     copy.releasing = this.releasing;
     copy.incoming = this.incoming;
     copy.#racks = this.#racks.copy();
--- a/src/contract/mod.ts
+++ b/src/contract/mod.ts
@@ -8,3 +8,6 @@
 export * from './PoolPromise.js';
 export * from './PlacementPolicy.js';
 export * from './SpreadPlacement.js';
+export * from './LendingPolicy.js';
+export * from './LastingLending.js';
+export * from './computeShortage.js';
--- a/src/controller/Controller.ts
+++ b/src/controller/Controller.ts
@@ -3,7 +3,7 @@
 import { createHTTPServer } from '@trpc/server/adapters/standalone';
 import { ActorScope, type FaultHandler } from '../actor/mod.js';
 import { SystemClock } from '../clock/mod.js';
-import { SpreadPlacement } from '../contract/mod.js';
+import { LastingLending, SpreadPlacement } from '../contract/mod.js';
 import { FleetFollower, FleetKeeper, type FollowerStatus } from '../fleet/mod.js';
 import { HttpLogClient, LogRecordSource, LogWriter, type SubmitAnswer } from '../log/mod.js';
 import type { ProcessObserver } from '../observation/mod.js';
@@ -90,8 +90,9 @@
       new HttpMaintenanceActions(settings.platform),
     );
     this.#runner = runner;
-    const policy = new SpreadPlacement();
-    this.#planner = new ControllerPlanner(this.#scope, { keeper, writer, runner, clock, policy });
+    const policies = { policy: new SpreadPlacement(), lending: new LastingLending() };
+    const planning = { keeper, writer, runner, clock, ...policies };
+    this.#planner = new ControllerPlanner(this.#scope, planning);
     this.#watcher = new HostWatcher(this.#scope, {
       keeper,
       writer,
--- a/src/controller/ControllerPlanner.ts
+++ b/src/controller/ControllerPlanner.ts
@@ -1,6 +1,6 @@
 import { Actor, type ActorScope } from '../actor/mod.js';
-import type { Clock } from '../clock/mod.js';
-import type { PlacementPolicy } from '../contract/mod.js';
+import { ConditionTimer, type Clock } from '../clock/mod.js';
+import type { LendingPolicy, PlacementPolicy } from '../contract/mod.js';
 import type { FleetKeeper, Plan, VerdictAnswer } from '../fleet/mod.js';
 import type { LogWriter, RecordId, SubmitAnswer } from '../log/mod.js';
 import type { RecordBody } from '../record/mod.js';
@@ -21,6 +21,17 @@
 /** Proposals that the log did not take by then are withdrawn, since they may be out of date. */
 const SUBMIT_TIMEOUT_MS = 5_000;
 
+/**
+ * A reboot is asked for only this soon after its start was proposed. A controller that was frozen in
+ * between may read of its start when the host has long returned to service; the repetition of
+ * reboots by the first controller covers those that are passed over here.
+ */
+const REBOOT_WITHIN_MS = 5_000;
+/** A longer time between two ticks means that the process was frozen. */
+const MAX_TICK_GAP_MS = 3_000;
+/** After a freeze the state may be old; reboots are repeated only after this time without one. */
+const SETTLED_AFTER_MS = 10_000;
+
 type PlannerMessage =
   | { type: 'tick' }
   | { type: 'rank'; rank: number }
@@ -36,6 +47,7 @@
   runner: MaintenanceRunner;
   clock: Clock;
   policy: PlacementPolicy;
+  lending: LendingPolicy;
 }
 
 /**
@@ -50,7 +62,7 @@
 
   readonly #timer: NodeJS.Timeout;
 
-  readonly #shortSince = new Map<string, number>();
+  readonly #conditions = new ConditionTimer();
 
   #isPlanning = false;
 
@@ -75,15 +87,23 @@
   /** Whether proposals wait for controllers of a higher rank; they are planned again until due. */
   #isHeldBack = false;
 
+  #tickedAt: number;
+
+  /** Since when the process has run without a freeze. */
+  #runningSince: number;
+
   constructor(scope: ActorScope, options: PlannerOptions) {
     super(scope, 'controller-planner');
     this.#options = options;
+    this.#tickedAt = options.clock.readMonotonic();
+    this.#runningSince = this.#tickedAt;
     this.#timer = setInterval(() => this.send({ type: 'tick' }), PLAN_INTERVAL_MS);
   }
 
   protected override receive(message: PlannerMessage): void {
     switch (message.type) {
       case 'tick':
+        this.#checkGap();
         this.#startPlan();
         break;
       case 'rank':
@@ -109,6 +129,12 @@
     super.close();
   }
 
+  #checkGap(): void {
+    const now = this.#options.clock.readMonotonic();
+    if (now - this.#tickedAt > MAX_TICK_GAP_MS) this.#runningSince = now;
+    this.#tickedAt = now;
+  }
+
   #startPlan(): void {
     const now = this.#options.clock.readMonotonic();
     if (this.#awaited > 0 && now - this.#proposedAt > VERDICT_TIMEOUT_MS) this.#awaited = 0;
@@ -120,7 +146,8 @@
     const options = {
       now: this.#options.clock.readWall(),
       policy: this.#options.policy,
-      shortSince: this.#shortSince,
+      lending: this.#options.lending,
+      timer: this.#conditions,
       unlessOffset: isIdle && !this.#isHeldBack ? this.#plannedOffset : -1,
     };
     this.#options.keeper.send({
@@ -153,7 +180,8 @@
     const now = this.#options.clock.readMonotonic();
     const bodies = this.#delay.choose(planned, { rank: this.#rank, now });
     this.#isHeldBack = bodies.length < planned.length && Number.isFinite(this.#rank);
-    if (reboots.length > 0 && this.#rank === 0) {
+    const isSettled = now - this.#runningSince >= SETTLED_AFTER_MS;
+    if (reboots.length > 0 && this.#rank === 0 && isSettled) {
       this.#options.runner.send({ type: 'reboot', hosts: reboots });
     }
     if (bodies.length === 0) return;
@@ -188,6 +216,8 @@
   #handleVerdict({ round, body, answer }: PlannerMessage & { type: 'verdict' }): void {
     if (round === this.#round) this.#awaited = Math.max(0, this.#awaited - 1);
     if (body.type !== 'maintenance-start' || answer.verdict.outcome !== 'accepted') return;
+    const age = this.#options.clock.readMonotonic() - this.#proposedAt;
+    if (round !== this.#round || age > REBOOT_WITHIN_MS) return;
     this.#options.runner.send({ type: 'reboot', hosts: body.hosts });
   }
 }
--- a/src/fleet/Fleet.property.test.ts
+++ b/src/fleet/Fleet.property.test.ts
@@ -3,7 +3,8 @@
 import fc from 'fast-check';
 import type { Pool } from '../pool/mod.js';
 import { ConfigChange, RecordBody, type LoggedRecord } from '../record/mod.js';
-import { SpreadPlacement } from '../contract/mod.js';
+import { ConditionTimer } from '../clock/mod.js';
+import { LastingLending, SpreadPlacement } from '../contract/mod.js';
 import { readSeed, runSteps } from '../testing/mod.js';
 import { Fleet } from './Fleet.js';
 import { planFleet } from './planFleet.js';
@@ -53,7 +54,7 @@
   /** The state that a planner with a frozen process still works with. */
   #stale = new Fleet();
 
-  readonly #shortSince = new Map<string, number>();
+  readonly #timer = new ConditionTimer();
 
   #opened = 0;
 
@@ -191,9 +192,10 @@
 
   /** Appends what a planner proposes on the present or on an older state. */
   plan(isStale: boolean): void {
-    const options = { now: this.fleet.time, policy: new SpreadPlacement() };
+    const policies = { policy: new SpreadPlacement(), lending: new LastingLending() };
+    const options = { now: this.fleet.time, ...policies, timer: this.#timer };
     const fleet = isStale ? this.#stale : this.fleet;
-    const { bodies } = runSteps(planFleet(fleet, { ...options, shortSince: this.#shortSince }));
+    const { bodies } = runSteps(planFleet(fleet, options));
     bodies.forEach((body) => {
       const outcome = this.append(body);
       if (!isStale) assert.equal(outcome, 'accepted', `own proposal ${JSON.stringify(body)}`);
@@ -264,6 +266,12 @@
         model.append({ type: 'host-observed', observations });
       }),
   },
+  {
+    weight: 1,
+    arbitrary: fc.tuple(pool, fc.nat({ max: 3 })).map(([name, extra]) => (model: Model) => {
+      model.append({ type: 'pool-demand', demands: [{ pool: name, extra }] });
+    }),
+  },
   {
     weight: 2,
     arbitrary: fc.tuple(host, status).map(([name, to]) => (model: Model) => {
--- a/src/fleet/FleetSnapshot.ts
+++ b/src/fleet/FleetSnapshot.ts
@@ -40,6 +40,8 @@
   /** Revisions at which objects were removed, by `kind/name`. */
   removed: z.record(z.string(), z.number().int()),
   hostStates: z.record(z.string(), HostState),
+  /** Hosts above its rules that a lasting overload asks for, by pool. */
+  demands: z.record(z.string(), z.number().int()).default({}),
   sessions: z.array(SessionState),
   /** Offset that last changed the set of gateway sessions, by data centre. */
   views: z.record(z.string(), z.number().int()),
--- a/src/fleet/_FleetData.ts
+++ b/src/fleet/_FleetData.ts
@@ -40,6 +40,9 @@
   /** States are replaced, never changed in place, so that copies of the map stay valid. */
   readonly hostStates: Map<string, HostState>;
 
+  /** Hosts above its rules that a lasting overload asks for, by pool; never 0. */
+  readonly demands = new Map<string, number>();
+
   readonly sessions = new Map<string, SessionState>();
 
   readonly views = new Map<string, number>();
@@ -76,6 +79,7 @@
     data.configuration.restore('team', copy.teams);
     Object.entries(copy.removed).forEach(([key, at]) => data.configuration.removed.set(key, at));
     Object.entries(copy.hostStates).forEach(([name, state]) => data.hostStates.set(name, state));
+    Object.entries(copy.demands).forEach(([pool, extra]) => data.demands.set(pool, extra));
     copy.sessions.forEach((session) => data.sessions.set(session.session, session));
     Object.entries(copy.views).forEach(([name, view]) => data.views.set(name, view));
     Object.entries(copy.writers).forEach(([name, writer]) => data.#writers.set(name, writer));
@@ -99,6 +103,7 @@
     copy.nextOffset = this.nextOffset;
     copy.time = this.time;
     copy.revision = this.revision;
+    this.demands.forEach((extra, pool) => copy.demands.set(pool, extra));
     this.sessions.forEach((session, name) => copy.sessions.set(name, { ...session }));
     return copy;
   }
@@ -179,6 +184,7 @@
       teams: sortValues(this.configuration.team),
       removed: sortEntries(this.configuration.removed),
       hostStates: sortEntries(this.hostStates),
+      demands: sortEntries(this.demands),
       sessions: sortValues(this.sessions),
       views: sortEntries(this.views),
       writers: sortEntries(this.#writers),
--- a/src/fleet/_HostLists.ts
+++ b/src/fleet/_HostLists.ts
@@ -1,4 +1,4 @@
-import type { Host } from '../host/mod.js';
+import { hasResources, type Host, type HostState } from '../host/mod.js';
 import type { DraftHost, PlanDraft } from './_PlanDraft.js';
 
 /** Hosts read between two yields; 1,000 take about a millisecond. */
@@ -20,6 +20,18 @@
 
   readonly members = new Map<string, string[]>();
 
+  /** Borrowed members in service, by pool and owner. */
+  readonly borrowed = new Map<string, Map<string, string[]>>();
+
+  /** Hosts that each pool has lent and that are not on their way back. */
+  readonly lent = new Map<string, number>();
+
+  /** Members in service that the rules of their pool no longer admit. */
+  readonly unfit = new Map<string, string[]>();
+
+  /** Members that do not answer in data centres that are suspected to be partitioned, by pool. */
+  readonly cutOff = new Map<string, number>();
+
   /** Members that have not answered for long, by pool. */
   readonly lost = new Map<string, string[]>();
 
@@ -44,14 +56,41 @@
     }
     if (state.phase !== 'serving') this.busy.push(name);
     HostLists.#addTo(this.members, state.pool, name);
+    this.#addLoan(name, state, draft);
+    this.#addUnfit(name, { host, state }, draft);
+    if (state.status !== 'live' && draft.data.index.isPartitionSuspected(host.dataCentre)) {
+      const isDown = state.phase !== 'releasing' && state.phase !== 'maintenance';
+      if (isDown) this.cutOff.set(state.pool, (this.cutOff.get(state.pool) ?? 0) + 1);
+      return;
+    }
     const canBeLost = state.phase === 'serving' || state.phase === 'maintenance';
     const since = Math.max(state.statusSince, state.phaseSince);
     const isLost =
       state.status !== 'live' && draft.now - since >= HostLists.#getLostAfter(draft, state.pool);
-    if (!canBeLost || !isLost || draft.data.index.isPartitionSuspected(host.dataCentre)) return;
+    if (!canBeLost || !isLost) return;
     HostLists.#addTo(this.lost, state.pool, name);
   }
 
+  #addLoan(name: string, { phase, owner, pool, toPool }: HostState, draft: PlanDraft): void {
+    // A loan of a pool that is no longer configured belongs to the borrower.
+    if (owner === undefined || pool === undefined || !draft.data.configuration.pool.has(owner)) {
+      return;
+    }
+    if (phase === 'releasing' && toPool === owner) return;
+    this.lent.set(owner, (this.lent.get(owner) ?? 0) + 1);
+    if (phase !== 'serving') return;
+    const loans = this.borrowed.get(pool) ?? new Map<string, string[]>();
+    this.borrowed.set(pool, loans);
+    HostLists.#addTo(loans, owner, name);
+  }
+
+  #addUnfit(name: string, { host, state }: DraftHost, draft: PlanDraft): void {
+    if (state.phase !== 'serving' || state.pool === undefined) return;
+    const rules = draft.data.configuration.pool.get(state.pool)?.object;
+    if (rules === undefined || hasResources(host, rules.requires)) return;
+    HostLists.#addTo(this.unfit, state.pool, name);
+  }
+
   static #getLostAfter(draft: PlanDraft, pool: string): number {
     const need = draft.data.configuration.pool.get(pool)?.object.need ?? 0;
     const { members, unavailable } = draft.data.index.getLedger(pool);
--- a/src/fleet/_HostTransition.ts
+++ b/src/fleet/_HostTransition.ts
@@ -1,6 +1,6 @@
 import { hasResources, type Host, type HostPhase, type HostState } from '../host/mod.js';
 import type { LoggedRecord, RecordBody } from '../record/mod.js';
-import { checkBudget, checkNeed, checkPartition } from './_checkHostChange.js';
+import { checkBudget, checkLoan, checkNeed, checkPartition } from './_checkHostChange.js';
 import type { FleetData } from './_FleetData.js';
 import type { SessionState } from './FleetSnapshot.js';
 
@@ -77,7 +77,8 @@
   #assign(host: Host, state: HostState, pool: string | undefined): string | undefined {
     const { name } = host;
     if (state.phase === 'releasing' && pool !== undefined && pool === state.pool) {
-      return this.#put(name, state, { phase: 'serving' });
+      const owner = state.owner === state.pool ? undefined : state.owner;
+      return this.#put(name, state, { phase: 'serving', owner });
     }
     if (state.phase === 'releasing') {
       if (pool !== state.toPool) return `host "${name}" drains for ${state.toPool ?? 'no pool'}`;
@@ -88,17 +89,20 @@
     }
     const partition = checkPartition(this.#data, host);
     if (partition !== undefined) return partition;
-    if (pool === undefined) return this.#put(name, state, { phase: 'unassigned', pool });
+    if (pool === undefined) {
+      return this.#put(name, state, { phase: 'unassigned', pool, owner: undefined });
+    }
     const rules = this.#data.configuration.pool.get(pool)?.object;
     if (rules === undefined) return `unknown pool "${pool}"`;
     if (!hasResources(host, rules.requires)) return `host "${name}" is too small for "${pool}"`;
-    return this.#put(name, state, { phase: 'serving', pool });
+    const owner = state.owner === pool ? undefined : state.owner;
+    return this.#put(name, state, { phase: 'serving', pool, owner });
   }
 
   #release(
     host: Host,
     state: HostState,
-    { toPool, fromPool }: { toPool?: string; fromPool?: string },
+    { toPool, fromPool, isLoan }: { toPool?: string; fromPool?: string; isLoan?: true },
   ): string | undefined {
     const { name } = host;
     if (fromPool !== undefined && fromPool !== state.pool) {
@@ -115,8 +119,20 @@
     }
     const partition = checkPartition(this.#data, host);
     if (partition !== undefined) return partition;
-    this.#put(name, state, { phase: 'releasing', toPool, wave: undefined });
-    return this.#check(name, state, checkBudget) ?? this.#check(name, state, checkNeed);
+    if (isLoan && (state.owner !== undefined || toPool === undefined)) {
+      return `host "${name}" cannot be lent`;
+    }
+    // A borrowed host that goes elsewhere than back is given up by its owner.
+    const owner = isLoan ? state.pool : state.owner;
+    const isKept = isLoan || toPool === state.owner;
+    this.#put(name, state, {
+      phase: 'releasing',
+      toPool,
+      wave: undefined,
+      owner: isKept ? owner : undefined,
+    });
+    const reason = this.#check(name, state, checkBudget) ?? this.#check(name, state, checkNeed);
+    return reason ?? (isLoan && this.#check(name, state, checkLoan)) ?? undefined;
   }
 
   #grant(name: string, state: HostState): string | undefined {
@@ -167,7 +183,7 @@
     if (isDraining && state.phase === 'serving') next.drainOffset = this.#record.offset;
     if (!isDraining && change.phase !== 'maintenance') next.drainedBy = [];
     // Snapshots are compared as JSON, so an absent field must not be an undefined one.
-    (['pool', 'toPool', 'wave'] as const).forEach((key) => {
+    (['pool', 'toPool', 'wave', 'owner'] as const).forEach((key) => {
       if (next[key] === undefined) delete next[key];
     });
     this.#data.changeHost(name, next);
--- a/src/fleet/_applyConfigChange.ts
+++ b/src/fleet/_applyConfigChange.ts
@@ -23,6 +23,7 @@
   const { name } = describeObject(operation);
   if (operation.kind !== 'host') {
     data.configuration.apply(operation, revision);
+    if (operation.kind === 'pool' && operation.action === 'remove') data.demands.delete(name);
     return;
   }
   // The host is counted out with its old rack and counted in with its new one.
--- a/src/fleet/_applyHostRecord.ts
+++ b/src/fleet/_applyHostRecord.ts
@@ -101,11 +101,23 @@
   return ACCEPTED;
 }
 
+function applyDemand(data: FleetData, body: BodyOf<'pool-demand'>): Verdict {
+  const ignored: string[] = [];
+  body.demands.forEach(({ pool, extra }) => {
+    if (!data.configuration.pool.has(pool)) ignored.push(`unknown pool "${pool}"`);
+    else if (extra === 0) data.demands.delete(pool);
+    else data.demands.set(pool, extra);
+  });
+  return acceptReport(ignored);
+}
+
 /** Folds a record about hosts. Reports apply entry by entry, decisions whole or not at all. */
 export function applyHostRecord(data: FleetData, record: LoggedRecord, body: HostRecord): Verdict {
   switch (body.type) {
     case 'host-observed':
       return applyObserved(data, record, body);
+    case 'pool-demand':
+      return applyDemand(data, body);
     case 'host-drained':
       return applyDrained(data, body);
     default:
--- a/src/fleet/_checkHostChange.ts
+++ b/src/fleet/_checkHostChange.ts
@@ -1,3 +1,4 @@
+import { computeFloor } from '../contract/mod.js';
 import type { Host, HostState } from '../host/mod.js';
 import type { Pool } from '../pool/mod.js';
 import type { FleetData } from './_FleetData.js';
@@ -26,6 +27,15 @@
   return `pool "${pool.name}" would keep ${members - releasing} hosts, below its need of ${pool.need}`;
 }
 
+/** Checks that a loan leaves the lender its own need and budget, with all of it in service. */
+export function checkLoan(data: FleetData, pool: Pool): string | undefined {
+  if (!pool.lends) return `pool "${pool.name}" does not lend`;
+  const { members, releasing } = data.index.getLedger(pool.name);
+  const floor = computeFloor({ pool, extra: data.demands.get(pool.name) ?? 0 });
+  if (members - releasing >= floor) return undefined;
+  return `pool "${pool.name}" would keep ${members - releasing} hosts, below its need and budget of ${floor}`;
+}
+
 /** Checks that the data centre of a host is not suspected to be partitioned. */
 export function checkPartition(data: FleetData, host: Host): string | undefined {
   if (!data.index.isPartitionSuspected(host.dataCentre)) return undefined;
--- a/src/fleet/planFleet.test.ts
+++ b/src/fleet/planFleet.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { SpreadPlacement } from '../contract/mod.js';
+import { ConditionTimer } from '../clock/mod.js';
+import { LastingLending, SpreadPlacement } from '../contract/mod.js';
 import { ConfigChange, RecordBody } from '../record/mod.js';
 import { runSteps } from '../testing/mod.js';
 import { describeContracts } from './describeContracts.js';
@@ -15,7 +16,7 @@
 class SmallFleet {
   readonly fleet = new Fleet();
 
-  readonly shortSince = new Map<string, number>();
+  readonly timer = new ConditionTimer();
 
   now = DAY_MS;
 
@@ -56,8 +57,9 @@
   }
 
   plan(): RecordBody[] {
-    const { now, shortSince } = this;
-    const plan = planFleet(this.fleet, { now, shortSince, policy: new SpreadPlacement() });
+    const { now, timer } = this;
+    const policies = { policy: new SpreadPlacement(), lending: new LastingLending() };
+    const plan = planFleet(this.fleet, { now, timer, ...policies });
     const { bodies } = runSteps(plan);
     bodies.forEach((body) => this.append(body));
     return bodies;
--- a/src/fleet/planFleet.ts
+++ b/src/fleet/planFleet.ts
@@ -1,4 +1,5 @@
-import type { PlacementPolicy } from '../contract/mod.js';
+import type { ConditionTimer } from '../clock/mod.js';
+import type { LendingPolicy, PlacementPolicy } from '../contract/mod.js';
 import type { RecordBody } from '../record/mod.js';
 import { HostLists } from './_HostLists.js';
 import { PlanDraft } from './_PlanDraft.js';
@@ -12,8 +13,9 @@
   /** Present time, in milliseconds since the Unix epoch. */
   now: number;
   policy: PlacementPolicy;
-  /** Since when each pool has been short; the plan updates it for the next plan. */
-  shortSince: Map<string, number>;
+  lending: LendingPolicy;
+  /** How long shortages and surpluses have lasted; the plan updates it for the next plan. */
+  timer: ConditionTimer;
 }
 
 /** What a planner proposes. */
@@ -44,7 +46,8 @@
  *
  * @example
  * ```ts
- * const steps = planFleet(fleet, { now, policy: new SpreadPlacement(), shortSince: new Map() });
+ * const policies = { policy: new SpreadPlacement(), lending: new LastingLending() };
+ * const steps = planFleet(fleet, { now, ...policies, timer: new ConditionTimer() });
  * let step = steps.next();
  * while (!step.done) step = steps.next();
  * step.value.bodies; // records to append
--- a/src/host/HostState.ts
+++ b/src/host/HostState.ts
@@ -19,6 +19,8 @@
   isFaulty: z.literal(true).optional(),
   /** The pool that the host belongs to; absent while it is unassigned. */
   pool: z.string().optional(),
+  /** The pool that has lent it; absent for a host that is not lent. */
+  owner: z.string().optional(),
   /** Where a releasing host goes; absent when it becomes unassigned. */
   toPool: z.string().optional(),
   /** The maintenance wave that granted it last. */
--- a/src/record/HostRecord.ts
+++ b/src/record/HostRecord.ts
@@ -31,6 +31,8 @@
   toPool: z.string().optional(),
   /** The pool that the proposer saw them in; a late release of a host that has moved is refused. */
   fromPool: z.string().optional(),
+  /** Lends the hosts: they still belong to the lending pool's size and return to it. */
+  isLoan: z.literal(true).optional(),
 });
 
 /** A gateway session has no work in flight on these hosts and sends them none. */
--- a/src/record/Record.ts
+++ b/src/record/Record.ts
@@ -1,6 +1,7 @@
 import { z } from 'zod';
 import { ConfigChange } from './ConfigChange.js';
 import { HostAssign, HostDrained, HostObserved, HostRelease, Maintenance } from './HostRecord.js';
+import { PoolDemand } from './PoolDemand.js';
 import { SessionConfirm, SessionEnd, SessionOpen } from './SessionRecord.js';
 
 /** What a record says, told apart by `type`. */
@@ -11,6 +12,7 @@
   HostRelease,
   HostDrained,
   Maintenance,
+  PoolDemand,
   SessionOpen,
   SessionEnd,
   SessionConfirm,
--- a/src/record/mod.ts
+++ b/src/record/mod.ts
@@ -6,5 +6,6 @@
 export * from './codec.js';
 export * from './ConfigChange.js';
 export * from './HostRecord.js';
+export * from './PoolDemand.js';
 export * from './Record.js';
 export * from './SessionRecord.js';
--- a/src/timeline/describeRecord.ts
+++ b/src/timeline/describeRecord.ts
@@ -36,6 +36,10 @@
       return { session: body.session, detail: `by ${body.by}` };
     case 'session-confirm':
       return { session: body.session, detail: `offset ${body.offset}` };
+    case 'pool-demand': {
+      const detail = body.demands.map(({ pool, extra }) => `${pool} +${extra}`).join(', ');
+      return { pool: body.demands[0]?.pool, detail };
+    }
     case 'host-drained':
       return { session: body.session, hosts: body.hosts };
     default:
