Test loans, unfit hosts and surplus in the planner and the fold

The random events contain demands and loans; a loan that would leave the lender fewer hosts than need, demand and budget must be rejected.

--- a/src/fleet/Fleet.property.test.ts
+++ b/src/fleet/Fleet.property.test.ts
@@ -130,6 +130,7 @@
     if (outcome === 'rejected') {
       assert.deepEqual(this.listStates(), states, 'rejected in part');
     }
+    if (outcome === 'accepted') this.checkLender(record.body);
     const isStart = record.body.type === 'maintenance-start' && outcome === 'accepted';
     const started = isStart && 'hosts' in record.body ? record.body.hosts : [];
     POOLS.forEach((name, index) => {
@@ -148,6 +149,21 @@
     return outcome;
   }
 
+  /** A lender keeps its need, its demand and its budget. */
+  checkLender(body: RecordBody): void {
+    if (body.type !== 'host-release' || !body.isLoan || body.hosts.length === 0) return;
+    const lender = this.fleet.findHostState(body.hosts[0] ?? '')?.pool ?? '';
+    const rules = this.fleet.data.configuration.pool.get(lender)?.object;
+    assert.ok(rules?.lends, `${lender} does not lend`);
+    const staying = HOSTS.filter(({ name }) => {
+      const state = this.fleet.findHostState(name);
+      return state?.pool === lender && state.phase !== 'releasing';
+    });
+    const extra = this.fleet.data.demands.get(lender) ?? 0;
+    const floor = rules.need + rules.availabilityBudget + extra;
+    assert.ok(staying.length >= floor, `${lender} keeps ${staying.length} of ${floor}`);
+  }
+
   listStates(): [string, object][] {
     return HOSTS.map(({ name }) => [name, { ...this.fleet.findHostState(name) }]);
   }
@@ -243,6 +259,7 @@
     type: fc.constant('host-release' as const),
     hosts,
     toPool: fc.option(pool, { nil: undefined }),
+    isLoan: fc.constantFrom(undefined, true as const),
   }),
   fc.record({ type: maintenance, hosts, wave: fc.constantFrom(...WAVES) }),
 );
--- a/src/fleet/planFleet.test.ts
+++ b/src/fleet/planFleet.test.ts
@@ -199,4 +199,53 @@
     assert.equal(small.list('a').length, 4);
     assert.equal(small.list('spare').length, 20);
   });
+
+  // Guards against a loan that never comes back, and one that comes back and goes again.
+  it('lends for a lasting overload and takes the hosts back when it has ended', () => {
+    const spare = { name: 'spare', need: 2, headroom: 6, availabilityBudget: 3, lends: true };
+    const small = new SmallFleet(
+      [spare, { name: 'a', need: 4, availabilityBudget: 4, lendAfterSeconds: 30 }],
+      12,
+    );
+    small.runPlans();
+    const demand = (extra: number): void =>
+      small.append({ type: 'pool-demand', demands: [{ pool: 'a', extra }] });
+    demand(5);
+    small.runPlans();
+    small.now += 31_000;
+    small.runPlans();
+    assert.equal(small.list('a').length, 4, 'lent before the cost of a loan was reached');
+    small.now += 30_000;
+    small.runPlans();
+    assert.equal(small.list('spare').length, 5, 'spare keeps its need and budget');
+    demand(0);
+    small.runPlans();
+    small.now += 9 * MINUTE_MS;
+    small.runPlans();
+    assert.equal(small.list('a').length, 7);
+    small.now += MINUTE_MS + 1;
+    small.runPlans();
+    assert.deepEqual([small.list('a').length, small.list('spare').length], [4, 8]);
+    assert.ok([...small.fleet.data.hostStates.values()].every((one) => one.owner === undefined));
+  });
+
+  // Guards against hosts that a pool keeps although its rules no longer admit or want them.
+  it('releases hosts that no longer fit, and a surplus that lasts', () => {
+    const small = new SmallFleet([{ name: 'a', need: 4, headroom: 2, availabilityBudget: 4 }], 6);
+    small.runPlans();
+    const put = (pool: object, changeId: string): void => {
+      const operations = [{ action: 'put', kind: 'pool', object: { name: 'a', ...pool } }];
+      const head = { type: 'config-change', changeId, baseRevision: small.fleet.revision };
+      small.append(ConfigChange.parse({ ...head, part: 1, parts: 1, operations }));
+    };
+    put({ need: 2, headroom: 2, availabilityBudget: 4 }, 'smaller');
+    small.runPlans();
+    assert.equal(small.list('a').length, 6, 'a surplus that may end soon is kept');
+    small.now += 11 * MINUTE_MS;
+    small.runPlans();
+    assert.equal(small.list('a').length, 4);
+    put({ need: 2, headroom: 2, availabilityBudget: 4, requires: { cores: 1 } }, 'unfit');
+    small.runPlans();
+    assert.equal(small.list('a').length, 2, 'unfit hosts stay only for the need');
+  });
 });
