Derive the lasting demand of pools from the load that gateways report

Gateways report busy slots and queued jobs by service (procedure load, about every 5 s). Differences from the fold become pool-demand records, by rank.

--- a/src/contract/LastingLending.test.ts
+++ b/src/contract/LastingLending.test.ts
@@ -59,15 +59,15 @@
           calmMs: this.#timer.measure(`calm/${name}`, { holds: isCalm, now }),
         };
       });
-      const { loans, returns } = this.#policy.decide(measured);
+      const { loans, returns } = this.#policy.plan(measured);
       returns.forEach(({ from, to, count }) => {
         const isRecall = (measured.find((one) => one.pool.name === to)?.shortMs ?? -1) >= 0;
         const isCalmReturn = !isRecall;
-        this.move(`${to}/${from}`, -count);
+        this.changeLoans(`${to}/${from}`, -count);
         this.moves.push({ from, to, at: this.#now, isCalmReturn });
       });
       loans.forEach(({ from, to, count }) => {
-        this.move(`${from}/${to}`, count);
+        this.changeLoans(`${from}/${to}`, count);
         this.moves.push({ from, to, at: this.#now, isCalmReturn: false });
         const rules = RULES.find((one) => one.name === from) as Pool;
         const hit = from === pool ? { extra, failed } : { extra: 0, failed: 0 };
@@ -90,7 +90,7 @@
     return { pool, staying, failed, incoming: 0, extra, lent, borrowed };
   }
 
-  move(pair: string, by: number): void {
+  changeLoans(pair: string, by: number): void {
     const count = (this.#loans.get(pair) ?? 0) + by;
     assert.ok(count >= 0, `${pair} returned more than it borrowed`);
     this.#loans.set(pair, count);
--- a/src/contract/LastingLending.ts
+++ b/src/contract/LastingLending.ts
@@ -34,7 +34,7 @@
  * never causes the next loan.
  */
 export class LastingLending extends LendingPolicy {
-  override decide(pools: readonly LendingPool[]): LendingDecision {
+  override plan(pools: readonly LendingPool[]): LendingDecision {
     const returns = LastingLending.#planReturns(pools);
     const lendable = new Map(pools.map((one) => [one.pool.name, computeLendable(one)]));
     const loans: LendingMove[] = [];
--- a/src/contract/LendingPolicy.ts
+++ b/src/contract/LendingPolicy.ts
@@ -38,5 +38,5 @@
 /** Decides which hosts go from pool to pool for a time. A decision depends on its input alone. */
 export abstract class LendingPolicy {
   /** Decides about all pools at once. */
-  abstract decide(pools: readonly LendingPool[]): LendingDecision;
+  abstract plan(pools: readonly LendingPool[]): LendingDecision;
 }
--- a/src/controller/Controller.ts
+++ b/src/controller/Controller.ts
@@ -16,6 +16,7 @@
 import { ControllerPlanner } from './ControllerPlanner.js';
 import { ControllerRecordSource } from './ControllerRecordSource.js';
 import { controllerRouter } from './ControllerRouter.js';
+import { DemandWatcher } from './DemandWatcher.js';
 import { HttpHostListClient } from './HttpHostListClient.js';
 import { HostWatcher } from './HostWatcher.js';
 import { HttpMaintenanceActions } from './HttpMaintenanceActions.js';
@@ -64,6 +65,8 @@
 
   readonly #watcher: HostWatcher;
 
+  readonly #demand: DemandWatcher;
+
   readonly #checkpoints: CheckpointKeeper;
 
   #peers: ControllerPeers | undefined;
@@ -99,6 +102,7 @@
       client: new HttpHostListClient(settings.platform),
       clock,
     });
+    this.#demand = new DemandWatcher(this.#scope, { keeper, writer, clock });
     this.#checkpoints = new CheckpointKeeper(this.#scope, {
       keeper,
       client,
@@ -137,6 +141,7 @@
     this.#peers?.close();
     this.#planner.close();
     await this.#closeSession();
+    this.#demand.close();
     await this.#watcher.close();
     this.#checkpoints.close();
     await this.#runner.close();
@@ -172,7 +177,7 @@
   }
 
   #publishRank(rank: number): void {
-    [this.#planner, this.#watcher, this.#checkpoints].forEach((actor) => {
+    [this.#planner, this.#watcher, this.#demand, this.#checkpoints].forEach((actor) => {
       actor.send({ type: 'rank', rank });
     });
   }
@@ -183,6 +188,7 @@
       follower: this.#follower,
       writer: this.#writer,
       watcher: this.#watcher,
+      demand: this.#demand,
       scope: this.#scope,
       session: this.#session,
       dataCentre: this.#settings.dataCentre,
--- a/src/controller/ControllerApi.ts
+++ b/src/controller/ControllerApi.ts
@@ -23,6 +23,8 @@
 import type { ActorScope } from '../actor/mod.js';
 import type { LogWriter, SubmitAnswer } from '../log/mod.js';
 import type { Operation, RecordBody } from '../record/mod.js';
+import type { ServiceLoad } from '../pool/mod.js';
+import type { DemandWatcher } from './DemandWatcher.js';
 import type { HostWatcher } from './HostWatcher.js';
 import { queryRollout, type Rollout } from './queryRollout.js';
 import { splitChange } from './splitChange.js';
@@ -54,6 +56,7 @@
   follower: FleetFollower;
   writer: LogWriter;
   watcher: HostWatcher;
+  demand: DemandWatcher;
   /** Where submitted changes are recorded. */
   scope: ActorScope;
   session: string;
@@ -155,6 +158,11 @@
     watcher.send({ type: 'report', reporter, hosts: healthy, isHealthy: true });
   }
 
+  /** Takes the load of services as a gateway sees it; the gateway reports it about every 5 s. */
+  reportLoad(reporter: string, loads: ServiceLoad[]): void {
+    this.#options.demand.send({ type: 'load', reporter, loads });
+  }
+
   /**
    * Appends the parts of a change and returns the verdict on the whole.
    *
--- a/src/controller/ControllerRouter.ts
+++ b/src/controller/ControllerRouter.ts
@@ -1,6 +1,7 @@
 import { initTRPC } from '@trpc/server';
 import { z } from 'zod';
 import { SessionState, WaveReport } from '../fleet/mod.js';
+import { ServiceLoad } from '../pool/mod.js';
 import { Operation, RecordBody } from '../record/mod.js';
 import type { ControllerApi } from './ControllerApi.js';
 
@@ -9,6 +10,8 @@
 /** More failing hosts than one data centre has are not one gateway's own experience. */
 const MAX_REPORTED = 2_000;
 
+const MAX_SERVICES = 500;
+
 const AskedRevision = z.object({ revision: z.number().int().nonnegative().optional() }).optional();
 
 /** The tRPC procedures that a controller serves to operators, gateways and other controllers. */
@@ -33,6 +36,9 @@
       }),
     )
     .mutation(({ ctx, input }) => ctx.api.report(input)),
+  load: t.procedure
+    .input(z.object({ reporter: z.string(), loads: z.array(ServiceLoad).max(MAX_SERVICES) }))
+    .mutation(({ ctx, input }) => ctx.api.reportLoad(input.reporter, input.loads)),
   fleet: t.procedure.query(({ ctx }) => ctx.api.describe()),
   host: t.procedure
     .input(z.object({ name: z.string() }))
--- /dev/null
+++ b/src/controller/DemandWatcher.ts
@@ -0,0 +1,77 @@
+import { Actor, type ActorScope } from '../actor/mod.js';
+import type { Clock } from '../clock/mod.js';
+import type { FleetKeeper } from '../fleet/mod.js';
+import type { LogWriter } from '../log/mod.js';
+import { DemandHysteresis, type KnownPool, type ServiceLoad } from '../pool/mod.js';
+import { KnownPoolsProjector } from './_KnownPoolsProjector.js';
+import { ProposalDelay } from './ProposalDelay.js';
+
+const SAMPLE_INTERVAL_MS = 5_000;
+
+type DemandMessage =
+  | { type: 'tick' }
+  | { type: 'load'; reporter: string; loads: ServiceLoad[] }
+  | { type: 'known'; pools: KnownPool[] }
+  | { type: 'rank'; rank: number };
+
+/** Options of a demand watcher. */
+export interface DemandWatcherOptions {
+  keeper: FleetKeeper;
+  writer: LogWriter;
+  clock: Clock;
+}
+
+/** Collects the load that gateways report and proposes the lasting demand of pools. */
+export class DemandWatcher extends Actor<DemandMessage> {
+  readonly #options: DemandWatcherOptions;
+
+  readonly #hysteresis = new DemandHysteresis();
+
+  readonly #delay = new ProposalDelay();
+
+  readonly #timer: NodeJS.Timeout;
+
+  #rank = Number.POSITIVE_INFINITY;
+
+  constructor(scope: ActorScope, options: DemandWatcherOptions) {
+    super(scope, 'demand-watcher');
+    this.#options = options;
+    this.#timer = setInterval(() => this.send({ type: 'tick' }), SAMPLE_INTERVAL_MS);
+  }
+
+  protected override receive(message: DemandMessage): void {
+    const { keeper, clock } = this.#options;
+    const now = clock.readMonotonic();
+    switch (message.type) {
+      case 'tick': {
+        const emit = (pools: KnownPool[]): void => this.send({ type: 'known', pools });
+        keeper.send({ type: 'project', projector: new KnownPoolsProjector(emit) });
+        break;
+      }
+      case 'load':
+        this.#hysteresis.report(message.reporter, { loads: message.loads, now });
+        break;
+      case 'known':
+        this.#propose(message.pools, now);
+        break;
+      default:
+        this.#rank = message.rank;
+    }
+  }
+
+  override close(): void {
+    clearInterval(this.#timer);
+    super.close();
+  }
+
+  #propose(pools: KnownPool[], now: number): void {
+    const demands = this.#hysteresis.apply(pools, now);
+    const bodies = demands.length === 0 ? [] : [{ type: 'pool-demand' as const, demands }];
+    const due = this.#delay.choose(bodies, { rank: this.#rank, now });
+    if (due.length > 0) {
+      const detail = demands.map(({ pool, extra }) => `${pool} +${extra}`).join(', ');
+      this.scope.recordEvent({ type: 'pool.demand', pool: demands[0]?.pool, detail });
+    }
+    this.#options.writer.send({ type: 'propose', proposer: this.name, bodies: due });
+  }
+}
--- a/src/fleet/_planPlacement.ts
+++ b/src/fleet/_planPlacement.ts
@@ -185,10 +185,10 @@
 }
 
 /** Takes loans back and lends, as the policy decides. */
-function* moveLoans(context: PlacementContext, measured: LendingPool[]): Generator<undefined> {
+function* planLoans(context: PlacementContext, measured: LendingPool[]): Generator<undefined> {
   const { draft, lists, lending } = context;
   const pools = new Map(measured.map(({ pool }) => [pool.name, pool]));
-  const { loans, returns } = lending.decide(measured);
+  const { loans, returns } = lending.plan(measured);
   for (const { from, to, count } of returns) {
     const names = lists.borrowed.get(from)?.get(to) ?? [];
     listMovable(context, { names, target: pools.get(to) })
@@ -234,7 +234,7 @@
     releaseSurplus(context, { pool, pools });
     yield undefined;
   }
-  yield* moveLoans(context, measured);
+  yield* planLoans(context, measured);
   return measured.flatMap((one) => {
     const lacking = computeShortage(describeSupply(context, one.pool));
     if (lacking <= 0) return [];
--- a/src/fleet/planFleet.test.ts
+++ b/src/fleet/planFleet.test.ts
@@ -47,7 +47,7 @@
   }
 
   /** Leaves out an offset that the test used itself. */
-  skip(): void {
+  increase(): void {
     this.#offset += 1;
   }
 
@@ -157,7 +157,7 @@
       };
       const offset = small.fleet.nextOffset;
       small.fleet.apply({ ...record, offset, sequence: offset + 1 });
-      small.skip();
+      small.increase();
     };
     observe('failed', 'gateways');
     observe('live');
--- a/src/pool/mod.ts
+++ b/src/pool/mod.ts
@@ -4,3 +4,4 @@
  * @module
  */
 export * from './Pool.js';
+export * from './DemandHysteresis.js';
