--- a/src/fleet/Fleet.property.test.ts
+++ b/src/fleet/Fleet.property.test.ts
@@ -1,244 +1,13 @@
-import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import fc from 'fast-check';
-import type { Pool } from '../pool/mod.js';
-import { ConfigChange, RecordBody, type LoggedRecord } from '../record/mod.js';
-import { ConditionTimer } from '../clock/mod.js';
-import { LastingLending, SpreadPlacement } from '../contract/mod.js';
-import { readSeed, runSteps } from '../testing/mod.js';
-import { Fleet } from './Fleet.js';
-import { FleetSnapshot } from './FleetSnapshot.js';
-import { planFleet } from './planFleet.js';
+import type { RecordBody } from '../record/mod.js';
+import { FleetModel, readSeed } from '../testing/mod.js';
 
-const DATA_CENTRES = ['d1', 'd2'];
-const POOLS = ['a', 'b', 'spare'];
-const HOSTS = Array.from({ length: 18 }, (_, index) => ({
-  name: `h${index}`,
-  dataCentre: `d${1 + (index % 2)}`,
-  rack: `r${Math.floor(index / 2) % 3}`,
-  address: `10.0.0.${index}:80`,
-}));
 const WAVES = ['', 'w1', 'w2'];
 
-/** A gateway whose state lags behind and whose records wait in its writer. */
-interface Gateway {
-  session: string;
-  dataCentre: string;
-  seen: number;
-  sendsTo: Map<string, string>;
-  queue: RecordBody[];
-}
-
-function computeUnavailable(fleet: Fleet, pool: Pool): { now: number; atRisk: number } {
-  const racks = new Map<string, number>();
-  let now = 0;
-  HOSTS.forEach((host) => {
-    const state = fleet.findHostState(host.name);
-    if (state?.pool !== pool.name) return;
-    if (state.phase !== 'serving' || state.status !== 'live') now += 1;
-    else {
-      const key = host.dataCentre + host.rack;
-      racks.set(key, (racks.get(key) ?? 0) + 1);
-    }
-  });
-  return { now, atRisk: pool.guardRackLoss ? Math.max(0, ...racks.values()) : 0 };
-}
-
-/** The log, the fold and the lagging gateways, checked after every record. */
-class Model {
-  fleet = new Fleet();
-
-  readonly log: LoggedRecord[] = [];
-
-  readonly gateways: Gateway[] = [];
-
-  /** The state that a planner with a frozen process still works with. */
-  #stale = new Fleet();
-
-  readonly #timer = new ConditionTimer();
-
-  #opened = 0;
-
-  constructor(budgets: number[], guards: boolean[]) {
-    const pools = POOLS.map((name, index) => ({
-      name,
-      need: 2,
-      headroom: 4 - 2 * index,
-      availabilityBudget: budgets[index],
-      guardRackLoss: guards[index],
-      lends: name === 'spare',
-      lendAfterSeconds: 5,
-      maintenance: { periodDays: 0.01 },
-    }));
-    const objects = [
-      ...DATA_CENTRES.map((name) => ['dataCentre', { name, region: 'r' }]),
-      ...pools.map((pool) => ['pool', pool]),
-      ...HOSTS.map((host) => ['host', host]),
-    ];
-    const operations = objects.map(([kind, object]) => ({ action: 'put', kind, object }));
-    this.append(this.change(operations));
-    POOLS.forEach((pool, index) => {
-      const hosts = HOSTS.slice(index * 5, index * 5 + 5).map((host) => host.name);
-      this.append(RecordBody.parse({ type: 'host-assign', pool, hosts }));
-    });
-    DATA_CENTRES.forEach((dataCentre) => this.open(dataCentre));
-  }
-
-  change(operations: object[]): RecordBody {
-    const baseRevision = this.fleet.revision;
-    const changeId = `c${this.log.length}`;
-    const head = { type: 'config-change', changeId, baseRevision, part: 1, parts: 1 };
-    return ConfigChange.parse({ ...head, operations });
-  }
-
-  open(dataCentre: string): void {
-    this.#opened += 1;
-    const session = `s${this.#opened}`;
-    const address = '10.1.0.1:80';
-    const ends = { address, peerAddress: address };
-    this.append({ type: 'session-open', session, role: 'gateway', dataCentre, ...ends });
-    const gateway = { session, dataCentre, seen: 0, sendsTo: new Map(), queue: [] };
-    this.gateways.push(gateway);
-    this.follow(gateway);
-  }
-
-  /** Brings a gateway up to date; it then stops sending to hosts that drain and reports so. */
-  follow(gateway: Gateway, withOffset = true): void {
-    const offset = this.fleet.nextOffset;
-    const hosts: string[] = [];
-    gateway.sendsTo.clear();
-    HOSTS.filter((host) => host.dataCentre === gateway.dataCentre).forEach(({ name }) => {
-      const state = this.fleet.findHostState(name);
-      if (state?.phase === 'serving') gateway.sendsTo.set(name, state.pool ?? '');
-      if (state?.phase === 'granted' || state?.phase === 'releasing') hosts.push(name);
-    });
-    const { session } = gateway;
-    gateway.queue.push({ type: 'session-confirm', session, offset });
-    const drained = { type: 'host-drained' as const, session, hosts };
-    gateway.queue.push(withOffset ? { ...drained, offset } : drained);
-  }
-
-  append(body: RecordBody, writer = `w${this.log.length}`): string {
-    const offset = this.log.length;
-    return this.fold({ offset, time: offset * 1_000, writer, sequence: 1, body });
-  }
-
-  fold(record: LoggedRecord): string {
-    const before = POOLS.map((pool) => this.countTaken(pool));
-    const states = this.listStates();
-    this.log.push(record);
-    const { outcome } = this.fleet.apply(structuredClone(record));
-    if (outcome === 'rejected') {
-      assert.deepEqual(this.listStates(), states, 'rejected in part');
-    }
-    if (outcome === 'accepted') this.checkLender(record.body);
-    const isStart = record.body.type === 'maintenance-start' && outcome === 'accepted';
-    const started = isStart && 'hosts' in record.body ? record.body.hosts : [];
-    POOLS.forEach((name, index) => {
-      const pool = this.fleet.data.configuration.pool.get(name)?.object;
-      if (pool === undefined) return;
-      const startsLive = started.some((host) => {
-        const state = this.fleet.findHostState(host);
-        return state?.pool === name && state.status === 'live';
-      });
-      const taken = this.countTaken(name) > (before[index] ?? 0);
-      if (record.body.type === 'host-observed' || (!taken && !startsLive)) return;
-      const { now, atRisk } = computeUnavailable(this.fleet, pool);
-      assert.ok(now + atRisk <= pool.availabilityBudget, `budget of ${name}: ${now} + ${atRisk}`);
-    });
-    this.checkPools();
-    return outcome;
-  }
-
-  /** A lender keeps its need, its demand and its budget. */
-  checkLender(body: RecordBody): void {
-    if (body.type !== 'host-release' || !body.isLoan || body.hosts.length === 0) return;
-    const lender = this.fleet.findHostState(body.hosts[0] ?? '')?.pool ?? '';
-    const rules = this.fleet.data.configuration.pool.get(lender)?.object;
-    assert.ok(rules?.lends, `${lender} does not lend`);
-    const staying = HOSTS.filter(({ name }) => {
-      const state = this.fleet.findHostState(name);
-      return state?.pool === lender && state.phase !== 'releasing';
-    });
-    const extra = this.fleet.data.demands.get(lender) ?? 0;
-    const floor = rules.need + rules.availabilityBudget + extra;
-    assert.ok(staying.length >= floor, `${lender} keeps ${staying.length} of ${floor}`);
-  }
-
-  listStates(): [string, object][] {
-    return HOSTS.map(({ name }) => [name, { ...this.fleet.findHostState(name) }]);
-  }
-
-  /** Counts the live hosts that decisions hold out of service. */
-  countTaken(pool: string): number {
-    return HOSTS.filter(({ name }) => {
-      const state = this.fleet.findHostState(name);
-      return state?.pool === pool && state.status === 'live' && state.phase !== 'serving';
-    }).length;
-  }
-
-  /** No open gateway may send to a host for a pool other than its present one. */
-  checkPools(): void {
-    this.gateways.forEach((gateway) => {
-      gateway.sendsTo.forEach((pool, name) => {
-        const state = this.fleet.findHostState(name);
-        const where = `${gateway.session} sends to ${name} for ${pool}`;
-        assert.equal(state?.pool, pool, where);
-        assert.notEqual(state?.phase, 'maintenance', where);
-      });
-    });
-  }
-
-  /** Proposes the next step of one of the hosts out of service, whether it may take it or not. */
-  proposeNext(at: number): void {
-    const busy = HOSTS.filter(({ name }) => {
-      const phase = this.fleet.findHostState(name)?.phase;
-      return phase !== 'serving' && phase !== 'unassigned';
-    });
-    const name = busy[at % Math.max(1, busy.length)]?.name ?? '';
-    const state = this.fleet.findHostState(name);
-    const hosts = [name];
-    if (state?.phase === 'granted') {
-      this.append({ type: at % 4 ? 'maintenance-start' : 'maintenance-withdraw', hosts, wave: '' });
-    } else if (state?.phase === 'releasing') {
-      this.append({ type: 'host-assign', hosts, pool: at % 4 ? state.toPool : state.pool });
-    } else if (state?.phase === 'maintenance') {
-      this.append({ type: 'maintenance-end', hosts, wave: '' });
-    }
-  }
-
-  /** Appends what a planner proposes on the present or on an older state. */
-  plan(isStale: boolean): void {
-    const policies = { policy: new SpreadPlacement(), lending: new LastingLending() };
-    const options = { now: this.fleet.time, ...policies, timer: this.#timer };
-    const fleet = isStale ? this.#stale : this.fleet;
-    const { bodies } = runSteps(planFleet(fleet, options));
-    bodies.forEach((body) => {
-      const outcome = this.append(body);
-      if (!isStale) assert.equal(outcome, 'accepted', `own proposal ${JSON.stringify(body)}`);
-    });
-    this.#stale = Fleet.restore(this.fleet.snapshot());
-  }
-
-  checkCounters(): void {
-    // As a checkpoint does it: through the text and the schema.
-    const text = this.fleet.snapshotText();
-    const copy = Fleet.restore(FleetSnapshot.parse(JSON.parse(text)));
-    assert.equal(copy.hash(), this.fleet.hash());
-    POOLS.forEach((name) => {
-      assert.deepEqual(copy.data.index.getLedger(name), this.fleet.data.index.getLedger(name));
-      const ledger = this.fleet.data.index.getLedger(name);
-      const pool = this.fleet.data.configuration.pool.get(name)?.object;
-      if (pool === undefined) return;
-      const { now, atRisk } = computeUnavailable(this.fleet, { ...pool, guardRackLoss: true });
-      assert.deepEqual([ledger.unavailable, ledger.largestRack], [now, atRisk]);
-    });
-  }
-}
-
-const host = fc.constantFrom(...HOSTS.map((one) => one.name));
+const host = fc.constantFrom(...FleetModel.hosts.map((one) => one.name));
 const hosts = fc.oneof(fc.uniqueArray(host, { maxLength: 3 }), fc.array(host, { maxLength: 2 }));
-const pool = fc.constantFrom(...POOLS);
+const pool = fc.constantFrom(...FleetModel.pools);
 const status = fc.constantFrom(
   'live' as const,
   'live' as const,
@@ -251,7 +20,7 @@
     (step) => `maintenance-${step}` as const,
   ),
 );
-type Step = (model: Model) => void;
+type Step = (model: FleetModel) => void;
 const decision: fc.Arbitrary<RecordBody> = fc.oneof(
   fc.record({
     type: fc.constant('host-assign' as const),
@@ -267,19 +36,22 @@
   fc.record({ type: maintenance, hosts, wave: fc.constantFrom(...WAVES) }),
 );
 const step: fc.Arbitrary<Step> = fc.oneof(
-  { weight: 2, arbitrary: fc.boolean().map((isStale) => (model: Model) => model.plan(isStale)) },
+  {
+    weight: 2,
+    arbitrary: fc.boolean().map((isStale) => (model: FleetModel) => model.plan(isStale)),
+  },
   {
     // What a planner with a fresh state would propose next for a host that drains.
     weight: 8,
-    arbitrary: index.map((at) => (model: Model) => model.proposeNext(at)),
+    arbitrary: index.map((at) => (model: FleetModel) => model.proposeNext(at)),
   },
-  { weight: 6, arbitrary: decision.map((body) => (model: Model) => model.append(body)) },
+  { weight: 6, arbitrary: decision.map((body) => (model: FleetModel) => model.append(body)) },
   {
     weight: 2,
     arbitrary: fc
-      .tuple(fc.nat({ max: 2 }), fc.constantFrom(...DATA_CENTRES), fc.boolean(), status)
-      .map(([rack, dataCentre, whole, to]) => (model: Model) => {
-        const lost = HOSTS.filter(
+      .tuple(fc.nat({ max: 2 }), fc.constantFrom(...FleetModel.dataCentres), fc.boolean(), status)
+      .map(([rack, dataCentre, whole, to]) => (model: FleetModel) => {
+        const lost = FleetModel.hosts.filter(
           (one) => one.dataCentre === dataCentre && (whole || one.rack === `r${rack}`),
         );
         const observations = lost.map((one) => ({ host: one.name, status: to }));
@@ -288,26 +60,26 @@
   },
   {
     weight: 1,
-    arbitrary: fc.tuple(pool, fc.nat({ max: 3 })).map(([name, extra]) => (model: Model) => {
+    arbitrary: fc.tuple(pool, fc.nat({ max: 3 })).map(([name, extra]) => (model: FleetModel) => {
       model.append({ type: 'pool-demand', demands: [{ pool: name, extra }] });
     }),
   },
   {
     weight: 2,
-    arbitrary: fc.tuple(host, status).map(([name, to]) => (model: Model) => {
+    arbitrary: fc.tuple(host, status).map(([name, to]) => (model: FleetModel) => {
       model.append({ type: 'host-observed', observations: [{ host: name, status: to }] });
     }),
   },
   {
     weight: 4,
-    arbitrary: fc.tuple(index, fc.boolean()).map(([at, withOffset]) => (model: Model) => {
+    arbitrary: fc.tuple(index, fc.boolean()).map(([at, withOffset]) => (model: FleetModel) => {
       const gateway = model.gateways[at % model.gateways.length];
       if (gateway !== undefined) model.follow(gateway, withOffset);
     }),
   },
   {
     weight: 6,
-    arbitrary: index.map((at) => (model: Model) => {
+    arbitrary: index.map((at) => (model: FleetModel) => {
       const gateway = model.gateways[at % model.gateways.length];
       const body = gateway?.queue.shift();
       if (body !== undefined) model.append(body);
@@ -317,7 +89,7 @@
     weight: 1,
     arbitrary: fc
       .tuple(index, fc.boolean(), fc.boolean())
-      .map(([at, again, sameOffset]) => (model: Model) => {
+      .map(([at, again, sameOffset]) => (model: FleetModel) => {
         // A record repeated after a lost answer, or the same decision made again by another planner.
         const old = model.log[model.log.length - 1 - (at % model.log.length)];
         if (
@@ -332,11 +104,13 @@
   },
   {
     weight: 1,
-    arbitrary: fc.constantFrom(...DATA_CENTRES).map((name) => (model: Model) => model.open(name)),
+    arbitrary: fc
+      .constantFrom(...FleetModel.dataCentres)
+      .map((name) => (model: FleetModel) => model.open(name)),
   },
   {
     weight: 1,
-    arbitrary: index.map((at) => (model: Model) => {
+    arbitrary: index.map((at) => (model: FleetModel) => {
       const [gateway] = model.gateways.splice(at % Math.max(1, model.gateways.length), 1);
       if (gateway === undefined) return;
       model.append({ type: 'session-end', session: gateway.session, by: gateway.session });
@@ -344,8 +118,8 @@
   },
   {
     weight: 1,
-    arbitrary: fc.tuple(host, fc.boolean()).map(([name, removes]) => (model: Model) => {
-      const object = HOSTS.find((one) => one.name === name);
+    arbitrary: fc.tuple(host, fc.boolean()).map(([name, removes]) => (model: FleetModel) => {
+      const object = FleetModel.hosts.find((one) => one.name === name);
       const remove = { action: 'remove', kind: 'host', name };
       const put = { action: 'put', kind: 'host', object };
       model.append(model.change(removes ? [remove] : [remove, put]));
@@ -363,7 +137,7 @@
         fc.array(fc.boolean(), { minLength: 3, maxLength: 3 }),
         fc.array(step, { minLength: 100, maxLength: 300, size: 'max' }),
         (budgets, guards, steps) => {
-          const model = new Model(budgets, guards);
+          const model = new FleetModel(budgets, guards);
           steps.forEach((one) => one(model));
           model.checkCounters();
         },
--- a/src/testing/mod.ts
+++ b/src/testing/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from './FleetModel.js';
 export * from './ProcessGroup.js';
 export * from './arbitraryEntries.js';
 export * from './buildRecords.js';
