--- a/src/contract/mod.ts
+++ b/src/contract/mod.ts
@@ -11,3 +11,4 @@
 export * from './LendingPolicy.js';
 export * from './LastingLending.js';
 export * from './computeShortage.js';
+export * from './computeLeastHeadroom.js';
--- a/src/fleet/_planPlacement.ts
+++ b/src/fleet/_planPlacement.ts
@@ -102,6 +102,18 @@
   });
 }
 
+/**
+ * Whether a host could leave its new pool again: a pool whose guarded budget its largest rack uses up
+ * can release no host and be given no maintenance. A pool that is there already loses nothing.
+ */
+function canReturn({ draft }: PlacementContext, { host, to }: { host: Host; to: Pool }): boolean {
+  const ledger = draft.data.index.getLedger(to.name);
+  const rack = ledger.countNear(host).rack + 1;
+  return (
+    !to.guardRackLoss || rack < to.availabilityBudget || rack <= Math.max(1, ledger.largestRack)
+  );
+}
+
 /** A move of hosts that are the pool's own. */
 interface Release {
   from: Pool;
@@ -112,11 +124,19 @@
 
 function release(context: PlacementContext, { from, to, count, isLoan }: Release): number {
   const { draft, lists, policy } = context;
+  // One at a time, since each loan changes which racks are left for the next.
+  if (isLoan && count > 1) {
+    let lent = 0;
+    while (lent < count && release(context, { from, to, count: 1, isLoan }) > 0) lent += 1;
+    return lent;
+  }
   if (count <= 0) return 0;
   const own = (lists.members.get(from.name) ?? []).filter(
     (name) => draft.find(name)?.state.owner === undefined,
   );
-  const candidates = listMovable(context, { names: own, target: to });
+  const movable = listMovable(context, { names: own, target: to });
+  const candidates =
+    isLoan && to ? movable.filter((host) => canReturn(context, { host, to })) : movable;
   const chosen =
     to === undefined
       ? candidates.slice(0, count)
@@ -191,7 +211,10 @@
   const { loans, returns } = lending.plan(measured);
   for (const { from, to, count } of returns) {
     const names = lists.borrowed.get(from)?.get(to) ?? [];
+    const ledger = draft.data.index.getLedger(from);
+    // Hosts of the fullest racks first, which makes room in the guarded budget for the next one.
     listMovable(context, { names, target: pools.get(to) })
+      .sort((a, b) => ledger.countNear(b).rack - ledger.countNear(a).rack)
       .slice(0, count)
       .forEach(({ name }) => {
         const body = { type: 'host-release' as const, hosts: [], fromPool: from, toPool: to };
--- a/src/pool/DemandHysteresis.ts
+++ b/src/pool/DemandHysteresis.ts
@@ -27,7 +27,7 @@
 const MAX_GAP_MS = 20_000;
 /** Demand rises to the least of this time: a flood of some seconds leaves a lull in it. */
 const RISE_MS = 120_000;
-/** Demand falls to the most of this time, so that a queue that rises and falls keeps what it has. */
+/** Demand falls to the greatest lasting load of this time, in which floods do not count either. */
 const FALL_MS = 600_000;
 /** A queue without end must not ask for the whole fleet; a pool at most doubles its need. */
 const MAX_EXTRA_PER_NEED = 1;
@@ -35,6 +35,8 @@
 interface Sample {
   at: number;
   hosts: number;
+  /** Least load of the two minutes up to this sample. */
+  lasting: number;
 }
 
 interface Report {
@@ -46,7 +48,8 @@
  * Turns the load that gateways report into the demand of pools, rarely and with hysteresis.
  *
  * The load is in hosts: busy slots and queued jobs divided by the slots of a host. What a pool wants
- * above its rules rises to the least load of two minutes and falls to the greatest of ten.
+ * above its rules rises to the least load of two minutes, its lasting load, and falls to the greatest
+ * lasting load of ten.
  *
  * @example
  * ```ts
@@ -109,7 +112,9 @@
     // One sample from before the window shows that the window is covered.
     const first = known.findLastIndex(({ at }) => now - at >= FALL_MS);
     const kept = isBroken ? [] : known.slice(Math.max(0, first));
-    const samples = [...kept, { at: now, hosts: Math.ceil(hosts) }];
+    const load = Math.ceil(hosts);
+    const recent = kept.filter(({ at }) => now - at <= RISE_MS).map((one) => one.hosts);
+    const samples = [...kept, { at: now, hosts: load, lasting: Math.min(load, ...recent) }];
     this.#samples.set(pool, samples);
     return samples;
   }
@@ -119,15 +124,14 @@
     { samples, now }: { samples: Sample[]; now: number },
   ): number {
     const coveredMs = now - (samples[0]?.at ?? now);
-    const listHosts = (windowMs: number): number[] =>
-      samples.filter(({ at }) => now - at <= windowMs).map(({ hosts }) => hosts);
     const toExtra = (hosts: number): number =>
       Math.min(need * MAX_EXTRA_PER_NEED, Math.max(0, hosts - need - headroom));
     if (coveredMs >= RISE_MS) {
-      const rise = toExtra(Math.min(...listHosts(RISE_MS)));
+      const rise = toExtra(samples.at(-1)?.lasting ?? 0);
       if (rise > extra) return rise;
     }
     if (coveredMs < FALL_MS) return extra;
-    return Math.min(extra, toExtra(Math.max(...listHosts(FALL_MS))));
+    const recent = samples.filter(({ at }) => now - at <= FALL_MS).map(({ lasting }) => lasting);
+    return Math.min(extra, toExtra(Math.max(...recent)));
   }
 }
