--- a/src/contract/LastingLending.test.ts
+++ b/src/contract/LastingLending.test.ts
@@ -4,13 +4,11 @@
 import { ConditionTimer } from '../clock/mod.js';
 import { Pool } from '../pool/mod.js';
 import { readSeed } from '../testing/mod.js';
-import {
-  computeFloor,
-  computeReturnable,
-  computeShortage,
-  type PoolSupply,
-} from './computeShortage.js';
+import { computeFloor } from './computeFloor.js';
+import { computeReturnable } from './computeReturnable.js';
+import { computeShortage } from './computeShortage.js';
 import { LastingLending } from './LastingLending.js';
+import type { PoolSupply } from './LendingPolicy.js';
 
 const STEP_MS = 5_000;
 const LEND_AFTER_MS = 30_000;
--- a/src/contract/LastingLending.ts
+++ b/src/contract/LastingLending.ts
@@ -1,4 +1,6 @@
-import { computeFloor, computeReturnable, computeShortage } from './computeShortage.js';
+import { computeFloor } from './computeFloor.js';
+import { computeReturnable } from './computeReturnable.js';
+import { computeShortage } from './computeShortage.js';
 import {
   LendingPolicy,
   type LendingDecision,
--- a/src/contract/LendingPolicy.ts
+++ b/src/contract/LendingPolicy.ts
@@ -21,6 +21,9 @@
   calmMs: number;
 }
 
+/** The facts about a pool without their durations. */
+export type PoolSupply = Omit<LendingPool, 'shortMs' | 'calmMs'>;
+
 /** Hosts that go from one pool to another. */
 export interface LendingMove {
   from: string;
