--- a/src/fleet/_planOngoing.ts
+++ b/src/fleet/_planOngoing.ts
@@ -3,8 +3,11 @@
 
 /** A reboot that the host list did not show is taken as done after this time. */
 const UNSEEN_REBOOT_MS = 600_000;
-/** A host that still answers as before is asked again to reboot after this time. */
-const REBOOT_RETRY_MS = 120_000;
+/**
+ * A host that still answers as before is asked again to reboot after this time, well above the lag
+ * of the list. It bounds how long a host waits whose controller was lost between start and reboot.
+ */
+const REBOOT_RETRY_MS = 60_000;
 
 function withdraw(draft: PlanDraft, name: string): void {
   const phase = draft.find(name)?.state.phase;
--- a/src/host/HostHysteresis.ts
+++ b/src/host/HostHysteresis.ts
@@ -2,8 +2,8 @@
 
 /** The list lags; a host that is missing from it for less than this may only be late. */
 const ABSENT_MS = 10_000;
-/** A host in maintenance is expected to go; it must be missing from two lists, 2 s apart. */
-const ABSENT_IN_MAINTENANCE_MS = 2_000;
+/** A host in maintenance is expected to go; the first list without it, 2 s after the last, counts. */
+const ABSENT_IN_MAINTENANCE_MS = 1_000;
 /** A host that comes back from its maintenance has not failed; it must be in a few lists in a row. */
 const RECOVER_IN_MAINTENANCE_MS = 5_000;
 /** A failed host must look well for this long; doubled with each flap. */
@@ -123,7 +123,7 @@
  * A host counts as leaving at once, as failed after it was missing for 10 s or reported, and as live
  * again after it looked well for 30 s, doubled with each flap. Times are monotonic milliseconds. An
  * empty list is no news: the platform has lost its list, not every host. A host in maintenance goes
- * away on purpose: it is failed after 2 s and live again after 5 s, and that is no flap.
+ * away on purpose: it is failed after 1 s and live again after 5 s, and that is no flap.
  *
  * @example
  * ```ts
--- a/src/standin/PlatformStandin.ts
+++ b/src/standin/PlatformStandin.ts
@@ -42,7 +42,7 @@
  * A small stand-in for the platform: a log with offsets, a list of hosts, and faults on demand.
  *
  * `POST /streams/NAME/entries`, `GET /streams/NAME/entries`, `GET /hosts`, `PUT /hosts`,
- * `POST /hosts/NAME/reboot`, `PUT /faults`. A host that reboots is off the list until it is back.
+ * `POST /hosts/NAME/reboot`, `GET /reboots`, `PUT /faults`. A host that reboots is off the list until it is back.
  */
 export class PlatformStandin {
   readonly #retentionMs: number;
@@ -58,6 +58,9 @@
   /** Timers of the hosts that reboot; a lost host has none. */
   readonly #rebooting = new Map<string, NodeJS.Timeout | undefined>();
 
+  /** Reboots that took effect, with their times. */
+  readonly #reboots: { host: string; time: number }[] = [];
+
   constructor(retentionMs = DEFAULT_RETENTION_MS) {
     this.#retentionMs = retentionMs;
     this.#server = createServer((request, response) => {
@@ -90,6 +93,7 @@
   /** Takes a host off the list for the time of a reboot; a repeated call changes nothing. */
   startReboot(host: string): void {
     if (this.#rebooting.has(host)) return;
+    this.#reboots.push({ host, time: Date.now() });
     this.#hosts.remove(host);
     const timer = this.#faults.lostHosts.includes(host)
       ? undefined
@@ -131,6 +135,10 @@
       reply(200, this.#hosts.read(Number(url.searchParams.get('since') ?? 0)));
       return;
     }
+    if (url.pathname === '/reboots') {
+      reply(200, this.#reboots);
+      return;
+    }
     const rebooted = /^\/hosts\/([\w.-]+)\/reboot$/.exec(url.pathname)?.[1];
     if (rebooted !== undefined && request.method === 'POST') {
       const isListed = this.#hosts.has(rebooted) || this.#rebooting.has(rebooted);
