--- a/src/controller/Controller.ts
+++ b/src/controller/Controller.ts
@@ -3,7 +3,7 @@
 import { createHTTPServer } from '@trpc/server/adapters/standalone';
 import { ActorScope, type FaultHandler } from '../actor/mod.js';
 import { SystemClock } from '../clock/mod.js';
-import { SpreadPlacement } from '../contract/mod.js';
+import { LastingLending, SpreadPlacement } from '../contract/mod.js';
 import { FleetFollower, FleetKeeper, type FollowerStatus } from '../fleet/mod.js';
 import { HttpLogClient, LogRecordSource, LogWriter, type SubmitAnswer } from '../log/mod.js';
 import type { ProcessObserver } from '../observation/mod.js';
@@ -16,6 +16,7 @@
 import { ControllerPlanner } from './ControllerPlanner.js';
 import { ControllerRecordSource } from './ControllerRecordSource.js';
 import { controllerRouter } from './ControllerRouter.js';
+import { DemandWatcher } from './DemandWatcher.js';
 import { HttpHostListClient } from './HttpHostListClient.js';
 import { HostWatcher } from './HostWatcher.js';
 import { HttpMaintenanceActions } from './HttpMaintenanceActions.js';
@@ -65,6 +66,8 @@
 
   readonly #watcher: HostWatcher;
 
+  readonly #demand: DemandWatcher;
+
   readonly #checkpoints: CheckpointKeeper;
 
   #peers: ControllerPeers | undefined;
@@ -91,14 +94,16 @@
       new HttpMaintenanceActions(settings.platform),
     );
     this.#runner = runner;
-    const policy = new SpreadPlacement();
-    this.#planner = new ControllerPlanner(this.#scope, { keeper, writer, runner, clock, policy });
+    const policies = { policy: new SpreadPlacement(), lending: new LastingLending() };
+    const planning = { keeper, writer, runner, clock, ...policies };
+    this.#planner = new ControllerPlanner(this.#scope, planning);
     this.#watcher = new HostWatcher(this.#scope, {
       keeper,
       writer,
       client: new HttpHostListClient(settings.platform),
       clock,
     });
+    this.#demand = new DemandWatcher(this.#scope, { keeper, writer, clock });
     this.#checkpoints = new CheckpointKeeper(this.#scope, {
       keeper,
       client,
@@ -137,6 +142,7 @@
     this.#peers?.close();
     this.#planner.close();
     await this.#closeSession();
+    this.#demand.close();
     await this.#watcher.close();
     this.#checkpoints.close();
     await this.#runner.close();
@@ -172,7 +178,7 @@
   }
 
   #publishRank(rank: number): void {
-    [this.#planner, this.#watcher, this.#checkpoints].forEach((actor) => {
+    [this.#planner, this.#watcher, this.#demand, this.#checkpoints].forEach((actor) => {
       actor.send({ type: 'rank', rank });
     });
   }
@@ -183,6 +189,7 @@
       follower: this.#follower,
       writer: this.#writer,
       watcher: this.#watcher,
+      demand: this.#demand,
       scope: this.#scope,
       session: this.#session,
       dataCentre: this.#settings.dataCentre,
--- a/src/controller/ControllerApi.ts
+++ b/src/controller/ControllerApi.ts
@@ -23,6 +23,8 @@
 import type { ActorScope } from '../actor/mod.js';
 import type { LogWriter, SubmitAnswer } from '../log/mod.js';
 import type { Operation, RecordBody } from '../record/mod.js';
+import type { ServiceLoad } from '../pool/mod.js';
+import type { DemandWatcher } from './DemandWatcher.js';
 import type { HostWatcher } from './HostWatcher.js';
 import { queryRollout, type Rollout } from './queryRollout.js';
 import { splitChange } from './splitChange.js';
@@ -39,12 +41,22 @@
   operator: string;
 }
 
+/** What a gateway saw of hosts; it repeats the report about every 5 s while it lasts. */
+export interface HostReport {
+  reporter: string;
+  /** Hosts that fail everything. */
+  hosts: string[];
+  /** Failed hosts that answered a probe. */
+  healthy: string[];
+}
+
 /** The actors that the API of a controller speaks to. */
 export interface ControllerApiOptions {
   keeper: FleetKeeper;
   follower: FleetFollower;
   writer: LogWriter;
   watcher: HostWatcher;
+  demand: DemandWatcher;
   /** Where submitted changes are recorded. */
   scope: ActorScope;
   session: string;
@@ -140,9 +152,16 @@
     return queryRollout(sessions, asked);
   }
 
-  /** Takes a gateway's report of hosts that fail. */
-  report(reporter: string, hosts: string[]): void {
-    this.#options.watcher.send({ type: 'report', reporter, hosts });
+  /** Takes a gateway's report of hosts that fail, and of failed hosts that work again. */
+  report({ reporter, hosts, healthy }: HostReport): void {
+    const { watcher } = this.#options;
+    watcher.send({ type: 'report', reporter, hosts, isHealthy: false });
+    watcher.send({ type: 'report', reporter, hosts: healthy, isHealthy: true });
+  }
+
+  /** Takes the load of services as a gateway sees it; the gateway reports it about every 5 s. */
+  reportLoad(reporter: string, loads: ServiceLoad[]): void {
+    this.#options.demand.send({ type: 'load', reporter, loads });
   }
 
   /**
--- a/src/controller/ControllerRouter.ts
+++ b/src/controller/ControllerRouter.ts
@@ -1,6 +1,7 @@
 import { initTRPC } from '@trpc/server';
 import { z } from 'zod';
 import { AskedRevision, SessionState, WaveReport } from '../fleet/mod.js';
+import { ServiceLoad } from '../pool/mod.js';
 import { Operation, RecordBody } from '../record/mod.js';
 import type { ControllerApi } from './ControllerApi.js';
 
@@ -15,6 +16,8 @@
 /** More failing hosts than one data centre has are not one gateway's own experience. */
 const MAX_REPORTED = 2_000;
 
+const MAX_SERVICES = 500;
+
 /** The tRPC procedures that a controller serves to operators, gateways and other controllers. */
 export const controllerRouter = t.router({
   since: t.procedure
@@ -29,8 +32,17 @@
     .input(AskedRevision)
     .query(({ ctx, input }) => ctx.api.readRollout(input?.revision)),
   report: t.procedure
-    .input(z.object({ reporter: z.string(), hosts: z.array(z.string()).max(MAX_REPORTED) }))
-    .mutation(({ ctx, input }) => ctx.api.report(input.reporter, input.hosts)),
+    .input(
+      z.object({
+        reporter: z.string(),
+        hosts: z.array(z.string()).max(MAX_REPORTED),
+        healthy: z.array(z.string()).max(MAX_REPORTED).default([]),
+      }),
+    )
+    .mutation(({ ctx, input }) => ctx.api.report(input)),
+  load: t.procedure
+    .input(z.object({ reporter: z.string(), loads: z.array(ServiceLoad).max(MAX_SERVICES) }))
+    .mutation(({ ctx, input }) => ctx.api.reportLoad(input.reporter, input.loads)),
   fleet: t.procedure.query(({ ctx }) => ctx.api.describe()),
   host: t.procedure
     .input(z.object({ name: z.string() }))
--- a/src/fleet/FleetSnapshot.ts
+++ b/src/fleet/FleetSnapshot.ts
@@ -42,6 +42,14 @@
 export const DataCentreSet = z.object({ inForceFrom: z.number(), names: z.array(z.string()) });
 export type DataCentreSet = z.infer<typeof DataCentreSet>;
 
+/** The parts received of a change that is not complete yet. */
+export const PendingChange = z.object({
+  /** Platform time of the first part. */
+  time: z.number(),
+  parts: z.array(ConfigChange),
+});
+export type PendingChange = z.infer<typeof PendingChange>;
+
 /** The whole state of the fleet at an offset, as plain JSON. */
 export const FleetSnapshot = z.object({
   /** Offset of the next record to fold. */
@@ -58,6 +66,8 @@
   /** Revisions at which objects were removed, by `kind/name`. */
   removed: z.record(z.string(), z.number().int()),
   hostStates: z.record(z.string(), HostState),
+  /** Hosts above its rules that a lasting overload asks for, by pool. */
+  demands: z.record(z.string(), z.number().int()).default({}),
   sessions: z.array(SessionState),
   /** Gateway sessions that have ended, in the order of their ends. */
   endedSessions: z.array(EndedSession),
@@ -70,6 +80,6 @@
   /** Last sequence folded and its time, by writer. */
   writers: z.record(z.string(), z.object({ sequence: z.number().int(), time: z.number() })),
   /** Parts received of changes that are not complete yet, by change id. */
-  pendingChanges: z.record(z.string(), z.array(ConfigChange)),
+  pendingChanges: z.record(z.string(), PendingChange),
 });
 export type FleetSnapshot = z.infer<typeof FleetSnapshot>;
--- a/src/fleet/_applyConfigChange.ts
+++ b/src/fleet/_applyConfigChange.ts
@@ -24,6 +24,7 @@
   const { name } = describeObject(operation);
   if (operation.kind !== 'host') {
     data.configuration.apply(operation, revision);
+    if (operation.kind === 'pool' && operation.action === 'remove') data.demands.delete(name);
     return;
   }
   // The host is counted out with its old rack and counted in with its new one.
@@ -46,10 +47,12 @@
 }
 
 function collectParts(data: FleetData, change: ConfigChange): ConfigChange[] | undefined {
-  const parts = data.pendingChanges.get(change.changeId) ?? [];
-  parts.push(change);
+  const pending = data.pendingChanges.get(change.changeId);
+  // A part that comes twice, from a writer that started again, counts once.
+  const known = (pending?.parts ?? []).filter(({ part }) => part !== change.part);
+  const parts = [...known, change];
   if (parts.length < change.parts) {
-    data.pendingChanges.set(change.changeId, parts);
+    data.pendingChanges.set(change.changeId, { time: pending?.time ?? data.time, parts });
     return undefined;
   }
   data.pendingChanges.delete(change.changeId);
--- a/src/fleet/planFleet.test.ts
+++ b/src/fleet/planFleet.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { SpreadPlacement } from '../contract/mod.js';
+import { ConditionTimer } from '../clock/mod.js';
+import { LastingLending, SpreadPlacement } from '../contract/mod.js';
 import { ConfigChange, RecordBody } from '../record/mod.js';
 import { runSteps } from '../testing/mod.js';
 import { describeContracts } from './describeContracts.js';
@@ -15,7 +16,7 @@
 class SmallFleet {
   readonly fleet = new Fleet();
 
-  readonly shortSince = new Map<string, number>();
+  readonly timer = new ConditionTimer();
 
   now = DAY_MS;
 
@@ -45,14 +46,20 @@
     assert.deepEqual(this.fleet.apply(record), { outcome: 'accepted' });
   }
 
+  /** Leaves out an offset that the test used itself. */
+  increase(): void {
+    this.#offset += 1;
+  }
+
   report(names: string[], status: 'live' | 'failed'): void {
     const observations = names.map((host) => ({ host, status }));
     this.append({ type: 'host-observed', observations });
   }
 
   plan(): RecordBody[] {
-    const { now, shortSince } = this;
-    const plan = planFleet(this.fleet, { now, shortSince, policy: new SpreadPlacement() });
+    const { now, timer } = this;
+    const policies = { policy: new SpreadPlacement(), lending: new LastingLending() };
+    const plan = planFleet(this.fleet, { now, timer, ...policies });
     const { bodies } = runSteps(plan);
     bodies.forEach((body) => this.append(body));
     return bodies;
@@ -123,6 +130,51 @@
     assert.equal(host?.isPartitionSuspected, true);
   });
 
+  // Guards against a wave over a whole small data centre that is taken for a partition.
+  it('suspects no partition when only hosts in maintenance are away', () => {
+    const small = new SmallFleet([{ name: 'a', need: 0, headroom: 6, availabilityBudget: 6 }], 6);
+    small.runPlans();
+    const hosts = ['h0', 'h3'];
+    small.append({ type: 'maintenance-grant', hosts, wave: 'w' });
+    small.append({ type: 'maintenance-start', hosts, wave: 'w' });
+    small.report(hosts, 'failed');
+    assert.deepEqual(small.fleet.data.index.listSuspected(), []);
+    small.report(['h1', 'h4'], 'failed');
+    assert.deepEqual(small.fleet.data.index.listSuspected(), ['d1']);
+  });
+
+  // Guards against a host that gets work again and again although it fails everything.
+  it('takes a faulty host back only after a maintenance or a report that it is healthy', () => {
+    const small = new SmallFleet([{ name: 'a', need: 6, headroom: 6, availabilityBudget: 3 }], 12);
+    small.runPlans();
+    const status = (): string | undefined => small.fleet.findHostState('h0')?.status;
+    const observe = (to: 'live' | 'failed', source?: 'gateways'): void => {
+      const one = { host: 'h0', status: to, ...(source && { source }) };
+      const record = {
+        time: small.now,
+        writer: 'o',
+        body: RecordBody.parse({ type: 'host-observed', observations: [one] }),
+      };
+      const offset = small.fleet.nextOffset;
+      small.fleet.apply({ ...record, offset, sequence: offset + 1 });
+      small.increase();
+    };
+    observe('failed', 'gateways');
+    observe('live');
+    assert.equal(status(), 'failed');
+    observe('live', 'gateways');
+    assert.equal(status(), 'live');
+    observe('failed', 'gateways');
+    small.now += DAY_MS;
+    small.runPlans();
+    assert.equal(small.fleet.findHostState('h0')?.phase, 'maintenance');
+    small.now += MINUTE_MS;
+    observe('live');
+    small.runPlans();
+    const { phase, isFaulty } = small.fleet.findHostState('h0') ?? {};
+    assert.deepEqual([phase, isFaulty, status()], ['serving', undefined, 'live']);
+  });
+
   // Guards against lending for a short flood, and against a lasting shortage left unmet.
   it('borrows from a lending pool only after the shortage has lasted', () => {
     const spare = { name: 'spare', need: 2, headroom: 6, availabilityBudget: 6, lends: true };
@@ -147,4 +199,53 @@
     assert.equal(small.list('a').length, 4);
     assert.equal(small.list('spare').length, 20);
   });
+
+  // Guards against a loan that never comes back, and one that comes back and goes again.
+  it('lends for a lasting overload and takes the hosts back when it has ended', () => {
+    const spare = { name: 'spare', need: 2, headroom: 6, availabilityBudget: 3, lends: true };
+    const small = new SmallFleet(
+      [spare, { name: 'a', need: 4, availabilityBudget: 4, lendAfterSeconds: 30 }],
+      12,
+    );
+    small.runPlans();
+    const demand = (extra: number): void =>
+      small.append({ type: 'pool-demand', demands: [{ pool: 'a', extra }] });
+    demand(5);
+    small.runPlans();
+    small.now += 31_000;
+    small.runPlans();
+    assert.equal(small.list('a').length, 4, 'lent before the cost of a loan was reached');
+    small.now += 30_000;
+    small.runPlans();
+    assert.equal(small.list('spare').length, 5, 'spare keeps its need and budget');
+    demand(0);
+    small.runPlans();
+    small.now += 9 * MINUTE_MS;
+    small.runPlans();
+    assert.equal(small.list('a').length, 7);
+    small.now += MINUTE_MS + 1;
+    small.runPlans();
+    assert.deepEqual([small.list('a').length, small.list('spare').length], [4, 8]);
+    assert.ok([...small.fleet.data.hostStates.values()].every((one) => one.owner === undefined));
+  });
+
+  // Guards against hosts that a pool keeps although its rules no longer admit or want them.
+  it('releases hosts that no longer fit, and a surplus that lasts', () => {
+    const small = new SmallFleet([{ name: 'a', need: 4, headroom: 2, availabilityBudget: 4 }], 6);
+    small.runPlans();
+    const put = (pool: object, changeId: string): void => {
+      const operations = [{ action: 'put', kind: 'pool', object: { name: 'a', ...pool } }];
+      const head = { type: 'config-change', changeId, baseRevision: small.fleet.revision };
+      small.append(ConfigChange.parse({ ...head, part: 1, parts: 1, operations }));
+    };
+    put({ need: 2, headroom: 2, availabilityBudget: 4 }, 'smaller');
+    small.runPlans();
+    assert.equal(small.list('a').length, 6, 'a surplus that may end soon is kept');
+    small.now += 11 * MINUTE_MS;
+    small.runPlans();
+    assert.equal(small.list('a').length, 4);
+    put({ need: 2, headroom: 2, availabilityBudget: 4, requires: { cores: 1 } }, 'unfit');
+    small.runPlans();
+    assert.equal(small.list('a').length, 2, 'unfit hosts stay only for the need');
+  });
 });
--- a/src/host/HostHysteresis.ts
+++ b/src/host/HostHysteresis.ts
@@ -2,10 +2,16 @@
 
 /** The list lags; a host that is missing from it for less than this may only be late. */
 const ABSENT_MS = 10_000;
+/** A host in maintenance is expected to go; the first list without it, 2 s after the last, counts. */
+const ABSENT_IN_MAINTENANCE_MS = 1_000;
+/** A host that comes back from its maintenance has not failed; it must be in a few lists in a row. */
+const RECOVER_IN_MAINTENANCE_MS = 5_000;
 /** A failed host must look well for this long; doubled with each flap. */
 const RECOVER_MS = 30_000;
 /** 30 s doubled six times; a host that flaps without end costs one record pair in half an hour. */
 const MAX_RECOVER_MS = 1_920_000;
+/** A host that had failed before its maintenance and was not seen to reboot is back after this time. */
+const UNSEEN_REBOOT_MS = 600_000;
 /** After this long without a change, one flap is forgiven. */
 const FORGIVE_MS = 3_600_000;
 /** A report counts for this long; gateways repeat it while the host fails. */
@@ -16,8 +22,13 @@
 /** A host of the inventory as the fold has it. */
 export interface KnownHost {
   host: string;
-  dataCentre: string;
   status: HostStatus;
+  /** Whether its maintenance has started, so that it goes away on purpose. */
+  isInMaintenance: boolean;
+  /** Whether it was seen to go away since its maintenance started. */
+  isAway: boolean;
+  /** Whether gateways reported that it fails its work. */
+  isFaulty: boolean;
 }
 
 /** A host in the platform's list. */
@@ -28,9 +39,7 @@
 
 /** What the fold should be told. */
 export interface HostFindings {
-  observations: { host: string; status: HostStatus }[];
-  /** Data centres all of whose hosts are missing: a partition is suspected. */
-  suspected: string[];
+  observations: { host: string; status: HostStatus; source?: 'gateways' }[];
 }
 
 /** Most time that counts between two lists, which are compared at least every 5 s. */
@@ -46,21 +55,33 @@
   status: HostStatus;
   /** Status in the fold when last seen. */
   folded: HostStatus;
+  isInMaintenance: boolean;
+  isFaulty: boolean;
+  /** Whether it was missing since its maintenance started. */
+  wasAway: boolean;
+  /** When a gateway last reported that it works; monotonic like the other times. */
+  healthyAt: number;
   /** First and last report by gateway. */
   reports: Map<string, { first: number; last: number }>;
 }
 
+function computeRecoverMs({ isInMaintenance, wasAway, flaps }: Watched): number {
+  if (isInMaintenance) return wasAway ? RECOVER_IN_MAINTENANCE_MS : UNSEEN_REBOOT_MS;
+  return Math.min(MAX_RECOVER_MS, RECOVER_MS * 2 ** Math.min(Math.max(0, flaps - 1), 10));
+}
+
 function chooseStatus(
   watched: Watched,
   seen: { state: 'live' | 'leaving' | undefined; isReported: boolean; now: number },
 ): HostStatus {
-  if (seen.isReported || seen.now - watched.presentAt >= ABSENT_MS) return 'failed';
+  const absentMs = watched.isInMaintenance ? ABSENT_IN_MAINTENANCE_MS : ABSENT_MS;
+  if (seen.isReported || seen.now - watched.presentAt >= absentMs) return 'failed';
   // A host that left its list of failures only to leave is not taken back in between.
   if (seen.state === 'leaving') return watched.status === 'failed' ? 'failed' : 'leaving';
   if (watched.status === 'live' || watched.wellSince === undefined) return watched.status;
-  const flaps = Math.max(0, watched.flaps - 1);
-  const recoverMs = Math.min(MAX_RECOVER_MS, RECOVER_MS * 2 ** Math.min(flaps, 10));
-  return seen.now - watched.wellSince >= recoverMs ? 'live' : watched.status;
+  const isHealthy = seen.now - watched.healthyAt <= REPORT_MS;
+  if (watched.isFaulty && !watched.isInMaintenance && !isHealthy) return 'failed';
+  return seen.now - watched.wellSince >= computeRecoverMs(watched) ? 'live' : watched.status;
 }
 
 function isReported({ reports }: Watched, now: number): boolean {
@@ -73,14 +94,15 @@
 
 function computeStatus(
   watched: Watched,
-  { state, now }: { state: 'live' | 'leaving' | undefined; now: number },
+  seen: { state: 'live' | 'leaving' | undefined; isReported: boolean; now: number },
 ): HostStatus {
   /* eslint-disable no-param-reassign -- the watched host is this object's own state. */
+  const { state, now } = seen;
   if (state !== undefined) watched.presentAt = now;
-  const isFailing = isReported(watched, now);
-  const isWell = state === 'live' && !isFailing;
+  else if (watched.isInMaintenance) watched.wasAway = true;
+  const isWell = state === 'live' && !seen.isReported;
   watched.wellSince = isWell ? (watched.wellSince ?? now) : undefined;
-  const status = chooseStatus(watched, { state, isReported: isFailing, now });
+  const status = chooseStatus(watched, seen);
   if (status === watched.status) {
     if (watched.flaps > 0 && now - watched.changedAt > FORGIVE_MS) {
       watched.flaps -= 1;
@@ -88,7 +110,7 @@
     }
     return status;
   }
-  if (watched.status === 'live') watched.flaps += 1;
+  if (watched.status === 'live' && !watched.isInMaintenance) watched.flaps += 1;
   watched.status = status;
   watched.changedAt = now;
   return status;
@@ -100,7 +122,8 @@
  *
  * A host counts as leaving at once, as failed after it was missing for 10 s or reported, and as live
  * again after it looked well for 30 s, doubled with each flap. Times are monotonic milliseconds. An
- * empty list is no news: the platform has lost its list, not every host.
+ * empty list is no news: the platform has lost its list, not every host. A host in maintenance goes
+ * away on purpose: it is failed after 1 s and live again after 5 s, and that is no flap.
  *
  * @example
  * ```ts
@@ -115,11 +138,17 @@
   /** Time during which lists came, in milliseconds; all waiting times count in it. */
   #elapsedMs = 0;
 
-  /** Takes note that a gateway sees a host fail. */
-  report(report: { host: string; reporter: string }): void {
+  /** Takes note that a gateway sees a host fail, or work again. */
+  report(report: { host: string; reporter: string; isHealthy?: boolean }): void {
     const now = this.#elapsedMs;
-    const reports = this.#watched.get(report.host)?.reports;
-    if (reports === undefined) return;
+    const watched = this.#watched.get(report.host);
+    if (watched === undefined) return;
+    const { reports } = watched;
+    if (report.isHealthy) {
+      reports.delete(report.reporter);
+      watched.healthyAt = now;
+      return;
+    }
     const known = reports.get(report.reporter);
     const isFresh = known !== undefined && now - known.last <= REPORT_MS;
     reports.set(report.reporter, { first: isFresh ? known.first : now, last: now });
@@ -127,17 +156,23 @@
 
   /** Compares a list with the fold and returns what differs. */
   apply(known: KnownHost[], { list, now }: { list: ListedHost[]; now: number }): HostFindings {
-    if (list.length === 0) return { observations: [], suspected: [] };
+    if (list.length === 0) return { observations: [] };
     this.#prune(known);
     this.#increaseElapsed(now);
     const elapsed = this.#elapsedMs;
     const listed = new Map(list.map((one) => [one.host, one.state]));
     const observations = known.flatMap((one) => {
       const watched = this.#updateWatched(one, elapsed);
-      const status = computeStatus(watched, { state: listed.get(one.host), now: elapsed });
-      return status === one.status ? [] : [{ host: one.host, status }];
+      const state = listed.get(one.host);
+      const isFailing = isReported(watched, elapsed);
+      const status = computeStatus(watched, { state, isReported: isFailing, now: elapsed });
+      const { host } = one;
+      if (isFailing && !one.isFaulty) return [{ host, status, source: 'gateways' as const }];
+      if (status === one.status) return [];
+      const isHealed = one.isFaulty && !one.isInMaintenance;
+      return [{ host, status, ...(isHealed && { source: 'gateways' as const }) }];
     });
-    return { observations, suspected: this.#findSuspected(known, elapsed) };
+    return { observations };
   }
 
   /** A frozen process or a silent platform must not turn one late list into many failures. */
@@ -147,13 +182,19 @@
     this.#elapsedMs += Math.max(0, Math.min(gap, MAX_GAP_MS));
   }
 
-  #updateWatched({ host, status }: KnownHost, now: number): Watched {
+  #updateWatched(one: KnownHost, now: number): Watched {
+    const { host, status, isInMaintenance, isFaulty } = one;
     const known = this.#watched.get(host);
     if (known) {
+      // What looked well before a maintenance says nothing about the time after it.
+      if (known.isInMaintenance !== isInMaintenance) known.wellSince = undefined;
+      known.isInMaintenance = isInMaintenance;
+      known.isFaulty = isFaulty;
+      known.wasAway = isInMaintenance && (known.wasAway || one.isAway);
       // Another controller decided otherwise. Taking its word keeps two that see different reports
       // from overruling each other in turn.
       if (known.folded !== status && known.status !== status) {
-        if (known.status === 'live') known.flaps += 1;
+        if (known.status === 'live' && !isInMaintenance) known.flaps += 1;
         known.wellSince = undefined;
         known.status = status;
         known.changedAt = now;
@@ -168,22 +209,16 @@
       changedAt: now,
       status,
       folded: status,
+      isInMaintenance,
+      isFaulty,
+      wasAway: one.isAway,
+      healthyAt: Number.NEGATIVE_INFINITY,
       reports: new Map(),
     };
     this.#watched.set(host, watched);
     return watched;
   }
 
-  #findSuspected(known: KnownHost[], now: number): string[] {
-    const present = new Map<string, boolean>();
-    known.forEach(({ host, dataCentre }) => {
-      const presentAt = this.#watched.get(host)?.presentAt ?? now;
-      const isPresent = now - presentAt < ABSENT_MS;
-      present.set(dataCentre, (present.get(dataCentre) ?? false) || isPresent);
-    });
-    return [...present].filter(([, isPresent]) => !isPresent).map(([dataCentre]) => dataCentre);
-  }
-
   #prune(known: KnownHost[]): void {
     if (this.#watched.size <= known.length) return;
     const names = new Set(known.map((one) => one.host));
--- a/src/pool/mod.ts
+++ b/src/pool/mod.ts
@@ -5,3 +5,4 @@
  */
 export * from './computeShortfalls.js';
 export * from './Pool.js';
+export * from './DemandHysteresis.js';
--- a/src/record/HostRecord.ts
+++ b/src/record/HostRecord.ts
@@ -4,7 +4,14 @@
 /** What controllers observed of hosts. */
 export const HostObserved = z.object({
   type: z.literal('host-observed'),
-  observations: z.array(z.object({ host: z.string(), status: HostStatus })),
+  observations: z.array(
+    z.object({
+      host: z.string(),
+      status: HostStatus,
+      /** Who saw it; gateways see a host that is listed but fails what it is sent. */
+      source: z.enum(['list', 'gateways']).optional(),
+    }),
+  ),
 });
 
 /**
@@ -24,6 +31,8 @@
   toPool: z.string().optional(),
   /** The pool that the proposer saw them in; a late release of a host that has moved is refused. */
   fromPool: z.string().optional(),
+  /** Lends the hosts: they still belong to the lending pool's size and return to it. */
+  isLoan: z.literal(true).optional(),
 });
 
 /** A gateway session has no work in flight on these hosts and sends them none. */
--- a/src/testing/mod.ts
+++ b/src/testing/mod.ts
@@ -5,6 +5,7 @@
  */
 export * from './FixedClaimPolicy.js';
 export * from './GatewayRig.js';
+export * from './FleetModel.js';
 export * from './ProcessGroup.js';
 export * from './RecordingForwarder.js';
 export * from './arbitraryEntries.js';
