--- a/src/cli/CommandLine.test.ts
+++ b/src/cli/CommandLine.test.ts
@@ -82,7 +82,7 @@
     const shown = await run('host', 'h1', '--json');
     assert.equal(JSON.parse(shown.stdout).state.pool, 'match');
     assert.equal((await run('host', 'h2')).code, 1);
-    assert.match((await run('contracts')).stdout, /^match +need +yes +0$/m);
+    assert.match((await run('contracts')).stdout, /^match +need +yes +0 +0 +-$/m);
     assert.deepEqual(JSON.parse((await run('waves', '--json')).stdout), []);
   });
 
--- a/src/cli/ContractsCommand.ts
+++ b/src/cli/ContractsCommand.ts
@@ -12,7 +12,16 @@
     const reports = await controllers.query((client) => client.contracts.query());
     output.printRows(
       reports,
-      reports.map((report) => ({ ...report })),
+      reports.flatMap(({ pool, promises, lateHosts }) =>
+        promises.map(({ promise, holds, margin, reason }) => ({
+          pool,
+          promise,
+          kept: holds,
+          margin,
+          lateHosts,
+          reason,
+        })),
+      ),
     );
     return EXIT_OK;
   }
--- a/src/cli/HostCommand.ts
+++ b/src/cli/HostCommand.ts
@@ -17,7 +17,7 @@
   override async run({ args, controllers, output }: CommandCall): Promise<number> {
     const name = args[0] as string;
     const report = await controllers.query((client) => client.host.query({ name }));
-    if (report === undefined) {
+    if (report === null) {
       output.report(`no host "${name}" in the inventory`);
       return EXIT_FAILURE;
     }
@@ -28,12 +28,15 @@
         dataCentre: host.dataCentre,
         rack: host.rack,
         address: host.address,
-        status: state?.status,
-        phase: state?.phase,
-        pool: state?.pool,
-        toPool: state?.toPool,
-        phaseSince: formatTime(state?.phaseSince),
-        maintained: formatTime(state?.maintainedAt),
+        status: state.status,
+        phase: state.phase,
+        pool: state.pool,
+        toPool: state.toPool,
+        phaseSince: formatTime(state.phaseSince),
+        maintained: formatTime(state.maintainedAt),
+        due: formatTime(report.dueAt),
+        waitsFor: report.waitsFor.join(' '),
+        late: report.lateReason,
       },
     ]);
     return EXIT_OK;
--- a/src/controller/Controller.ts
+++ b/src/controller/Controller.ts
@@ -3,6 +3,7 @@
 import { createHTTPServer } from '@trpc/server/adapters/standalone';
 import { ActorScope, type FaultHandler } from '../actor/mod.js';
 import { SystemClock } from '../clock/mod.js';
+import { SpreadPlacement } from '../contract/mod.js';
 import { FleetFollower, FleetKeeper, type FollowerStatus } from '../fleet/mod.js';
 import { HttpLogClient, LogRecordSource, LogWriter, type SubmitAnswer } from '../log/mod.js';
 import type { ProcessObserver } from '../observation/mod.js';
@@ -17,6 +18,8 @@
 import { controllerRouter } from './ControllerRouter.js';
 import { HttpHostListClient } from './HttpHostListClient.js';
 import { HostWatcher } from './HostWatcher.js';
+import { HttpMaintenanceActions } from './HttpMaintenanceActions.js';
+import { MaintenanceRunner } from './MaintenanceRunner.js';
 import { SequenceProjector } from './_SequenceProjector.js';
 
 /** How long a planned stop waits for the log to take the end of the session. */
@@ -47,6 +50,8 @@
 
   readonly #writer: LogWriter;
 
+  readonly #runner: MaintenanceRunner;
+
   readonly #planner: ControllerPlanner;
 
   readonly #writeClient: HttpLogClient;
@@ -80,7 +85,13 @@
       ...settings.peers.map((peer) => new ControllerRecordSource(peer)),
     ];
     this.#follower = new FleetFollower(this.#scope, keeper, sources, { clock });
-    this.#planner = new ControllerPlanner(this.#scope, keeper, writer);
+    const runner = new MaintenanceRunner(
+      this.#scope,
+      new HttpMaintenanceActions(settings.platform),
+    );
+    this.#runner = runner;
+    const policy = new SpreadPlacement();
+    this.#planner = new ControllerPlanner(this.#scope, { keeper, writer, runner, clock, policy });
     this.#watcher = new HostWatcher(this.#scope, {
       keeper,
       writer,
@@ -127,6 +138,7 @@
     await this.#closeSession();
     await this.#watcher.close();
     this.#checkpoints.close();
+    await this.#runner.close();
     this.#writer.close();
     await this.#follower.close();
     this.#keeper.close();
--- a/src/controller/ControllerPlanner.ts
+++ b/src/controller/ControllerPlanner.ts
@@ -1,53 +1,193 @@
 import { Actor, type ActorScope } from '../actor/mod.js';
-import type { FleetKeeper } from '../fleet/mod.js';
-import type { LogWriter } from '../log/mod.js';
+import type { Clock } from '../clock/mod.js';
+import type { PlacementPolicy } from '../contract/mod.js';
+import type { FleetKeeper, Plan, VerdictAnswer } from '../fleet/mod.js';
+import type { LogWriter, RecordId, SubmitAnswer } from '../log/mod.js';
 import type { RecordBody } from '../record/mod.js';
+import type { MaintenanceRunner } from './MaintenanceRunner.js';
 import { ProposalDelay } from './ProposalDelay.js';
-import { PlanProjector } from './_PlanProjector.js';
+import { PlanProjector, type StartedPlan } from './_PlanProjector.js';
 
 const PLAN_INTERVAL_MS = 500;
+/** An unchanged fleet is planned again after this time, since hosts fall due and shortages last. */
+const IDLE_PLAN_INTERVAL_MS = 10_000;
+/**
+ * A plan is followed by a pause of this many times its duration, which bounds planning to 1% of a
+ * core; a plan for 19,000 hosts takes about 100 ms.
+ */
+const PAUSE_FACTOR = 100;
+/** Verdicts that have not come by then, after a restore from a snapshot, will not come at all. */
+const VERDICT_TIMEOUT_MS = 60_000;
+/** Proposals that the log did not take by then are withdrawn, since they may be out of date. */
+const SUBMIT_TIMEOUT_MS = 5_000;
 
 type PlannerMessage =
-  { type: 'tick' } | { type: 'rank'; rank: number } | { type: 'proposals'; bodies: RecordBody[] };
+  | { type: 'tick' }
+  | { type: 'rank'; rank: number }
+  | { type: 'submitted'; round: number; bodies: RecordBody[]; answer: SubmitAnswer }
+  | { type: 'started'; plan: StartedPlan | undefined }
+  | { type: 'slice'; plan: StartedPlan }
+  | { type: 'verdict'; round: number; body: RecordBody; answer: VerdictAnswer };
 
-/** Proposes records at an interval. */
-export class ControllerPlanner extends Actor<PlannerMessage> {
-  readonly #keeper: FleetKeeper;
+/** What the planner works with. */
+export interface PlannerOptions {
+  keeper: FleetKeeper;
+  writer: LogWriter;
+  runner: MaintenanceRunner;
+  clock: Clock;
+  policy: PlacementPolicy;
+}
 
-  readonly #writer: LogWriter;
+/**
+ * Proposes records and has hosts rebooted whose maintenance was accepted.
+ *
+ * A plan is started in the keeper's turn and goes on slice by slice, one message each, so that no
+ * other message waits for a whole plan. No plan is started while proposals are under way, so that
+ * nothing is proposed twice.
+ */
+export class ControllerPlanner extends Actor<PlannerMessage> {
+  readonly #options: PlannerOptions;
 
   readonly #timer: NodeJS.Timeout;
 
+  readonly #shortSince = new Map<string, number>();
+
+  #isPlanning = false;
+
+  #plannedOffset = -1;
+
+  #plannedAt = -Infinity;
+
+  #planMs = 0;
+
+  /** Counts plans; a verdict on an earlier plan that was given up is ignored. */
+  #round = 0;
+
+  #awaited = 0;
+
+  #proposedAt = 0;
+
   readonly #delay = new ProposalDelay();
 
+  /** A process proposes nothing before it knows its rank among the controllers. */
   #rank = Number.POSITIVE_INFINITY;
 
-  constructor(scope: ActorScope, keeper: FleetKeeper, writer: LogWriter) {
+  /** Whether proposals wait for controllers of a higher rank; they are planned again until due. */
+  #isHeldBack = false;
+
+  constructor(scope: ActorScope, options: PlannerOptions) {
     super(scope, 'controller-planner');
-    this.#keeper = keeper;
-    this.#writer = writer;
+    this.#options = options;
     this.#timer = setInterval(() => this.send({ type: 'tick' }), PLAN_INTERVAL_MS);
   }
 
   protected override receive(message: PlannerMessage): void {
-    if (message.type === 'tick') {
-      this.#keeper.send({
-        type: 'project',
-        projector: new PlanProjector((bodies) => this.send({ type: 'proposals', bodies })),
-      });
-      return;
-    }
-    if (message.type === 'rank') {
-      this.#rank = message.rank;
-      return;
+    switch (message.type) {
+      case 'tick':
+        this.#startPlan();
+        break;
+      case 'rank':
+        this.#rank = message.rank;
+        break;
+      case 'submitted':
+        this.#queryVerdicts(message);
+        break;
+      case 'started':
+        this.#isPlanning = message.plan !== undefined;
+        if (message.plan !== undefined) this.send({ type: 'slice', plan: message.plan });
+        break;
+      case 'slice':
+        this.#runSlice(message.plan);
+        break;
+      default:
+        this.#handleVerdict(message);
     }
-    const now = performance.now();
-    const bodies = this.#delay.choose(message.bodies, { rank: this.#rank, now });
-    this.#writer.send({ type: 'propose', proposer: this.name, bodies });
   }
 
   override close(): void {
     clearInterval(this.#timer);
     super.close();
   }
+
+  #startPlan(): void {
+    const now = this.#options.clock.readMonotonic();
+    if (this.#awaited > 0 && now - this.#proposedAt > VERDICT_TIMEOUT_MS) this.#awaited = 0;
+    if (this.#isPlanning || this.#awaited > 0) return;
+    if (now - this.#plannedAt < PAUSE_FACTOR * this.#planMs) return;
+    this.#planMs = 0;
+    this.#isPlanning = true;
+    const isIdle = now - this.#plannedAt < IDLE_PLAN_INTERVAL_MS;
+    const options = {
+      now: this.#options.clock.readWall(),
+      policy: this.#options.policy,
+      shortSince: this.#shortSince,
+      unlessOffset: isIdle && !this.#isHeldBack ? this.#plannedOffset : -1,
+    };
+    this.#options.keeper.send({
+      type: 'project',
+      projector: new PlanProjector(options, (plan) => this.send({ type: 'started', plan })),
+    });
+  }
+
+  #runSlice(plan: StartedPlan): void {
+    const begin = this.#options.clock.readMonotonic();
+    let step: IteratorResult<undefined, Plan>;
+    try {
+      step = plan.steps.next();
+    } catch (error) {
+      this.#isPlanning = false;
+      throw error;
+    }
+    this.#planMs += this.#options.clock.readMonotonic() - begin;
+    if (step.done !== true) {
+      this.send({ type: 'slice', plan });
+      return;
+    }
+    this.#isPlanning = false;
+    this.#plannedOffset = plan.nextOffset;
+    this.#plannedAt = this.#options.clock.readMonotonic();
+    this.#propose(step.value);
+  }
+
+  #propose({ bodies: planned, reboots }: Plan): void {
+    const now = this.#options.clock.readMonotonic();
+    const bodies = this.#delay.choose(planned, { rank: this.#rank, now });
+    this.#isHeldBack = bodies.length < planned.length && Number.isFinite(this.#rank);
+    if (reboots.length > 0 && this.#rank === 0) {
+      this.#options.runner.send({ type: 'reboot', hosts: reboots });
+    }
+    if (bodies.length === 0) return;
+    this.#round += 1;
+    this.#awaited = bodies.length;
+    this.#proposedAt = now;
+    const round = this.#round;
+    this.#options.writer.send({
+      type: 'submit',
+      bodies,
+      timeoutMs: SUBMIT_TIMEOUT_MS,
+      reply: (answer) => this.send({ type: 'submitted', round, bodies, answer }),
+    });
+  }
+
+  #queryVerdicts({ round, bodies, answer }: PlannerMessage & { type: 'submitted' }): void {
+    if (answer.outcome !== 'appended') {
+      if (round === this.#round) this.#awaited = 0;
+      return;
+    }
+    answer.ids.forEach((id: RecordId, index) => {
+      const body = bodies[index];
+      if (body === undefined) return;
+      this.#options.keeper.send({
+        type: 'verdict',
+        id,
+        reply: (verdict) => this.send({ type: 'verdict', round, body, answer: verdict }),
+      });
+    });
+  }
+
+  #handleVerdict({ round, body, answer }: PlannerMessage & { type: 'verdict' }): void {
+    if (round === this.#round) this.#awaited = Math.max(0, this.#awaited - 1);
+    if (body.type !== 'maintenance-start' || answer.verdict.outcome !== 'accepted') return;
+    this.#options.runner.send({ type: 'reboot', hosts: body.hosts });
+  }
 }
--- a/src/standin/HostList.ts
+++ b/src/standin/HostList.ts
@@ -28,6 +28,25 @@
     });
   }
 
+  /** Whether a host is in the list. */
+  has(host: string): boolean {
+    return this.#hosts.has(host);
+  }
+
+  /** Puts one host into the list. */
+  put(host: ListedHost): void {
+    this.#version += 1;
+    this.#removed.delete(host.host);
+    this.#hosts.set(host.host, { ...host, version: this.#version });
+  }
+
+  /** Removes one host from the list. */
+  remove(host: string): void {
+    if (!this.#hosts.delete(host)) return;
+    this.#version += 1;
+    this.#removed.set(host, this.#version);
+  }
+
   /** Reads what changed after a version; the whole list from version 0. */
   read(since: number) {
     const hosts = [...this.#hosts.values()]
--- a/src/standin/PlatformStandin.ts
+++ b/src/standin/PlatformStandin.ts
@@ -21,6 +21,10 @@
   refuseAppends: z.boolean().default(false),
   /** Changes of the host list become visible this much later. */
   listLagMs: z.number().nonnegative().default(0),
+  /** How long a host is off the list while it reboots. */
+  rebootMs: z.number().nonnegative().default(1_000),
+  /** Hosts that never come back from a reboot. */
+  lostHosts: z.array(z.string()).default([]),
 });
 export type PlatformFaults = z.infer<typeof PlatformFaults>;
 
@@ -38,7 +42,7 @@
  * A small stand-in for the platform: a log with offsets, a list of hosts, and faults on demand.
  *
  * `POST /streams/NAME/entries`, `GET /streams/NAME/entries`, `GET /hosts`, `PUT /hosts`,
- * `PUT /faults`.
+ * `POST /hosts/NAME/reboot`, `PUT /faults`. A host that reboots is off the list until it is back.
  */
 export class PlatformStandin {
   readonly #retentionMs: number;
@@ -51,6 +55,9 @@
 
   #faults = PlatformFaults.parse({});
 
+  /** Timers of the hosts that reboot; a lost host has none. */
+  readonly #rebooting = new Map<string, NodeJS.Timeout | undefined>();
+
   constructor(retentionMs = DEFAULT_RETENTION_MS) {
     this.#retentionMs = retentionMs;
     this.#server = createServer((request, response) => {
@@ -75,8 +82,27 @@
     setTimeout(() => this.#hosts.replace(hosts), this.#faults.listLagMs).unref();
   }
 
+  /** Lists the hosts as a reader sees them. */
+  listHosts(): ListedHost[] {
+    return this.#hosts.read(0).hosts;
+  }
+
+  /** Takes a host off the list for the time of a reboot; a repeated call changes nothing. */
+  startReboot(host: string): void {
+    if (this.#rebooting.has(host)) return;
+    this.#hosts.remove(host);
+    const timer = this.#faults.lostHosts.includes(host)
+      ? undefined
+      : setTimeout(() => {
+          this.#rebooting.delete(host);
+          this.#hosts.put({ host, state: 'live' });
+        }, this.#faults.rebootMs);
+    this.#rebooting.set(host, timer);
+  }
+
   /** Closes the server. */
   close(): Promise<void> {
+    this.#rebooting.forEach((timer) => clearTimeout(timer));
     return closeServer(this.#server);
   }
 
@@ -105,6 +131,13 @@
       reply(200, this.#hosts.read(Number(url.searchParams.get('since') ?? 0)));
       return;
     }
+    const rebooted = /^\/hosts\/([\w.-]+)\/reboot$/.exec(url.pathname)?.[1];
+    if (rebooted !== undefined && request.method === 'POST') {
+      const isListed = this.#hosts.has(rebooted) || this.#rebooting.has(rebooted);
+      if (isListed) this.startReboot(rebooted);
+      reply(isListed ? 202 : 404, {});
+      return;
+    }
     const stream = /^\/streams\/([\w-]+)\/entries$/.exec(url.pathname)?.[1];
     if (stream === undefined) reply(404, { error: `no such path: ${url.pathname}` });
     else if (request.method === 'POST') await this.#append(stream, request, response, reply);
--- a/src/testing/mod.ts
+++ b/src/testing/mod.ts
@@ -12,3 +12,4 @@
 export * from './readSeed.js';
 export * from './SessionLog.js';
 export * from './waitFor.js';
+export * from './runSteps.js';
