--- a/src/session/SessionLifecycle.ts
+++ b/src/session/SessionLifecycle.ts
@@ -231,8 +231,7 @@
     if (isRenewal) {
       return { type: 'session-confirm', session, offset: own.confirmedOffset };
     }
-    const hosts = this.#listDrained(view);
-    return hosts.length === 0 ? undefined : { type: 'host-drained', session, hosts };
+    return this.#buildDrained(view);
   }
 
   #buildOpen(): RecordBody {
@@ -257,13 +256,17 @@
     return Math.min(view.nextOffset, ...loads.map((load) => load?.nextOffset ?? 0)) - 1;
   }
 
-  #listDrained(view: SessionView): string[] {
+  #buildDrained(view: SessionView): RecordBody | undefined {
     const loads = view.services.map((service) => this.#loads.get(service));
-    return view.draining.filter((host) => {
+    const hosts = view.draining.filter((host) => {
       const seenAt = this.#drainSeenAt.get(host) ?? Infinity;
       return loads.every(
         (load) => load !== undefined && load.nextOffset >= seenAt && !load.leaving.includes(host),
       );
     });
+    if (hosts.length === 0) return undefined;
+    const offsets = loads.map((load) => load?.nextOffset ?? 0);
+    const offset = Math.min(view.nextOffset, ...offsets);
+    return { type: 'host-drained', session: this.#session, hosts, offset };
   }
 }
