--- a/src/fleet/FleetFollower.test.ts
+++ b/src/fleet/FleetFollower.test.ts
@@ -6,7 +6,7 @@
 import { Clock } from '../clock/mod.js';
 import { OffsetExpiredError, RecordSource, type RecordBatch } from '../log/mod.js';
 import { decodeRecord, type LogEntry } from '../record/mod.js';
-import { arbitraryEntries, readSeed, waitFor } from '../testing/mod.js';
+import { arbitraryEntries, buildEntries, readSeed, waitFor } from '../testing/mod.js';
 import { Fleet } from './Fleet.js';
 import { FleetFollower, type FollowerStatus } from './FleetFollower.js';
 import { FleetKeeper } from './FleetKeeper.js';
@@ -178,4 +178,25 @@
     keeper.close();
     scope.close();
   });
+
+  // The keeper would refuse the snapshot; the follower must also not rely on such a source.
+  it('counts a source as lost whose records have expired and whose snapshot is old', async (test) => {
+    const scope = new ActorScope('test', () => {});
+    const keeper = new FleetKeeper(scope);
+    const entries = buildEntries(['{', '{', '{', '{', '{']);
+    // It starts from a snapshot at 4 and reads to 5; then a snapshot at 2 is all that is left.
+    const script: Behaviour[] = [{ do: 'read', max: 2 }, { do: 'expire' }, { do: 'read', max: 1 }];
+    const source = new ScriptedSource(entries, script);
+    const follower = new FleetFollower(scope, keeper, [source], { tickMs: 1 });
+    test.after(async () => {
+      await follower.close();
+      scope.close();
+    });
+    follower.start();
+    const status = await waitFor('the expiry', async () => {
+      const one = await follower.ask<FollowerStatus>((reply) => ({ type: 'status', reply }));
+      return one.sources[0]?.fault.includes('expired') ? one : undefined;
+    });
+    assert.equal(status.sources[0]?.reachable, false);
+  });
 });
--- a/src/fleet/FleetKeeper.test.ts
+++ b/src/fleet/FleetKeeper.test.ts
@@ -6,6 +6,7 @@
 import { buildEntries, buildInventory } from '../testing/mod.js';
 import { Fleet } from './Fleet.js';
 import { FleetKeeper, type FleetPosition } from './FleetKeeper.js';
+import type { SinceAnswer } from './SinceAnswer.js';
 
 const entries = buildEntries(
   buildInventory(9, 1).map((operation, index) => ({
@@ -52,4 +53,32 @@
     const { nextOffset, revision } = await readPosition(keeper);
     assert.deepEqual({ nextOffset, revision }, { nextOffset: 6, revision: 6 });
   });
+
+  // The fold would ignore a record below its offset; a follower of this process would not see why.
+  it('passes each record of overlapping batches on once and in order', async () => {
+    const keeper = new FleetKeeper(scope);
+    keeper.send({ type: 'records', batch: buildBatch(0, 4) });
+    keeper.send({ type: 'records', batch: buildBatch(2, 7) });
+    const { records } = await keeper.ask<SinceAnswer>((reply) => ({
+      type: 'since',
+      offset: 0,
+      waitMs: 0,
+      reply,
+    }));
+    assert.deepEqual(
+      records.map((one) => one.offset),
+      [0, 1, 2, 3, 4, 5, 6],
+    );
+  });
+
+  // Another writer, so that the sequence does not give the repetition away.
+  it('does not fold a record below the offset, whoever wrote it', () => {
+    const fleet = new Fleet();
+    buildBatch(0, 4).records.forEach((record) => fleet.apply(record));
+    const [record] = buildBatch(1, 2).records;
+    assert.ok(record);
+    const before = fleet.hash();
+    assert.equal(fleet.apply({ ...record, writer: 'w2' }).outcome, 'duplicate');
+    assert.equal(fleet.hash(), before);
+  });
 });
--- a/src/log/CheckpointCollector.test.ts
+++ b/src/log/CheckpointCollector.test.ts
@@ -66,4 +66,20 @@
     values.forEach((value, offset) => collector.add({ offset, time: offset, value }));
     assert.equal(((await collector.restore()) as { name: string }).name, 'c1');
   });
+
+  // The hash would reveal a missing chunk as well; here the count alone has to.
+  it('announces a checkpoint with its last chunk and decodes none before', async () => {
+    const values = await encodeRandom('c1', 7);
+    const collector = new CheckpointCollector();
+    const infos = values.map((value, offset) => collector.add({ offset, time: offset, value }));
+    assert.deepEqual(
+      infos.map((info) => info?.offset),
+      values.map((_, index) => (index === values.length - 1 ? 7 : undefined)),
+    );
+    const half = new CheckpointCollector();
+    values.slice(1).forEach((value, offset) => half.add({ offset, time: 0, value }));
+    const [info] = infos.slice(-1);
+    assert.ok(info);
+    assert.equal(await half.decode(info), undefined);
+  });
 });
