--- a/measure/recovery.ts
+++ b/measure/recovery.ts
@@ -4,10 +4,10 @@
  *
  * @module
  */
-import { performance } from 'node:perf_hooks';
 import { CheckpointCollector, encodeCheckpoint, Fleet, parseSnapshot } from '../src/mod.js';
 import type { LoggedRecord, RecordBody } from '../src/record/mod.js';
 import { buildInventory } from '../src/testing/mod.js';
+import { formatFigure, measureStep } from './measureStep.js';
 
 const SIZES = [1_000, 5_000, 19_000];
 const OPERATIONS_PER_PART = 200;
@@ -17,33 +17,6 @@
 const SAMPLE_CHANGES = 200;
 const DAY_SECONDS = 86_400;
 
-function formatFigure(value: number): number {
-  return Number(value.toFixed(2));
-}
-
-/** Measures a step, its longest stretch without a turn of the event loop, and its result. */
-async function measureStep<T>(run: () => T | Promise<T>) {
-  let longestMs = 0;
-  let last = performance.now();
-  const begin = last;
-  let isRunning = true;
-  const look = (): void => {
-    const now = performance.now();
-    longestMs = Math.max(longestMs, now - last);
-    last = now;
-    if (isRunning) setImmediate(look);
-  };
-  setImmediate(look);
-  const result = await run();
-  isRunning = false;
-  look();
-  return {
-    result,
-    ms: formatFigure(performance.now() - begin),
-    longestMs: formatFigure(longestMs),
-  };
-}
-
 function buildRecord(offset: number, body: RecordBody): LoggedRecord {
   return { writer: 'w', sequence: offset + 1, offset, time: 1_000 + offset, body };
 }
--- a/src/controller/CheckpointKeeper.ts
+++ b/src/controller/CheckpointKeeper.ts
@@ -1,7 +1,15 @@
 import { randomUUID } from 'node:crypto';
+import { setImmediate as yieldTurn } from 'node:timers/promises';
 import { Actor, type ActorScope } from '../actor/mod.js';
 import type { Clock } from '../clock/mod.js';
-import { Fleet, parseSnapshot, type FleetKeeper, type FleetTail } from '../fleet/mod.js';
+import {
+  collectSlices,
+  Fleet,
+  parseSnapshot,
+  type FleetKeeper,
+  type FleetTail,
+  type FleetText,
+} from '../fleet/mod.js';
 import {
   CHECKPOINT_STREAM,
   CheckpointCollector,
@@ -38,9 +46,16 @@
 async function isSame(text: string, tail: FleetTail): Promise<boolean> {
   try {
     const fleet = Fleet.restore(await parseSnapshot(JSON.parse(text)), { isOwned: true });
+    await yieldTurn();
     tail.records.forEach((record) => fleet.apply(record));
     fleet.increase(tail.nextOffset);
-    return fleet.hash() === tail.hash;
+    // Equal texts without keeping either; the slices of equal states are equal one by one.
+    const own = fleet.snapshotSlices();
+    for (const slice of tail.slices) {
+      if (own.next().value !== slice) return false;
+      await yieldTurn();
+    }
+    return own.next().done === true;
   } catch {
     return false;
   }
@@ -63,6 +78,8 @@
 
   #rank = Number.POSITIVE_INFINITY;
 
+  #writtenAt = Number.NEGATIVE_INFINITY;
+
   /** Newest checkpoint that was not found wrong. */
   #newest: CheckpointInfo | undefined;
 
@@ -157,6 +174,8 @@
   #isDue(): boolean {
     if (!Number.isFinite(this.#rank)) return false;
     const now = this.#options.clock.readWall();
+    // A checkpoint of its own that it found wrong must not make it write one at each check.
+    if (now - this.#writtenAt < SHARE_PER_RANK * this.#options.retentionMs) return false;
     const later = this.#rank * SHARE_PER_RANK;
     const share = Math.min(LAST_SHARE, this.#newest ? FIRST_SHARE + later : later);
     return now - (this.#newest?.time ?? this.#startedAt) >= share * this.#options.retentionMs;
@@ -164,13 +183,14 @@
 
   async #write(): Promise<void> {
     const { keeper, client } = this.#options;
-    const { text, offset } = await keeper.ask<{ text: string; offset: number }>(
+    const { slices, offset } = await keeper.ask<FleetText>(
       (reply) => ({ type: 'text', reply }),
       ASK_TIMEOUT_MS,
     );
     if (offset === 0) return;
+    this.#writtenAt = this.#options.clock.readWall();
     const checkpoint = randomUUID();
-    const values = await encodeCheckpoint(text, { checkpoint, offset });
+    const values = await encodeCheckpoint(await collectSlices(slices), { checkpoint, offset });
     try {
       for (let start = 0; start < values.length; start += CHUNKS_PER_APPEND) {
         await client.append(CHECKPOINT_STREAM, values.slice(start, start + CHUNKS_PER_APPEND));
--- a/src/controller/Controller.ts
+++ b/src/controller/Controller.ts
@@ -27,6 +27,9 @@
 const FIRST_READ_TIMEOUT_MS = 1_500;
 const FIRST_READ_INTERVAL_MS = 20;
 
+/** Longer than the interval of probes and polls, which reuse their connections. */
+const KEEP_ALIVE_MS = 15_000;
+
 type HttpServer = ReturnType<typeof createHTTPServer>;
 
 /**
@@ -111,6 +114,7 @@
         if (!observer?.answer(request, response)) next();
       },
     });
+    this.#server.keepAliveTimeout = KEEP_ALIVE_MS;
     observer?.setStatusReader(() => this.#buildApi().readStatus());
   }
 
--- a/src/controller/ControllerApi.ts
+++ b/src/controller/ControllerApi.ts
@@ -1,6 +1,7 @@
 import { setImmediate as yieldTurn } from 'node:timers/promises';
 import VError from 'verror';
 import {
+  collectSlices,
   describeContracts,
   describeFleet,
   describeHost,
@@ -12,6 +13,7 @@
   type FleetKeeper,
   type FleetSnapshot,
   type FleetSummary,
+  type FleetText,
   type FollowerStatus,
   type HostDescription,
   type ProcessStatus,
@@ -81,12 +83,12 @@
   async readSnapshot(): Promise<FleetSnapshot> {
     const { readiness, reason } = await this.#readFollower();
     if (readiness === 'not-ready') throw new VError({ name: 'NotReadyError' }, '%s', reason);
-    const { text } = await this.#keeper.ask<{ text: string }>(
+    const { slices } = await this.#keeper.ask<FleetText>(
       (reply) => ({ type: 'text', reply }),
       VERDICT_TIMEOUT_MS,
     );
     // A turn for each of writing, parsing and encoding keeps each below 50 ms at 19,000 hosts.
-    await yieldTurn();
+    const text = await collectSlices(slices);
     const snapshot = JSON.parse(text) as FleetSnapshot;
     await yieldTurn();
     return snapshot;
--- a/src/controller/ControllerPlanner.ts
+++ b/src/controller/ControllerPlanner.ts
@@ -12,10 +12,15 @@
 /** An unchanged fleet is planned again after this time, since hosts fall due and shortages last. */
 const IDLE_PLAN_INTERVAL_MS = 10_000;
 /**
- * A plan is followed by a pause of this many times its duration, which bounds planning to 1% of a
- * core; a plan for 19,000 hosts takes about 100 ms.
+ * A plan is followed by a pause of this many times its duration, which bounds planning to 0.5% of a
+ * core; a plan for 19,000 hosts takes about 160 ms, and a node may spend 1.3% on control.
  */
-const PAUSE_FACTOR = 100;
+const PAUSE_FACTOR = 200;
+/**
+ * A controller of rank r pauses r more times as long, up to this many: its plan matters only once
+ * the controllers before it are lost, and every node would spend the share of rank 0 otherwise.
+ */
+const MAX_PAUSE_RANK = 5;
 /** Verdicts that have not come by then, after a restore from a snapshot, will not come at all. */
 const VERDICT_TIMEOUT_MS = 60_000;
 /** Proposals that the log did not take by then are withdrawn, since they may be out of date. */
@@ -113,7 +118,8 @@
     const now = this.#options.clock.readMonotonic();
     if (this.#awaited > 0 && now - this.#proposedAt > VERDICT_TIMEOUT_MS) this.#awaited = 0;
     if (this.#isPlanning || this.#awaited > 0) return;
-    if (now - this.#plannedAt < PAUSE_FACTOR * this.#planMs) return;
+    const pauses = PAUSE_FACTOR * (1 + Math.min(this.#rank, MAX_PAUSE_RANK));
+    if (now - this.#plannedAt < pauses * this.#planMs) return;
     this.#planMs = 0;
     this.#isPlanning = true;
     const isIdle = now - this.#plannedAt < IDLE_PLAN_INTERVAL_MS;
--- a/src/controller/HostWatcher.ts
+++ b/src/controller/HostWatcher.ts
@@ -14,6 +14,12 @@
  * looks at every host, and one a second would take about half of a node's processor budget.
  */
 const COMPARE_INTERVAL_MS = 5_000;
+/** Controllers of a higher rank than this watch at leisure; only reports of gateways wake them. */
+const LAST_CLOSE_RANK = 2;
+/** For the others; a comparison of 19,000 hosts takes about 20 ms. */
+const LEISURE_INTERVAL_MS = 20_000;
+/** The others poll at each third tick. */
+const LEISURE_TICKS = 3;
 /** About 70 bytes an observation keep a record far below its 64 KiB. */
 const OBSERVATIONS_PER_RECORD = 500;
 
@@ -49,6 +55,11 @@
 
   #isPolling = false;
 
+  #tick = 0;
+
+  /** Whether gateways have reported hosts; their reports count only while lists are compared. */
+  #isReported = false;
+
   #compared: { list: ListedHost[]; at: number; isSettled: boolean } | undefined;
 
   constructor(scope: ActorScope, options: HostWatcherOptions) {
@@ -61,7 +72,9 @@
     const { keeper } = this.#options;
     switch (message.type) {
       case 'tick':
-        this.#fetchList();
+        this.#tick += 1;
+        if (this.#isClose || this.#isReported || this.#tick % LEISURE_TICKS === 0)
+          this.#fetchList();
         break;
       case 'list': {
         const { list } = message;
@@ -81,6 +94,7 @@
         this.#isPolling = false;
         break;
       case 'report':
+        this.#isReported = true;
         message.hosts.forEach((host) =>
           this.#hysteresis.report({ host, reporter: message.reporter }),
         );
@@ -105,10 +119,17 @@
     );
   }
 
+  /** Whether the controller is among the first, which propose what they see without much delay. */
+  get #isClose(): boolean {
+    return this.#rank <= LAST_CLOSE_RANK;
+  }
+
   #isDue(list: ListedHost[]): boolean {
     const compared = this.#compared;
     if (compared === undefined || compared.list !== list || !compared.isSettled) return true;
-    return this.#options.clock.readMonotonic() - compared.at >= COMPARE_INTERVAL_MS;
+    const intervalMs =
+      this.#isClose || this.#isReported ? COMPARE_INTERVAL_MS : LEISURE_INTERVAL_MS;
+    return this.#options.clock.readMonotonic() - compared.at >= intervalMs;
   }
 
   #compare(known: KnownHost[], list: ListedHost[]): void {
@@ -122,6 +143,7 @@
       );
     this.#suspected = suspected;
     this.#compared = { list, at: now, isSettled: observations.length === 0 };
+    if (observations.length === 0) this.#isReported = this.#hysteresis.hasReports;
     const bodies: RecordBody[] = [];
     for (let start = 0; start < observations.length; start += OBSERVATIONS_PER_RECORD) {
       const slice = observations.slice(start, start + OBSERVATIONS_PER_RECORD);
--- a/src/fleet/Fleet.ts
+++ b/src/fleet/Fleet.ts
@@ -113,13 +113,23 @@
     return this.#data.toSnapshot();
   }
 
+  /**
+   * Writes the state at the time of the call as the JSON text of its snapshot, in slices that may be
+   * taken later.
+   */
+  snapshotSlices(): Generator<string> {
+    return this.#data.toSlices();
+  }
+
   /** Writes the state as the JSON text of its snapshot. */
   snapshotText(): string {
-    return this.#data.toText();
+    return [...this.snapshotSlices()].join('');
   }
 
   /** Computes a hash of the whole state, equal in every process at the same offset. */
   hash(): string {
-    return createHash('sha256').update(this.snapshotText()).digest('hex');
+    const hash = createHash('sha256');
+    for (const slice of this.snapshotSlices()) hash.update(slice);
+    return hash.digest('hex');
   }
 }
--- a/src/fleet/FleetKeeper.ts
+++ b/src/fleet/FleetKeeper.ts
@@ -39,7 +39,14 @@
 export interface FleetTail {
   records: LoggedRecord[];
   nextOffset: number;
-  hash: string;
+  /** JSON text of the state. */
+  slices: Generator<string>;
+}
+
+/** The state at an offset as JSON text, in slices for the receiver to take in turns of its own. */
+export interface FleetText {
+  slices: Generator<string>;
+  offset: number;
 }
 
 /** Messages of the keeper. */
@@ -52,7 +59,7 @@
   | { type: 'since'; offset: number; waitMs: number; reply: (answer: SinceAnswer) => void }
   | { type: 'tail'; offset: number; reply: (tail: FleetTail | undefined) => void }
   | { type: 'snapshot'; reply: (snapshot: FleetSnapshot) => void }
-  | { type: 'text'; reply: (text: { text: string; offset: number }) => void }
+  | { type: 'text'; reply: (text: FleetText) => void }
   | { type: 'position'; revision?: number; reply: (position: FleetPosition) => void }
   | { type: 'verdict'; id: RecordId; reply: (answer: VerdictAnswer) => void }
   | { type: 'project'; projector: FleetProjector }
@@ -120,7 +127,7 @@
         message.reply(this.#fleet.snapshot());
         break;
       case 'text':
-        message.reply({ text: this.#fleet.snapshotText(), offset: this.#fleet.nextOffset });
+        message.reply({ slices: this.#fleet.snapshotSlices(), offset: this.#fleet.nextOffset });
         break;
       case 'position':
         message.reply(this.#describePosition(message.revision));
@@ -188,7 +195,7 @@
     const { nextOffset } = this.#fleet;
     if (!this.#ring.has(offset) || offset > nextOffset) return undefined;
     const { records } = this.#ring.read(offset, Number.POSITIVE_INFINITY);
-    return { records, nextOffset, hash: this.#fleet.hash() };
+    return { records, nextOffset, slices: this.#fleet.snapshotSlices() };
   }
 
   #answerSince(offset: number, waitMs: number, reply: (answer: SinceAnswer) => void): void {
--- a/src/fleet/_FleetData.ts
+++ b/src/fleet/_FleetData.ts
@@ -3,6 +3,7 @@
 import { Configuration, type Configured } from './_Configuration.js';
 import { FleetIndex } from './_FleetIndex.js';
 import { FleetSnapshot, type SessionState } from './FleetSnapshot.js';
+import { splitSnapshot } from './_splitSnapshot.js';
 
 /** A writer that was silent for this long is forgotten; it has long ended. */
 const WRITER_MEMORY_MS = 24 * 3_600_000;
@@ -178,9 +179,9 @@
     return structuredClone(this.#describe());
   }
 
-  /** Writes the snapshot as JSON text, without a copy in between. */
-  toText(): string {
-    return JSON.stringify(this.#describe());
+  /** Writes the snapshot as JSON text in slices, of the state at the time of the call. */
+  toSlices(): Generator<string> {
+    return splitSnapshot(this.#describe());
   }
 
   #describe(): FleetSnapshot {
--- a/src/fleet/mod.ts
+++ b/src/fleet/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from './collectSlices.js';
 export * from './Fleet.js';
 export * from './FleetSnapshot.js';
 export * from './Verdict.js';
--- a/src/host/HostHysteresis.ts
+++ b/src/host/HostHysteresis.ts
@@ -115,6 +115,11 @@
   /** Time during which lists came, in milliseconds; all waiting times count in it. */
   #elapsedMs = 0;
 
+  /** Whether any report of a gateway still counts. */
+  get hasReports(): boolean {
+    return [...this.#watched.values()].some(({ reports }) => reports.size > 0);
+  }
+
   /** Takes note that a gateway sees a host fail. */
   report(report: { host: string; reporter: string }): void {
     const now = this.#elapsedMs;
--- a/src/log/CheckpointCollector.ts
+++ b/src/log/CheckpointCollector.ts
@@ -1,4 +1,5 @@
 import { createHash } from 'node:crypto';
+import { setImmediate as yieldTurn } from 'node:timers/promises';
 import { promisify } from 'node:util';
 import { gunzip } from 'node:zlib';
 import type { LogEntry } from '../record/mod.js';
@@ -32,6 +33,7 @@
   try {
     const text = await decompress(data, { maxOutputLength: MAX_TEXT_BYTES });
     const hash = createHash('sha256').update(text).digest('hex');
+    await yieldTurn();
     return hash === info.hash ? text.toString('utf8') : undefined;
   } catch {
     return undefined;
@@ -71,6 +73,7 @@
     const complete = this.#listComplete().reverse();
     for (const gathering of complete) {
       const text = await decodeGathering(gathering);
+      await yieldTurn();
       if (text !== undefined) return JSON.parse(text);
     }
     return undefined;
