--- a/measure/NodeGroup.ts
+++ b/measure/NodeGroup.ts
@@ -69,10 +69,23 @@
   /** Starts the platform and controllers without gateways. */
   async openControllers(count: number): Promise<void> {
     this.platform = await this.group.startStandin('platform');
-    for (let at = 0; at < count; at += 1) await this.#startController('d1');
+    for (let at = 0; at < count; at += 1) await this.startController();
     await this.#waitForSessions();
   }
 
+  /** Starts a controller. */
+  async startController(dataCentre = 'd1'): Promise<Started> {
+    const controller = await this.group.startDaemon({
+      role: 'controller',
+      dataCentre,
+      address: '127.0.0.1:0',
+      platform: `http://${this.platform?.address}`,
+      peers: this.#listFirst(),
+    });
+    this.controllers.push(controller);
+    return controller;
+  }
+
   /** Starts a controller that reaches the others but not the platform. */
   startCutOff(): Promise<Started> {
     return this.group.startDaemon({
@@ -90,7 +103,7 @@
     const before = this.controllers.length;
     for (let at = before; at < before + nodes; at += 1) {
       const dataCentre = `d${(at % dataCentres) + 1}`;
-      const { address } = await this.#startController(dataCentre);
+      const { address } = await this.startController(dataCentre);
       const gateway = await this.group.startDaemon({
         role: 'gateway',
         dataCentre,
@@ -204,18 +217,6 @@
     return this.controllers.slice(0, 2).map((one) => one.address);
   }
 
-  async #startController(dataCentre: string): Promise<Started> {
-    const controller = await this.group.startDaemon({
-      role: 'controller',
-      dataCentre,
-      address: '127.0.0.1:0',
-      platform: `http://${this.platform?.address}`,
-      peers: this.#listFirst(),
-    });
-    this.controllers.push(controller);
-    return controller;
-  }
-
   #waitForSessions(): Promise<unknown> {
     return waitFor('all sessions', async () => {
       const sessions = await this.createClient(0).sessions.query();
