--- a/measure/recovery.ts
+++ b/measure/recovery.ts
@@ -4,7 +4,13 @@
  *
  * @module
  */
-import { CheckpointCollector, encodeCheckpoint, Fleet, parseSnapshot } from '../src/mod.js';
+import {
+  CheckpointCollector,
+  collectSlices,
+  encodeCheckpoint,
+  Fleet,
+  parseSnapshot,
+} from '../src/mod.js';
 import type { LoggedRecord, RecordBody } from '../src/record/mod.js';
 import { buildInventory } from '../src/testing/mod.js';
 import { formatFigure, measureStep } from './measureStep.js';
@@ -67,7 +73,7 @@
 for (const hosts of SIZES) {
   const fleet = buildFleet(hosts);
   const snapshot = await measureStep(() => fleet.snapshot());
-  const text = await measureStep(() => fleet.snapshotText());
+  const text = await measureStep(() => collectSlices(fleet.snapshotSlices()));
   const options = { checkpoint: 'c', offset: fleet.nextOffset };
   const encode = await measureStep(() => encodeCheckpoint(text.result, options));
   const collector = new CheckpointCollector();
