Test that reports of gateways wake a host watcher of a high rank

Cause: controllers above rank 2 poll and compare at leisure; a report to one of them must still lead to an observation. Change: an actor test with a manual clock; the recording log client moves to src/testing for both tests. Conclusion: reports count at every rank.

--- a/src/controller/ControllerPeers.test.ts
+++ b/src/controller/ControllerPeers.test.ts
@@ -1,4 +1,3 @@
-/* eslint-disable max-classes-per-file -- the stand-ins of one test. */
 import assert from 'node:assert/strict';
 import { after, describe, it } from 'node:test';
 import { setImmediate as yieldTurn } from 'node:timers/promises';
@@ -6,9 +5,9 @@
 import { ActorScope } from '../actor/mod.js';
 import { ManualClock } from '../clock/mod.js';
 import { FleetKeeper } from '../fleet/mod.js';
-import { LogClient, LogWriter, type ReadResult } from '../log/mod.js';
-import { decodeRecord, RecordEnvelope, type RecordBody } from '../record/mod.js';
-import { buildEntries, readSeed, waitFor } from '../testing/mod.js';
+import { LogWriter } from '../log/mod.js';
+import { decodeRecord, type RecordBody } from '../record/mod.js';
+import { buildEntries, readSeed, RecordingLogClient, waitFor } from '../testing/mod.js';
 import { ControllerPeers } from './ControllerPeers.js';
 
 /** Turns of the event loop in which an actor handles a tick and the answers to its probes. */
@@ -16,24 +15,6 @@
 /** The misses after which rank 0 ends a session. */
 const LOST_PROBES = 15;
 
-/** Takes every append and keeps the bodies. */
-class RecordingClient extends LogClient {
-  readonly bodies: RecordBody[] = [];
-
-  override async append(_stream: string, values: string[]): Promise<number> {
-    values.forEach((value) => this.bodies.push(RecordEnvelope.parse(JSON.parse(value)).body));
-    return 0;
-  }
-
-  override async read(): Promise<ReadResult> {
-    return { entries: [], head: 0 };
-  }
-
-  override async close(): Promise<void> {
-    this.bodies.length = 0;
-  }
-}
-
 const scope = new ActorScope('test', (_actor, error) => {
   throw error;
 });
@@ -47,7 +28,7 @@
   /** Every one that was created; a failed test does not close its own. */
   static readonly all: Controllers[] = [];
 
-  readonly client = new RecordingClient();
+  readonly client = new RecordingLogClient();
 
   readonly clock = new ManualClock();
 
--- a/src/controller/HostWatcher.test.ts
+++ b/src/controller/HostWatcher.test.ts
@@ -1,12 +1,94 @@
 import assert from 'node:assert/strict';
 import { after, describe, it } from 'node:test';
+import { setImmediate as yieldTurn } from 'node:timers/promises';
 import { request } from 'undici';
+import { ActorScope } from '../actor/mod.js';
+import { ManualClock } from '../clock/mod.js';
+import { FleetKeeper } from '../fleet/mod.js';
+import type { ListedHost } from '../host/mod.js';
+import { LogWriter } from '../log/mod.js';
 import { fetchObservation, ProcessTimeline } from '../observation/mod.js';
-import { buildInventory, ProcessGroup, waitFor, type Started } from '../testing/mod.js';
+import { decodeRecord } from '../record/mod.js';
+import {
+  buildEntries,
+  buildInventory,
+  ProcessGroup,
+  RecordingLogClient,
+  waitFor,
+  type Started,
+} from '../testing/mod.js';
 import type { FleetEvent } from '../timeline/mod.js';
 import { createControllerClient } from './ControllerClient.js';
+import { HostListClient } from './HostListClient.js';
+import { HostWatcher } from './HostWatcher.js';
 
 const DEADLINE_MS = 30_000;
+/** Turns of the event loop in which the actors handle a tick. */
+const TURNS = 12;
+
+class CountedList extends HostListClient {
+  fetches = 0;
+
+  readonly #list: ListedHost[];
+
+  constructor(list: ListedHost[]) {
+    super();
+    this.#list = list;
+  }
+
+  override async fetch(): Promise<ListedHost[]> {
+    this.fetches += 1;
+    return this.#list;
+  }
+
+  override async close(): Promise<void> {
+    this.fetches = 0;
+  }
+}
+
+describe('HostWatcher of a high rank', () => {
+  // Guards against reports of gateways that nobody follows up, since their controller watches at
+  // leisure.
+  it('polls at each third tick, and at each one while gateways report a host', async (test) => {
+    const scope = new ActorScope('test', () => {});
+    const clock = new ManualClock();
+    const keeper = new FleetKeeper(scope);
+    const log = new RecordingLogClient();
+    const client = new CountedList([{ host: 'h1', state: 'live' }]);
+    const writer = new LogWriter(scope, { client: log });
+    const watcher = new HostWatcher(scope, { keeper, writer, client, clock });
+    test.after(async () => {
+      await watcher.close();
+      scope.close();
+    });
+    const operations = buildInventory(1, 1);
+    const change = { changeId: 'c1', baseRevision: 0, part: 1, parts: 1, operator: '', operations };
+    const entries = buildEntries([{ type: 'config-change', ...change }]);
+    const records = entries.map(decodeRecord).filter((one) => one !== undefined);
+    const range = { fromOffset: 0, nextOffset: 1, broken: 0 };
+    keeper.send({
+      type: 'records',
+      batch: { ...range, records, isComplete: true, contactAgeMs: 0 },
+    });
+    watcher.send({ type: 'rank', rank: 5 });
+    const run = async (ticks: number): Promise<void> => {
+      for (let tick = 0; tick < ticks; tick += 1) {
+        watcher.send({ type: 'tick' });
+        clock.increase(2_000);
+        for (let turn = 0; turn < TURNS; turn += 1) await yieldTurn();
+      }
+    };
+    await run(6);
+    assert.equal(client.fetches, 2);
+    ['g1', 'g2'].forEach((reporter) => watcher.send({ type: 'report', reporter, hosts: ['h1'] }));
+    await run(2);
+    assert.equal(client.fetches, 4);
+    await run(4);
+    await waitFor('the observation', () => log.bodies.length > 0);
+    const expected = { type: 'host-observed', observations: [{ host: 'h1', status: 'failed' }] };
+    assert.deepEqual(log.bodies[0], expected);
+  });
+});
 
 describe('HostWatcher in a controller process', () => {
   const group = new ProcessGroup();
