Name the polling rules of the host watcher and the JSON fetch plainly

Cause: names such as 'leisure' and 'lean' were not terms of the field. Change: renamed, comments adjusted; nothing else changes. Conclusion: type check and linter are clean.

--- a/src/controller/CheckpointKeeper.ts
+++ b/src/controller/CheckpointKeeper.ts
@@ -196,7 +196,7 @@
         await client.append(CHECKPOINT_STREAM, values.slice(start, start + CHUNKS_PER_APPEND));
       }
     } catch (error) {
-      // A half-written checkpoint is skipped by every reader; the next check writes a new one.
+      // A half-written checkpoint is skipped by every reader; a later check writes a new one.
       const detail = (error as Error).message;
       this.scope.recordEvent({ type: 'checkpoint.failed', offset, detail });
       return;
--- a/src/controller/ControllerClient.ts
+++ b/src/controller/ControllerClient.ts
@@ -1,5 +1,5 @@
 import { createTRPCClient, httpLink, type TRPCClient } from '@trpc/client';
-import { fetchLean } from '../net/mod.js';
+import { fetchJson } from '../net/mod.js';
 import type { ControllerRouter } from './ControllerRouter.js';
 
 /** Typed calls to a controller. */
@@ -16,6 +16,6 @@
  */
 export function createControllerClient(address: string): ControllerClient {
   return createTRPCClient<ControllerRouter>({
-    links: [httpLink({ url: `http://${address}`, fetch: fetchLean })],
+    links: [httpLink({ url: `http://${address}`, fetch: fetchJson })],
   });
 }
--- a/src/controller/HostWatcher.test.ts
+++ b/src/controller/HostWatcher.test.ts
@@ -47,8 +47,8 @@
 }
 
 describe('HostWatcher of a high rank', () => {
-  // Guards against reports of gateways that nobody follows up, since their controller watches at
-  // leisure.
+  // Guards against reports of gateways that nobody follows up, since their controller polls
+  // less often.
   it('polls at each third tick, and at each one while gateways report a host', async (test) => {
     const scope = new ActorScope('test', () => {});
     const clock = new ManualClock();
--- a/src/controller/HostWatcher.ts
+++ b/src/controller/HostWatcher.ts
@@ -14,12 +14,12 @@
  * looks at every host, and one a second would take about half of a node's processor budget.
  */
 const COMPARE_INTERVAL_MS = 5_000;
-/** Controllers of a higher rank than this watch at leisure; only reports of gateways wake them. */
-const LAST_CLOSE_RANK = 2;
-/** For the others; a comparison of 19,000 hosts takes about 20 ms. */
-const LEISURE_INTERVAL_MS = 20_000;
+/** Controllers of a higher rank poll and compare less often, unless gateways report hosts to them. */
+const LAST_FAST_RANK = 2;
+/** Comparison interval of the others; comparing 19,000 hosts takes about 20 ms. */
+const SLOW_INTERVAL_MS = 20_000;
 /** The others poll at each third tick. */
-const LEISURE_TICKS = 3;
+const SLOW_POLL_TICKS = 3;
 /** About 70 bytes an observation keep a record far below its 64 KiB. */
 const OBSERVATIONS_PER_RECORD = 500;
 
@@ -57,7 +57,7 @@
 
   #tick = 0;
 
-  /** Whether gateways have reported hosts; their reports count only while lists are compared. */
+  /** Whether gateways have reported hosts; a report counts only when lists are compared. */
   #isReported = false;
 
   #compared: { list: ListedHost[]; at: number; isSettled: boolean } | undefined;
@@ -73,7 +73,7 @@
     switch (message.type) {
       case 'tick':
         this.#tick += 1;
-        if (this.#isClose || this.#isReported || this.#tick % LEISURE_TICKS === 0)
+        if (this.#isFast || this.#isReported || this.#tick % SLOW_POLL_TICKS === 0)
           this.#fetchList();
         break;
       case 'list': {
@@ -119,16 +119,15 @@
     );
   }
 
-  /** Whether the controller is among the first, which propose what they see without much delay. */
-  get #isClose(): boolean {
-    return this.#rank <= LAST_CLOSE_RANK;
+  /** Whether the rank is among the first, which propose with little delay. */
+  get #isFast(): boolean {
+    return this.#rank <= LAST_FAST_RANK;
   }
 
   #isDue(list: ListedHost[]): boolean {
     const compared = this.#compared;
     if (compared === undefined || compared.list !== list || !compared.isSettled) return true;
-    const intervalMs =
-      this.#isClose || this.#isReported ? COMPARE_INTERVAL_MS : LEISURE_INTERVAL_MS;
+    const intervalMs = this.#isFast || this.#isReported ? COMPARE_INTERVAL_MS : SLOW_INTERVAL_MS;
     return this.#options.clock.readMonotonic() - compared.at >= intervalMs;
   }
 
--- a/src/net/fetchLean.ts
+++ b/src/net/fetchJson.ts
@@ -1,6 +1,6 @@
 import { request } from 'undici';
 
-interface LeanRequest {
+interface JsonRequest {
   method?: string;
   headers?: unknown;
   body?: unknown;
@@ -16,12 +16,12 @@
  * @throws The error of the connection.
  * @example
  * ```ts
- * httpLink({ url: 'http://127.0.0.1:7100', fetch: fetchLean });
+ * httpLink({ url: 'http://127.0.0.1:7100', fetch: fetchJson });
  * ```
  */
-export async function fetchLean(
+export async function fetchJson(
   url: unknown,
-  { method = 'GET', headers, body, signal }: LeanRequest = {},
+  { method = 'GET', headers, body, signal }: JsonRequest = {},
 ): Promise<{ ok: boolean; json: () => Promise<unknown> }> {
   const answer = await request(String(url), {
     method: method as 'GET' | 'POST',
--- a/src/net/mod.ts
+++ b/src/net/mod.ts
@@ -3,6 +3,6 @@
  *
  * @module
  */
-export * from './fetchLean.js';
+export * from './fetchJson.js';
 export * from './openServer.js';
 export * from './parseAddress.js';
