Check the age of a reboot right before it is asked for

Cause: in a full run of the tests a controller was frozen between the accepted start and its calls to the platform; 60 s later another controller had the hosts rebooted and they returned to service, and the thawed one rebooted them again ('h1 was rebooted outside its maintenance').

Change: the runner itself passes over reboots that were decided more than 5 s ago; the planner's check before it sent the message was too early. A window of the event loop remains, in which a call that undici has queued is written after a freeze; only the platform could close it, by a deadline in the call.

--- a/src/controller/Controller.ts
+++ b/src/controller/Controller.ts
@@ -91,6 +91,7 @@
     const runner = new MaintenanceRunner(
       this.#scope,
       new HttpMaintenanceActions(settings.platform),
+      clock,
     );
     this.#runner = runner;
     const policies = { policy: new SpreadPlacement(), lending: new LastingLending() };
--- a/src/controller/ControllerPlanner.ts
+++ b/src/controller/ControllerPlanner.ts
@@ -21,12 +21,6 @@
 /** Proposals that the log did not take by then are withdrawn, since they may be out of date. */
 const SUBMIT_TIMEOUT_MS = 5_000;
 
-/**
- * A reboot is asked for only this soon after its start was proposed. A controller that was frozen in
- * between may read of its start when the host has long returned to service; the repetition of
- * reboots by the first controller covers those that are passed over here.
- */
-const REBOOT_WITHIN_MS = 5_000;
 /** A longer time between two ticks means that the process was frozen. */
 const MAX_TICK_GAP_MS = 3_000;
 /** After a freeze the state may be old; reboots are repeated only after this time without one. */
@@ -182,7 +176,7 @@
     this.#isHeldBack = bodies.length < planned.length && Number.isFinite(this.#rank);
     const isSettled = now - this.#runningSince >= SETTLED_AFTER_MS;
     if (reboots.length > 0 && this.#rank === 0 && isSettled) {
-      this.#options.runner.send({ type: 'reboot', hosts: reboots });
+      this.#options.runner.send({ type: 'reboot', hosts: reboots, decidedAt: now });
     }
     if (bodies.length === 0) return;
     this.#round += 1;
@@ -216,8 +210,8 @@
   #handleVerdict({ round, body, answer }: PlannerMessage & { type: 'verdict' }): void {
     if (round === this.#round) this.#awaited = Math.max(0, this.#awaited - 1);
     if (body.type !== 'maintenance-start' || answer.verdict.outcome !== 'accepted') return;
-    const age = this.#options.clock.readMonotonic() - this.#proposedAt;
-    if (round !== this.#round || age > REBOOT_WITHIN_MS) return;
-    this.#options.runner.send({ type: 'reboot', hosts: body.hosts });
+    if (round !== this.#round) return;
+    const decidedAt = this.#proposedAt;
+    this.#options.runner.send({ type: 'reboot', hosts: body.hosts, decidedAt });
   }
 }
--- a/src/controller/MaintenanceRunner.ts
+++ b/src/controller/MaintenanceRunner.ts
@@ -1,13 +1,23 @@
 import { Actor, type ActorScope } from '../actor/mod.js';
+import type { Clock } from '../clock/mod.js';
 import type { MaintenanceActions } from './MaintenanceActions.js';
 
 /** Reboots asked for at the same time. */
 const CONCURRENT_REBOOTS = 8;
 
+/**
+ * A reboot is asked for only this soon after the decision for it. A process that was frozen in
+ * between would reboot hosts that have long returned to service; the planner of the first controller
+ * decides again about reboots that are passed over here.
+ */
+const REBOOT_WITHIN_MS = 5_000;
+
 /** Asks for reboots of hosts. */
 export interface RebootMessage {
   type: 'reboot';
   hosts: string[];
+  /** Monotonic time of the state that the decision was made on. */
+  decidedAt: number;
 }
 
 /**
@@ -19,13 +29,17 @@
 export class MaintenanceRunner extends Actor<RebootMessage> {
   readonly #actions: MaintenanceActions;
 
-  constructor(scope: ActorScope, actions: MaintenanceActions) {
+  readonly #clock: Clock;
+
+  constructor(scope: ActorScope, actions: MaintenanceActions, clock: Clock) {
     super(scope, 'maintenance-runner');
+    this.#clock = clock;
     this.#actions = actions;
   }
 
-  protected override async receive({ hosts }: RebootMessage): Promise<void> {
+  protected override async receive({ hosts, decidedAt }: RebootMessage): Promise<void> {
     for (let at = 0; at < hosts.length; at += CONCURRENT_REBOOTS) {
+      if (this.#clock.readMonotonic() - decidedAt > REBOOT_WITHIN_MS) return;
       const group = hosts.slice(at, at + CONCURRENT_REBOOTS);
       const results = await Promise.allSettled(group.map((host) => this.#actions.reboot(host)));
       results.forEach((result) => {
