Give the platform a time after which a reboot must be refused

Eight reboots are asked for over two connections, so calls wait in the send queue; a controller that is frozen with such a call writes it after the thaw, when the host serves again. The check of the age before the call cannot see this. Ruled out: a second reboot by the other controller, which asks only after 60 s without one. Change: the call carries notAfter, computed from the age of the decision, and the platform refuses a late one with 412. Conclusion: the window between check and call is closed by the platform.

--- a/src/controller/HttpMaintenanceActions.ts
+++ b/src/controller/HttpMaintenanceActions.ts
@@ -5,7 +5,10 @@
 const REBOOT_TIMEOUT_MS = 5_000;
 const HTTP_ACCEPTED = 202;
 
-/** Reboots hosts through the platform: `POST /hosts/NAME/reboot`, answered with status 202. */
+/**
+ * Reboots hosts through the platform: `POST /hosts/NAME/reboot?notAfter=MS`, answered with status
+ * 202, or with 412 when the time has passed.
+ */
 export class HttpMaintenanceActions extends MaintenanceActions {
   readonly #pool: Pool;
 
@@ -15,10 +18,10 @@
     this.#pool = new Pool(url, { connections: 2 });
   }
 
-  override async reboot(host: string): Promise<void> {
+  override async reboot(host: string, notAfter: number): Promise<void> {
     const { statusCode, body } = await this.#pool.request({
       method: 'POST',
-      path: `/hosts/${encodeURIComponent(host)}/reboot`,
+      path: `/hosts/${encodeURIComponent(host)}/reboot?notAfter=${notAfter}`,
       signal: AbortSignal.timeout(REBOOT_TIMEOUT_MS),
     });
     await body.dump();
--- a/src/controller/MaintenanceRunner.ts
+++ b/src/controller/MaintenanceRunner.ts
@@ -39,9 +39,15 @@
 
   protected override async receive({ hosts, decidedAt }: RebootMessage): Promise<void> {
     for (let at = 0; at < hosts.length; at += CONCURRENT_REBOOTS) {
-      if (this.#clock.readMonotonic() - decidedAt > REBOOT_WITHIN_MS) return;
+      // The wall clock is read first: a freeze between the two readings then shortens the time left.
+      const wall = this.#clock.readWall();
+      const leftMs = REBOOT_WITHIN_MS - (this.#clock.readMonotonic() - decidedAt);
+      if (leftMs < 0) return;
+      const notAfter = Math.floor(wall + leftMs);
       const group = hosts.slice(at, at + CONCURRENT_REBOOTS);
-      const results = await Promise.allSettled(group.map((host) => this.#actions.reboot(host)));
+      const results = await Promise.allSettled(
+        group.map((host) => this.#actions.reboot(host, notAfter)),
+      );
       results.forEach((result) => {
         if (result.status === 'rejected') this.scope.reportFault(this.name, result.reason as Error);
       });
