Sort only the hosts of the own data centre for a gateway's views

Cause: a gateway sorted all hosts of the fleet, once for its view, once for its session and once for each service, after each batch of records; docs/CAPACITY.md named it as what breaks next. Change: FleetData.listHosts filters before it sorts; the check whether any host fits iterates.

--- a/src/fleet/_FleetData.ts
+++ b/src/fleet/_FleetData.ts
@@ -1,4 +1,4 @@
-import { sortFields, type HostState } from '../host/mod.js';
+import { sortFields, type Host, type HostState } from '../host/mod.js';
 import type { ObjectKind } from '../record/mod.js';
 import { Configuration, type Configured } from './_Configuration.js';
 import { FleetIndex } from './_FleetIndex.js';
@@ -148,6 +148,18 @@
     return sortValues(this.sessions).filter((session) => session.role === role);
   }
 
+  /**
+   * Lists the hosts of a data centre in the order of their names. Only they are sorted, since gateways
+   * ask after each batch of records.
+   */
+  listHosts(dataCentre: string): Host[] {
+    const hosts: Host[] = [];
+    this.configuration.host.forEach(({ object }) => {
+      if (object.dataCentre === dataCentre) hosts.push(object);
+    });
+    return hosts.sort((a, b) => compareNames([a.name, a], [b.name, b]));
+  }
+
   /** Lists configured objects of a kind in the order of their names. */
   listObjects<Kind extends ObjectKind>(
     kind: Kind,
--- a/src/gateway/GatewayView.ts
+++ b/src/gateway/GatewayView.ts
@@ -29,11 +29,13 @@
   const pool = fleet.data.configuration.pool.get(name)?.object;
   if (pool === undefined) return `the pool "${name}" is not configured`;
   const { cores, memoryGb, accelerators } = pool.requires;
-  const isFitting = fleet.data.listObjects('host').some(({ resources }) => {
+  // Iterated rather than listed: a list is sorted, and this runs after each batch of records.
+  for (const { object } of fleet.data.configuration.host.values()) {
+    const { resources } = object;
     const hasSize = resources.cores >= cores && resources.memoryGb >= memoryGb;
-    return hasSize && resources.accelerators >= accelerators;
-  });
-  return isFitting ? undefined : `no host has what the pool "${name}" requires`;
+    if (hasSize && resources.accelerators >= accelerators) return undefined;
+  }
+  return `no host has what the pool "${name}" requires`;
 }
 
 /** Options of a view. */
@@ -50,7 +52,7 @@
   const shareViews = collectShareViews(fleet, dataCentre, now);
   const computeShare = (host: string, total: number): number =>
     computeSlotShare(shareViews, { host, session, total });
-  const hosts = fleet.data.listObjects('host').filter((host) => host.dataCentre === dataCentre);
+  const hosts = fleet.data.listHosts(dataCentre);
   const services = fleet.data.listObjects('service').map((service) => ({
     nextOffset: fleet.nextOffset,
     service,
--- a/src/session/SessionView.ts
+++ b/src/session/SessionView.ts
@@ -49,8 +49,7 @@
 
 function listDraining(fleet: Fleet, dataCentre: string, session: string): string[] {
   return fleet.data
-    .listObjects('host')
-    .filter((host) => host.dataCentre === dataCentre)
+    .listHosts(dataCentre)
     .map((host) => host.name)
     .filter((host) => {
       const state = fleet.findHostState(host);
