--- a/src/cli/describeChangeFailure.test.ts
+++ b/src/cli/describeChangeFailure.test.ts
@@ -3,6 +3,7 @@
 import { Controller, createControllerClient } from '../controller/mod.js';
 import { ControllerSettings } from '../settings/mod.js';
 import { PlatformStandin } from '../standin/mod.js';
+import { waitFor } from '../testing/mod.js';
 import { describeChangeFailure } from './describeChangeFailure.js';
 
 /** Guards against an operator who repeats a change that is still on its way. */
@@ -44,6 +45,10 @@
     );
     const open = await controller.open();
     assert.match(JSON.stringify(await submit(open, -1)), /"outcome":"not-applied"/);
+    // Until the record of the controller's own session is confirmed, a change waits behind it unsent
+    // and is truly not applied.
+    const client = createControllerClient(open);
+    await waitFor('the session', async () => (await client.sessions.query()).length > 0);
     // The platform takes the append but its answers are lost, then it is down.
     platform.setFaults({ lateAppends: 1_000, lateMs: 60_000 });
     const unknown = JSON.stringify(await submit(open, 0));
