Share FoldTimes between the measurements faults and rollout

Cause: the same class stood in both files. Change: measure/FoldTimes.ts holds it. Conclusion: one class in place of two; behaviour is the same.

--- /dev/null
+++ b/measure/FoldTimes.ts
@@ -0,0 +1,15 @@
+import { FleetProjector, type Fleet } from '../src/fleet/mod.js';
+
+/** Records when a fleet had folded each offset, in wall-clock milliseconds. */
+export class FoldTimes extends FleetProjector {
+  readonly at: [number, number][] = [];
+
+  override project(fleet: Fleet): void {
+    this.at.push([fleet.nextOffset, Date.now()]);
+  }
+
+  /** Finds when an offset was folded; infinite if it was not. */
+  find(offset: number): number {
+    return this.at.find(([nextOffset]) => nextOffset > offset)?.[1] ?? Number.POSITIVE_INFINITY;
+  }
+}
--- a/measure/faults.ts
+++ b/measure/faults.ts
@@ -6,35 +6,17 @@
  *
  * @module
  */
-import {
-  ActorScope,
-  ControllerRecordSource,
-  Fleet,
-  FleetFollower,
-  FleetKeeper,
-  FleetProjector,
-} from '../src/mod.js';
+import { ActorScope, ControllerRecordSource, FleetFollower, FleetKeeper } from '../src/mod.js';
 import { createControllerClient } from '../src/controller/mod.js';
 import { waitFor } from '../src/testing/mod.js';
 import { NodeGroup, pause } from './NodeGroup.js';
+import { FoldTimes } from './FoldTimes.js';
 
 /** 61,000 changes a day. */
 const CHANGES_A_SECOND = 0.7;
 const OUTAGE_MS = 10_000;
 const BURST = 500;
 
-class FoldTimes extends FleetProjector {
-  readonly at: [number, number][] = [];
-
-  override project(fleet: Fleet): void {
-    this.at.push([fleet.nextOffset, Date.now()]);
-  }
-
-  find(offset: number): number {
-    return this.at.find(([nextOffset]) => nextOffset > offset)?.[1] ?? Number.POSITIVE_INFINITY;
-  }
-}
-
 const count = Number(process.argv[3] ?? 7);
 const scope = new ActorScope('measure', (actor, error) => console.error(actor, error));
 const nodes = new NodeGroup();
--- a/measure/rollout.ts
+++ b/measure/rollout.ts
@@ -11,12 +11,11 @@
   ActorScope,
   ControllerRecordSource,
   createControllerClient,
-  Fleet,
   FleetFollower,
   FleetKeeper,
-  FleetProjector,
 } from '../src/mod.js';
 import { buildInventory, ProcessGroup, waitFor, type Started } from '../src/testing/mod.js';
+import { FoldTimes } from './FoldTimes.js';
 
 const NODES = 7;
 const FEW_NODES = 3;
@@ -28,18 +27,6 @@
 const BURST = 500;
 const CLOCK_TICKS_A_SECOND = 100;
 
-class FoldTimes extends FleetProjector {
-  readonly at: [number, number][] = [];
-
-  override project(fleet: Fleet): void {
-    this.at.push([fleet.nextOffset, Date.now()]);
-  }
-
-  find(offset: number): number {
-    return this.at.find(([nextOffset]) => nextOffset > offset)?.[1] ?? Number.POSITIVE_INFINITY;
-  }
-}
-
 interface Usage {
   bytes: number;
   ticks: number;
