--- a/eslint.config.js
+++ b/eslint.config.js
@@ -34,7 +34,7 @@
 };
 
 export default [
-  { ignores: ['dist/', 'node_modules/'] },
+  { ignores: ['dist/', 'node_modules/', 'target/'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- /dev/null
+++ b/src/book/BookRecord.ts
@@ -0,0 +1,86 @@
+import { z } from 'zod';
+import { JobSpec } from '../task/mod.js';
+
+/** An accepted job, under the key `job/ID`. Written by the node that accepts it. */
+export const AcceptedJob = z.object({
+  queue: z.string(),
+  pool: z.string(),
+  /** Wall-clock time of the submission at the accepting node, ms since 1970. */
+  submittedAtMs: z.number(),
+  spec: JobSpec,
+});
+export type AcceptedJob = z.infer<typeof AcceptedJob>;
+
+/** A cancelled job, under the key `cancel/ID`. */
+export const Cancellation = z.object({ atMs: z.number() });
+export type Cancellation = z.infer<typeof Cancellation>;
+
+/** Progress of one step of an occurrence. */
+export const StepProgress = z.object({
+  /** Indexes of the finished tasks. */
+  done: z.array(z.number().int().nonnegative()),
+  /** Pairs of task index and number of failed runs. */
+  failed: z.array(z.tuple([z.number(), z.number()])),
+});
+export type StepProgress = z.infer<typeof StepProgress>;
+
+/** Progress of a job, under the key `progress/ID`. Written by the owner of the shard. */
+export const JobProgress = z.object({
+  token: z.number().int(),
+  state: z.enum(['active', 'completed', 'failed', 'cancelled']),
+  reason: z.string().optional(),
+  /** Occurrences below this one are finished. */
+  finishedBelow: z.number().int().nonnegative().default(0),
+  /** Unfinished occurrences that have begun, by number. */
+  occurrences: z.array(z.object({ number: z.number().int(), steps: z.array(StepProgress) })),
+  /** Finished occurrences at or above `finishedBelow`. */
+  finished: z.array(z.number().int()).default([]),
+  /** When the state became final, ms since 1970. */
+  endedAtMs: z.number().optional(),
+});
+export type JobProgress = z.infer<typeof JobProgress>;
+
+/** Who owns the shard, under the key `owner`. */
+export const OwnerRecord = z.object({
+  /** Rises by one with each claim; fences all orders of earlier owners. */
+  token: z.number().int().positive(),
+  node: z.string(),
+  /** One run of the node's process. */
+  session: z.string(),
+  /** The owner has handed the shard over. */
+  isReleased: z.boolean().default(false),
+  /** Jobs of each queue for which no task has started. */
+  waiting: z.record(z.string(), z.number()).default({}),
+  /** Rough work that waits in each pool: thousandths of a core times ms per host core share. */
+  backlogMs: z.record(z.string(), z.number()).default({}),
+});
+export type OwnerRecord = z.infer<typeof OwnerRecord>;
+
+/** A node of the system, under the key `node/NAME`. */
+export const NodeRecord = z.object({
+  session: z.string(),
+  /** Address at which other nodes reach it. */
+  address: z.string(),
+  dataCentre: z.string(),
+});
+export type NodeRecord = z.infer<typeof NodeRecord>;
+
+/** What the owner has done of a wave, under the key `wave/N`. */
+export const WaveRecord = z.object({
+  /** When an owner first saw the wave, ms since 1970. */
+  seenAtMs: z.number(),
+  /** Machines whose maintenance has begun. */
+  begun: z.array(z.string()),
+  isCompleted: z.boolean(),
+});
+export type WaveRecord = z.infer<typeof WaveRecord>;
+
+/** Keys of the work log. */
+export const BookKey = {
+  owner: 'owner',
+  job: (id: string): string => `job/${id}`,
+  cancel: (id: string): string => `cancel/${id}`,
+  progress: (id: string): string => `progress/${id}`,
+  node: (name: string): string => `node/${name}`,
+  wave: (wave: number): string => `wave/${wave}`,
+};
--- /dev/null
+++ b/src/book/JobBook.ts
@@ -0,0 +1,192 @@
+import type { z } from 'zod';
+import type { StoreRecord } from '../port/mod.js';
+import type { BookedJob } from './BookedJob.js';
+import {
+  AcceptedJob,
+  BookKey,
+  Cancellation,
+  JobProgress,
+  NodeRecord,
+  OwnerRecord,
+  WaveRecord,
+} from './BookRecord.js';
+
+/** What a record changed in the book. */
+export type BookChange =
+  | { type: 'job'; job: BookedJob }
+  | { type: 'cancelled'; job: BookedJob }
+  | { type: 'progress'; job: BookedJob }
+  | { type: 'removed'; id: string }
+  | { type: 'owner'; owner: OwnerRecord; isClaim: boolean; offset: number }
+  | { type: 'node'; name: string; node: NodeRecord | undefined }
+  | { type: 'wave'; wave: number }
+  /** A record that cannot be read; every reader skips it in the same way. */
+  | { type: 'unreadable'; key: string; reason: string };
+
+/**
+ * The fold of a shard's work log: accepted jobs with their progress, the owner and the nodes.
+ *
+ * Every node folds the same records in the same order, so that each of them can answer for a job
+ * and can take the shard over. A record older than the newest one folded for its key is ignored,
+ * since pages of newest records overlap with the log.
+ *
+ * @example
+ * ```ts
+ * const book = new JobBook();
+ * book.apply({ offset: 0, key: 'cancel/5c0e', value: Buffer.from('{"atMs":1}') });
+ * book.get('5c0e'); // undefined: it was cancelled before it was accepted
+ * ```
+ */
+export class JobBook {
+  readonly #jobs = new Map<string, BookedJob>();
+
+  /** Cancellations and progress whose job has not been read yet: pages come in order of keys. */
+  readonly #early = new Map<string, Pick<BookedJob, 'cancelledAtMs' | 'progress'>>();
+
+  readonly #nodes = new Map<string, NodeRecord>();
+
+  readonly #waves = new Map<number, WaveRecord>();
+
+  readonly #newest = new Map<string, number>();
+
+  #owner: OwnerRecord | undefined;
+
+  get owner(): OwnerRecord | undefined {
+    return this.#owner;
+  }
+
+  get nodes(): ReadonlyMap<string, NodeRecord> {
+    return this.#nodes;
+  }
+
+  get waves(): ReadonlyMap<number, WaveRecord> {
+    return this.#waves;
+  }
+
+  get jobs(): IterableIterator<BookedJob> {
+    return this.#jobs.values();
+  }
+
+  get size(): number {
+    return this.#jobs.size;
+  }
+
+  /** Finds a job by its identifier. */
+  get(id: string): BookedJob | undefined {
+    return this.#jobs.get(id);
+  }
+
+  /** Folds a record; undefined when it changes nothing. */
+  apply(record: StoreRecord): BookChange | undefined {
+    if ((this.#newest.get(record.key) ?? -1) >= record.offset) return undefined;
+    this.#newest.set(record.key, record.offset);
+    const slash = record.key.indexOf('/');
+    const kind = slash < 0 ? record.key : record.key.slice(0, slash);
+    const name = slash < 0 ? '' : record.key.slice(slash + 1);
+    switch (kind) {
+      case 'job':
+        return this.#applyJob(name, record);
+      case 'cancel':
+        return this.#applyCancellation(name, record);
+      case 'progress':
+        return this.#applyProgress(name, record);
+      case 'owner':
+        return this.#applyOwner(record);
+      case 'node':
+        return this.#applyNode(name, record);
+      case 'wave':
+        return this.#applyWave(Number(name), record);
+      default:
+        return { type: 'unreadable', key: record.key, reason: 'unknown kind of record' };
+    }
+  }
+
+  #applyJob(id: string, record: StoreRecord): BookChange | undefined {
+    if (record.value === undefined) {
+      this.#jobs.delete(id);
+      this.#early.delete(id);
+      this.#newest.delete(BookKey.job(id));
+      return { type: 'removed', id };
+    }
+    // A repeated submission of a job is the same job; what was read first stands.
+    if (this.#jobs.has(id)) return undefined;
+    const accepted = JobBook.#decode(AcceptedJob, record);
+    if ('reason' in accepted) return accepted;
+    const job: BookedJob = {
+      id,
+      acceptedOffset: record.offset,
+      ...accepted.value,
+      ...this.#early.get(id),
+    };
+    this.#early.delete(id);
+    this.#jobs.set(id, job);
+    return { type: 'job', job };
+  }
+
+  #applyCancellation(id: string, record: StoreRecord): BookChange | undefined {
+    if (record.value === undefined) return undefined;
+    const cancellation = JobBook.#decode(Cancellation, record);
+    if ('reason' in cancellation) return cancellation;
+    const { atMs } = cancellation.value;
+    const job = this.#jobs.get(id);
+    if (job === undefined) {
+      this.#early.set(id, { ...this.#early.get(id), cancelledAtMs: atMs });
+      return undefined;
+    }
+    if (job.cancelledAtMs !== undefined) return undefined;
+    job.cancelledAtMs = atMs;
+    return { type: 'cancelled', job };
+  }
+
+  #applyProgress(id: string, record: StoreRecord): BookChange | undefined {
+    if (record.value === undefined) return undefined;
+    const progress = JobBook.#decode(JobProgress, record);
+    if ('reason' in progress) return progress;
+    const job = this.#jobs.get(id);
+    if (job === undefined) {
+      this.#early.set(id, { ...this.#early.get(id), progress: progress.value });
+      return undefined;
+    }
+    job.progress = progress.value;
+    return { type: 'progress', job };
+  }
+
+  #applyOwner(record: StoreRecord): BookChange | undefined {
+    const owner = JobBook.#decode(OwnerRecord, record);
+    if ('reason' in owner) return owner;
+    const isClaim = owner.value.token !== this.#owner?.token;
+    this.#owner = owner.value;
+    return { type: 'owner', owner: owner.value, isClaim, offset: record.offset };
+  }
+
+  #applyNode(name: string, record: StoreRecord): BookChange | undefined {
+    if (record.value === undefined) {
+      this.#nodes.delete(name);
+      return { type: 'node', name, node: undefined };
+    }
+    const node = JobBook.#decode(NodeRecord, record);
+    if ('reason' in node) return node;
+    this.#nodes.set(name, node.value);
+    return { type: 'node', name, node: node.value };
+  }
+
+  #applyWave(wave: number, record: StoreRecord): BookChange | undefined {
+    const decoded = JobBook.#decode(WaveRecord, record);
+    if ('reason' in decoded) return decoded;
+    this.#waves.set(wave, decoded.value);
+    return { type: 'wave', wave };
+  }
+
+  static #decode<T>(
+    schema: z.ZodType<T>,
+    { key, value }: StoreRecord,
+  ): { value: T } | { type: 'unreadable'; key: string; reason: string } {
+    try {
+      const parsed = schema.safeParse(JSON.parse(value?.toString('utf8') ?? 'null'));
+      if (parsed.success) return { value: parsed.data };
+      return { type: 'unreadable', key, reason: parsed.error.message };
+    } catch (error) {
+      return { type: 'unreadable', key, reason: String(error) };
+    }
+  }
+}
--- /dev/null
+++ b/src/book/describeJobState.ts
@@ -0,0 +1,20 @@
+import type { BookedJob } from './BookedJob.js';
+
+/** State of a job as callers see it. */
+export type JobState = 'queued' | 'running' | 'completed' | 'failed' | 'cancelled';
+
+/**
+ * Describes the state of a job from what the book says of it.
+ *
+ * A job that finished before its cancellation was read stays finished.
+ *
+ * @example
+ * ```ts
+ * describeJobState(job); // 'running'
+ * ```
+ */
+export function describeJobState({ progress, cancelledAtMs }: BookedJob): JobState {
+  if (progress !== undefined && progress.state !== 'active') return progress.state;
+  if (cancelledAtMs !== undefined) return 'cancelled';
+  return progress === undefined ? 'queued' : 'running';
+}
--- a/src/logging/createLogger.ts
+++ b/src/logging/createLogger.ts
@@ -6,10 +6,12 @@
   level?: string;
   /** Session or name of the process, part of each line. */
   process?: string;
+  /** Stream that receives the lines; standard error keeps the output of a command apart. */
+  stream?: 'stdout' | 'stderr';
 }
 
 /**
- * Creates a logger that writes JSON lines to standard error.
+ * Creates a logger that writes JSON lines, to standard error if nothing else is said.
  *
  * @param role Name of the daemon, part of each line.
  * @example
@@ -18,7 +20,8 @@
  * ```
  */
 export function createLogger(role: string, options: LoggerOptions = {}): winston.Logger {
-  const { level = 'info', process: session } = options;
+  const { level = 'info', process: session, stream = 'stderr' } = options;
+  const stderrLevels = stream === 'stderr' ? Object.keys(winston.config.npm.levels) : [];
   return winston.createLogger({
     level,
     defaultMeta: { role, pid: process.pid, ...(session === undefined ? {} : { process: session }) },
@@ -28,7 +31,7 @@
       winston.format.json(),
     ),
     transports: [
-      new winston.transports.Console({ stderrLevels: Object.keys(winston.config.npm.levels) }),
+      new winston.transports.Console({ stderrLevels }),
     ],
   });
 }
--- /dev/null
+++ b/src/metrics/formatMetrics.ts
@@ -0,0 +1,35 @@
+import type { MetricsReport } from './MetricsReport.js';
+
+/** Percentiles that are shown, by their label. */
+const PERCENTILES = [
+  ['0.5', 'p50'],
+  ['0.9', 'p90'],
+  ['0.99', 'p99'],
+] as const;
+
+function formatName(name: string): string {
+  return name.replace(/[^a-zA-Z0-9]/g, '_');
+}
+
+/**
+ * Formats a report as lines of `name{labels} value`. Latencies are in milliseconds.
+ *
+ * @example
+ * ```ts
+ * formatMetrics({ latencies: {}, counters: { refused: 1 } }); // 'buckthornreach_refused_total 1\n'
+ * ```
+ */
+export function formatMetrics({ latencies, counters }: MetricsReport): string {
+  const lines: string[] = [];
+  Object.entries(counters).forEach(([name, value]) => {
+    lines.push(`buckthornreach_${formatName(name)}_total ${value}`);
+  });
+  Object.entries(latencies).forEach(([name, report]) => {
+    const metric = `buckthornreach_${formatName(name)}_ms`;
+    PERCENTILES.forEach(([label, key]) => {
+      lines.push(`${metric}{quantile="${label}"} ${report[key]}`);
+    });
+    lines.push(`${metric}_count ${report.count}`);
+  });
+  return `${lines.join('\n')}\n`;
+}
--- a/src/metrics/mod.ts
+++ b/src/metrics/mod.ts
@@ -7,3 +7,4 @@
 export * from './MetricsReport.js';
 export * from './ProcessMeter.js';
 export * from './TrafficMeter.js';
+export * from './formatMetrics.js';
--- /dev/null
+++ b/src/node/CallerDesk.ts
@@ -0,0 +1,162 @@
+import { BookKey, type JobState } from '../book/mod.js';
+import type { QueueRule } from '../port/mod.js';
+import type { JobSpec } from '../task/mod.js';
+import type { BookKeeper, JobAnswer } from './BookKeeper.js';
+import type { CallAnswer } from './CallAnswer.js';
+import type { NodeParts } from './NodeParts.js';
+import type { OperatorState } from './OperatorFollower.js';
+import { QueueTable, type QueueMatch } from './QueueTable.js';
+import type { WorkWriter, WriteOutcome } from './WorkWriter.js';
+
+/** A node whose last answer of the store is older than this does not answer from its state, in ms. */
+const MAX_STATE_AGE_MS = 1_500;
+/** When a caller should come back while the store does not take records, in ms. */
+const STORE_RETRY_MS = 1_000;
+/** When a caller should come back while the node starts, in ms. */
+const START_RETRY_MS = 500;
+
+/** Pause in ms between looks at the book while it reads on. */
+const READ_POLL_MS = 30;
+
+const NO_JOB = { state: undefined, isCurrent: true } as const;
+
+/** Actors that the desk asks. */
+export interface CallerDeskParts {
+  keeper: BookKeeper;
+  writer: WorkWriter;
+}
+
+/** Answers the calls of callers: submit, ask, cancel and count. */
+export class CallerDesk {
+  readonly #parts: NodeParts;
+
+  readonly #keeper: BookKeeper;
+
+  readonly #writer: WorkWriter;
+
+  #operator: OperatorState | undefined;
+
+  #table: QueueTable | undefined;
+
+  constructor(parts: NodeParts, { keeper, writer }: CallerDeskParts) {
+    this.#parts = parts;
+    this.#keeper = keeper;
+    this.#writer = writer;
+  }
+
+  /** Sets what the operator asks for. */
+  setOperator(state: OperatorState): void {
+    if (state.configuration !== undefined && state.configuration !== this.#operator?.configuration) {
+      this.#table = new QueueTable(state.configuration);
+    }
+    this.#operator = state;
+  }
+
+  /** Finds the queue of a call, or the answer when there is none. */
+  findQueue(hostName: string, path: string): QueueMatch | CallAnswer {
+    const match = this.#table?.find(hostName, path);
+    if (match !== undefined) return match;
+    if (this.#table === undefined || !this.#isFresh(this.#operator?.freshAt)) {
+      return { type: 'refused', reason: 'the configuration is not known', retryAfterMs: START_RETRY_MS };
+    }
+    return { type: 'no-queue' };
+  }
+
+  /** Accepts a job once it is stored. */
+  async submit(id: string, queue: QueueRule, spec: JobSpec): Promise<CallAnswer> {
+    const startedAt = this.#parts.clock.readMonotonic();
+    const value = JSON.stringify({
+      queue: queue.name,
+      pool: queue.pool,
+      submittedAtMs: this.#parts.clock.readWall(),
+      spec,
+    });
+    const outcome = await this.#write(BookKey.job(id), value);
+    const tookMs = this.#parts.clock.readMonotonic() - startedAt;
+    this.#parts.metrics.recordLatency('submit', tookMs);
+    this.#parts.log.record(`job-${outcome === 'stored' ? 'accepted' : outcome}`, id, {
+      queue: queue.name,
+      configuration: this.#operator?.configuration?.version,
+      tookMs: Math.round(tookMs),
+    });
+    return CallerDesk.#toAnswer(outcome, { type: 'accepted' });
+  }
+
+  /** Cancels a job once the cancellation is stored. */
+  async cancel(id: string, queue: QueueRule): Promise<CallAnswer> {
+    const { state, isCurrent } = await this.#findCurrent(id, queue);
+    if (state === undefined && isCurrent) return { type: 'no-job' };
+    if (state !== undefined && state !== 'queued' && state !== 'running') {
+      return { type: 'cancelled' };
+    }
+    const value = JSON.stringify({ atMs: this.#parts.clock.readWall() });
+    const outcome = await this.#write(BookKey.cancel(id), value);
+    this.#parts.log.record('cancel', id, { queue: queue.name, outcome });
+    return CallerDesk.#toAnswer(outcome, { type: 'cancelled' });
+  }
+
+  /** Describes the state of a job. */
+  async describe(id: string, queue: QueueRule): Promise<CallAnswer> {
+    const { state, isCurrent } = await this.#findCurrent(id, queue);
+    if (state !== undefined) return { type: 'state', state };
+    if (isCurrent) return { type: 'no-job' };
+    return { type: 'refused', reason: 'the state is not current', retryAfterMs: STORE_RETRY_MS };
+  }
+
+  /** Counts the jobs of a queue that have not begun. */
+  async countWaiting(queue: QueueRule): Promise<CallAnswer> {
+    const count = await this.#keeper.ask<number>((reply) => ({
+      type: 'count-waiting',
+      queue: queue.name,
+      reply,
+    }));
+    return { type: 'waiting', count };
+  }
+
+  /**
+   * Finds a job. One that is not in the book may have been accepted by another node a moment ago, so
+   * the answer waits until the book has read on from the time of the call.
+   */
+  async #findCurrent(
+    id: string,
+    queue: QueueRule,
+  ): Promise<{ state: JobState | undefined; isCurrent: boolean }> {
+    const calledAt = this.#parts.clock.readMonotonic();
+    for (;;) {
+      const { state, queue: name, follow } = await this.#find(id);
+      if (state !== undefined) {
+        return name === queue.name ? { state, isCurrent: true } : NO_JOB;
+      }
+      if (follow.isCurrent && follow.freshAt >= calledAt) return NO_JOB;
+      const waitedMs = this.#parts.clock.readMonotonic() - calledAt;
+      if (waitedMs > MAX_STATE_AGE_MS) return { state: undefined, isCurrent: false };
+      this.#keeper.send({ type: 'hurry' });
+      await new Promise((resolve) => {
+        setTimeout(resolve, READ_POLL_MS);
+      });
+    }
+  }
+
+  #find(id: string): Promise<JobAnswer> {
+    return this.#keeper.ask<JobAnswer>((reply) => ({ type: 'find', id, reply }));
+  }
+
+  #write(key: string, value: string): Promise<WriteOutcome> {
+    return this.#writer.ask<WriteOutcome>((reply) => ({
+      type: 'write',
+      record: { key, value },
+      reply,
+    }));
+  }
+
+  #isFresh(freshAt: number | undefined): boolean {
+    const now = this.#parts.clock.readMonotonic();
+    return freshAt !== undefined && now - freshAt <= MAX_STATE_AGE_MS;
+  }
+
+  static #toAnswer(outcome: WriteOutcome, stored: CallAnswer): CallAnswer {
+    if (outcome === 'stored') return stored;
+    if (outcome === 'unknown') return { type: 'unknown' };
+    return { type: 'refused', reason: 'the store takes no records', retryAfterMs: STORE_RETRY_MS };
+  }
+}
--- /dev/null
+++ b/src/node/Candidate.ts
@@ -0,0 +1,190 @@
+import { Actor } from '../actor/mod.js';
+import { BookKey, type BookChange, type JobBook, type OwnerRecord } from '../book/mod.js';
+import type { FollowState } from './TopicFollower.js';
+import type { NodeParts } from './NodeParts.js';
+import { OwnerWriter } from './OwnerWriter.js';
+import type { OperatorState } from './OperatorFollower.js';
+import { ShardOwner } from './ShardOwner.js';
+
+/** Longest random delay in ms before a claim, so that not all nodes claim at once. */
+const CLAIM_SPREAD_MS = 250;
+/** Longest random delay in ms where no owner exists or it has handed over. */
+const FREE_SPREAD_MS = 30;
+/** A claim is made only on a state of at most this age, in ms. */
+const MAX_STATE_AGE_MS = 1_000;
+/** A claim whose outcome is not known is repeated after this time in ms at the earliest. */
+const CLAIM_PAUSE_MS = 300;
+
+/** Messages of a candidate. */
+export type CandidateMessage =
+  | { type: 'claimed'; result: 'claimed' | 'lost' | 'unknown'; token: number }
+  | { type: 'lost' }
+  | { type: 'stop'; reply: (isDone: boolean) => void };
+
+/** What a candidate needs besides the parts of the node. */
+export interface CandidateOptions {
+  random: () => number;
+  /** Asks the follower of the work log to read at once, and more often while owning. */
+  onOwning: (isOwner: boolean) => void;
+  onHurry: () => void;
+}
+
+/**
+ * Decides when this node claims the shard, and runs the owner while it has it.
+ *
+ * The owner counts as silent when the node has read nothing of it for a while although its reads
+ * were answered all the time: an outage of the store is no silence of the owner.
+ */
+export class Candidate extends Actor<CandidateMessage> {
+  readonly #parts: NodeParts;
+
+  readonly #options: CandidateOptions;
+
+  #owner: ShardOwner | undefined;
+
+  #operator: OperatorState | undefined;
+
+  #ownerSeenAt: number;
+
+  #spreadMs: number;
+
+  #isClaiming = false;
+
+  #claimNotBefore = 0;
+
+  #claim: { token: number; before: OwnerRecord | undefined } | undefined;
+
+  #isStopping = false;
+
+  constructor(parts: NodeParts, options: CandidateOptions) {
+    super(parts.scope, 'candidate');
+    this.#parts = parts;
+    this.#options = options;
+    this.#ownerSeenAt = parts.clock.readMonotonic();
+    this.#spreadMs = options.random() * CLAIM_SPREAD_MS;
+  }
+
+  get isOwner(): boolean {
+    return this.#owner !== undefined;
+  }
+
+  /** Passes on what was folded. Called in the order of the log. */
+  applyBook(changes: readonly BookChange[], book: JobBook, state: FollowState): void {
+    const now = this.#parts.clock.readMonotonic();
+    changes.forEach((change) => {
+      if (change.type === 'owner') {
+        this.#ownerSeenAt = now;
+        if (change.isClaim) this.#handleClaim(change.owner, change.offset, book);
+      }
+      if (change.type === 'progress' && change.job.progress?.token === book.owner?.token) {
+        this.#ownerSeenAt = now;
+      }
+    });
+    if (this.#owner !== undefined) this.#owner.send({ type: 'book', changes });
+    this.#consider(book, state, now);
+  }
+
+  /** Passes on what the operator asks for. */
+  applyOperator(state: OperatorState): void {
+    this.#operator = state;
+    this.#owner?.send({ type: 'operator', state });
+  }
+
+  protected override async receive(message: CandidateMessage): Promise<void> {
+    switch (message.type) {
+      case 'claimed':
+        this.#isClaiming = false;
+        this.#claimNotBefore = this.#parts.clock.readMonotonic() + CLAIM_PAUSE_MS;
+        if (message.result === 'lost') this.#claimNotBefore = 0;
+        this.#parts.log.record('claim', String(message.token), { result: message.result });
+        this.#options.onHurry();
+        break;
+      case 'lost':
+        this.#owner = undefined;
+        this.#options.onOwning(false);
+        break;
+      default:
+        this.#isStopping = true;
+        await this.#handOver();
+        message.reply(true);
+    }
+  }
+
+  override close(): void {
+    this.#owner?.close();
+    this.#owner = undefined;
+    super.close();
+  }
+
+  /** Claims the shard if there is a reason to. */
+  #consider(book: JobBook, state: FollowState, now: number): void {
+    if (this.#owner !== undefined || this.#isClaiming || this.#isStopping) return;
+    if (!state.isCurrent || now - state.freshAt > MAX_STATE_AGE_MS) return;
+    if (now < this.#claimNotBefore) return;
+    const { owner } = book;
+    if (!this.#isFree(owner, state, now)) return;
+    const token = (owner?.token ?? 0) + 1;
+    this.#isClaiming = true;
+    this.#claim = { token, before: owner };
+    this.#parts.log.record('claim-begun', String(token), {
+      before: owner?.node,
+      silentMs: Math.round(now - this.#ownerSeenAt),
+      end: state.end,
+    });
+    const record = {
+      key: BookKey.owner,
+      value: JSON.stringify({
+        token,
+        node: this.#parts.settings.name,
+        session: this.#parts.session,
+        waiting: owner?.waiting ?? {},
+      }),
+    };
+    OwnerWriter.claim(this.#parts, { record, token, end: state.end }).then((result) =>
+      this.send({ type: 'claimed', result, token }),
+    );
+  }
+
+  #isFree(owner: OwnerRecord | undefined, state: FollowState, now: number): boolean {
+    if (owner === undefined || owner.isReleased) {
+      return now - state.contactSince > (this.#spreadMs / CLAIM_SPREAD_MS) * FREE_SPREAD_MS;
+    }
+    // This node has owned the shard and lost it, for example by a suspension.
+    if (owner.session === this.#parts.session) return true;
+    const silentMs = now - Math.max(this.#ownerSeenAt, state.contactSince);
+    return silentMs > this.#parts.settings.ownerSilenceMs + this.#spreadMs;
+  }
+
+  #handleClaim(owner: OwnerRecord, offset: number, book: JobBook): void {
+    this.#parts.log.record('owner', String(owner.token), { node: owner.node, offset });
+    this.#spreadMs = this.#options.random() * CLAIM_SPREAD_MS;
+    const claim = this.#claim;
+    if (owner.session !== this.#parts.session || claim?.token !== owner.token) return;
+    if (this.#owner !== undefined || this.isClosed) return;
+    this.#owner = new ShardOwner(this.#parts, {
+      takeover: {
+        token: owner.token,
+        claimOffset: offset,
+        isFirst: claim.before === undefined,
+        isHandover: claim.before?.isReleased ?? false,
+      },
+      jobs: [...book.jobs],
+      waves: book.waves,
+      operator: this.#operator,
+      onLost: () => this.send({ type: 'lost' }),
+    });
+    this.#options.onOwning(true);
+  }
+
+  async #handOver(): Promise<void> {
+    const owner = this.#owner;
+    if (owner === undefined) return;
+    try {
+      await owner.ask<boolean>((reply) => ({ type: 'hand-over', reply }), 1_000);
+    } catch (error) {
+      this.#parts.log.record('hand-over-failed', String(owner.token), { error: String(error) });
+      owner.close();
+    }
+    this.#owner = undefined;
+  }
+}
--- /dev/null
+++ b/src/node/DecisionLog.ts
@@ -0,0 +1,68 @@
+import type winston from 'winston';
+import type { Clock } from '../clock/mod.js';
+import type { Metrics } from '../metrics/mod.js';
+
+/** Lines written per second at most; further ones are counted and left out. */
+const LINES_PER_SECOND = 400;
+/** Lines that may be written at once after a quiet time. */
+const BURST_LINES = 800;
+
+/**
+ * Writes one JSON line for each decision: what was decided about what, and the inputs.
+ *
+ * The volume is bounded by a token bucket, so that a flood of requests cannot make the process
+ * spend its time on logs; what is left out is counted and the count is part of the next line.
+ *
+ * @example
+ * ```ts
+ * log.record('job-accepted', '5c0e7a21d94b36f8', { queue: 'renders', offset: 17 });
+ * ```
+ */
+export class DecisionLog {
+  readonly #logger: winston.Logger;
+
+  readonly #clock: Clock;
+
+  readonly #metrics: Metrics;
+
+  #tokens = BURST_LINES;
+
+  #filledAt: number;
+
+  #omitted = 0;
+
+  constructor(logger: winston.Logger, clock: Clock, metrics: Metrics) {
+    this.#logger = logger;
+    this.#clock = clock;
+    this.#metrics = metrics;
+    this.#filledAt = clock.readMonotonic();
+  }
+
+  /** Records a decision. */
+  record(decision: string, subject: string, inputs: Record<string, unknown> = {}): void {
+    this.#metrics.increase(`decision.${decision}`);
+    this.#refill();
+    if (this.#tokens < 1) {
+      this.#omitted += 1;
+      this.#metrics.increase('log.omitted');
+      return;
+    }
+    this.#tokens -= 1;
+    const omitted = this.#omitted === 0 ? {} : { omitted: this.#omitted };
+    this.#omitted = 0;
+    this.#logger.info(decision, { id: subject, ...inputs, ...omitted });
+  }
+
+  /** Reports a failure that is not expected; it is never left out. */
+  reportFault(where: string, error: Error): void {
+    this.#metrics.increase('fault');
+    this.#logger.error('fault', { where, error: error.message, stack: error.stack });
+  }
+
+  #refill(): void {
+    const now = this.#clock.readMonotonic();
+    const added = ((now - this.#filledAt) / 1_000) * LINES_PER_SECOND;
+    this.#tokens = Math.min(BURST_LINES, this.#tokens + added);
+    this.#filledAt = now;
+  }
+}
--- /dev/null
+++ b/src/node/HostFollower.ts
@@ -0,0 +1,45 @@
+import type { HostRecord, StoreRecord } from '../port/mod.js';
+import type { NodeParts } from './NodeParts.js';
+import { TopicFollower } from './TopicFollower.js';
+
+/** Pause between reads in ms; hosts write about every heartbeat, and most records say nothing new. */
+const GATHER_MS = 60;
+
+/** Messages of the host follower. */
+export type HostFollowerMessage = { type: 'none' };
+
+/** Follows the list of hosts while the node owns the shard. */
+export class HostFollower extends TopicFollower<HostFollowerMessage> {
+  readonly #onRecords: (records: HostRecord[]) => void;
+
+  #known = new Set<string>();
+
+  constructor(parts: NodeParts, onRecords: (records: HostRecord[]) => void) {
+    super(parts, 'hosts', GATHER_MS);
+    this.#onRecords = onRecords;
+  }
+
+  protected override applyRecords(records: readonly StoreRecord[], isSnapshot: boolean): void {
+    const decoded = records.map((record) => this.parts.decoder.decodeHost(record));
+    decoded.forEach((record) => {
+      if (record.type !== 'unknown') return;
+      this.parts.log.record('record-skipped', record.id, { reason: record.reason });
+    });
+    if (isSnapshot) decoded.push(...this.#findMissing(decoded));
+    decoded.forEach((record) => {
+      if (record.type === 'entry') this.#known.add(record.entry.id);
+      else this.#known.delete(record.id);
+    });
+    if (decoded.length > 0) this.#onRecords(decoded);
+  }
+
+  protected override handle(): void {
+    // It has no messages of its own.
+  }
+
+  /** Hosts that were listed before and are missing from a snapshot. */
+  #findMissing(records: readonly HostRecord[]): HostRecord[] {
+    const listed = new Set(records.map((one) => (one.type === 'entry' ? one.entry.id : '')));
+    return [...this.#known].filter((id) => !listed.has(id)).map((id) => ({ type: 'gone', id }));
+  }
+}
--- /dev/null
+++ b/src/node/HostLink.ts
@@ -0,0 +1,65 @@
+import { Actor } from '../actor/mod.js';
+import {
+  OrderUnansweredError,
+  OrderUnsentError,
+  type HoldAnswer,
+  type HoldOrder,
+  type HostTarget,
+  type OrderAnswer,
+} from '../port/mod.js';
+import type { OrderOutcome } from '../schedule/RunLedger.js';
+import type { NodeParts } from './NodeParts.js';
+
+/** What became of a hold. */
+export type HoldOutcome = HoldAnswer | { type: 'failed'; error: Error };
+
+/** Messages of a host link. */
+export type HostLinkMessage =
+  | { type: 'hold'; order: HoldOrder; reply: (outcome: HoldOutcome) => void }
+  | {
+      type: 'order';
+      send: (target: HostTarget) => Promise<OrderAnswer>;
+      reply: (outcome: OrderOutcome) => void;
+    };
+
+/** The link to one life of a host: owns the connections and carries holds and orders. */
+export class HostLink extends Actor<HostLinkMessage> {
+  readonly #parts: NodeParts;
+
+  readonly #target: HostTarget;
+
+  constructor(parts: NodeParts, target: HostTarget) {
+    super(parts.scope, `host-${target.id}`);
+    this.#parts = parts;
+    this.#target = target;
+  }
+
+  protected override receive(message: HostLinkMessage): void {
+    // The mailbox does not wait for answers: an order must not wait for a hold.
+    if (message.type === 'hold') this.#hold(message.order).then(message.reply);
+    else HostLink.#order(message.send(this.#target)).then(message.reply);
+  }
+
+  override close(): void {
+    this.#parts.hosts.forget(this.#target);
+    super.close();
+  }
+
+  async #hold(order: HoldOrder): Promise<HoldOutcome> {
+    try {
+      return await this.#parts.hosts.hold(this.#target, order);
+    } catch (error) {
+      return { type: 'failed', error: error instanceof Error ? error : new Error(String(error)) };
+    }
+  }
+
+  static async #order(answer: Promise<OrderAnswer>): Promise<OrderOutcome> {
+    try {
+      return await answer;
+    } catch (error) {
+      if (error instanceof OrderUnsentError) return { type: 'unsent' };
+      if (error instanceof OrderUnansweredError) return { type: 'unanswered' };
+      throw error;
+    }
+  }
+}
--- /dev/null
+++ b/src/node/Node.ts
@@ -0,0 +1,112 @@
+import { BookKey } from '../book/mod.js';
+import { BookKeeper } from './BookKeeper.js';
+import { CallerDesk } from './CallerDesk.js';
+import { Candidate } from './Candidate.js';
+import type { NodeParts } from './NodeParts.js';
+import { OperatorFollower, type OperatorState } from './OperatorFollower.js';
+import { WorkWriter, type WriteOutcome } from './WorkWriter.js';
+
+/** Without news of the store for this time in ms a node asks for no new callers. */
+const READY_STATE_AGE_MS = 2_500;
+
+/**
+ * One node of the system: takes callers, follows the logs and may own the shard.
+ *
+ * @example
+ * ```ts
+ * const node = new Node(parts);
+ * node.open();
+ * node.isReady; // false until the configuration and the jobs have been read
+ * await node.stop();
+ * node.close();
+ * ```
+ */
+export class Node {
+  readonly #parts: NodeParts;
+
+  readonly #keeper: BookKeeper;
+
+  readonly #writer: WorkWriter;
+
+  readonly #operator: OperatorFollower;
+
+  readonly #candidate: Candidate;
+
+  readonly #desk: CallerDesk;
+
+  #operatorState: OperatorState | undefined;
+
+  #bookFreshAt = -Infinity;
+
+  #isBookCurrent = false;
+
+  #isStopping = false;
+
+  constructor(parts: NodeParts) {
+    this.#parts = parts;
+    this.#writer = new WorkWriter(parts);
+    this.#candidate = new Candidate(parts, {
+      random: Math.random,
+      onOwning: (isOwner) => this.#keeper.send({ type: 'owning', isOwner }),
+      onHurry: () => this.#keeper.send({ type: 'hurry' }),
+    });
+    this.#keeper = new BookKeeper(parts, [
+      (changes, book, state) => {
+        this.#bookFreshAt = state.freshAt;
+        this.#isBookCurrent = state.isCurrent;
+        this.#candidate.applyBook(changes, book, state);
+      },
+    ]);
+    this.#desk = new CallerDesk(parts, { keeper: this.#keeper, writer: this.#writer });
+    this.#operator = new OperatorFollower(parts, (state) => {
+      this.#operatorState = state;
+      this.#desk.setOperator(state);
+      this.#candidate.applyOperator(state);
+    });
+  }
+
+  /** Answers callers. */
+  get desk(): CallerDesk {
+    return this.#desk;
+  }
+
+  /** The configuration in force; undefined before the first. */
+  get configuration(): OperatorState['configuration'] {
+    return this.#operatorState?.configuration;
+  }
+
+  /** Checks whether the node should get new callers. */
+  get isReady(): boolean {
+    if (this.#isStopping || this.configuration === undefined || !this.#isBookCurrent) return false;
+    const ageMs = this.#parts.clock.readMonotonic() - this.#bookFreshAt;
+    return ageMs <= READY_STATE_AGE_MS;
+  }
+
+  /** Makes the node known to the others. */
+  async open(): Promise<WriteOutcome> {
+    const { settings, session } = this.#parts;
+    const value = JSON.stringify({
+      session,
+      address: settings.peerAddress ?? '',
+      dataCentre: settings.dataCentre,
+    });
+    return this.#writer.ask<WriteOutcome>((reply) => ({
+      type: 'write',
+      record: { key: BookKey.node(settings.name), value },
+      reply,
+    }));
+  }
+
+  /** Reports not ready and hands the shard over; callers are still answered. */
+  async stop(): Promise<void> {
+    this.#isStopping = true;
+    await this.#candidate.ask<boolean>((reply) => ({ type: 'stop', reply }), 2_000);
+  }
+
+  close(): void {
+    this.#candidate.close();
+    this.#operator.close();
+    this.#keeper.close();
+    this.#writer.close();
+  }
+}
--- /dev/null
+++ b/src/node/NodeParts.ts
@@ -0,0 +1,22 @@
+import type { ActorScope } from '../actor/mod.js';
+import type { Clock } from '../clock/mod.js';
+import type { Metrics } from '../metrics/mod.js';
+import type { AdviceDesk, HostOrders, MachineDesk, RecordDecoder, Store } from '../port/mod.js';
+import type { DecisionLog } from './DecisionLog.js';
+import type { NodeSettings } from './NodeSettings.js';
+
+/** What the actors of a node share. */
+export interface NodeParts {
+  scope: ActorScope;
+  clock: Clock;
+  log: DecisionLog;
+  metrics: Metrics;
+  settings: NodeSettings;
+  store: Store;
+  decoder: RecordDecoder;
+  hosts: HostOrders;
+  machines: MachineDesk;
+  advice: AdviceDesk;
+  /** One run of the process. */
+  session: string;
+}
--- /dev/null
+++ b/src/node/OperatorFollower.ts
@@ -0,0 +1,80 @@
+import type { Configuration, StoreRecord, WaveOrder } from '../port/mod.js';
+import type { NodeParts } from './NodeParts.js';
+import { TopicFollower } from './TopicFollower.js';
+
+/** Pause between reads in ms: a configuration has to be in force within some seconds. */
+const GATHER_MS = 50;
+
+/** What the operator asks for. */
+export interface OperatorState {
+  configuration: Configuration | undefined;
+  waves: ReadonlyMap<number, WaveOrder>;
+  /** Steady time at which the last read that was answered was sent. */
+  freshAt: number;
+  isCurrent: boolean;
+}
+
+/** Messages of the operator follower. */
+export type OperatorFollowerMessage = { type: 'none' };
+
+/** Follows the operator's configuration and waves; a configuration never goes back. */
+export class OperatorFollower extends TopicFollower<OperatorFollowerMessage> {
+  readonly #onChange: (state: OperatorState) => void;
+
+  readonly #waves = new Map<number, WaveOrder>();
+
+  #configuration: Configuration | undefined;
+
+  #offset = -1;
+
+  constructor(parts: NodeParts, onChange: (state: OperatorState) => void) {
+    super(parts, 'operator', GATHER_MS);
+    this.#onChange = onChange;
+  }
+
+  protected override applyRecords(records: readonly StoreRecord[]): void {
+    records.forEach((record) => this.#apply(record));
+    const { freshAt, isCurrent } = this.state;
+    this.#onChange({
+      configuration: this.#configuration,
+      waves: this.#waves,
+      freshAt,
+      isCurrent,
+    });
+  }
+
+  protected override handle(): void {
+    // It has no messages of its own.
+  }
+
+  #apply(record: StoreRecord): void {
+    const decoded = this.parts.decoder.decodeOperator(record);
+    switch (decoded.type) {
+      case 'configuration': {
+        const { configuration } = decoded;
+        if (record.offset <= this.#offset) return;
+        if (configuration.version < (this.#configuration?.version ?? -Infinity)) return;
+        this.#offset = record.offset;
+        this.#configuration = configuration;
+        this.parts.log.record('configuration', String(configuration.version), {
+          offset: record.offset,
+          queues: configuration.queues.length,
+        });
+        break;
+      }
+      case 'wave':
+        this.#waves.set(decoded.order.wave, decoded.order);
+        this.parts.log.record('wave', String(decoded.order.wave), {
+          machines: decoded.order.machines.length,
+          durationMs: decoded.order.durationMs,
+          cap: decoded.order.cap,
+        });
+        break;
+      case 'wave-removed':
+        this.#waves.delete(decoded.wave);
+        break;
+      default:
+        this.parts.log.record('record-skipped', decoded.key, { reason: decoded.reason });
+    }
+  }
+}
--- /dev/null
+++ b/src/node/OwnerWriter.ts
@@ -0,0 +1,95 @@
+import { StoreRefusedError, type KeyedValue } from '../port/mod.js';
+import type { NodeParts } from './NodeParts.js';
+
+/** Name under which owners append; the token is the epoch. */
+const WRITER_NAME = 'owner';
+const APPEND_TIMEOUT_MS = 700;
+/** Pause after an append that was refused or not answered, in ms. */
+const RETRY_MS = 80;
+
+/** Result of an owner's append. */
+export type OwnerWriteResult = 'stored' | 'fenced';
+
+/**
+ * Appends the records of an owner in sequence, one append at a time. An append without an answer is
+ * repeated unchanged under the same sequence number, so that it takes effect once.
+ */
+export class OwnerWriter {
+  readonly #parts: NodeParts;
+
+  readonly #token: number;
+
+  #sequence: number;
+
+  #isClosed = false;
+
+  constructor(parts: NodeParts, token: number) {
+    this.#parts = parts;
+    this.#token = token;
+    // The claim had the first number.
+    this.#sequence = 1;
+  }
+
+  /** Appends a claim of the shard on the condition that the log ends where this node has read to. */
+  static async claim(
+    parts: NodeParts,
+    { record, token, end }: { record: KeyedValue; token: number; end: number },
+  ): Promise<'claimed' | 'lost' | 'unknown'> {
+    try {
+      const answer = await parts.store.append([record], {
+        expectedEnd: end,
+        writer: { name: WRITER_NAME, epoch: token, sequence: 0 },
+        timeoutMs: APPEND_TIMEOUT_MS,
+      });
+      return answer.type === 'appended' ? 'claimed' : 'lost';
+    } catch (error) {
+      return error instanceof StoreRefusedError ? 'lost' : 'unknown';
+    }
+  }
+
+  /** Appends records; resolves when they are stored or a later owner has written. */
+  async append(records: readonly KeyedValue[]): Promise<OwnerWriteResult> {
+    for (;;) {
+      const result = await this.#tryAppend(records);
+      if (result === 'stored') {
+        this.#sequence += 1;
+        return 'stored';
+      }
+      if (result === 'fenced' || this.#isClosed) return 'fenced';
+      await new Promise((resolve) => {
+        setTimeout(resolve, RETRY_MS);
+      });
+    }
+  }
+
+  /** Gives up the append that is under way. */
+  close(): void {
+    this.#isClosed = true;
+  }
+
+  async #tryAppend(records: readonly KeyedValue[]): Promise<'stored' | 'fenced' | 'again'> {
+    const writer = { name: WRITER_NAME, epoch: this.#token, sequence: this.#sequence };
+    try {
+      const answer = await this.#parts.store.append(records, {
+        writer,
+        timeoutMs: APPEND_TIMEOUT_MS,
+      });
+      if (answer.type === 'appended') return 'stored';
+      if (answer.type === 'fenced') return 'fenced';
+      if (answer.type === 'sequence' && answer.expected === this.#sequence + 1) return 'stored';
+      this.#parts.log.record('append-failed', 'owner', {
+        token: this.#token,
+        sequence: this.#sequence,
+        answer,
+      });
+      return answer.type === 'sequence' ? 'fenced' : 'again';
+    } catch (error) {
+      this.#parts.log.record('append-failed', 'owner', {
+        token: this.#token,
+        sequence: this.#sequence,
+        error: String(error),
+      });
+      return 'again';
+    }
+  }
+}
--- /dev/null
+++ b/src/node/QueueTable.ts
@@ -0,0 +1,39 @@
+import type { Configuration, QueueRule } from '../port/mod.js';
+
+/** A queue and the part of the path after its prefix. */
+export interface QueueMatch {
+  queue: QueueRule;
+  rest: string;
+}
+
+/**
+ * Finds the queue of a call: the longest path prefix under the host name of the call.
+ *
+ * @example
+ * ```ts
+ * new QueueTable(configuration).find('a.example', '/renders/5c0e')?.rest; // '5c0e'
+ * ```
+ */
+export class QueueTable {
+  /** Queues by host name, the longest prefix first. */
+  readonly #byHost = new Map<string, QueueRule[]>();
+
+  constructor({ queues }: Configuration) {
+    queues.forEach((queue) => {
+      const known = this.#byHost.get(queue.hostName);
+      if (known === undefined) this.#byHost.set(queue.hostName, [queue]);
+      else known.push(queue);
+    });
+    this.#byHost.forEach((list) =>
+      list.sort((one, other) => other.pathPrefix.length - one.pathPrefix.length),
+    );
+  }
+
+  /** Finds the queue of a call; undefined when no prefix fits. */
+  find(hostName: string, path: string): QueueMatch | undefined {
+    const name = hostName.replace(/:\d+$/, '').toLowerCase();
+    const queue = this.#byHost.get(name)?.find(({ pathPrefix }) => path.startsWith(pathPrefix));
+    if (queue === undefined) return undefined;
+    return { queue, rest: path.slice(queue.pathPrefix.length) };
+  }
+}
--- /dev/null
+++ b/src/node/ShardOwner.ts
@@ -0,0 +1,560 @@
+import { Actor } from '../actor/mod.js';
+import { BookKey, type BookChange, type BookedJob, type WaveRecord } from '../book/mod.js';
+import type { HostRecord, KeyedValue, MachineAnswer } from '../port/mod.js';
+import {
+  Shard,
+  ShardOutput,
+  type DecisionNote,
+  type LedgerResult,
+  type ManagedHost,
+  type ShardCommand,
+  type Takeover,
+} from '../schedule/mod.js';
+import { PauseDetector } from '../session/PauseDetector.js';
+import type { ScheduledJob } from '../schedule/ScheduledJob.js';
+import { HostFollower } from './HostFollower.js';
+import { HostLink, type HoldOutcome } from './HostLink.js';
+import { HostWatch } from './HostWatch.js';
+import type { NodeParts } from './NodeParts.js';
+import type { OperatorState } from './OperatorFollower.js';
+import { OwnerWriter, type OwnerWriteResult } from './OwnerWriter.js';
+import { formatRemoval } from './formatRemoval.js';
+
+/** Pause in ms between plans when nothing happens. */
+const TICK_MS = 50;
+/** Events of this time in ms are planned together. */
+const PLAN_DELAY_MS = 3;
+/** Ends of this time in ms are recorded together. */
+const FLUSH_DELAY_MS = 4;
+/** Pause in ms between reads of the list of machines while it is needed. */
+const MACHINES_PAUSE_MS = 600;
+
+/** Messages of the owner of a shard. */
+export type ShardOwnerMessage =
+  | { type: 'tick' }
+  | { type: 'plan' }
+  | { type: 'flush' }
+  | { type: 'book'; changes: readonly BookChange[] }
+  | { type: 'operator'; state: OperatorState }
+  | { type: 'hosts'; records: HostRecord[] }
+  | { type: 'held'; host: ManagedHost; outcome: HoldOutcome; sentAt: number }
+  | { type: 'settle'; settle: (shard: Shard) => LedgerResult }
+  | { type: 'written'; result: OwnerWriteResult; batch: WrittenBatch }
+  | { type: 'hand-over'; reply: (isDone: boolean) => void };
+
+/** What an append of the owner carried. */
+interface WrittenBatch {
+  jobs: ScheduledJob[];
+  waves: [number, WaveRecord][];
+  /** Ends that each host had reported when the append was made. */
+  ends: [ManagedHost, number][];
+  isRelease: boolean;
+}
+
+/** What an owner starts with. */
+export interface ShardOwnerOptions {
+  takeover: Takeover;
+  jobs: readonly BookedJob[];
+  waves: ReadonlyMap<number, WaveRecord>;
+  operator: OperatorState | undefined;
+  /** Called once when the ownership has ended. */
+  onLost: (reason: string) => void;
+}
+
+class OwnerOutput extends ShardOutput {
+  readonly commands: ShardCommand[] = [];
+
+  readonly #parts: NodeParts;
+
+  constructor(parts: NodeParts) {
+    super();
+    this.#parts = parts;
+  }
+
+  override send(command: ShardCommand): void {
+    this.commands.push(command);
+  }
+
+  override record({ decision, subject, inputs }: DecisionNote): void {
+    this.#parts.log.record(decision, subject, inputs);
+  }
+}
+
+/** Owns a shard: feeds its decisions with events and carries out their commands. */
+export class ShardOwner extends Actor<ShardOwnerMessage> {
+  readonly #parts: NodeParts;
+
+  readonly #options: ShardOwnerOptions;
+
+  readonly #shard: Shard;
+
+  readonly #output: OwnerOutput;
+
+  readonly #writer: OwnerWriter;
+
+  readonly #follower: HostFollower;
+
+  readonly #watches = new Map<ManagedHost, HostWatch>();
+
+  readonly #waveRecords: Map<number, WaveRecord>;
+
+  readonly #pauses: PauseDetector;
+
+  readonly #ticker: NodeJS.Timeout;
+
+  /** Finished jobs whose records are to be removed, oldest first. */
+  readonly #finished: { id: string; endedAtMs: number }[] = [];
+
+  #isPlanning = false;
+
+  #isWriting = false;
+
+  #isFlushing = false;
+
+  #isReadingMachines = false;
+
+  #machinesReadAt = -Infinity;
+
+  #writtenAt: number;
+
+  #release: ((isDone: boolean) => void) | undefined;
+
+  constructor(parts: NodeParts, options: ShardOwnerOptions) {
+    super(parts.scope, 'shard-owner');
+    const { takeover, operator } = options;
+    this.#parts = parts;
+    this.#options = options;
+    this.#output = new OwnerOutput(parts);
+    this.#shard = new Shard(takeover, parts.settings.shard, {
+      clock: parts.clock,
+      output: this.#output,
+    });
+    this.#writer = new OwnerWriter(parts, takeover.token);
+    this.#writtenAt = parts.clock.readMonotonic();
+    this.#pauses = new PauseDetector(parts.clock.readWall());
+    this.#waveRecords = new Map(options.waves);
+    if (operator !== undefined) this.#applyOperator(operator);
+    options.jobs.forEach((job) => this.#addJob(job));
+    this.#follower = new HostFollower(parts, (records) => this.send({ type: 'hosts', records }));
+    this.#ticker = setInterval(() => this.send({ type: 'tick' }), TICK_MS);
+  }
+
+  get token(): number {
+    return this.#options.takeover.token;
+  }
+
+  protected override receive(message: ShardOwnerMessage): void {
+    if (this.#hasLostContact()) {
+      this.#lose('no contact to the store');
+      return;
+    }
+    switch (message.type) {
+      case 'tick':
+        this.#tick();
+        return;
+      case 'plan':
+        this.#isPlanning = false;
+        this.#plan();
+        return;
+      case 'flush':
+        this.#isFlushing = false;
+        this.#flush();
+        return;
+      case 'book':
+        message.changes.forEach((change) => this.#applyChange(change));
+        break;
+      case 'operator':
+        this.#applyOperator(message.state);
+        break;
+      case 'hosts':
+        this.#applyHosts(message.records);
+        break;
+      case 'held':
+        this.#handleHeld(message.host, message.outcome, message.sentAt);
+        break;
+      case 'settle':
+        this.#settle(message.settle(this.#shard));
+        break;
+      case 'written':
+        this.#handleWritten(message.result, message.batch);
+        break;
+      default:
+        this.#release = message.reply;
+        this.#flush();
+    }
+    this.#schedulePlan();
+  }
+
+  override close(): void {
+    clearInterval(this.#ticker);
+    this.#writer.close();
+    this.#follower.close();
+    this.#watches.forEach((watch) => watch.close());
+    this.#watches.clear();
+    super.close();
+  }
+
+  /** Checks whether an owner that cannot reach the store has to give up. */
+  #hasLostContact(): boolean {
+    const silentMs = this.#parts.clock.readMonotonic() - this.#writtenAt;
+    return silentMs > this.#parts.settings.shard.detachedLimitMs;
+  }
+
+  #lose(reason: string): void {
+    if (this.isClosed) return;
+    this.#parts.log.record('ownership-lost', String(this.token), { reason });
+    this.close();
+    this.#options.onLost(reason);
+  }
+
+  #tick(): void {
+    if (this.#pauses.readTick(this.#parts.clock.readWall())) {
+      // Another node may have claimed the shard; the book tells before the next order.
+      this.#lose('the process was suspended');
+      return;
+    }
+    this.#readMachines();
+    this.#plan();
+    this.#flush();
+  }
+
+  #schedulePlan(): void {
+    if (this.#isPlanning || this.isClosed) return;
+    this.#isPlanning = true;
+    setTimeout(() => this.send({ type: 'plan' }), PLAN_DELAY_MS);
+  }
+
+  #plan(): void {
+    if (this.#release !== undefined) return;
+    const startedAt = this.#parts.clock.readMonotonic();
+    this.#shard.plan();
+    this.#parts.metrics.recordLatency('plan', this.#parts.clock.readMonotonic() - startedAt);
+    this.#runCommands();
+    this.#scheduleFlush();
+  }
+
+  #scheduleFlush(): void {
+    if (this.#isFlushing || !this.#shard.hasDirty || this.isClosed) return;
+    this.#isFlushing = true;
+    setTimeout(() => this.send({ type: 'flush' }), FLUSH_DELAY_MS);
+  }
+
+  #runCommands(): void {
+    this.#output.commands.splice(0).forEach((command) => this.#runCommand(command));
+    this.#watches.forEach((watch) => watch.wake());
+  }
+
+  #runCommand(command: ShardCommand): void {
+    switch (command.type) {
+      case 'start':
+        this.#startRun(command);
+        break;
+      case 'stop': {
+        const { host, task, number } = command;
+        const order = { task, run: number, token: this.token };
+        this.#watches.get(host)?.link.send({
+          type: 'order',
+          send: (target) => this.#parts.hosts.stopRun(target, order),
+          reply: (outcome) =>
+            this.#sendSettle((shard) => shard.reportStop(host, { task, number }, outcome)),
+        });
+        break;
+      }
+      case 'pace': {
+        const { run, percent } = command;
+        const order = { task: run.task, run: run.number, token: this.token, percent };
+        this.#watches.get(run.host)?.link.send({
+          type: 'order',
+          send: (target) => this.#parts.hosts.paceRun(target, order),
+          reply: (outcome) =>
+            this.#sendSettle((shard) => shard.reportPace(run, percent, outcome)),
+        });
+        break;
+      }
+      case 'move':
+        this.#orderMachine({ machine: command.machine }, (order) =>
+          this.#parts.machines.moveMachine(order, command.pool),
+        );
+        break;
+      case 'maintain':
+        this.#orderMachine(command.order, (order) =>
+          this.#parts.machines.maintainMachine(order, command.order.wave),
+        );
+        break;
+      case 'publish-wave':
+        this.#publishWave(command.wave, command.state);
+        break;
+      default:
+        this.#askAdvice(command.step, command.hostIds);
+    }
+  }
+
+  #startRun({ run, leaseEndMs, checkpoint, ticket }: ShardCommand & { type: 'start' }): void {
+    const order = {
+      task: run.task,
+      run: run.number,
+      payload: run.unit.step.occurrence.job.booked.spec.payload,
+      leaseEndMs,
+      token: this.token,
+      checkpoint,
+      ...(ticket === undefined ? {} : { ticket }),
+    };
+    this.#parts.log.record('start', run.task, {
+      run: run.number,
+      host: run.host.id,
+      token: this.token,
+      waitedMs: Math.round(run.orderedAt - run.unit.readySince),
+      hostAgeMs: Math.round(run.orderedAt - run.host.answeredAt),
+    });
+    this.#watches.get(run.host)?.link.send({
+      type: 'order',
+      send: (target) => this.#parts.hosts.startRun(target, order),
+      reply: (outcome) => {
+        this.#parts.metrics.recordLatency(
+          'start',
+          this.#parts.clock.readMonotonic() - run.orderedAt,
+        );
+        this.#sendSettle((shard) => shard.reportStart(run, outcome));
+      },
+    });
+  }
+
+  #orderMachine(
+    subject: { machine: string; wave?: number },
+    send: (order: { machine: string; holder: string; token: number }) => Promise<MachineAnswer>,
+  ): void {
+    const order = {
+      machine: subject.machine,
+      holder: this.#parts.settings.name,
+      token: this.token,
+    };
+    send(order).then(
+      (answer) => this.#sendSettle((shard) => shard.reportMachine(subject, answer)),
+      (error: unknown) => {
+        this.#parts.log.record('machine-unanswered', subject.machine, { error: String(error) });
+        this.#sendSettle((shard) => shard.reportMachine(subject, { type: 'unanswered' }));
+      },
+    );
+  }
+
+  #askAdvice(step: string, hostIds: string[]): void {
+    this.#parts.advice.askAdvice(step, hostIds).then(
+      (advice) =>
+        this.#sendSettle((shard) => {
+          shard.reportAdvice(step, advice);
+          return 'ok';
+        }),
+      (error: unknown) => {
+        this.#parts.log.record('advice-failed', step, { error: String(error) });
+        this.#sendSettle((shard) => {
+          shard.reportAdvice(step, undefined);
+          return 'ok';
+        });
+      },
+    );
+  }
+
+  #publishWave(wave: number, state: 'running' | 'completed'): void {
+    this.#parts.store.publishWave(wave, state).then(
+      (answer) => {
+        this.#parts.log.record('wave-published', String(wave), { state, answer: answer.type });
+        if (answer.type !== 'appended') this.#retryPublish(wave, state);
+      },
+      (error: unknown) => {
+        this.#parts.log.record('wave-published', String(wave), { state, error: String(error) });
+        this.#retryPublish(wave, state);
+      },
+    );
+  }
+
+  #retryPublish(wave: number, state: 'running' | 'completed'): void {
+    setTimeout(() => {
+      if (!this.isClosed) this.#publishWave(wave, state);
+    }, MACHINES_PAUSE_MS);
+  }
+
+  #sendSettle(settle: (shard: Shard) => LedgerResult): void {
+    this.send({ type: 'settle', settle });
+  }
+
+  #settle(result: LedgerResult): void {
+    if (result === 'fenced') this.#lose('a later owner has given orders');
+    this.#closeEnded();
+  }
+
+  #handleHeld(host: ManagedHost, outcome: HoldOutcome, sentAt: number): void {
+    const watch = this.#watches.get(host);
+    if (watch === undefined) return;
+    if (outcome.type === 'report') {
+      const result = this.#shard.reportHold(host, outcome.report, sentAt);
+      watch.handleReport(outcome.report);
+      this.#settle(result);
+      return;
+    }
+    const reason = outcome.type === 'failed' ? outcome.error.message : outcome.reason;
+    this.#parts.log.record('hold-failed', host.id, { reason, silentCalls: host.silentCalls + 1 });
+    const result = this.#shard.reportHoldFailure(host, reason);
+    watch.handleReport(undefined);
+    this.#settle(result);
+  }
+
+  /** Closes the links to hosts whose life has ended. */
+  #closeEnded(): void {
+    this.#watches.forEach((watch, host) => {
+      if (!host.hasEnded) return;
+      watch.close();
+      this.#watches.delete(host);
+    });
+  }
+
+  #applyHosts(records: readonly HostRecord[]): void {
+    records.forEach((record) => {
+      if (record.type === 'gone') this.#shard.removeHost(record.id);
+      if (record.type !== 'entry') return;
+      const { host, isNew } = this.#shard.updateHost(record.entry);
+      if (!isNew || this.#watches.has(host)) return;
+      this.#watches.set(
+        host,
+        new HostWatch(host, new HostLink(this.#parts, record.entry), {
+          token: this.token,
+          leaseMs: this.#parts.settings.shard.leaseMs,
+          readClock: () => this.#parts.clock.readMonotonic(),
+          onHeld: (held, outcome, sentAt) =>
+            this.send({ type: 'held', host: held, outcome, sentAt }),
+        }),
+      );
+      this.#parts.log.record('host-found', host.id, {
+        machine: host.machine,
+        pool: host.pool,
+        state: record.entry.state,
+      });
+    });
+    this.#closeEnded();
+  }
+
+  #applyOperator({ configuration, waves }: OperatorState): void {
+    if (configuration !== undefined) this.#shard.applyConfiguration(configuration);
+    waves.forEach((order) => this.#shard.setWave(order, this.#waveRecords.get(order.wave)));
+  }
+
+  #applyChange(change: BookChange): void {
+    switch (change.type) {
+      case 'job':
+        this.#addJob(change.job);
+        break;
+      case 'cancelled':
+        this.#shard.cancelJob(change.job.id);
+        break;
+      case 'owner':
+        if (change.owner.token > this.token) this.#lose('a later owner has claimed the shard');
+        break;
+      default:
+    }
+  }
+
+  #addJob(job: BookedJob): void {
+    const { progress } = job;
+    if (progress !== undefined && progress.state !== 'active') {
+      const endedAtMs = progress.endedAtMs ?? this.#parts.clock.readWall();
+      this.#finished.push({ id: job.id, endedAtMs });
+    } else this.#shard.addJob(job);
+  }
+
+  #readMachines(): void {
+    const now = this.#parts.clock.readMonotonic();
+    if (this.#isReadingMachines || now - this.#machinesReadAt < MACHINES_PAUSE_MS) return;
+    if (!this.#shard.needsMachines) return;
+    this.#isReadingMachines = true;
+    this.#machinesReadAt = now;
+    this.#parts.machines.listMachines().then(
+      (machines) =>
+        this.#sendSettle((shard) => {
+          this.#isReadingMachines = false;
+          shard.updateMachines(machines, now);
+          return 'ok';
+        }),
+      (error: unknown) => {
+        this.#isReadingMachines = false;
+        this.#parts.log.record('machines-unread', 'list', { error: String(error) });
+      },
+    );
+  }
+
+  #flush(): void {
+    if (this.#isWriting || this.isClosed) return;
+    const now = this.#parts.clock.readMonotonic();
+    const isRelease = this.#release !== undefined;
+    const isBeatDue = now - this.#writtenAt >= this.#parts.settings.ownerBeatMs;
+    if (!this.#shard.hasDirty && !isBeatDue && !isRelease) return;
+    const jobs = this.#shard.takeDirty();
+    const waves = this.#shard.takeDirtyWaves();
+    const ends = [...this.#watches.keys()]
+      .filter((host) => host.processedEnd > host.acknowledgedEnd)
+      .map((host): [ManagedHost, number] => [host, host.processedEnd]);
+    const records: KeyedValue[] = [
+      ...jobs.map((job) => ({
+        key: BookKey.progress(job.id),
+        value: JSON.stringify(job.describeProgress(this.token)),
+      })),
+      ...waves.map(([wave, record]) => ({
+        key: BookKey.wave(wave),
+        value: JSON.stringify(record),
+      })),
+      ...this.#collectRemovals(),
+    ];
+    if (isBeatDue || isRelease || records.length === 0) records.push(this.#describeOwner(isRelease));
+    this.#isWriting = true;
+    this.#writer
+      .append(records)
+      .then((result) =>
+        this.send({ type: 'written', result, batch: { jobs, waves, ends, isRelease } }),
+      );
+  }
+
+  #describeOwner(isReleased: boolean): KeyedValue {
+    return {
+      key: BookKey.owner,
+      value: JSON.stringify({
+        token: this.token,
+        node: this.#parts.settings.name,
+        session: this.#parts.session,
+        isReleased,
+        waiting: this.#shard.countWaiting(),
+        backlogMs: this.#shard.computeBacklogs(),
+      }),
+    };
+  }
+
+  #collectRemovals(): KeyedValue[] {
+    const before = this.#parts.clock.readWall() - this.#parts.settings.retentionMs;
+    const removals: KeyedValue[] = [];
+    while ((this.#finished[0]?.endedAtMs ?? Infinity) < before) {
+      const finished = this.#finished.shift();
+      if (finished !== undefined) removals.push(...formatRemoval(finished.id));
+    }
+    return removals;
+  }
+
+  #handleWritten(result: OwnerWriteResult, batch: WrittenBatch): void {
+    this.#isWriting = false;
+    if (result === 'fenced') {
+      this.#lose('a later owner has written');
+      return;
+    }
+    this.#writtenAt = this.#parts.clock.readMonotonic();
+    batch.jobs.forEach(({ id, endedAtMs }) => {
+      if (endedAtMs !== undefined) this.#finished.push({ id, endedAtMs });
+    });
+    batch.ends.forEach(([host, number]) => {
+      host.acknowledgedEnd = Math.max(host.acknowledgedEnd, number);
+      this.#watches.get(host)?.acknowledge(number);
+    });
+    if (batch.isRelease) {
+      const reply = this.#release;
+      this.#lose('handed over');
+      reply?.(true);
+      return;
+    }
+    this.#scheduleFlush();
+  }
+}
--- /dev/null
+++ b/src/node/TopicFollower.ts
@@ -0,0 +1,188 @@
+import { Actor } from '../actor/mod.js';
+import type { ReadAnswer, StoreRecord, StoreTopic } from '../port/mod.js';
+import type { NodeParts } from './NodeParts.js';
+
+/** Longest time in ms that one read waits at the store for a record. */
+const READ_WAIT_MS = 1_000;
+/** Pause in ms after a read that failed. */
+const RETRY_MS = 150;
+
+/** Messages of every follower. */
+export type FollowerMessage =
+  | { type: 'read' }
+  | { type: 'pages'; records: StoreRecord[]; end: number }
+  | { type: 'answered'; answer: ReadAnswer; sentAt: number }
+  | { type: 'failed'; error: Error };
+
+/** How far a follower is. */
+export interface FollowState {
+  /** Offset after the last record read. */
+  end: number;
+  /** It has read to the end of the log at least once. */
+  isCurrent: boolean;
+  /** Steady time at which the last read that was answered was sent. */
+  freshAt: number;
+  /** Steady time since which reads have been answered without a failure. */
+  contactSince: number;
+}
+
+/**
+ * Follows one of the store's logs: reads the newest record of each key, then the records after
+ * them, and begins again when records that it has not read have been deleted.
+ */
+export abstract class TopicFollower<Message> extends Actor<FollowerMessage | Message> {
+  readonly #topic: StoreTopic;
+
+  readonly #parts: NodeParts;
+
+  #next: number | undefined;
+
+  #isCurrent = false;
+
+  #freshAt = -Infinity;
+
+  #contactSince = -Infinity;
+
+  #isInContact = false;
+
+  #timer: NodeJS.Timeout | undefined;
+
+  #isReading = false;
+
+  /** Pause in ms between reads, in which records gather. */
+  protected gatherMs: number;
+
+  constructor(parts: NodeParts, topic: StoreTopic, gatherMs: number) {
+    super(parts.scope, `follow-${topic}`);
+    this.#topic = topic;
+    this.#parts = parts;
+    this.gatherMs = gatherMs;
+    this.send({ type: 'read' });
+  }
+
+  protected get parts(): NodeParts {
+    return this.#parts;
+  }
+
+  protected get state(): FollowState {
+    return {
+      end: this.#next ?? 0,
+      isCurrent: this.#isCurrent,
+      freshAt: this.#freshAt,
+      contactSince: this.#contactSince,
+    };
+  }
+
+  /** Applies records. `isSnapshot` means that these are the newest records of all keys. */
+  protected abstract applyRecords(records: readonly StoreRecord[], isSnapshot: boolean): void;
+
+  /** Handles the messages of the subclass. */
+  protected abstract handle(message: Message): void | Promise<void>;
+
+  protected override receive(message: FollowerMessage | Message): void | Promise<void> {
+    const known = message as FollowerMessage;
+    switch (known.type) {
+      case 'read':
+        this.#read();
+        return undefined;
+      case 'pages':
+        this.#next = known.end;
+        this.#isReading = false;
+        this.#markContact(this.#parts.clock.readMonotonic());
+        this.applyRecords(known.records, true);
+        this.#schedule(0);
+        return undefined;
+      case 'answered':
+        this.#isReading = false;
+        this.#handleAnswer(known.answer, known.sentAt);
+        return undefined;
+      case 'failed':
+        this.#isReading = false;
+        this.#handleFailure(known.error);
+        return undefined;
+      default:
+        return this.handle(message as Message);
+    }
+  }
+
+  /** Reads at once instead of after the pause. */
+  protected hurry(): void {
+    if (!this.#isReading) this.#schedule(0);
+  }
+
+  override close(): void {
+    clearTimeout(this.#timer);
+    super.close();
+  }
+
+  #read(): void {
+    if (this.#isReading || this.isClosed) return;
+    this.#isReading = true;
+    const reading = this.#next === undefined ? this.#readPages() : this.#readNext(this.#next);
+    reading.then(
+      (message) => this.send(message),
+      (error: unknown) => {
+        const failure = error instanceof Error ? error : new Error(String(error));
+        this.send({ type: 'failed', error: failure });
+      },
+    );
+  }
+
+  async #readPages(): Promise<FollowerMessage> {
+    const first = await this.#parts.store.readNewest(this.#topic);
+    const records = [...first.records];
+    let { next } = first;
+    while (next !== undefined) {
+      const page = await this.#parts.store.readNewest(this.#topic, next);
+      records.push(...page.records);
+      next = page.next;
+    }
+    return { type: 'pages', records, end: first.end };
+  }
+
+  async #readNext(from: number): Promise<FollowerMessage> {
+    const sentAt = this.#parts.clock.readMonotonic();
+    const answer = await this.#parts.store.read(this.#topic, from, { waitMs: READ_WAIT_MS });
+    return { type: 'answered', answer, sentAt };
+  }
+
+  #handleAnswer(answer: ReadAnswer, sentAt: number): void {
+    this.#markContact(sentAt);
+    if (answer.type === 'expired') {
+      this.#parts.log.record('log-expired', this.#topic, { next: this.#next, first: answer.first });
+      this.#next = undefined;
+      this.#schedule(0);
+      return;
+    }
+    const last = answer.records.at(-1);
+    this.#next = last === undefined ? this.#next : last.offset + 1;
+    this.#isCurrent = this.#isCurrent || (this.#next ?? 0) >= answer.end;
+    this.applyRecords(answer.records, false);
+    const isBehind = (this.#next ?? 0) < answer.end;
+    this.#schedule(isBehind || answer.records.length === 0 ? 0 : this.gatherMs);
+  }
+
+  #handleFailure(error: Error): void {
+    if (this.#isInContact) {
+      this.#parts.log.record('store-lost', this.#topic, { error: error.message });
+    }
+    this.#isInContact = false;
+    this.#schedule(RETRY_MS);
+    this.applyRecords([], false);
+  }
+
+  #markContact(sentAt: number): void {
+    this.#freshAt = sentAt;
+    if (this.#isInContact) return;
+    this.#isInContact = true;
+    this.#contactSince = this.#parts.clock.readMonotonic();
+    this.#parts.log.record('store-regained', this.#topic, { next: this.#next });
+  }
+
+  #schedule(delayMs: number): void {
+    clearTimeout(this.#timer);
+    if (this.isClosed) return;
+    if (delayMs === 0) this.send({ type: 'read' });
+    else this.#timer = setTimeout(() => this.send({ type: 'read' }), delayMs);
+  }
+}
--- /dev/null
+++ b/src/node/WorkWriter.ts
@@ -0,0 +1,149 @@
+import { Actor } from '../actor/mod.js';
+import { StoreRefusedError, type KeyedValue } from '../port/mod.js';
+import type { NodeParts } from './NodeParts.js';
+
+/** Records of one append at most. */
+const BATCH_RECORDS = 200;
+/** Bytes of one append at most, well below what the store accepts. */
+const BATCH_BYTES = 512 * 1_024;
+/** Longest wait for the store's answer to an append, in ms. */
+const APPEND_TIMEOUT_MS = 700;
+/** Unanswered appends after which the outcome of a record is reported as unknown. */
+const MAX_UNANSWERED = 2;
+/** Refused appends after which a record is reported as not stored. */
+const MAX_REFUSED = 3;
+/** Pause after a refused or unanswered append, in ms. */
+const RETRY_MS = 60;
+
+/** What became of a record. */
+export type WriteOutcome =
+  | 'stored'
+  /** It was certainly not stored and will not be. */
+  | 'not-stored'
+  /** It may have been stored, or may be later. */
+  | 'unknown';
+
+/** Messages of the writer. */
+export type WorkWriterMessage =
+  | { type: 'write'; record: KeyedValue; reply: (outcome: WriteOutcome) => void }
+  | { type: 'answered'; outcome: 'stored' | 'refused' | 'unanswered'; reason: string }
+  | { type: 'send' };
+
+interface PendingWrite {
+  record: KeyedValue;
+  reply: (outcome: WriteOutcome) => void;
+  unanswered: number;
+  refused: number;
+}
+
+/**
+ * Appends the records of callers to the work log, several in one call, one call at a time.
+ *
+ * A record that was in an unanswered append is appended again, since records are keyed and a second
+ * copy changes nothing; it is never reported as not stored. While the store does not answer, new
+ * records are refused at once instead of waiting for it.
+ */
+export class WorkWriter extends Actor<WorkWriterMessage> {
+  readonly #parts: NodeParts;
+
+  #queue: PendingWrite[] = [];
+
+  #sent: PendingWrite[] = [];
+
+  #isFailing = false;
+
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(parts: NodeParts) {
+    super(parts.scope, 'work-writer');
+    this.#parts = parts;
+  }
+
+  protected override receive(message: WorkWriterMessage): void {
+    switch (message.type) {
+      case 'write':
+        if (this.#isFailing) {
+          message.reply('not-stored');
+          return;
+        }
+        this.#queue.push({
+          record: message.record,
+          reply: message.reply,
+          unanswered: 0,
+          refused: 0,
+        });
+        this.#flush();
+        break;
+      case 'send':
+        this.#flush();
+        break;
+      default:
+        this.#handleAnswer(message.outcome, message.reason);
+    }
+  }
+
+  override close(): void {
+    clearTimeout(this.#timer);
+    super.close();
+  }
+
+  #flush(): void {
+    if (this.#sent.length > 0 || this.#queue.length === 0) return;
+    let bytes = 0;
+    let count = 0;
+    while (count < this.#queue.length && count < BATCH_RECORDS && bytes < BATCH_BYTES) {
+      bytes += this.#queue[count]?.record.value?.length ?? 0;
+      count += 1;
+    }
+    this.#sent = this.#queue.splice(0, count);
+    this.#append(this.#sent.map(({ record }) => record)).then((message) => this.send(message));
+  }
+
+  async #append(records: KeyedValue[]): Promise<WorkWriterMessage> {
+    try {
+      const answer = await this.#parts.store.append(records, { timeoutMs: APPEND_TIMEOUT_MS });
+      if (answer.type === 'appended') return { type: 'answered', outcome: 'stored', reason: '' };
+      const reason = answer.type === 'refused' ? answer.reason : answer.type;
+      return { type: 'answered', outcome: 'refused', reason };
+    } catch (error) {
+      const outcome = error instanceof StoreRefusedError ? 'refused' : 'unanswered';
+      return { type: 'answered', outcome, reason: String(error) };
+    }
+  }
+
+  #handleAnswer(outcome: 'stored' | 'refused' | 'unanswered', reason: string): void {
+    const writes = this.#sent;
+    this.#sent = [];
+    if (outcome === 'stored') {
+      this.#isFailing = false;
+      writes.forEach(({ reply }) => reply('stored'));
+      this.#flush();
+      return;
+    }
+    this.#parts.log.record('append-failed', 'work', { outcome, reason, records: writes.length });
+    if (outcome === 'unanswered') this.#isFailing = true;
+    const again = writes.filter((write) => !WorkWriter.#giveUp(write, outcome));
+    // Records whose outcome is unknown go on being appended; the others wait for the next turn.
+    this.#queue = [...again, ...this.#queue];
+    if (this.#queue.length === 0) this.#isFailing = false;
+    clearTimeout(this.#timer);
+    this.#timer = setTimeout(() => this.send({ type: 'send' }), RETRY_MS);
+  }
+
+  /** Counts a failed append; answers the caller and returns true after too many. */
+  static #giveUp(write: PendingWrite, outcome: 'refused' | 'unanswered'): boolean {
+    if (outcome === 'unanswered') write.unanswered += 1;
+    else write.refused += 1;
+    const isUnknown = write.unanswered > 0;
+    const tries = write.unanswered + write.refused;
+    if (write.unanswered >= MAX_UNANSWERED || (isUnknown && tries > MAX_REFUSED)) {
+      write.reply('unknown');
+      return true;
+    }
+    if (!isUnknown && write.refused >= MAX_REFUSED) {
+      write.reply('not-stored');
+      return true;
+    }
+    return false;
+  }
+}
--- /dev/null
+++ b/src/node/formatRemoval.ts
@@ -0,0 +1,18 @@
+import { BookKey } from '../book/mod.js';
+import type { KeyedValue } from '../port/mod.js';
+
+/**
+ * Formats the records that remove a job from the log. The job is dropped first, since a job without
+ * its final state would count as one that has not begun.
+ *
+ * @example
+ * ```ts
+ * formatRemoval('5c0e').map(({ key }) => key); // ['job/5c0e', 'cancel/5c0e', 'progress/5c0e']
+ * ```
+ */
+export function formatRemoval(id: string): KeyedValue[] {
+  return [BookKey.job(id), BookKey.cancel(id), BookKey.progress(id)].map((key) => ({
+    key,
+    value: undefined,
+  }));
+}
--- /dev/null
+++ b/src/port/mod.ts
@@ -0,0 +1,14 @@
+/**
+ * The product's view of the platform: abstract classes that an adapter implements, and the types
+ * that pass through them.
+ *
+ * @module
+ */
+export * from './AdviceDesk.js';
+export * from './Configuration.js';
+export * from './HostEntry.js';
+export * from './HostOrders.js';
+export * from './MachineDesk.js';
+export * from './OperatorRecord.js';
+export * from './RecordDecoder.js';
+export * from './Store.js';
--- /dev/null
+++ b/src/schedule/HostTable.ts
@@ -0,0 +1,113 @@
+import type { HostEntry, Machine } from '../port/mod.js';
+import { ManagedHost } from './ManagedHost.js';
+
+/** The hosts of a shard, by life, and the machines that carry them. */
+export class HostTable {
+  readonly #hosts = new Map<string, ManagedHost>();
+
+  #machines = new Map<string, Machine>();
+
+  #machinesReadAt = -Infinity;
+
+  get hosts(): IterableIterator<ManagedHost> {
+    return this.#hosts.values();
+  }
+
+  get size(): number {
+    return this.#hosts.size;
+  }
+
+  get machines(): ReadonlyMap<string, Machine> {
+    return this.#machines;
+  }
+
+  /** Steady time at which the last list of machines was asked for. */
+  get machinesReadAt(): number {
+    return this.#machinesReadAt;
+  }
+
+  /** Finds a host by its life. */
+  get(id: string): ManagedHost | undefined {
+    return this.#hosts.get(id);
+  }
+
+  /** Adds or changes a host; returns the earlier life under the same identifier, if there was one. */
+  update(entry: HostEntry, now: number): { host: ManagedHost; replaced: ManagedHost | undefined } {
+    const known = this.#hosts.get(entry.id);
+    if (known === undefined) return { host: this.#add(entry, now), replaced: undefined };
+    const isSameLife =
+      known.entry.bornMs === undefined ||
+      entry.bornMs === undefined ||
+      known.entry.bornMs === entry.bornMs;
+    if (!isSameLife) return { host: this.#add(entry, now), replaced: known };
+    known.entry = { ...entry, machine: entry.machine ?? known.entry.machine };
+    known.isListed = true;
+    return { host: known, replaced: undefined };
+  }
+
+  /** Adds a host that only the list of machines names: it may run, at an unknown address. */
+  addUnlisted(machine: Machine & { hostId: string }, now: number): ManagedHost {
+    const host = this.#add(
+      {
+        id: machine.hostId,
+        pool: machine.pool,
+        address: '',
+        dataCentre: machine.dataCentre,
+        state: 'draining',
+        labels: [],
+        rack: undefined,
+        capacity: { cpuMilli: 0, memoryMb: 0, accelerators: 0 },
+        clockMs: undefined,
+        bornMs: undefined,
+        machine: machine.name,
+        remainingMs: undefined,
+      },
+      now,
+    );
+    host.isListed = false;
+    return host;
+  }
+
+  /** Forgets a life that has ended. */
+  remove(host: ManagedHost): void {
+    if (this.#hosts.get(host.id) === host) this.#hosts.delete(host.id);
+  }
+
+  /** Replaces the list of machines. */
+  setMachines(machines: readonly Machine[], readAt: number): void {
+    this.#machines = new Map(machines.map((machine) => [machine.name, machine]));
+    this.#machinesReadAt = readAt;
+    machines.forEach(({ name, hostId }) => {
+      const host = hostId === undefined ? undefined : this.#hosts.get(hostId);
+      if (host !== undefined) host.entry.machine = name;
+    });
+  }
+
+  /** Collects the listed hosts by their machine. */
+  collectByMachine(): Map<string, ManagedHost> {
+    const index = new Map<string, ManagedHost>();
+    this.#hosts.forEach((host) => {
+      if (host.isListed && !host.hasEnded) index.set(host.machine, host);
+    });
+    return index;
+  }
+
+  /** Lists the hosts of a pool. */
+  listPool(pool: string): ManagedHost[] {
+    return [...this.#hosts.values()].filter((host) => host.pool === pool);
+  }
+
+  /** Checks whether the list of machines proves that a life has ended. */
+  isProvedEnded(host: ManagedHost): boolean {
+    for (const machine of this.#machines.values()) {
+      if (machine.hostId === host.id) return machine.state !== 'up';
+    }
+    return true;
+  }
+
+  #add(entry: HostEntry, now: number): ManagedHost {
+    const host = new ManagedHost(entry, now);
+    this.#hosts.set(entry.id, host);
+    return host;
+  }
+}
--- /dev/null
+++ b/src/schedule/JobTable.ts
@@ -0,0 +1,175 @@
+import type { BookedJob } from '../book/mod.js';
+import type { QueueRule } from '../port/mod.js';
+import type { Occurrence } from './Occurrence.js';
+import { ScheduledJob, type FinalState } from './ScheduledJob.js';
+import type { ScheduledStep } from './ScheduledStep.js';
+import type { ShardOutput } from './ShardCommand.js';
+import type { WorkUnit } from './WorkUnit.js';
+
+/** Occurrences are opened this long before they are due, in ms, so that a timer cannot miss one. */
+const OPEN_AHEAD_MS = 50;
+
+/** The unfinished jobs of a shard: which steps are ready, which jobs have to be recorded. */
+export class JobTable {
+  readonly #jobs = new Map<string, ScheduledJob>();
+
+  /** Ready steps that are not done. */
+  readonly #ready = new Set<ScheduledStep>();
+
+  readonly #dirty = new Set<ScheduledJob>();
+
+  readonly #output: ShardOutput;
+
+  constructor(output: ShardOutput) {
+    this.#output = output;
+  }
+
+  get size(): number {
+    return this.#jobs.size;
+  }
+
+  get jobs(): IterableIterator<ScheduledJob> {
+    return this.#jobs.values();
+  }
+
+  /** Finds an unfinished job. */
+  get(id: string): ScheduledJob | undefined {
+    return this.#jobs.get(id);
+  }
+
+  /** Adds a job; one that is finished already is left out. */
+  add(booked: BookedJob, queue: QueueRule, nowWallMs: number): ScheduledJob | undefined {
+    if (this.#jobs.has(booked.id)) return undefined;
+    const job = new ScheduledJob(booked, queue);
+    if (job.final !== undefined) return undefined;
+    this.#jobs.set(job.id, job);
+    job.occurrences.forEach((occurrence) => this.#settle(occurrence, nowWallMs));
+    this.#openDue(job, nowWallMs);
+    return job;
+  }
+
+  /** Gives jobs the newest rule of their queue. */
+  updateQueues(find: (name: string) => QueueRule | undefined): void {
+    this.#jobs.forEach((job) => {
+      job.queue = find(job.queue.name) ?? job.queue;
+    });
+  }
+
+  /** Opens the occurrences of repeating jobs that have come due. */
+  openDue(nowWallMs: number): void {
+    this.#jobs.forEach((job) => {
+      if (job.booked.spec.repeat !== undefined) this.#openDue(job, nowWallMs);
+    });
+  }
+
+  /** Lists the steps with waiting units by pool. */
+  listWaiting(): Map<string, ScheduledStep[]> {
+    const byPool = new Map<string, ScheduledStep[]>();
+    this.#ready.forEach((step) => {
+      if (!step.units.some((unit) => unit.isWaiting)) return;
+      const { pool } = step.occurrence.job.queue;
+      const steps = byPool.get(pool);
+      if (steps === undefined) byPool.set(pool, [step]);
+      else steps.push(step);
+    });
+    return byPool;
+  }
+
+  /** Finds the unit of a task of an unfinished job. */
+  findUnit(id: string, occurrence: number, step: number, index: number): WorkUnit | undefined {
+    return this.#jobs.get(id)?.occurrences.get(occurrence)?.steps[step]?.findUnit(index);
+  }
+
+  /** Marks a unit as begun, so that its job does not count as waiting any more. */
+  markBegun({ step }: WorkUnit): void {
+    const { occurrence } = step;
+    if (occurrence.hasBegun) return;
+    occurrence.hasBegun = true;
+    occurrence.job.hasBegun = true;
+    this.#dirty.add(occurrence.job);
+  }
+
+  /** Marks a unit as done, and its step, occurrence and job where it was the last one. */
+  finishUnit(unit: WorkUnit, nowWallMs: number): void {
+    if (unit.isDone) return;
+    unit.isDone = true;
+    const { step } = unit;
+    step.remaining -= 1;
+    const { occurrence } = step;
+    this.#dirty.add(occurrence.job);
+    if (step.isDone) this.#settle(occurrence, nowWallMs);
+  }
+
+  /** Records a failed run against the attempts of its queue; true when the job has failed. */
+  failUnit(unit: WorkUnit, nowWallMs: number): boolean {
+    const { job } = unit.step.occurrence;
+    unit.failures += 1;
+    job.failures += 1;
+    this.#dirty.add(job);
+    if (unit.failures < job.queue.maxAttempts) return false;
+    this.finishJob(job, 'failed', nowWallMs, `task failed ${unit.failures} times`);
+    return true;
+  }
+
+  /** Gives a job its final state. Its runs are for the caller to stop. */
+  finishJob(job: ScheduledJob, final: FinalState, nowWallMs: number, reason?: string): void {
+    job.final = final;
+    job.reason = reason;
+    job.endedAtMs = nowWallMs;
+    this.#jobs.delete(job.id);
+    job.occurrences.forEach(({ steps }) => steps.forEach((step) => this.#ready.delete(step)));
+    this.#dirty.add(job);
+    this.#output.record({
+      decision: 'job-finished',
+      subject: job.id,
+      inputs: { state: final, reason, afterMs: nowWallMs - job.booked.submittedAtMs },
+    });
+  }
+
+  /** Takes the jobs whose progress has to be recorded. */
+  takeDirty(): ScheduledJob[] {
+    const jobs = [...this.#dirty];
+    this.#dirty.clear();
+    return jobs;
+  }
+
+  get hasDirty(): boolean {
+    return this.#dirty.size > 0;
+  }
+
+  /** Puts jobs back whose progress could not be recorded. */
+  restoreDirty(jobs: readonly ScheduledJob[]): void {
+    jobs.forEach((job) => this.#dirty.add(job));
+  }
+
+  /** Counts the jobs of each queue for which no task has started. */
+  countWaiting(): Record<string, number> {
+    const counts: Record<string, number> = {};
+    this.#jobs.forEach((job) => {
+      if (job.hasBegun || job.booked.spec.repeat !== undefined) return;
+      counts[job.queue.name] = (counts[job.queue.name] ?? 0) + 1;
+    });
+    return counts;
+  }
+
+  #openDue(job: ScheduledJob, nowWallMs: number): void {
+    job
+      .openOccurrences(nowWallMs + OPEN_AHEAD_MS)
+      .forEach((occurrence) => this.#settle(occurrence, nowWallMs));
+  }
+
+  /** Finds the steps of an occurrence that have become ready, or finishes it. */
+  #settle(occurrence: Occurrence, nowWallMs: number): void {
+    const { job, steps } = occurrence;
+    if (occurrence.isDone) {
+      steps.forEach((step) => this.#ready.delete(step));
+      if (job.finishOccurrence(occurrence.number)) this.finishJob(job, 'completed', nowWallMs);
+      this.#dirty.add(job);
+      return;
+    }
+    steps.forEach((step) => {
+      if (step.isDone) this.#ready.delete(step);
+      else if (step.isReady) this.#ready.add(step);
+    });
+  }
+}
--- /dev/null
+++ b/src/schedule/MachinePlanner.ts
@@ -0,0 +1,240 @@
+import type { WaveRecord } from '../book/mod.js';
+import type { Machine, MachineAnswer, PoolRule, WaveOrder } from '../port/mod.js';
+import { canInterrupt } from './canInterrupt.js';
+import type { HostTable } from './HostTable.js';
+import type { ManagedHost } from './ManagedHost.js';
+import type { PoolLoad } from './PoolLoad.js';
+import { IdleHostLending, type PoolSizing, type PoolView } from './PoolSizing.js';
+import type { RunLedger } from './RunLedger.js';
+import type { ShardOptions } from './ShardOptions.js';
+import type { ShardOutput } from './ShardCommand.js';
+import { UpkeepPlanner } from './UpkeepPlanner.js';
+
+/** A move whose host has not come up is given up after this many times the usual time. */
+const MOVE_GIVE_UP = 4;
+/** Checkpointing tasks that still run on a host to be maintained are stopped after this, in ms. */
+const EMPTY_AFTER_MS = 2_500;
+
+/** Collaborators of a machine planner. */
+export interface MachinePlannerParts {
+  hosts: HostTable;
+  ledger: RunLedger;
+  load: PoolLoad;
+  output: ShardOutput;
+  /** Steady time from which the owner may give orders about machines. */
+  ordersFrom: number;
+  sizing?: PoolSizing;
+}
+
+interface Move {
+  pool: string;
+  orderedAt: number;
+  isAnswered: boolean;
+}
+
+/** Moves and maintains machines: carries out what pool sizing and maintenance planning decide. */
+export class MachinePlanner {
+  readonly #options: ShardOptions;
+
+  readonly #hosts: HostTable;
+
+  readonly #ledger: RunLedger;
+
+  readonly #load: PoolLoad;
+
+  readonly #output: ShardOutput;
+
+  readonly #ordersFrom: number;
+
+  readonly #sizing: PoolSizing;
+
+  readonly #upkeep = new UpkeepPlanner();
+
+  readonly #moves = new Map<string, Move>();
+
+  readonly #emptyingSince = new Map<string, number>();
+
+  readonly dirtyWaves = new Set<number>();
+
+  readonly #openWaves = new Set<number>();
+
+  constructor(options: ShardOptions, parts: MachinePlannerParts) {
+    this.#options = options;
+    this.#hosts = parts.hosts;
+    this.#ledger = parts.ledger;
+    this.#load = parts.load;
+    this.#output = parts.output;
+    this.#ordersFrom = parts.ordersFrom;
+    this.#sizing = parts.sizing ?? new IdleHostLending(options);
+  }
+
+  /** Checks whether the progress of moves or maintenance has to be read from the machines. */
+  get needsList(): boolean {
+    return this.#moves.size > 0 || this.#openWaves.size > 0;
+  }
+
+  /** Sets a wave that the operator asks for. */
+  setWave(order: WaveOrder, nowWallMs: number, record: WaveRecord | undefined): void {
+    this.#upkeep.setOrder(order, nowWallMs, record);
+    if (record?.isCompleted === true) return;
+    if (!this.#openWaves.has(order.wave)) {
+      this.#openWaves.add(order.wave);
+      this.dirtyWaves.add(order.wave);
+      this.#output.send({ type: 'publish-wave', wave: order.wave, state: 'running' });
+    }
+  }
+
+  /** Takes the waves that have to be recorded. */
+  takeDirtyWaves(): [number, WaveRecord][] {
+    const records = [...this.dirtyWaves].flatMap((wave): [number, WaveRecord][] => {
+      const record = this.#upkeep.describe(wave);
+      return record === undefined ? [] : [[wave, record]];
+    });
+    this.dirtyWaves.clear();
+    return records;
+  }
+
+  /** Plans the maintenance of all waves. */
+  planUpkeep(now: number, nowWallMs: number, pools: ReadonlyMap<string, PoolRule>): void {
+    if (now < this.#ordersFrom || this.#openWaves.size === 0) return;
+    if (this.#hosts.machinesReadAt === -Infinity) return;
+    const backlogs = this.#load.computeBacklogs(now, pools);
+    const hosts = this.#hosts.collectByMachine();
+    const plan = this.#upkeep.plan({
+      now,
+      nowWallMs,
+      machines: this.#collectFreeMachines(),
+      machinesReadAt: this.#hosts.machinesReadAt,
+      hosts,
+      pressure: (pool) => (backlogs[pool] ?? 0) / 1_000,
+    });
+    hosts.forEach((host) => this.#empty(host, plan.emptying.has(host.machine), now));
+    plan.orders.forEach((order) => {
+      const host = hosts.get(order.machine);
+      if (host !== undefined) host.isLeaving = true;
+      this.#output.send({ type: 'maintain', order });
+    });
+    plan.completed.forEach((wave) => {
+      this.#openWaves.delete(wave);
+      this.dirtyWaves.add(wave);
+      this.#output.send({ type: 'publish-wave', wave, state: 'completed' });
+    });
+  }
+
+  /** Plans moves between pools. */
+  planMoves(now: number, pools: ReadonlyMap<string, PoolRule>): void {
+    if (now < this.#ordersFrom || this.#hosts.machinesReadAt === -Infinity) return;
+    this.#closeMoves(now);
+    const hosts = this.#hosts.collectByMachine();
+    this.#sizing.plan(this.#describePools(now, pools, hosts)).forEach(({ machine, to }) => {
+      const host = hosts.get(machine);
+      if (host !== undefined) host.isLeaving = true;
+      this.#moves.set(machine, { pool: to, orderedAt: now, isAnswered: false });
+      this.#output.send({ type: 'move', machine, pool: to });
+    });
+  }
+
+  /** Records an answer; returns the host whose life it ended. */
+  reportAnswer(
+    { machine, wave }: { machine: string; wave?: number },
+    answer: MachineAnswer | { type: 'unanswered' },
+    now: number,
+  ): ManagedHost | undefined {
+    const host = this.#hosts.collectByMachine().get(machine);
+    const hasLeft = answer.type === 'done';
+    if (wave !== undefined) {
+      this.#upkeep.reportAnswer({ machine, wave }, hasLeft, now);
+      if (hasLeft) this.dirtyWaves.add(wave);
+    } else {
+      const move = this.#moves.get(machine);
+      if (move !== undefined && hasLeft) move.isAnswered = true;
+      if (!hasLeft) this.#moves.delete(machine);
+    }
+    this.#output.record({
+      decision: wave === undefined ? 'machine-move' : 'machine-maintenance',
+      subject: machine,
+      inputs: { wave, answer: answer.type, host: host?.id },
+    });
+    if (host === undefined) return undefined;
+    if (hasLeft && host.isLeaving) return host;
+    // Without an answer the machine may still go; its host gets no work until the list tells.
+    if (answer.type !== 'unanswered') host.isLeaving = false;
+    else host.suspendedUntil = now + this.#options.moveMs;
+    if (answer.type === 'unanswered') host.isLeaving = false;
+    return undefined;
+  }
+
+  /** Machines that are not on their way to another pool. */
+  #collectFreeMachines(): Map<string, Machine> {
+    return new Map([...this.#hosts.machines].filter(([name]) => !this.#moves.has(name)));
+  }
+
+  #empty(host: ManagedHost, isEmptying: boolean, now: number): void {
+    // eslint-disable-next-line no-param-reassign -- the host is owned by the shard
+    host.isEmptying = isEmptying;
+    if (!isEmptying) {
+      this.#emptyingSince.delete(host.id);
+      return;
+    }
+    const since = this.#emptyingSince.get(host.id) ?? now;
+    this.#emptyingSince.set(host.id, since);
+    host.runs.forEach((run) => {
+      if (run.state !== 'running') return;
+      const { isLasting, checkpoints } = run.unit.spec;
+      const mustMove = isLasting || (checkpoints && now - since > EMPTY_AFTER_MS);
+      if (mustMove && canInterrupt(run)) this.#ledger.stop(run, now, 'maintenance');
+    });
+  }
+
+  #describePools(
+    now: number,
+    pools: ReadonlyMap<string, PoolRule>,
+    hosts: ReadonlyMap<string, ManagedHost>,
+  ): PoolView[] {
+    const waiting = this.#load.measureWaiting();
+    const backlogs = this.#load.computeBacklogs(now, pools);
+    return [...pools.values()].map(({ name, isStandby }) => {
+      const members = this.#hosts.listPool(name).filter((host) => host.isAvailable(now));
+      const idle = isStandby
+        ? this.#listStandby(name)
+        : members
+            .filter((host) => host.runs.size === 0 && hosts.get(host.machine) === host)
+            .map((host) => ({ machine: host.machine, idleMs: now - host.idleSince }));
+      return {
+        name,
+        isStandby,
+        size: members.length,
+        incoming: [...this.#moves.values()].filter(({ pool }) => pool === name).length,
+        waitingHosts: waiting.get(name)?.hosts ?? 0,
+        backlogMs: backlogs[name] ?? 0,
+        idle: idle.filter(
+          ({ machine }) =>
+            !this.#moves.has(machine) && this.#hosts.machines.get(machine)?.state === 'up',
+        ),
+      };
+    });
+  }
+
+  /** Machines of a standby pool carry no host that takes work, so they come from the list. */
+  #listStandby(pool: string): { machine: string; idleMs: number }[] {
+    return [...this.#hosts.machines.values()]
+      .filter((machine) => machine.pool === pool && machine.state === 'up')
+      .map(({ name }) => ({ machine: name, idleMs: Infinity }));
+  }
+
+  /** Ends the moves whose machine is up in its new pool, and those that did not come about. */
+  #closeMoves(now: number): void {
+    const hosts = this.#hosts.collectByMachine();
+    [...this.#moves].forEach(([machine, move]) => {
+      const host = hosts.get(machine);
+      const listed = this.#hosts.machines.get(machine);
+      const isReadAfter = this.#hosts.machinesReadAt > move.orderedAt + this.#options.moveMs;
+      const hasArrived =
+        move.isAnswered &&
+        (host?.pool === move.pool ||
+          (isReadAfter && listed?.pool === move.pool && listed.state === 'up'));
+      const isOverdue = now - move.orderedAt > MOVE_GIVE_UP * this.#options.moveMs;
+      if (hasArrived || isOverdue) this.#moves.delete(machine);
+    });
+  }
+}
--- /dev/null
+++ b/src/schedule/ManagedHost.ts
@@ -0,0 +1,180 @@
+import type { Capacity, HostEntry, HostReport } from '../port/mod.js';
+import type { Run } from './Run.js';
+
+/** The host's clock may run this much slower than the owner's. */
+const CLOCK_DRIFT = 0.02;
+/** Added to the computed end of a lease for the granularity of timers on both sides, in ms. */
+const LEASE_MARGIN_MS = 150;
+
+/** Room that a task takes on a host. */
+export type Room = Capacity;
+
+/** One life of an upstream host, as the owner of the shard believes it to be. */
+export class ManagedHost {
+  entry: HostEntry;
+
+  /** Runs that hold room, by `TASK#RUN`. */
+  readonly runs = new Map<string, Run>();
+
+  readonly #used: Room = { cpuMilli: 0, memoryMb: 0, accelerators: 0 };
+
+  /** The owner's token has been accepted here, so earlier owners cannot give orders any more. */
+  isFenced = false;
+
+  /** The host list has the entry. */
+  isListed = true;
+
+  /** The life is over for certain. */
+  hasEnded = false;
+
+  /** The machine has been ordered away (move or maintenance). */
+  isLeaving = false;
+
+  /** Chosen for maintenance: takes no new work and is emptied. */
+  isEmptying = false;
+
+  /** Steady time in ms until which the host gets no new work. */
+  suspendedUntil = 0;
+
+  /** Unanswered calls in a row. */
+  silentCalls = 0;
+
+  /** Steady time of the last answer. */
+  answeredAt = 0;
+
+  /** Steady time since which nothing runs here. */
+  idleSince: number;
+
+  /** Highest number of an end that was processed. */
+  processedEnd = 0;
+
+  /** Highest number of an end that may be acknowledged: its effect is in the store. */
+  acknowledgedEnd = 0;
+
+  /** Steady time until which runs of an earlier owner may exist here; 0 once the host answered. */
+  reservedUntil = 0;
+
+  #clockMs: number | undefined;
+
+  #clockReadAt = 0;
+
+  #leaseEndMs = 0;
+
+  /** Runs confirmed as failed in a row, without one that was done. */
+  failuresInRow = 0;
+
+  /** Jobs whose runs failed here since the last one that was done. */
+  readonly failedJobs = new Set<string>();
+
+  constructor(entry: HostEntry, now: number) {
+    this.entry = entry;
+    this.idleSince = now;
+    if (entry.clockMs !== undefined) this.setClock(entry.clockMs, now);
+  }
+
+  get id(): string {
+    return this.entry.id;
+  }
+
+  get pool(): string {
+    return this.entry.pool;
+  }
+
+  /** Machine that carries the host; its own identifier when the entry does not say. */
+  get machine(): string {
+    return this.entry.machine ?? this.entry.id;
+  }
+
+  get capacity(): Capacity {
+    return this.entry.capacity;
+  }
+
+  get used(): Readonly<Room> {
+    return this.#used;
+  }
+
+  /** Sets the host's clock as of a moment of the owner's steady clock. */
+  setClock(clockMs: number, now: number): void {
+    this.#clockMs = clockMs;
+    this.#clockReadAt = now;
+  }
+
+  /** Records an answer of the host. */
+  recordAnswer(clockMs: number | undefined, now: number): void {
+    this.silentCalls = 0;
+    this.answeredAt = now;
+    if (clockMs !== undefined) this.setClock(clockMs, now);
+  }
+
+  /** Reads the report's birth against the entry; true when another life answered. */
+  isOtherLife(report: HostReport): boolean {
+    const { bornMs } = this.entry;
+    return bornMs !== undefined && report.bornMs !== undefined && bornMs !== report.bornMs;
+  }
+
+  /** Computes the end of a lease on the host's clock; undefined when its clock is unknown. */
+  computeLeaseEnd(leaseMs: number, now: number): number | undefined {
+    if (this.#clockMs === undefined) return undefined;
+    const end = Math.floor(this.#clockMs + (now - this.#clockReadAt) + leaseMs);
+    this.#leaseEndMs = Math.max(this.#leaseEndMs, end);
+    return this.#leaseEndMs;
+  }
+
+  /** Computes the steady time by which every lease that was given here has expired. */
+  computeExpiry(): number {
+    if (this.#clockMs === undefined) return this.reservedUntil;
+    const rest = Math.max(0, this.#leaseEndMs - this.#clockMs);
+    return Math.max(
+      this.reservedUntil,
+      this.#clockReadAt + rest * (1 + CLOCK_DRIFT) + LEASE_MARGIN_MS,
+    );
+  }
+
+  /** Checks whether a room is free. */
+  hasRoom(room: Room): boolean {
+    const { cpuMilli, memoryMb, accelerators } = this.capacity;
+    return (
+      this.#used.cpuMilli + room.cpuMilli <= cpuMilli &&
+      this.#used.memoryMb + room.memoryMb <= memoryMb &&
+      this.#used.accelerators + room.accelerators <= accelerators
+    );
+  }
+
+  /** Checks whether the host can take new work at a moment. */
+  isAvailable(now: number): boolean {
+    return (
+      this.isListed &&
+      !this.hasEnded &&
+      !this.isLeaving &&
+      !this.isEmptying &&
+      this.isFenced &&
+      this.entry.state === 'ready' &&
+      this.silentCalls === 0 &&
+      this.suspendedUntil <= now
+    );
+  }
+
+  /** Finds a run. */
+  findRun(task: string, number: number): Run | undefined {
+    return this.runs.get(`${task}#${number}`);
+  }
+
+  /** Adds a run and takes its room. */
+  addRun(run: Run, room: Room): void {
+    this.runs.set(`${run.task}#${run.number}`, run);
+    this.#change(room, 1);
+  }
+
+  /** Removes a run and frees its room. */
+  removeRun(run: Run, room: Room, now: number): void {
+    if (!this.runs.delete(`${run.task}#${run.number}`)) return;
+    this.#change(room, -1);
+    if (this.runs.size === 0) this.idleSince = now;
+  }
+
+  #change(room: Room, sign: 1 | -1): void {
+    this.#used.cpuMilli += sign * room.cpuMilli;
+    this.#used.memoryMb += sign * room.memoryMb;
+    this.#used.accelerators += sign * room.accelerators;
+  }
+}
--- /dev/null
+++ b/src/schedule/PoolLoad.ts
@@ -0,0 +1,86 @@
+import type { PoolRule } from '../port/mod.js';
+import { computeRoom } from './computeRoom.js';
+import type { HostTable } from './HostTable.js';
+import type { JobTable } from './JobTable.js';
+import type { RunTimeEstimator } from './RunTimeEstimator.js';
+
+/** Work that waits in a pool. */
+export interface WaitingWork {
+  /** Hosts' worth of room that the waiting tasks would take at once. */
+  hosts: number;
+  /** Processor work in thousandths of a core times ms. */
+  work: number;
+}
+
+const NOTHING: WaitingWork = { hosts: 0, work: 0 };
+
+/** Measures how pressed each pool is. */
+export class PoolLoad {
+  readonly #jobs: JobTable;
+
+  readonly #hosts: HostTable;
+
+  readonly #estimator: RunTimeEstimator;
+
+  constructor(jobs: JobTable, hosts: HostTable, estimator: RunTimeEstimator) {
+    this.#jobs = jobs;
+    this.#hosts = hosts;
+    this.#estimator = estimator;
+  }
+
+  /** Measures the work that waits in each pool. */
+  measureWaiting(): Map<string, WaitingWork> {
+    const result = new Map<string, WaitingWork>();
+    const size = this.#findLargestHost();
+    this.#jobs.listWaiting().forEach((steps, pool) => {
+      let hosts = 0;
+      let work = 0;
+      steps.forEach((step) => {
+        const tasks = step.units.reduce(
+          (sum, unit) => sum + (unit.isWaiting ? unit.indexes.length : 0),
+          0,
+        );
+        const room = computeRoom(step.spec);
+        const share = Math.max(
+          room.cpuMilli / size.cpuMilli,
+          room.memoryMb / size.memoryMb,
+          size.accelerators > 0 ? room.accelerators / size.accelerators : 0,
+        );
+        hosts += tasks * share;
+        const { queue } = step.occurrence.job;
+        work += tasks * room.cpuMilli * this.#estimator.estimate(queue.name, step.spec);
+      });
+      result.set(pool, { hosts, work });
+    });
+    return result;
+  }
+
+  /** Computes for each pool how long its hosts need for the work that waits, in ms. */
+  computeBacklogs(now: number, pools: ReadonlyMap<string, PoolRule>): Record<string, number> {
+    const waiting = this.measureWaiting();
+    const backlogs: Record<string, number> = {};
+    pools.forEach((_, pool) => {
+      const { work } = waiting.get(pool) ?? NOTHING;
+      backlogs[pool] = Math.round(work / Math.max(1, this.measureCapacity(pool, now)));
+    });
+    return backlogs;
+  }
+
+  /** Measures the processor capacity of the hosts of a pool that take work. */
+  measureCapacity(pool: string, now: number): number {
+    return this.#hosts
+      .listPool(pool)
+      .filter((host) => host.isAvailable(now))
+      .reduce((sum, host) => sum + host.capacity.cpuMilli, 0);
+  }
+
+  #findLargestHost(): { cpuMilli: number; memoryMb: number; accelerators: number } {
+    const size = { cpuMilli: 1, memoryMb: 1, accelerators: 0 };
+    [...this.#hosts.hosts].forEach(({ capacity }) => {
+      size.cpuMilli = Math.max(size.cpuMilli, capacity.cpuMilli);
+      size.memoryMb = Math.max(size.memoryMb, capacity.memoryMb);
+      size.accelerators = Math.max(size.accelerators, capacity.accelerators);
+    });
+    return size;
+  }
+}
--- /dev/null
+++ b/src/schedule/PoolSizing.ts
@@ -0,0 +1,114 @@
+/** A host that could be moved. */
+export interface MovableHost {
+  machine: string;
+  /** For how long nothing has run on it, in ms. */
+  idleMs: number;
+}
+
+/** A pool as the sizing sees it. */
+export interface PoolView {
+  name: string;
+  isStandby: boolean;
+  /** Hosts that can take work now. */
+  size: number;
+  /** Hosts on their way into the pool. */
+  incoming: number;
+  /** Hosts' worth of room that waiting tasks would take. */
+  waitingHosts: number;
+  /** Time in ms in which the hosts of the pool would finish the work that waits. */
+  backlogMs: number;
+  /** Hosts on which nothing runs. */
+  idle: MovableHost[];
+}
+
+/** A move of a machine to another pool. */
+export interface PoolMove {
+  machine: string;
+  to: string;
+}
+
+/** Decides which machines change their pool. */
+export abstract class PoolSizing {
+  abstract plan(pools: readonly PoolView[]): PoolMove[];
+}
+
+/** Options of the lending of idle hosts. */
+export interface IdleHostLendingOptions {
+  /** Backlog of a pool in ms above which it gets more hosts; about the time that a move takes. */
+  borrowAboveMs: number;
+  /** A host that has been idle for this time in ms goes to the standby pool. */
+  parkAfterMs: number;
+  /** Hosts that stay in each pool. */
+  keepHosts: number;
+}
+
+/**
+ * Moves idle hosts to the pool whose waiting work its own hosts cannot finish by the time that a
+ * move takes, and parks hosts that stay idle in the standby pool, where they cost nothing.
+ *
+ * It answers queues that rise by turns to several times the capacity of their pool for some
+ * seconds: the hosts follow the load. A standby host goes first, then hosts of pools without
+ * waiting work, the longest idle first.
+ */
+export class IdleHostLending extends PoolSizing {
+  readonly #options: IdleHostLendingOptions;
+
+  constructor(options: IdleHostLendingOptions) {
+    super();
+    this.#options = options;
+  }
+
+  override plan(pools: readonly PoolView[]): PoolMove[] {
+    const moves: PoolMove[] = [];
+    const taken = new Set<string>();
+    const standby = pools.filter(({ isStandby }) => isStandby);
+    const serving = pools.filter(({ isStandby }) => !isStandby);
+    [...serving]
+      .filter(({ backlogMs }) => backlogMs > this.#options.borrowAboveMs)
+      .sort((one, other) => other.backlogMs - one.backlogMs)
+      .forEach((pool) => {
+        const needed = Math.ceil(pool.waitingHosts) - pool.incoming;
+        const donors = this.#collectDonors(pool, standby, serving).filter(
+          (machine) => !taken.has(machine),
+        );
+        donors.slice(0, Math.max(0, needed)).forEach((machine) => {
+          taken.add(machine);
+          moves.push({ machine, to: pool.name });
+        });
+      });
+    const [park] = standby;
+    if (park !== undefined) moves.push(...this.#park(serving, park.name, taken));
+    return moves;
+  }
+
+  #collectDonors(
+    pool: PoolView,
+    standby: readonly PoolView[],
+    serving: readonly PoolView[],
+  ): string[] {
+    const lenders = serving.filter((one) => one !== pool && one.waitingHosts === 0);
+    const lent = lenders.flatMap((lender) =>
+      IdleHostLending.#sortIdle(lender).slice(
+        0,
+        Math.max(0, lender.size - this.#options.keepHosts),
+      ),
+    );
+    lent.sort((one, other) => other.idleMs - one.idleMs);
+    return [...standby.flatMap(({ idle }) => idle), ...lent].map(({ machine }) => machine);
+  }
+
+  #park(serving: readonly PoolView[], park: string, taken: ReadonlySet<string>): PoolMove[] {
+    return serving.flatMap((pool) => {
+      if (pool.waitingHosts > 0) return [];
+      const stay = pool.size - this.#options.keepHosts;
+      return IdleHostLending.#sortIdle(pool)
+        .filter(({ machine, idleMs }) => idleMs >= this.#options.parkAfterMs && !taken.has(machine))
+        .slice(0, Math.max(0, stay))
+        .map(({ machine }) => ({ machine, to: park }));
+    });
+  }
+
+  static #sortIdle({ idle }: PoolView): MovableHost[] {
+    return [...idle].sort((one, other) => other.idleMs - one.idleMs);
+  }
+}
--- /dev/null
+++ b/src/schedule/Run.ts
@@ -0,0 +1,73 @@
+import type { ManagedHost } from './ManagedHost.js';
+import type { WorkUnit } from './WorkUnit.js';
+
+/** State of a run as the owner believes it. */
+export type RunState =
+  /** Ordered, not yet answered. */
+  | 'starting'
+  | 'running'
+  /** A stop was ordered; the room is free when the host lists the end. */
+  | 'stopping'
+  /** The start was not answered and may still be carried out. */
+  | 'uncertain';
+
+/** One run of a task on a host. It holds the room of its task until it has ended for certain. */
+export class Run {
+  state: RunState = 'starting';
+
+  /** When the order was given, on the owner's steady clock in ms. */
+  readonly orderedAt: number;
+
+  /** When the host confirmed it. */
+  startedAt: number | undefined;
+
+  /** When the host was last known to have it. */
+  seenAt: number;
+
+  /** Holds sent after `seenAt` that did not list the run. */
+  unlisted = 0;
+
+  /** When an answer to a stop came. */
+  stopAnsweredAt: number | undefined;
+
+  /** When the last stop was ordered. */
+  stopOrderedAt: number | undefined;
+
+  checkpoint = '';
+
+  /** Share of its work speed, 0 to 100. */
+  percent = 0;
+
+  /** When the percent was last below 100; `orderedAt` before the first report. */
+  lastImpairedAt: number;
+
+  /** Tail latency in ms, or thousandths of a core in use. */
+  load = 0;
+
+  /** Reports in a row in which an unfinished run used no processor time. */
+  idleReports = 0;
+
+  /** Share of the processor that it was last ordered to get, 0 to 100. */
+  pace = 100;
+
+  /** The pace has been ordered and not yet answered. */
+  isPacing = false;
+
+  constructor(
+    readonly unit: WorkUnit,
+    readonly index: number,
+    readonly task: string,
+    readonly number: number,
+    readonly host: ManagedHost,
+    now: number,
+  ) {
+    this.orderedAt = now;
+    this.seenAt = now;
+    this.lastImpairedAt = now;
+  }
+
+  /** Checks whether a lasting task is at full work. */
+  get isAtWork(): boolean {
+    return this.state === 'running' && this.percent >= 100;
+  }
+}
--- /dev/null
+++ b/src/schedule/RunLedger.ts
@@ -0,0 +1,321 @@
+import type { Clock } from '../clock/mod.js';
+import type { HostReport, ListedEnd, ListedRun, OrderAnswer } from '../port/mod.js';
+import { parseTaskId } from '../task/mod.js';
+import { computeRoom } from './computeRoom.js';
+import type { HostBlame } from './HostBlame.js';
+import type { JobTable } from './JobTable.js';
+import type { ManagedHost } from './ManagedHost.js';
+import { Run } from './Run.js';
+import type { RunTimeEstimator } from './RunTimeEstimator.js';
+import type { ScheduledJob } from './ScheduledJob.js';
+import type { ShardOutput } from './ShardCommand.js';
+import type { WorkUnit } from './WorkUnit.js';
+
+/** A stop that was not answered is ordered again after this time in ms. */
+const STOP_REPEAT_MS = 700;
+/** Reports in a row that must miss a run before it counts as vanished. */
+const MISSING_REPORTS = 2;
+/** Pause after a host had no room although it should have, in ms. */
+const NO_ROOM_PAUSE_MS = 150;
+/** Pause after a host said that it is unhealthy, in ms. */
+const UNHEALTHY_PAUSE_MS = 1_000;
+/** Pause before a task is started again after a refusal, in ms. */
+const RETRY_PAUSE_MS = 50;
+
+/** Collaborators of a run ledger. */
+export interface RunLedgerParts {
+  jobs: JobTable;
+  estimator: RunTimeEstimator;
+  blame: HostBlame;
+  output: ShardOutput;
+  clock: Clock;
+}
+
+/** What happened to an order, as far as it is known. */
+export type OrderOutcome = OrderAnswer | { type: 'unanswered' } | { type: 'unsent' };
+
+/** Result of an order for the owner. */
+export type LedgerResult = 'ok' | 'fenced' | 'other-life';
+
+/**
+ * Follows each run from its order to its certain end.
+ *
+ * A run holds the room of its task, and keeps the task from being started elsewhere, until its host
+ * lists the end, a stop was answered and the host no longer lists it, or the host's life is over.
+ */
+export class RunLedger {
+  readonly #jobs: JobTable;
+
+  readonly #estimator: RunTimeEstimator;
+
+  readonly #blame: HostBlame;
+
+  readonly #output: ShardOutput;
+
+  readonly #clock: Clock;
+
+  /** Runs that hosts list and the owner does not want, with the time of the last stop. */
+  readonly #unwanted = new Map<string, number>();
+
+  constructor({ jobs, estimator, blame, output, clock }: RunLedgerParts) {
+    this.#clock = clock;
+    this.#jobs = jobs;
+    this.#estimator = estimator;
+    this.#blame = blame;
+    this.#output = output;
+  }
+
+  /** Opens a run that is about to be ordered. */
+  open(unit: WorkUnit, index: number, host: ManagedHost, number: number, now: number): Run {
+    const run = new Run(unit, index, unit.step.formatTask(index), number, host, now);
+    unit.runs.add(run);
+    host.addRun(run, computeRoom(unit.spec));
+    this.#jobs.markBegun(unit);
+    return run;
+  }
+
+  /** Handles the outcome of a start. */
+  reportStart(run: Run, outcome: OrderOutcome, now: number): LedgerResult {
+    const { host } = run;
+    if (!host.runs.has(`${run.task}#${run.number}`)) return 'ok';
+    if (outcome.type === 'unanswered' || outcome.type === 'unsent') {
+      host.silentCalls += 1;
+      if (outcome.type === 'unsent') this.#release(run, now, RETRY_PAUSE_MS);
+      // The next report tells whether the run is there; only if it is not, it has to be stopped.
+      else if (run.state === 'starting') run.state = 'uncertain';
+      return 'ok';
+    }
+    host.recordAnswer(outcome.clockMs, now);
+    if (outcome.type === 'done') {
+      if (run.state !== 'starting') return 'ok';
+      run.state = 'running';
+      run.startedAt = now;
+      run.seenAt = now;
+      return 'ok';
+    }
+    this.#output.record({
+      decision: 'start-refused',
+      subject: run.task,
+      inputs: { host: host.id, run: run.number, reason: outcome.reason },
+    });
+    return this.#handleRefusal(run, outcome.reason, now);
+  }
+
+  /** Orders the stop of a run; its end is still to be listed. */
+  stop(run: Run, now: number, reason: string): void {
+    if (run.state !== 'uncertain') run.state = 'stopping';
+    if (run.stopOrderedAt !== undefined && now - run.stopOrderedAt < STOP_REPEAT_MS) return;
+    run.stopOrderedAt = now;
+    this.#output.send({ type: 'stop', host: run.host, task: run.task, number: run.number });
+    this.#output.record({
+      decision: 'stop',
+      subject: run.task,
+      inputs: { host: run.host.id, run: run.number, reason },
+    });
+  }
+
+  /** Handles the outcome of a stop. */
+  reportStop(
+    host: ManagedHost,
+    { task, number }: { task: string; number: number },
+    outcome: OrderOutcome,
+    now: number,
+  ): LedgerResult {
+    if (outcome.type === 'unanswered' || outcome.type === 'unsent') {
+      host.silentCalls += 1;
+      return 'ok';
+    }
+    host.recordAnswer(outcome.clockMs, now);
+    if (outcome.type === 'refused') {
+      if (outcome.reason === 'fenced') return 'fenced';
+      return outcome.reason === 'other-life' ? 'other-life' : 'ok';
+    }
+    const run = host.findRun(task, number);
+    if (run !== undefined) run.stopAnsweredAt ??= now;
+    return 'ok';
+  }
+
+  /** Handles a report that answers a hold sent at `sentAt`. */
+  reportHold(host: ManagedHost, report: HostReport, sentAt: number, now: number): void {
+    host.recordAnswer(report.clockMs, now);
+    report.ended.forEach((end) => this.#handleEnd(host, end, now));
+    const listed = new Set<Run>();
+    report.running.forEach((one) => {
+      const run = this.#handleListed(host, one, now);
+      if (run !== undefined) listed.add(run);
+    });
+    [...host.runs.values()].forEach((run) => {
+      if (!listed.has(run)) this.#handleUnlisted(run, sentAt, now);
+    });
+  }
+
+  /** Releases all runs of a life that is over. */
+  endHost(host: ManagedHost, now: number): void {
+    [...host.runs.values()].forEach((run) => this.#release(run, now, 0));
+  }
+
+  /** Orders again the stops that were not answered. */
+  repeatStops(host: ManagedHost, now: number): void {
+    host.runs.forEach((run) => {
+      if (run.state === 'running' || run.state === 'starting') return;
+      if (run.stopOrderedAt === undefined || run.stopAnsweredAt !== undefined) return;
+      if (now - run.stopOrderedAt >= STOP_REPEAT_MS) this.stop(run, now, 'repeat');
+    });
+  }
+
+  /** Stops all runs of a job that is over. */
+  stopJob(job: ScheduledJob, now: number, reason: string): void {
+    job.collectRuns().forEach((run) => {
+      if (run.state === 'running' || run.state === 'starting') this.stop(run, now, reason);
+    });
+  }
+
+  #handleRefusal(run: Run, reason: string, now: number): LedgerResult {
+    const { host } = run;
+    const isInDoubt = run.state === 'uncertain';
+    if (reason === 'fenced') return 'fenced';
+    if (!isInDoubt || reason === 'superseded') this.#release(run, now, RETRY_PAUSE_MS);
+    if (reason === 'no-room') host.suspendedUntil = Math.max(host.suspendedUntil, now + NO_ROOM_PAUSE_MS);
+    if (reason === 'unhealthy' || reason === 'invalid') {
+      host.suspendedUntil = Math.max(host.suspendedUntil, now + UNHEALTHY_PAUSE_MS);
+    }
+    return reason === 'other-life' ? 'other-life' : 'ok';
+  }
+
+  #handleListed(host: ManagedHost, listed: ListedRun, now: number): Run | undefined {
+    const run = host.findRun(listed.task, listed.run) ?? this.#adopt(host, listed, now);
+    if (run === undefined) return undefined;
+    run.seenAt = now;
+    run.unlisted = 0;
+    if (run.state === 'starting' || run.state === 'uncertain') {
+      run.startedAt ??= now;
+      // A stop that was ordered while the start was in doubt stays in force.
+      run.state = run.stopOrderedAt === undefined ? 'running' : 'stopping';
+    }
+    run.checkpoint = listed.checkpoint;
+    run.percent = listed.percent;
+    run.load = listed.load;
+    if (listed.percent < 100) run.lastImpairedAt = now;
+    const isIdle = listed.load === 0 && run.unit.spec.latencyTargetMs === undefined;
+    run.idleReports = isIdle ? run.idleReports + 1 : 0;
+    return run;
+  }
+
+  /** Takes over a run that an earlier owner or a late order started, or stops it. */
+  #adopt(host: ManagedHost, listed: ListedRun, now: number): Run | undefined {
+    const id = parseTaskId(listed.task);
+    const unit =
+      id === undefined
+        ? undefined
+        : this.#jobs.findUnit(id.job, id.occurrence, id.step, id.index);
+    if (id === undefined || unit === undefined || !RunLedger.#canAdopt(unit, id.index, listed)) {
+      this.#stopUnwanted(host, listed, now);
+      return undefined;
+    }
+    unit.lastRun = Math.max(unit.lastRun, listed.run);
+    const run = this.open(unit, id.index, host, listed.run, now);
+    run.state = 'running';
+    run.startedAt = now;
+    this.#output.record({
+      decision: 'run-adopted',
+      subject: listed.task,
+      inputs: { host: host.id, run: listed.run },
+    });
+    return run;
+  }
+
+  static #canAdopt(unit: WorkUnit, index: number, { run: number }: ListedRun): boolean {
+    if (unit.isDone) return false;
+    const others = [...unit.runs];
+    if (unit.spec.gang) {
+      return others.every((run) => run.number === number && run.index !== index);
+    }
+    return others.length === 0;
+  }
+
+  #stopUnwanted(host: ManagedHost, { task, run: number }: ListedRun, now: number): void {
+    const key = `${host.id}#${task}#${number}`;
+    const last = this.#unwanted.get(key);
+    if (last !== undefined && now - last < STOP_REPEAT_MS) return;
+    this.#unwanted.set(key, now);
+    this.#output.send({ type: 'stop', host, task, number });
+    this.#output.record({
+      decision: 'stop',
+      subject: task,
+      inputs: { host: host.id, run: number, reason: 'not-wanted' },
+    });
+  }
+
+  #handleUnlisted(run: Run, sentAt: number, now: number): void {
+    if (run.state === 'starting' || sentAt <= run.seenAt) return;
+    if (run.state === 'uncertain') {
+      if (run.stopOrderedAt === undefined) this.stop(run, now, 'start-unanswered');
+      else if (run.stopAnsweredAt !== undefined && sentAt > run.stopAnsweredAt) {
+        this.#release(run, now, 0);
+      }
+      return;
+    }
+    run.unlisted += 1;
+    if (run.unlisted < MISSING_REPORTS) return;
+    if (run.stopAnsweredAt !== undefined && sentAt > run.stopAnsweredAt) this.#release(run, now, 0);
+    else this.stop(run, now, 'not-listed');
+  }
+
+  #handleEnd(host: ManagedHost, end: ListedEnd, now: number): void {
+    if (end.number <= host.processedEnd) return;
+    host.processedEnd = end.number;
+    this.#unwanted.delete(`${host.id}#${end.task}#${end.run}`);
+    const run = host.findRun(end.task, end.run);
+    const id = parseTaskId(end.task);
+    const unit =
+      run?.unit ??
+      (id === undefined
+        ? undefined
+        : this.#jobs.findUnit(id.job, id.occurrence, id.step, id.index));
+    if (unit === undefined) return;
+    unit.lastRun = Math.max(unit.lastRun, end.run);
+    if (end.checkpoint !== '' && unit.spec.checkpoints) unit.checkpoint = end.checkpoint;
+    if (end.outcome === 'done') this.#handleDone(host, unit, run, now);
+    if (end.outcome === 'failed') this.#handleFailed(host, unit, now);
+    if (run !== undefined) this.#release(run, now, 0);
+  }
+
+  #handleDone(host: ManagedHost, unit: WorkUnit, run: Run | undefined, now: number): void {
+    this.#blame.reportSuccess(host);
+    if (unit.spec.isLasting || unit.isDone) return;
+    const { queue } = unit.step.occurrence.job;
+    if (run?.startedAt !== undefined && unit.checkpoint === '') {
+      this.#estimator.report(queue.name, unit.spec, now - run.startedAt);
+    }
+    this.#jobs.finishUnit(unit, this.#clock.readWall());
+    unit.runs.forEach((other) => {
+      if (other !== run && (other.state === 'running' || other.state === 'starting')) {
+        this.stop(other, now, 'copy-finished');
+      }
+    });
+  }
+
+  #handleFailed(host: ManagedHost, unit: WorkUnit, now: number): void {
+    const { job } = unit.step.occurrence;
+    unit.avoided.add(host.machine);
+    const suspensionMs = this.#blame.reportFailure(host, job.id, now);
+    this.#output.record({
+      decision: 'run-failed',
+      subject: `${unit.step.id}.${unit.indexes[0] ?? 0}`,
+      inputs: { host: host.id, failures: unit.failures + 1, suspensionMs },
+    });
+    if (unit.spec.isLasting || unit.isDone || job.final !== undefined) return;
+    if (this.#jobs.failUnit(unit, this.#clock.readWall())) this.stopJob(job, now, 'job-failed');
+  }
+
+  #release(run: Run, now: number, pauseMs: number): void {
+    const { unit, host } = run;
+    host.removeRun(run, computeRoom(unit.spec), now);
+    unit.runs.delete(run);
+    unit.notBefore = Math.max(unit.notBefore, now + pauseMs);
+    unit.readySince = now;
+    if (run.checkpoint !== '' && unit.spec.checkpoints && unit.checkpoint === '') {
+      unit.checkpoint = run.checkpoint;
+    }
+  }
+}
--- /dev/null
+++ b/src/schedule/ScheduledJob.ts
@@ -0,0 +1,147 @@
+import type { BookedJob, JobProgress } from '../book/mod.js';
+import type { QueueRule } from '../port/mod.js';
+import { Occurrence } from './Occurrence.js';
+import type { Run } from './Run.js';
+
+/** Final state of a job. */
+export type FinalState = 'completed' | 'failed' | 'cancelled';
+
+/** A job that the owner of the shard works on. */
+export class ScheduledJob {
+  /** Unfinished occurrences that may have begun, by number. */
+  readonly occurrences = new Map<number, Occurrence>();
+
+  /** Finished occurrences at or above `finishedBelow`. */
+  readonly #finished = new Set<number>();
+
+  #finishedBelow = 0;
+
+  final: FinalState | undefined;
+
+  reason: string | undefined;
+
+  endedAtMs: number | undefined;
+
+  /** A task of it has been started. */
+  hasBegun = false;
+
+  /** Failed runs of any of its tasks. */
+  failures = 0;
+
+  constructor(
+    readonly booked: BookedJob,
+    public queue: QueueRule,
+  ) {
+    this.#restore(booked.progress);
+  }
+
+  get id(): string {
+    return this.booked.id;
+  }
+
+  get isLasting(): boolean {
+    return this.booked.spec.steps.some((step) => step.isLasting);
+  }
+
+  get repeats(): number {
+    return this.booked.spec.repeat?.count ?? 1;
+  }
+
+  /** Computes when an occurrence is due, ms since 1970; 0 for a job that does not repeat. */
+  computeDue(number: number): number {
+    const { repeat } = this.booked.spec;
+    return repeat === undefined ? 0 : repeat.startAtMs + number * repeat.intervalMs;
+  }
+
+  /** Opens the occurrences that come due before a wall-clock time and returns the new ones. */
+  openOccurrences(untilWallMs: number): Occurrence[] {
+    const opened: Occurrence[] = [];
+    for (let number = this.#finishedBelow; number < this.repeats; number += 1) {
+      const due = this.computeDue(number);
+      if (due > untilWallMs) break;
+      if (!this.occurrences.has(number) && !this.#finished.has(number)) {
+        opened.push(this.#open(number));
+      }
+    }
+    return opened;
+  }
+
+  /** Marks an occurrence as finished; true when the job is finished with it. */
+  finishOccurrence(number: number): boolean {
+    this.occurrences.delete(number);
+    this.#finished.add(number);
+    while (this.#finished.delete(this.#finishedBelow)) this.#finishedBelow += 1;
+    return this.#finishedBelow >= this.repeats;
+  }
+
+  /** Collects the runs of all its tasks. */
+  collectRuns(): Run[] {
+    return [...this.occurrences.values()].flatMap((occurrence) =>
+      occurrence.steps.flatMap((step) => step.units.flatMap((unit) => [...unit.runs])),
+    );
+  }
+
+  /** Describes the progress for the log. */
+  describeProgress(token: number): JobProgress {
+    return {
+      token,
+      state: this.final ?? 'active',
+      ...(this.reason === undefined ? {} : { reason: this.reason }),
+      ...(this.endedAtMs === undefined ? {} : { endedAtMs: this.endedAtMs }),
+      finishedBelow: this.#finishedBelow,
+      finished: [...this.#finished],
+      occurrences:
+        this.final === undefined
+          ? [...this.occurrences.values()]
+              .filter(({ hasBegun }) => hasBegun)
+              .map((occurrence) => ScheduledJob.#describeOccurrence(occurrence))
+          : [],
+    };
+  }
+
+  static #describeOccurrence({ number, steps }: Occurrence): JobProgress['occurrences'][number] {
+    return {
+      number,
+      steps: steps.map((step) => ({
+        done: step.units.flatMap((unit) => (unit.isDone ? unit.indexes.slice(0, 1) : [])),
+        failed: step.units
+          .filter((unit) => unit.failures > 0 && !unit.isDone)
+          .map((unit): [number, number] => [unit.indexes[0] ?? 0, unit.failures]),
+      })),
+    };
+  }
+
+  #open(number: number): Occurrence {
+    const occurrence = new Occurrence(this, number, this.computeDue(number));
+    this.occurrences.set(number, occurrence);
+    return occurrence;
+  }
+
+  #restore(progress: JobProgress | undefined): void {
+    if (progress === undefined) return;
+    this.hasBegun = true;
+    this.#finishedBelow = progress.finishedBelow;
+    progress.finished.forEach((number) => this.#finished.add(number));
+    if (progress.state !== 'active') this.final = progress.state;
+    progress.occurrences.forEach(({ number, steps }) => {
+      const occurrence = this.#open(number);
+      occurrence.hasBegun = true;
+      steps.forEach(({ done, failed }, index) => {
+        const step = occurrence.steps[index];
+        if (step === undefined) return;
+        done.forEach((task) => {
+          const unit = step.findUnit(task);
+          if (unit === undefined || unit.isDone) return;
+          unit.isDone = true;
+          step.remaining -= 1;
+        });
+        failed.forEach(([task, count]) => {
+          const unit = step.findUnit(task);
+          if (unit === undefined) return;
+          unit.failures = count;
+          this.failures += count;
+        });
+      });
+    });
+  }
+}
--- /dev/null
+++ b/src/schedule/Shard.ts
@@ -0,0 +1,496 @@
+import type { BookedJob, WaveRecord } from '../book/mod.js';
+import type { Clock } from '../clock/mod.js';
+import type {
+  Advice,
+  Configuration,
+  HostEntry,
+  HostReport,
+  Machine,
+  MachineAnswer,
+  PoolRule,
+  QueueRule,
+  WaveOrder,
+} from '../port/mod.js';
+import { AdviceBook } from './AdviceBook.js';
+import { canInterrupt } from './canInterrupt.js';
+import { HostBlame } from './HostBlame.js';
+import { HostTable } from './HostTable.js';
+import { InterferenceControl } from './InterferenceControl.js';
+import { LeastWorkFirst, type JobOrder } from './JobOrder.js';
+import { JobTable } from './JobTable.js';
+import type { ManagedHost } from './ManagedHost.js';
+import { MachinePlanner } from './MachinePlanner.js';
+import { PackingPlacement, type PlacementPolicy } from './PlacementPolicy.js';
+import { PoolLoad } from './PoolLoad.js';
+import type { Run } from './Run.js';
+import { RunLedger, type LedgerResult, type OrderOutcome } from './RunLedger.js';
+import { RunTimeEstimator } from './RunTimeEstimator.js';
+import type { ScheduledJob } from './ScheduledJob.js';
+import type { ScheduledStep } from './ScheduledStep.js';
+import type { ShardOptions } from './ShardOptions.js';
+import type { ShardOutput } from './ShardCommand.js';
+import type { UpkeepOrder } from './UpkeepPlanner.js';
+import type { WorkUnit } from './WorkUnit.js';
+
+/** Run numbers of a later owner begin this far above those of the one before. */
+const RUNS_PER_TOKEN = 1_000;
+/** Unanswered calls in a row after which a host's life is checked against the list of machines. */
+const SILENT_CALLS = 2;
+/** A new owner waits this long for hosts that have not answered before it asks again, in ms. */
+const CLOCK_DRIFT = 0.02;
+
+/** How a shard came to its owner. */
+export interface Takeover {
+  token: number;
+  /** Offset of the claim: jobs after it have not been seen by an earlier owner. */
+  claimOffset: number;
+  /** No one has owned the shard before. */
+  isFirst: boolean;
+  /** The owner before handed it over, so it gives no more orders. */
+  isHandover: boolean;
+}
+
+/** Parts of a shard that tests replace. */
+export interface ShardParts {
+  clock: Clock;
+  output: ShardOutput;
+  order?: JobOrder;
+  placement?: PlacementPolicy;
+}
+
+/**
+ * The decisions of the owner of a shard: which task starts where and when, what is stopped, which
+ * machines move or are maintained.
+ *
+ * It does no I/O: events come in as method calls, commands go out through `ShardOutput`. All times
+ * are read from the given clock.
+ */
+export class Shard {
+  readonly #clock: Clock;
+
+  readonly #output: ShardOutput;
+
+  readonly #options: ShardOptions;
+
+  readonly #takeover: Takeover;
+
+  readonly #startedAt: number;
+
+  readonly #jobs: JobTable;
+
+  readonly #hosts = new HostTable();
+
+  readonly #ledger: RunLedger;
+
+  readonly #estimator = new RunTimeEstimator();
+
+  readonly #blame = new HostBlame();
+
+  readonly #order: JobOrder;
+
+  readonly #placement: PlacementPolicy;
+
+  readonly #interference = new InterferenceControl();
+
+  readonly #advice = new AdviceBook();
+
+  readonly #machines: MachinePlanner;
+
+  readonly #load: PoolLoad;
+
+  #pools = new Map<string, PoolRule>();
+
+  #queues = new Map<string, QueueRule>();
+
+  constructor(takeover: Takeover, options: ShardOptions, parts: ShardParts) {
+    this.#takeover = takeover;
+    this.#options = options;
+    this.#clock = parts.clock;
+    this.#output = parts.output;
+    this.#startedAt = this.#clock.readMonotonic();
+    this.#jobs = new JobTable(this.#output);
+    this.#order = parts.order ?? new LeastWorkFirst(this.#estimator);
+    this.#placement = parts.placement ?? new PackingPlacement();
+    this.#ledger = new RunLedger({
+      jobs: this.#jobs,
+      estimator: this.#estimator,
+      blame: this.#blame,
+      output: this.#output,
+      clock: this.#clock,
+    });
+    this.#load = new PoolLoad(this.#jobs, this.#hosts, this.#estimator);
+    this.#machines = new MachinePlanner(options, {
+      hosts: this.#hosts,
+      ledger: this.#ledger,
+      load: this.#load,
+      output: this.#output,
+      ordersFrom: takeover.isFirst ? this.#startedAt : this.#startedAt + options.machineLeaseMs,
+    });
+  }
+
+  get token(): number {
+    return this.#takeover.token;
+  }
+
+  /** Applies the newest configuration. */
+  applyConfiguration({ queues, pools }: Configuration): void {
+    this.#queues = new Map(queues.map((queue) => [queue.name, queue]));
+    this.#pools = new Map(pools.map((pool) => [pool.name, pool]));
+    this.#jobs.updateQueues((name) => this.#queues.get(name));
+  }
+
+  /** Adds an accepted job. */
+  addJob(booked: BookedJob): void {
+    if (booked.cancelledAtMs !== undefined && booked.progress?.state === undefined) {
+      // Cancelled before it began: nothing runs, and its state is read from the cancellation.
+    }
+    const queue = this.#queues.get(booked.queue) ?? Shard.#restoreQueue(booked);
+    const job = this.#jobs.add(booked, queue, this.#clock.readWall());
+    if (job !== undefined && booked.cancelledAtMs !== undefined) this.cancelJob(booked.id);
+  }
+
+  /** Cancels a job and stops its runs. */
+  cancelJob(id: string): void {
+    const job = this.#jobs.get(id);
+    if (job === undefined) return;
+    const now = this.#clock.readMonotonic();
+    const runs = job.collectRuns();
+    this.#jobs.finishJob(job, 'cancelled', this.#clock.readWall());
+    this.#advice.remove(id);
+    runs.forEach((run) => this.#ledger.stop(run, now, 'cancelled'));
+  }
+
+  /** Adds or changes a host of the list. */
+  updateHost(entry: HostEntry): { host: ManagedHost; isNew: boolean } {
+    const now = this.#clock.readMonotonic();
+    const known = this.#hosts.get(entry.id);
+    const { host, replaced } = this.#hosts.update(entry, now);
+    if (replaced !== undefined) this.#endLife(replaced, 'other-life', now);
+    if (host.entry.state === 'draining') this.#evacuate(host, now);
+    const isNew = known !== host || known.entry.address === '';
+    if (isNew && replaced === undefined && !this.#takeover.isFirst && known === undefined) {
+      // A host that came up after the claim has never heard an earlier owner, but its entry does
+      // not tell when it came; its first report does.
+      host.reservedUntil = this.#computeReserve();
+    }
+    return { host, isNew };
+  }
+
+  /** Marks a host as missing from the list; it may still run. */
+  removeHost(id: string): void {
+    const host = this.#hosts.get(id);
+    if (host === undefined) return;
+    host.isListed = false;
+    if (host.runs.size === 0 && host.isFenced) this.#endLife(host, 'not-listed', this.#now);
+  }
+
+  /** Replaces the list of machines. */
+  updateMachines(machines: readonly Machine[], readAt: number): void {
+    const now = this.#now;
+    const isFirstList = this.#hosts.machinesReadAt === -Infinity;
+    this.#hosts.setMachines(machines, readAt);
+    if (isFirstList && !this.#takeover.isFirst) {
+      machines.forEach((machine) => {
+        const { hostId } = machine;
+        if (hostId === undefined || machine.state !== 'up' || this.#hosts.get(hostId)) return;
+        if (this.#pools.get(machine.pool)?.isStandby === true) return;
+        const host = this.#hosts.addUnlisted({ ...machine, hostId }, now);
+        host.reservedUntil = this.#computeReserve();
+      });
+    }
+    [...this.#hosts.hosts].forEach((host) => {
+      const isSilent = host.silentCalls >= SILENT_CALLS || !host.isListed;
+      const isOlder = host.answeredAt < readAt;
+      if (isSilent && isOlder && this.#hosts.isProvedEnded(host)) {
+        this.#endLife(host, 'machine-list', now);
+      }
+    });
+  }
+
+  /** Sets a wave that the operator asks for. */
+  setWave(order: WaveOrder, record: WaveRecord | undefined): void {
+    this.#machines.setWave(order, this.#clock.readWall(), record);
+  }
+
+  /** Handles the outcome of a start. */
+  reportStart(run: Run, outcome: OrderOutcome): LedgerResult {
+    const result = this.#ledger.reportStart(run, outcome, this.#now);
+    if (outcome.type === 'refused' && outcome.reason === 'no-ticket') {
+      this.#advice.withdraw(run.unit.step, run.host.id);
+    }
+    return this.#settle(run.host, result);
+  }
+
+  /** Handles the outcome of a stop. */
+  reportStop(
+    host: ManagedHost,
+    stop: { task: string; number: number },
+    outcome: OrderOutcome,
+  ): LedgerResult {
+    return this.#settle(host, this.#ledger.reportStop(host, stop, outcome, this.#now));
+  }
+
+  /** Handles the outcome of a change of pace. */
+  reportPace(run: Run, percent: number, outcome: OrderOutcome): LedgerResult {
+    // eslint-disable-next-line no-param-reassign -- the run is owned by the shard
+    run.isPacing = false;
+    if (outcome.type === 'unanswered' || outcome.type === 'unsent') return 'ok';
+    if (outcome.type === 'refused') return outcome.reason === 'fenced' ? 'fenced' : 'ok';
+    // eslint-disable-next-line no-param-reassign -- as above
+    run.pace = percent;
+    return 'ok';
+  }
+
+  /** Handles the report of a host; the first one ends what an earlier owner may order there. */
+  reportHold(host: ManagedHost, report: HostReport, sentAt: number): LedgerResult {
+    const now = this.#now;
+    if (host.hasEnded) return 'ok';
+    if (host.isOtherLife(report)) return this.#settle(host, 'other-life');
+    host.isFenced = true;
+    host.reservedUntil = 0;
+    this.#ledger.reportHold(host, report, sentAt, now);
+    this.#interference.plan(host).forEach(({ run, percent }) => {
+      run.isPacing = true;
+      this.#output.send({ type: 'pace', run, percent });
+    });
+    return 'ok';
+  }
+
+  /** Records that a hold was refused or not answered. */
+  reportHoldFailure(host: ManagedHost, reason: string): LedgerResult {
+    if (reason === 'fenced') return 'fenced';
+    if (reason === 'other-life') return this.#settle(host, 'other-life');
+    host.silentCalls += 1;
+    return 'ok';
+  }
+
+  /** Records the answer to an order about a machine. */
+  reportMachine(
+    order: { machine: string; wave?: number },
+    answer: MachineAnswer | { type: 'unanswered' },
+  ): LedgerResult {
+    const ended = this.#machines.reportAnswer(order, answer, this.#now);
+    if (ended !== undefined) this.#endLife(ended, 'machine-ordered', this.#now);
+    return answer.type === 'fenced' ? 'fenced' : 'ok';
+  }
+
+  /** Records an answer of the advice service; undefined when there was none. */
+  reportAdvice(step: string, advice: Advice | undefined): void {
+    this.#advice.report(step, advice, this.#now);
+  }
+
+  /** Finds a host by its life. */
+  findHost(id: string): ManagedHost | undefined {
+    return this.#hosts.get(id);
+  }
+
+  get hosts(): IterableIterator<ManagedHost> {
+    return this.#hosts.hosts;
+  }
+
+  /** Checks whether the list of machines is needed now. */
+  get needsMachines(): boolean {
+    if (this.#hosts.machinesReadAt === -Infinity) return true;
+    if (this.#machines.needsList) return true;
+    return [...this.#hosts.hosts].some(
+      (host) =>
+        (host.silentCalls >= SILENT_CALLS || !host.isListed) &&
+        (host.runs.size > 0 || host.reservedUntil > 0),
+    );
+  }
+
+  /** Plans what to do now and sends the commands. */
+  plan(): void {
+    const now = this.#now;
+    this.#jobs.openDue(this.#clock.readWall());
+    this.#sweep(now);
+    this.#machines.planUpkeep(now, this.#clock.readWall(), this.#pools);
+    const waiting = this.#jobs.listWaiting();
+    waiting.forEach((steps, pool) => this.#planPool(pool, steps, now));
+    this.#machines.planMoves(now, this.#pools);
+  }
+
+  /** Takes the jobs whose progress has to be recorded. */
+  takeDirty(): ScheduledJob[] {
+    return this.#jobs.takeDirty();
+  }
+
+  get hasDirty(): boolean {
+    return this.#jobs.hasDirty || this.#machines.dirtyWaves.size > 0;
+  }
+
+  /** Takes the waves that have to be recorded. */
+  takeDirtyWaves(): [number, WaveRecord][] {
+    return this.#machines.takeDirtyWaves();
+  }
+
+  /** Puts back what could not be recorded. */
+  restoreDirty(jobs: readonly ScheduledJob[], waves: readonly number[]): void {
+    this.#jobs.restoreDirty(jobs);
+    waves.forEach((wave) => this.#machines.dirtyWaves.add(wave));
+  }
+
+  /** Counts the jobs of each queue for which no task has started. */
+  countWaiting(): Record<string, number> {
+    return this.#jobs.countWaiting();
+  }
+
+  /** Computes for each pool how long its hosts need for the work that waits, in ms. */
+  computeBacklogs(): Record<string, number> {
+    return this.#load.computeBacklogs(this.#now, this.#pools);
+  }
+
+  get #now(): number {
+    return this.#clock.readMonotonic();
+  }
+
+  /** Queue rule of a job whose queue has been removed from the configuration. */
+  static #restoreQueue({ queue, pool }: BookedJob): QueueRule {
+    return {
+      name: queue,
+      hostName: '',
+      pathPrefix: '',
+      pool,
+      priority: 0,
+      maxAttempts: 1,
+      stretch: 2,
+      latencyTargetMs: 0,
+      timeoutMs: 1_000,
+    };
+  }
+
+  /** Computes until when runs of an earlier owner may exist on a host that does not answer. */
+  #computeReserve(): number {
+    const { maxLeaseMs, detachedLimitMs } = this.#options;
+    const orders = this.#takeover.isHandover ? 0 : detachedLimitMs;
+    return this.#startedAt + (orders + maxLeaseMs) * (1 + CLOCK_DRIFT);
+  }
+
+  #settle(host: ManagedHost, result: LedgerResult): LedgerResult {
+    if (result === 'other-life') this.#endLife(host, 'other-life', this.#now);
+    return result;
+  }
+
+  #endLife(host: ManagedHost, proof: string, now: number): void {
+    if (host.hasEnded) return;
+    // eslint-disable-next-line no-param-reassign -- the host is owned by the shard
+    host.hasEnded = true;
+    this.#output.record({
+      decision: 'host-ended',
+      subject: host.id,
+      inputs: { machine: host.machine, proof, runs: host.runs.size },
+    });
+    this.#ledger.endHost(host, now);
+    this.#blame.remove(host);
+    this.#hosts.remove(host);
+  }
+
+  /** Ends lives whose leases have expired, and repeats stops. */
+  #sweep(now: number): void {
+    [...this.#hosts.hosts].forEach((host) => {
+      const isSilent = host.silentCalls > 0 || !host.isListed;
+      if (isSilent && host.runs.size > 0 && host.computeExpiry() < now) {
+        // Its leases have expired, but the host may come back: only its runs are over.
+        this.#output.record({
+          decision: 'leases-expired',
+          subject: host.id,
+          inputs: { runs: host.runs.size },
+        });
+        this.#ledger.endHost(host, now);
+      }
+      if (!host.isListed && host.runs.size === 0 && host.reservedUntil < now) {
+        this.#endLife(host, 'not-listed', now);
+      } else this.#ledger.repeatStops(host, now);
+    });
+  }
+
+  /** Moves lasting tasks away from a host that leaves. */
+  #evacuate(host: ManagedHost, now: number): void {
+    host.runs.forEach((run) => {
+      if (run.state === 'running' && run.unit.spec.isLasting) {
+        this.#ledger.stop(run, now, 'host-draining');
+      }
+    });
+  }
+
+  #planPool(pool: string, steps: readonly ScheduledStep[], now: number): void {
+    if (this.#pools.get(pool)?.isStandby === true) return;
+    const hosts = this.#hosts.listPool(pool).filter((host) => host.isAvailable(now));
+    const sorted = this.#order.sort(steps, this.#clock.readWall());
+    sorted.forEach((step) => {
+      if (step.occurrence.job.booked.acceptedOffset < this.#takeover.claimOffset) {
+        if (this.#isInDoubt(pool)) return;
+      }
+      this.#planStep(step, hosts, now);
+    });
+  }
+
+  /** Checks whether runs of an earlier owner may exist on hosts of a pool that have not answered. */
+  #isInDoubt(pool: string): boolean {
+    if (this.#takeover.isFirst) return false;
+    if (this.#hosts.machinesReadAt === -Infinity) return true;
+    const now = this.#now;
+    return [...this.#hosts.hosts].some(
+      (host) => host.pool === pool && !host.isFenced && host.reservedUntil > now,
+    );
+  }
+
+  #planStep(step: ScheduledStep, hosts: readonly ManagedHost[], now: number): void {
+    const needsAdvice = step.occurrence.job.queue.advice !== undefined;
+    for (const unit of step.units) {
+      if (!unit.isWaiting || unit.notBefore > now) continue;
+      const allowed = needsAdvice ? this.#advice.collectAllowed(step, now) : undefined;
+      const placements = this.#placement.choose(unit, hosts, { now, allowed });
+      if (placements === undefined) {
+        if (needsAdvice) this.#askAdvice(step, hosts, now);
+        else this.#preempt(unit, hosts, now);
+        return;
+      }
+      const number = unit.increaseRun((this.token - 1) * RUNS_PER_TOKEN);
+      placements.forEach(({ index, host }) => this.#start(unit, index, host, number));
+    }
+  }
+
+  #start(unit: WorkUnit, index: number, host: ManagedHost, number: number): void {
+    const now = this.#now;
+    const leaseEndMs = host.computeLeaseEnd(this.#options.leaseMs, now);
+    const run = this.#ledger.open(unit, index, host, number, now);
+    if (leaseEndMs === undefined) {
+      this.#ledger.reportStart(run, { type: 'unsent' }, now);
+      return;
+    }
+    this.#output.send({
+      type: 'start',
+      run,
+      leaseEndMs,
+      checkpoint: unit.checkpoint,
+      ticket: this.#advice.findTicket(unit.step, host.id),
+    });
+  }
+
+  #askAdvice(step: ScheduledStep, hosts: readonly ManagedHost[], now: number): void {
+    const hostIds = this.#advice.planQuestion(step, hosts, now);
+    if (hostIds !== undefined) this.#output.send({ type: 'ask-advice', step: step.id, hostIds });
+  }
+
+  /** Stops runs of lower priority so that a unit of higher priority gets room. */
+  #preempt(unit: WorkUnit, hosts: readonly ManagedHost[], now: number): void {
+    const { priority } = unit.step.occurrence.job.queue;
+    const victims = hosts.flatMap((host) =>
+      [...host.runs.values()].filter(
+        (run) =>
+          run.unit.step.occurrence.job.queue.priority > priority &&
+          run.unit.spec.cpuMilli > 0 &&
+          canInterrupt(run),
+      ),
+    );
+    if (victims.some(({ state }) => state === 'stopping')) return;
+    const fit = victims
+      .filter(({ state, unit: other }) => state === 'running' && other.spec.checkpoints)
+      .filter(({ unit: other }) => other.spec.cpuMilli >= unit.spec.cpuMilli);
+    const [victim] = fit.sort((one, other) => (other.startedAt ?? 0) - (one.startedAt ?? 0));
+    if (victim !== undefined) this.#ledger.stop(victim, now, 'preempted');
+  }
+}
+
+export type { UpkeepOrder };
--- /dev/null
+++ b/src/schedule/UpkeepPlanner.ts
@@ -0,0 +1,220 @@
+import type { Machine, WaveOrder } from '../port/mod.js';
+import type { WaveRecord } from '../book/mod.js';
+import type { ManagedHost } from './ManagedHost.js';
+
+/** Part of a wave's time in which all maintenance should have begun; the rest is for trouble. */
+const PLANNED_SHARE = 0.75;
+/** Time that the emptying and the maintenance of one host usually take together, in ms. */
+const TURN_MS = 4_500;
+/** A host that is still not empty after this time is maintained only when the wave is short. */
+const PATIENCE_MS = 8_000;
+/** Rest of a wave's time below which short tasks are not waited for, in ms. */
+const PRESSING_MS = 3_000;
+/** A machine counts as being under maintenance until it is seen up, at least for this time. */
+const MIN_DOWN_MS = 500;
+/** Pause after a machine was busy, in ms. */
+const BUSY_PAUSE_MS = 1_000;
+
+/** What the planner reads. */
+export interface UpkeepView {
+  now: number;
+  nowWallMs: number;
+  /** The machines as last listed. */
+  machines: ReadonlyMap<string, Machine>;
+  /** Steady time at which that list was asked for. */
+  machinesReadAt: number;
+  /** Host that each machine carries. */
+  hosts: ReadonlyMap<string, ManagedHost>;
+  /** How pressed a pool is: work that waits against its room, 0 for idle. */
+  pressure: (pool: string) => number;
+}
+
+/** Maintenance to begin. */
+export interface UpkeepOrder {
+  machine: string;
+  wave: number;
+}
+
+/** What the planner decided. */
+export interface UpkeepPlan {
+  /** Machines to empty: they take no new work. */
+  emptying: Set<string>;
+  /** Machines whose maintenance is to begin now. */
+  orders: UpkeepOrder[];
+  /** Waves that are finished with this plan. */
+  completed: number[];
+}
+
+interface Turn {
+  orderedAt: number;
+  /** Host life that the machine carried before. */
+  hostId: string | undefined;
+  isAnswered: boolean;
+}
+
+class Wave {
+  readonly begun = new Set<string>();
+
+  readonly turns = new Map<string, Turn>();
+
+  readonly emptyingSince = new Map<string, number>();
+
+  readonly notBefore = new Map<string, number>();
+
+  isCompleted = false;
+
+  constructor(
+    public order: WaveOrder,
+    readonly seenAtMs: number,
+  ) {}
+}
+
+/**
+ * Plans maintenance waves: which machine next, how many at once, and when a host is empty enough.
+ *
+ * A wave is spread over most of its time, so that as few hosts as possible are away at once;
+ * machines whose pool is idle go first. A machine counts against the cap from the moment that its
+ * maintenance is ordered until it is seen up with another life of its host.
+ */
+export class UpkeepPlanner {
+  readonly #waves = new Map<number, Wave>();
+
+  /** Adds or changes a wave; a record of an earlier owner tells what has begun. */
+  setOrder(order: WaveOrder, nowWallMs: number, record?: WaveRecord): void {
+    const known = this.#waves.get(order.wave);
+    if (known !== undefined) {
+      known.order = order;
+      return;
+    }
+    const wave = new Wave(order, record?.seenAtMs ?? nowWallMs);
+    record?.begun.forEach((machine) => wave.begun.add(machine));
+    wave.isCompleted = record?.isCompleted ?? false;
+    this.#waves.set(order.wave, wave);
+  }
+
+  /** Describes a wave for the log. */
+  describe(number: number): WaveRecord | undefined {
+    const wave = this.#waves.get(number);
+    if (wave === undefined) return undefined;
+    return { seenAtMs: wave.seenAtMs, begun: [...wave.begun], isCompleted: wave.isCompleted };
+  }
+
+  /** Checks whether a machine still waits for its maintenance or is under it. */
+  isInvolved(machine: string): boolean {
+    return [...this.#waves.values()].some(
+      ({ order, begun, turns, isCompleted }) =>
+        !isCompleted &&
+        order.machines.includes(machine) &&
+        (!begun.has(machine) || turns.has(machine)),
+    );
+  }
+
+  /** Records the answer to an order: begun, or to be tried again. */
+  reportAnswer({ machine, wave: number }: UpkeepOrder, hasBegun: boolean, now: number): void {
+    const wave = this.#waves.get(number);
+    const turn = wave?.turns.get(machine);
+    if (wave === undefined || turn === undefined) return;
+    if (hasBegun) {
+      turn.isAnswered = true;
+      wave.begun.add(machine);
+      return;
+    }
+    wave.turns.delete(machine);
+    wave.notBefore.set(machine, now + BUSY_PAUSE_MS);
+  }
+
+  /** Plans the next steps of all waves. */
+  plan(view: UpkeepView): UpkeepPlan {
+    const plan: UpkeepPlan = { emptying: new Set(), orders: [], completed: [] };
+    this.#waves.forEach((wave) => {
+      if (!wave.isCompleted) UpkeepPlanner.#planWave(wave, view, plan);
+    });
+    return plan;
+  }
+
+  static #planWave(wave: Wave, view: UpkeepView, plan: UpkeepPlan): void {
+    const { order } = wave;
+    UpkeepPlanner.#closeTurns(wave, view);
+    const open = order.machines.filter((machine) => !wave.begun.has(machine));
+    const pending = open.filter((machine) => !wave.turns.has(machine));
+    if (open.length === 0) {
+      wave.isCompleted = true;
+      plan.completed.push(order.wave);
+      return;
+    }
+    const present = pending.filter((machine) => {
+      const state = view.machines.get(machine)?.state;
+      return state === 'up' && (wave.notBefore.get(machine) ?? 0) <= view.now;
+    });
+    const restMs = wave.seenAtMs + order.durationMs - view.nowWallMs;
+    const places = UpkeepPlanner.#countPlaces(wave, view, open.length);
+    const sorted = present
+      .map((machine) => ({ machine, cost: UpkeepPlanner.#computeCost(wave, machine, view) }))
+      .sort((one, other) => one.cost - other.cost)
+      .slice(0, places);
+    sorted.forEach(({ machine }) => {
+      const host = view.hosts.get(machine);
+      const since = wave.emptyingSince.get(machine) ?? view.now;
+      wave.emptyingSince.set(machine, since);
+      plan.emptying.add(machine);
+      const isPressing = restMs < PRESSING_MS && view.now - since > PATIENCE_MS;
+      const mustWait = host !== undefined && host.runs.size > 0 && !isPressing;
+      if (mustWait || !UpkeepPlanner.#canBegin(wave, view)) return;
+      wave.turns.set(machine, { orderedAt: view.now, hostId: host?.id, isAnswered: false });
+      plan.orders.push({ machine, wave: order.wave });
+    });
+    [...wave.emptyingSince.keys()]
+      .filter((machine) => !plan.emptying.has(machine))
+      .forEach((machine) => wave.emptyingSince.delete(machine));
+  }
+
+  /** Counts machines under maintenance, those of earlier owners included. */
+  static #countDown(wave: Wave, view: UpkeepView): number {
+    const others = wave.order.machines.filter(
+      (machine) =>
+        !wave.turns.has(machine) && view.machines.get(machine)?.state === 'maintenance',
+    );
+    return wave.turns.size + others.length;
+  }
+
+  static #canBegin(wave: Wave, view: UpkeepView): boolean {
+    return UpkeepPlanner.#countDown(wave, view) < wave.order.cap;
+  }
+
+  /** Computes how many machines to empty or to maintain at once, so that the wave is in time. */
+  static #countPlaces(wave: Wave, view: UpkeepView, open: number): number {
+    const { order, seenAtMs } = wave;
+    const plannedMs = seenAtMs + order.durationMs * PLANNED_SHARE - view.nowWallMs;
+    const atOnce = Math.ceil((open * TURN_MS) / Math.max(TURN_MS, plannedMs));
+    const down = UpkeepPlanner.#countDown(wave, view);
+    // One machine above the cap is emptied early, so that the cap is used without a pause.
+    return Math.max(0, Math.min(order.cap + 1, atOnce) - down);
+  }
+
+  static #computeCost(wave: Wave, machine: string, view: UpkeepView): number {
+    const host = view.hosts.get(machine);
+    // What has begun to be emptied is not given up for another.
+    if (wave.emptyingSince.has(machine)) return -1_000;
+    if (host === undefined) return -100;
+    const room = host.used.cpuMilli / Math.max(1, host.capacity.cpuMilli);
+    let lasting = 0;
+    host.runs.forEach((run) => {
+      if (run.unit.spec.isLasting) lasting += 1;
+    });
+    return 10 * Math.min(5, view.pressure(host.pool)) + room + lasting;
+  }
+
+  /** Ends the turns of machines that are up again with another life of their host. */
+  static #closeTurns(wave: Wave, view: UpkeepView): void {
+    [...wave.turns].forEach(([machine, turn]) => {
+      if (!turn.isAnswered || view.now - turn.orderedAt < MIN_DOWN_MS) return;
+      const listed = view.machines.get(machine);
+      const host = view.hosts.get(machine);
+      const hasNewHost = host !== undefined && host.id !== turn.hostId && host.isListed;
+      const isListedUp =
+        view.machinesReadAt > turn.orderedAt + MIN_DOWN_MS &&
+        (listed === undefined || listed.state === 'up' || listed.state === 'down');
+      if (hasNewHost || isListedUp) wave.turns.delete(machine);
+    });
+  }
+}
--- /dev/null
+++ b/src/schedule/WorkUnit.ts
@@ -0,0 +1,50 @@
+import type { StepSpec } from '../task/mod.js';
+import type { Run } from './Run.js';
+import type { ScheduledStep } from './ScheduledStep.js';
+
+/** What is started together: one task, or all tasks of a gang. */
+export class WorkUnit {
+  /** Runs that hold room, on any host. */
+  readonly runs = new Set<Run>();
+
+  /** Failed runs that count against the attempts of the queue. */
+  failures = 0;
+
+  /** Number of the last run. */
+  lastRun = 0;
+
+  /** Progress from which the next run resumes; empty for none. */
+  checkpoint = '';
+
+  isDone = false;
+
+  /** Machines on which a run failed. */
+  readonly avoided = new Set<string>();
+
+  /** Steady time in ms before which the unit is not started again. */
+  notBefore = 0;
+
+  /** When the unit last became ready to start, for waiting times. */
+  readySince = 0;
+
+  constructor(
+    readonly step: ScheduledStep,
+    /** Indexes of its tasks. */
+    readonly indexes: readonly number[],
+  ) {}
+
+  get spec(): StepSpec {
+    return this.step.spec;
+  }
+
+  /** Checks whether the unit needs a run and has none. */
+  get isWaiting(): boolean {
+    return !this.isDone && this.runs.size === 0;
+  }
+
+  /** Takes the number of the next run; numbers of later owners are above those of earlier ones. */
+  increaseRun(floor: number): number {
+    this.lastRun = Math.max(this.lastRun, floor) + 1;
+    return this.lastRun;
+  }
+}
--- /dev/null
+++ b/src/schedule/computeRoom.ts
@@ -0,0 +1,15 @@
+import type { StepSpec } from '../task/mod.js';
+import type { Room } from './ManagedHost.js';
+
+/**
+ * Computes the room that one task of a step takes. Processor time that others leave idle is not
+ * reserved.
+ *
+ * @example
+ * ```ts
+ * computeRoom(StepSpec.parse({ count: 1, cpuMilli: 500, usesIdleCpu: true })).cpuMilli; // 0
+ * ```
+ */
+export function computeRoom({ cpuMilli, memoryMb, accelerators, usesIdleCpu }: StepSpec): Room {
+  return { cpuMilli: usesIdleCpu ? 0 : cpuMilli, memoryMb, accelerators };
+}
