Keep finished jobs finished, claim the shard by epoch, and add the emulator

Change: ends of finished jobs change nothing; every node counts waiting jobs in its book; claims use the store's epoch with a drawn sequence number; a wave is published in its newest state only; leases of silent hosts are not extended. Tests of the shard without network; emulator of store, hosts and machines.

--- a/scripts/runTests.ts
+++ b/scripts/runTests.ts
@@ -1,5 +1,5 @@
 /**
- * Runs every test under `dist/src` with `node --test` and honours `KNOWN-RED.txt`.
+ * Runs every test under `dist/src` and `dist/platform` with `node --test` and honours `KNOWN-RED.txt`.
  *
  * A failing test that is listed there is printed and passed over; any other failure, and a listed
  * test that no longer exists, fails the run.
@@ -24,10 +24,15 @@
   return new Set(lines.filter((line) => line.startsWith('test: ')).map((line) => line.slice(6)));
 }
 
-function listTestFiles(folder: string): string[] {
+/** Folders of the repository whose tests are run. */
+const SOURCE_FOLDERS = ['src', 'platform'];
+const BUILD_FOLDER = path.join(ROOT, 'dist');
+
+function listTestFiles(source: string): string[] {
+  const folder = path.join(BUILD_FOLDER, source);
   return readdirSync(folder, { recursive: true, encoding: 'utf8' })
     .filter((name) => name.endsWith('.test.js'))
-    .filter((name) => existsSync(path.join(ROOT, 'src', name.replace(/\.js$/, '.ts'))))
+    .filter((name) => existsSync(path.join(ROOT, source, name.replace(/\.js$/, '.ts'))))
     .map((name) => path.join(folder, name))
     .sort();
 }
@@ -37,10 +42,10 @@
 let passed = 0;
 let failed = 0;
 const only = process.argv.slice(2);
-const folder = path.join(ROOT, 'dist', 'src');
 // The name of the checkout is no part of the name of a test.
-const files = listTestFiles(folder).filter(
-  (file) => only.length === 0 || only.some((part) => path.relative(folder, file).includes(part)),
+const files = SOURCE_FOLDERS.flatMap(listTestFiles).filter(
+  (file) =>
+    only.length === 0 || only.some((part) => path.relative(BUILD_FOLDER, file).includes(part)),
 );
 
 const stream = run({ files, concurrency: CONCURRENT_FILES, timeout: FILE_TIMEOUT_MS });
--- a/src/book/BookRecord.ts
+++ b/src/book/BookRecord.ts
@@ -49,9 +49,7 @@
   session: z.string(),
   /** The owner has handed the shard over. */
   isReleased: z.boolean().default(false),
-  /** Jobs of each queue for which no task has started. */
-  waiting: z.record(z.string(), z.number()).default({}),
-  /** Rough work that waits in each pool: thousandths of a core times ms per host core share. */
+  /** Time in ms that the hosts of each pool need for the work that waits. */
   backlogMs: z.record(z.string(), z.number()).default({}),
 });
 export type OwnerRecord = z.infer<typeof OwnerRecord>;
--- a/src/book/JobBook.ts
+++ b/src/book/JobBook.ts
@@ -17,7 +17,14 @@
   | { type: 'cancelled'; job: BookedJob }
   | { type: 'progress'; job: BookedJob }
   | { type: 'removed'; id: string }
-  | { type: 'owner'; owner: OwnerRecord; isClaim: boolean; offset: number }
+  | {
+      type: 'owner';
+      owner: OwnerRecord;
+      /** The owner before; undefined when there was none. */
+      before: OwnerRecord | undefined;
+      isClaim: boolean;
+      offset: number;
+    }
   | { type: 'node'; name: string; node: NodeRecord | undefined }
   | { type: 'wave'; wave: number }
   /** A record that cannot be read; every reader skips it in the same way. */
@@ -49,6 +56,9 @@
 
   readonly #newest = new Map<string, number>();
 
+  /** Jobs of each queue for which no task has started. */
+  readonly #waiting = new Map<string, number>();
+
   #owner: OwnerRecord | undefined;
 
   get owner(): OwnerRecord | undefined {
@@ -76,6 +86,11 @@
     return this.#jobs.get(id);
   }
 
+  /** Counts the jobs of a queue for which no task has started; repeating jobs do not count. */
+  countWaiting(queue: string): number {
+    return this.#waiting.get(queue) ?? 0;
+  }
+
   /** Folds a record; undefined when it changes nothing. */
   apply(record: StoreRecord): BookChange | undefined {
     if ((this.#newest.get(record.key) ?? -1) >= record.offset) return undefined;
@@ -103,6 +118,7 @@
 
   #applyJob(id: string, record: StoreRecord): BookChange | undefined {
     if (record.value === undefined) {
+      this.#changeWaiting(this.#jobs.get(id), -1);
       this.#jobs.delete(id);
       this.#early.delete(id);
       this.#newest.delete(BookKey.job(id));
@@ -120,6 +136,7 @@
     };
     this.#early.delete(id);
     this.#jobs.set(id, job);
+    this.#changeWaiting(job, 1);
     return { type: 'job', job };
   }
 
@@ -134,6 +151,7 @@
       return undefined;
     }
     if (job.cancelledAtMs !== undefined) return undefined;
+    this.#changeWaiting(job, -1);
     job.cancelledAtMs = atMs;
     return { type: 'cancelled', job };
   }
@@ -147,6 +165,7 @@
       this.#early.set(id, { ...this.#early.get(id), progress: progress.value });
       return undefined;
     }
+    this.#changeWaiting(job, -1);
     job.progress = progress.value;
     return { type: 'progress', job };
   }
@@ -154,9 +173,10 @@
   #applyOwner(record: StoreRecord): BookChange | undefined {
     const owner = JobBook.#decode(OwnerRecord, record);
     if ('reason' in owner) return owner;
-    const isClaim = owner.value.token !== this.#owner?.token;
+    const before = this.#owner;
+    const isClaim = owner.value.token !== before?.token;
     this.#owner = owner.value;
-    return { type: 'owner', owner: owner.value, isClaim, offset: record.offset };
+    return { type: 'owner', owner: owner.value, before, isClaim, offset: record.offset };
   }
 
   #applyNode(name: string, record: StoreRecord): BookChange | undefined {
@@ -177,6 +197,13 @@
     return { type: 'wave', wave };
   }
 
+  /** Changes the count of waiting jobs by one that waits; others change nothing. */
+  #changeWaiting(job: BookedJob | undefined, by: 1 | -1): void {
+    if (job === undefined || job.spec.repeat !== undefined) return;
+    if (job.progress !== undefined || job.cancelledAtMs !== undefined) return;
+    this.#waiting.set(job.queue, this.countWaiting(job.queue) + by);
+  }
+
   static #decode<T>(
     schema: z.ZodType<T>,
     { key, value }: StoreRecord,
--- /dev/null
+++ b/src/emulator/EmulatedStore.ts
@@ -0,0 +1,266 @@
+import type { Clock } from '../clock/mod.js';
+import {
+  Store,
+  StoreRefusedError,
+  StoreUnansweredError,
+  type AppendAnswer,
+  type AppendOptions,
+  type KeyedValue,
+  type NewestPage,
+  type ReadAnswer,
+  type ReadOptions,
+  type StoreRecord,
+  type StoreTopic,
+} from '../port/mod.js';
+
+/** Repeats of this many last appends of a writer get their first answer again. */
+const REMEMBERED_APPENDS = 5;
+
+/** How the store treats calls. */
+export type StoreMode =
+  | 'well'
+  /** Refuses every call. */
+  | 'refusing'
+  /** Answers no call and does nothing. */
+  | 'silent'
+  /** Does what it is asked and does not answer appends. */
+  | 'losing-answers';
+
+/** State that all connections to one emulated store share. */
+class Log {
+  readonly records: StoreRecord[] = [];
+
+  /** Offset of the first record that is kept. */
+  first = 0;
+
+  readonly newest = new Map<string, StoreRecord>();
+
+  readonly waiting = new Set<() => void>();
+
+  get end(): number {
+    return this.first + this.records.length;
+  }
+
+  append(values: readonly KeyedValue[]): number {
+    const offset = this.end;
+    values.forEach(({ key, value }) => {
+      const record = {
+        offset: this.end,
+        key,
+        value: value === undefined ? undefined : Buffer.from(value),
+      };
+      this.records.push(record);
+      if (record.value === undefined) this.newest.delete(key);
+      else this.newest.set(key, record);
+    });
+    [...this.waiting].forEach((wake) => wake());
+    return offset;
+  }
+
+  expire(): void {
+    this.first = this.end;
+    this.records.length = 0;
+  }
+}
+
+interface WriterState {
+  epoch: number;
+  last: { sequence: number; answer: AppendAnswer }[];
+}
+
+/**
+ * The platform's store in memory: keyed logs with epochs, conditions and retention, and the faults
+ * that it may have. Each node gets its own connection, which can be cut by itself.
+ *
+ * @example
+ * ```ts
+ * const store = new EmulatedStore(clock);
+ * const connection = store.connect('node-1');
+ * await connection.append([{ key: 'job/1', value: '{}' }]);
+ * store.setMode('silent', 'node-1');
+ * ```
+ */
+export class EmulatedStore {
+  readonly #clock: Clock;
+
+  readonly #logs: Record<StoreTopic | 'status', Log> = {
+    work: new Log(),
+    operator: new Log(),
+    hosts: new Log(),
+    status: new Log(),
+  };
+
+  readonly #writers = new Map<string, WriterState>();
+
+  readonly #modes = new Map<string, StoreMode>();
+
+  #mode: StoreMode = 'well';
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  get clock(): Clock {
+    return this.#clock;
+  }
+
+  /** Opens the connection of a node. */
+  connect(node: string): Store {
+    return new StoreConnection(this, node);
+  }
+
+  /** Sets how the store treats all nodes, or one. */
+  setMode(mode: StoreMode, node?: string): void {
+    if (node === undefined) this.#mode = mode;
+    else this.#modes.set(node, mode);
+  }
+
+  /** Reads how the store treats a node. */
+  getMode(node: string): StoreMode {
+    const own = this.#modes.get(node) ?? 'well';
+    return own === 'well' ? this.#mode : own;
+  }
+
+  /** Writes a record as the operator or a host does. */
+  write(topic: StoreTopic, key: string, value: string | undefined): void {
+    this.#logs[topic].append([{ key, value }]);
+  }
+
+  /** Deletes the records of a log; the newest of each key is kept. */
+  expire(topic: StoreTopic): void {
+    this.#logs[topic].expire();
+  }
+
+  /** Lists the newest record of each key. */
+  listNewest(topic: StoreTopic | 'status'): StoreRecord[] {
+    return [...this.#logs[topic].newest.values()];
+  }
+
+  /** Appends as a node does. */
+  append(values: readonly KeyedValue[], options: AppendOptions): AppendAnswer {
+    const log = this.#logs.work;
+    const { writer, expectedEnd } = options;
+    if (expectedEnd !== undefined && expectedEnd !== log.end) {
+      return { type: 'conflict', end: log.end };
+    }
+    if (writer === undefined) return { type: 'appended', offset: log.append(values), end: log.end };
+    const state = this.#writers.get(writer.name) ?? { epoch: 0, last: [] };
+    if (writer.epoch < state.epoch) return { type: 'fenced' };
+    if (writer.epoch > state.epoch) Object.assign(state, { epoch: writer.epoch, last: [] });
+    const repeated = state.last.find(({ sequence }) => sequence === writer.sequence);
+    if (repeated !== undefined) return repeated.answer;
+    const last = state.last.at(-1);
+    if (last !== undefined && writer.sequence !== last.sequence + 1) {
+      return { type: 'sequence', expected: last.sequence + 1 };
+    }
+    const offset = log.append(values);
+    const answer: AppendAnswer = { type: 'appended', offset, end: log.end };
+    state.last = [...state.last, { sequence: writer.sequence, answer }].slice(-REMEMBERED_APPENDS);
+    this.#writers.set(writer.name, state);
+    return answer;
+  }
+
+  /** Publishes the state of a wave. */
+  publish(wave: number, state: string): AppendAnswer {
+    const log = this.#logs.status;
+    const offset = log.append([{ key: `wave/${wave}`, value: state }]);
+    return { type: 'appended', offset, end: log.end };
+  }
+
+  /** Reads as a node does; waits for a record. */
+  async read(topic: StoreTopic, from: number, waitMs: number): Promise<ReadAnswer> {
+    const log = this.#logs[topic];
+    if (from < log.first) return { type: 'expired', first: log.first };
+    if (from >= log.end && waitMs > 0) {
+      await new Promise<void>((resolve) => {
+        const timer = setTimeout(() => resolve(), waitMs);
+        const wake = (): void => {
+          clearTimeout(timer);
+          log.waiting.delete(wake);
+          resolve();
+        };
+        log.waiting.add(wake);
+      });
+    }
+    if (from < log.first) return { type: 'expired', first: log.first };
+    return { type: 'records', end: log.end, records: log.records.slice(from - log.first) };
+  }
+
+  /** Reads the newest records as a node does. */
+  readNewest(topic: StoreTopic): NewestPage {
+    const log = this.#logs[topic];
+    const records = [...log.newest.values()].sort((one, other) => (one.key < other.key ? -1 : 1));
+    return { records, next: undefined, end: log.end };
+  }
+}
+
+/** Time after which a call to a silent store counts as unanswered, in ms. */
+const SILENT_MS = 300;
+
+/** The connection of one node to an emulated store. */
+class StoreConnection extends Store {
+  readonly #store: EmulatedStore;
+
+  readonly #node: string;
+
+  constructor(store: EmulatedStore, node: string) {
+    super();
+    this.#store = store;
+    this.#node = node;
+  }
+
+  override async append(
+    records: readonly KeyedValue[],
+    options: AppendOptions = {},
+  ): Promise<AppendAnswer> {
+    await this.#pass();
+    const answer = this.#store.append(records, options);
+    if (this.#store.getMode(this.#node) === 'losing-answers') {
+      await StoreConnection.#time(SILENT_MS);
+      throw new StoreUnansweredError('the answer was lost');
+    }
+    return answer;
+  }
+
+  override async read(
+    topic: StoreTopic,
+    from: number,
+    { waitMs = 0 }: ReadOptions = {},
+  ): Promise<ReadAnswer> {
+    await this.#pass();
+    const answer = await this.#store.read(topic, from, waitMs);
+    await this.#pass();
+    return answer;
+  }
+
+  override async readNewest(topic: StoreTopic): Promise<NewestPage> {
+    await this.#pass();
+    return this.#store.readNewest(topic);
+  }
+
+  override async publishWave(wave: number, state: 'running' | 'completed'): Promise<AppendAnswer> {
+    await this.#pass();
+    return this.#store.publish(wave, state);
+  }
+
+  override close(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  /** Fails as the mode of the store says; otherwise lets the call through after a turn. */
+  async #pass(): Promise<void> {
+    await StoreConnection.#time(1);
+    const mode = this.#store.getMode(this.#node);
+    if (mode === 'refusing') throw new StoreRefusedError('the store refuses calls');
+    if (mode === 'silent') {
+      await StoreConnection.#time(SILENT_MS);
+      throw new StoreUnansweredError('the store does not answer');
+    }
+  }
+
+  static #time(ms: number): Promise<void> {
+    return new Promise((resolve) => {
+      setTimeout(resolve, ms);
+    });
+  }
+}
--- a/src/node/BookKeeper.ts
+++ b/src/node/BookKeeper.ts
@@ -67,7 +67,7 @@
         break;
       }
       case 'count-waiting':
-        message.reply(this.#book.owner?.waiting[message.queue] ?? 0);
+        message.reply(this.#book.countWaiting(message.queue));
         break;
       case 'owning':
         this.gatherMs = message.isOwner ? OWNER_GATHER_MS : FOLLOWER_GATHER_MS;
--- a/src/node/Candidate.ts
+++ b/src/node/Candidate.ts
@@ -1,5 +1,5 @@
 import { Actor } from '../actor/mod.js';
-import { BookKey, type BookChange, type JobBook, type OwnerRecord } from '../book/mod.js';
+import { BookKey, type BookChange, type JobBook } from '../book/mod.js';
 import type { FollowState } from './TopicFollower.js';
 import type { NodeParts } from './NodeParts.js';
 import { OwnerWriter } from './OwnerWriter.js';
@@ -15,6 +15,9 @@
 /** A claim whose outcome is not known is repeated after this time in ms at the earliest. */
 const CLAIM_PAUSE_MS = 300;
 
+/** Sequence numbers of claims are drawn below this, so that two claims of one token differ. */
+const MAX_SEQUENCE = 1_000_000_000;
+
 /** Messages of a candidate. */
 export type CandidateMessage =
   | { type: 'claimed'; result: 'claimed' | 'lost' | 'unknown'; token: number }
@@ -52,7 +55,11 @@
 
   #claimNotBefore = 0;
 
-  #claim: { token: number; before: OwnerRecord | undefined } | undefined;
+  /** Token of the last claim. */
+  #claimed: number | undefined;
+
+  /** Sequence number of the last claim. */
+  #sequence = 0;
 
   #isStopping = false;
 
@@ -74,7 +81,7 @@
     changes.forEach((change) => {
       if (change.type === 'owner') {
         this.#ownerSeenAt = now;
-        if (change.isClaim) this.#handleClaim(change.owner, change.offset, book);
+        if (change.isClaim) this.#handleClaim(change, book);
       }
       if (change.type === 'progress' && change.job.progress?.token === book.owner?.token) {
         this.#ownerSeenAt = now;
@@ -122,10 +129,11 @@
     if (!state.isCurrent || now - state.freshAt > MAX_STATE_AGE_MS) return;
     if (now < this.#claimNotBefore) return;
     const { owner } = book;
-    if (!this.#isFree(owner, state, now)) return;
+    if (!this.#isFree(book, state, now)) return;
     const token = (owner?.token ?? 0) + 1;
     this.#isClaiming = true;
-    this.#claim = { token, before: owner };
+    if (token !== this.#claimed) this.#sequence = Math.floor(this.#options.random() * MAX_SEQUENCE);
+    this.#claimed = token;
     this.#parts.log.record('claim-begun', String(token), {
       before: owner?.node,
       silentMs: Math.round(now - this.#ownerSeenAt),
@@ -137,36 +145,39 @@
         token,
         node: this.#parts.settings.name,
         session: this.#parts.session,
-        waiting: owner?.waiting ?? {},
       }),
     };
-    OwnerWriter.claim(this.#parts, { record, token, end: state.end }).then((result) =>
+    OwnerWriter.claim(this.#parts, { record, token, sequence: this.#sequence }).then((result) =>
       this.send({ type: 'claimed', result, token }),
     );
   }
 
-  #isFree(owner: OwnerRecord | undefined, state: FollowState, now: number): boolean {
+  #isFree(book: JobBook, state: FollowState, now: number): boolean {
+    const { owner } = book;
     if (owner === undefined || owner.isReleased) {
       return now - state.contactSince > (this.#spreadMs / CLAIM_SPREAD_MS) * FREE_SPREAD_MS;
     }
     // This node has owned the shard and lost it, for example by a suspension.
     if (owner.session === this.#parts.session) return true;
+    // The owner's node has registered again, so the process that owned the shard has ended.
+    const node = book.nodes.get(owner.node);
+    if (node !== undefined && node.session !== owner.session) return true;
     const silentMs = now - Math.max(this.#ownerSeenAt, state.contactSince);
     return silentMs > this.#parts.settings.ownerSilenceMs + this.#spreadMs;
   }
 
-  #handleClaim(owner: OwnerRecord, offset: number, book: JobBook): void {
+  #handleClaim({ owner, before, offset }: BookChange & { type: 'owner' }, book: JobBook): void {
     this.#parts.log.record('owner', String(owner.token), { node: owner.node, offset });
     this.#spreadMs = this.#options.random() * CLAIM_SPREAD_MS;
-    const claim = this.#claim;
-    if (owner.session !== this.#parts.session || claim?.token !== owner.token) return;
+    if (owner.session !== this.#parts.session || owner.token !== this.#claimed) return;
     if (this.#owner !== undefined || this.isClosed) return;
     this.#owner = new ShardOwner(this.#parts, {
       takeover: {
         token: owner.token,
         claimOffset: offset,
-        isFirst: claim.before === undefined,
-        isHandover: claim.before?.isReleased ?? false,
+        isFirst: before === undefined,
+        isHandover: before?.isReleased ?? false,
+        sequence: this.#sequence,
       },
       jobs: [...book.jobs],
       waves: book.waves,
--- a/src/node/HostWatch.ts
+++ b/src/node/HostWatch.ts
@@ -9,6 +9,9 @@
 /** Pause in ms after a hold that was not answered. */
 const RETRY_MS = 300;
 
+/** Unanswered calls in a row after which the lease is not extended any more. */
+const MAX_SILENT_CALLS = 2;
+
 /** Figures and callbacks of a watch. */
 export interface HostWatchOptions {
   token: number;
@@ -102,7 +105,9 @@
     const host = this.#host;
     const sentAt = this.#options.readClock();
     const hasRuns = host.runs.size > 0;
-    const leaseEndMs = hasRuns ? host.computeLeaseEnd(this.#options.leaseMs, sentAt) : undefined;
+    // The lease of a host that does not answer is not extended, so that its end can be computed.
+    const mayExtend = hasRuns && host.silentCalls < MAX_SILENT_CALLS;
+    const leaseEndMs = mayExtend ? host.computeLeaseEnd(this.#options.leaseMs, sentAt) : undefined;
     const mayWait = hasRuns && host.isFenced && !this.#hasOpenEnds();
     const order: HoldOrder = {
       token: this.#options.token,
--- a/src/node/OwnerWriter.ts
+++ b/src/node/OwnerWriter.ts
@@ -23,22 +23,25 @@
 
   #isClosed = false;
 
-  constructor(parts: NodeParts, token: number) {
+  constructor(parts: NodeParts, { token, sequence }: { token: number; sequence: number }) {
     this.#parts = parts;
     this.#token = token;
-    // The claim had the first number.
-    this.#sequence = 1;
+    this.#sequence = sequence + 1;
   }
 
-  /** Appends a claim of the shard on the condition that the log ends where this node has read to. */
+  /**
+   * Appends a claim of the shard. The store refuses a token that is not above all earlier ones; of
+   * two claims with the same token it takes the first, since their sequence numbers differ. From
+   * the claim on it refuses the appends of earlier owners, so whoever has read the log up to its
+   * claim knows all that they recorded.
+   */
   static async claim(
     parts: NodeParts,
-    { record, token, end }: { record: KeyedValue; token: number; end: number },
+    { record, token, sequence }: { record: KeyedValue; token: number; sequence: number },
   ): Promise<'claimed' | 'lost' | 'unknown'> {
     try {
       const answer = await parts.store.append([record], {
-        expectedEnd: end,
-        writer: { name: WRITER_NAME, epoch: token, sequence: 0 },
+        writer: { name: WRITER_NAME, epoch: token, sequence },
         timeoutMs: APPEND_TIMEOUT_MS,
       });
       return answer.type === 'appended' ? 'claimed' : 'lost';
--- a/src/node/ShardOwner.ts
+++ b/src/node/ShardOwner.ts
@@ -98,6 +98,9 @@
 
   readonly #waveRecords: Map<number, WaveRecord>;
 
+  /** State of each wave that was published last. */
+  readonly #waveStates = new Map<number, 'running' | 'completed'>();
+
   readonly #pauses: PauseDetector;
 
   readonly #ticker: NodeJS.Timeout;
@@ -129,7 +132,7 @@
       clock: parts.clock,
       output: this.#output,
     });
-    this.#writer = new OwnerWriter(parts, takeover.token);
+    this.#writer = new OwnerWriter(parts, takeover);
     this.#writtenAt = parts.clock.readMonotonic();
     this.#pauses = new PauseDetector(parts.clock.readWall());
     this.#waveRecords = new Map(options.waves);
@@ -355,6 +358,7 @@
   }
 
   #publishWave(wave: number, state: 'running' | 'completed'): void {
+    this.#waveStates.set(wave, state);
     this.#parts.store.publishWave(wave, state).then(
       (answer) => {
         this.#parts.log.record('wave-published', String(wave), { state, answer: answer.type });
@@ -369,7 +373,9 @@
 
   #retryPublish(wave: number, state: 'running' | 'completed'): void {
     setTimeout(() => {
-      if (!this.isClosed) this.#publishWave(wave, state);
+      // A newer state must not be followed by the repetition of an older one.
+      const isNewest = this.#waveStates.get(wave) === state;
+      if (!this.isClosed && isNewest) this.#publishWave(wave, state);
     }, MACHINES_PAUSE_MS);
   }
 
@@ -519,7 +525,6 @@
         node: this.#parts.settings.name,
         session: this.#parts.session,
         isReleased,
-        waiting: this.#shard.countWaiting(),
         backlogMs: this.#shard.computeBacklogs(),
       }),
     };
--- a/src/schedule/JobTable.ts
+++ b/src/schedule/JobTable.ts
@@ -91,7 +91,8 @@
 
   /** Marks a unit as done, and its step, occurrence and job where it was the last one. */
   finishUnit(unit: WorkUnit, nowWallMs: number): void {
-    if (unit.isDone) return;
+    // A run of a job that is over may still report its end; the job must not go on from there.
+    if (unit.isDone || unit.step.occurrence.job.final !== undefined) return;
     unit.isDone = true;
     const { step } = unit;
     step.remaining -= 1;
@@ -103,6 +104,7 @@
   /** Records a failed run against the attempts of its queue; true when the job has failed. */
   failUnit(unit: WorkUnit, nowWallMs: number): boolean {
     const { job } = unit.step.occurrence;
+    if (job.final !== undefined) return false;
     unit.failures += 1;
     job.failures += 1;
     this.#dirty.add(job);
@@ -142,16 +144,6 @@
     jobs.forEach((job) => this.#dirty.add(job));
   }
 
-  /** Counts the jobs of each queue for which no task has started. */
-  countWaiting(): Record<string, number> {
-    const counts: Record<string, number> = {};
-    this.#jobs.forEach((job) => {
-      if (job.hasBegun || job.booked.spec.repeat !== undefined) return;
-      counts[job.queue.name] = (counts[job.queue.name] ?? 0) + 1;
-    });
-    return counts;
-  }
-
   #openDue(job: ScheduledJob, nowWallMs: number): void {
     job
       .openOccurrences(nowWallMs + OPEN_AHEAD_MS)
--- a/src/schedule/MachinePlanner.ts
+++ b/src/schedule/MachinePlanner.ts
@@ -1,5 +1,5 @@
 import type { WaveRecord } from '../book/mod.js';
-import type { Machine, MachineAnswer, PoolRule, WaveOrder } from '../port/mod.js';
+import type { MachineAnswer, PoolRule, WaveOrder } from '../port/mod.js';
 import { canInterrupt } from './canInterrupt.js';
 import type { HostTable } from './HostTable.js';
 import type { ManagedHost } from './ManagedHost.js';
@@ -75,13 +75,15 @@
 
   /** Sets a wave that the operator asks for. */
   setWave(order: WaveOrder, nowWallMs: number, record: WaveRecord | undefined): void {
-    this.#upkeep.setOrder(order, nowWallMs, record);
-    if (record?.isCompleted === true) return;
-    if (!this.#openWaves.has(order.wave)) {
-      this.#openWaves.add(order.wave);
-      this.dirtyWaves.add(order.wave);
-      this.#output.send({ type: 'publish-wave', wave: order.wave, state: 'running' });
+    if (!this.#upkeep.setOrder(order, nowWallMs, record)) return;
+    if (record?.isCompleted === true) {
+      // The owner that recorded the end may not have come to publish it.
+      this.#output.send({ type: 'publish-wave', wave: order.wave, state: 'completed' });
+      return;
     }
+    this.#openWaves.add(order.wave);
+    this.dirtyWaves.add(order.wave);
+    this.#output.send({ type: 'publish-wave', wave: order.wave, state: 'running' });
   }
 
   /** Takes the waves that have to be recorded. */
@@ -103,7 +105,8 @@
     const plan = this.#upkeep.plan({
       now,
       nowWallMs,
-      machines: this.#collectFreeMachines(),
+      machines: this.#hosts.machines,
+      isMoving: (machine) => this.#moves.has(machine),
       machinesReadAt: this.#hosts.machinesReadAt,
       hosts,
       pressure: (pool) => (backlogs[pool] ?? 0) / 1_000,
@@ -164,11 +167,6 @@
     return undefined;
   }
 
-  /** Machines that are not on their way to another pool. */
-  #collectFreeMachines(): Map<string, Machine> {
-    return new Map([...this.#hosts.machines].filter(([name]) => !this.#moves.has(name)));
-  }
-
   #empty(host: ManagedHost, isEmptying: boolean, now: number): void {
     // eslint-disable-next-line no-param-reassign -- the host is owned by the shard
     host.isEmptying = isEmptying;
--- a/src/schedule/Shard.ts
+++ b/src/schedule/Shard.ts
@@ -29,7 +29,6 @@
 import type { ScheduledStep } from './ScheduledStep.js';
 import type { ShardOptions } from './ShardOptions.js';
 import type { ShardOutput } from './ShardCommand.js';
-import type { UpkeepOrder } from './UpkeepPlanner.js';
 import type { WorkUnit } from './WorkUnit.js';
 
 /** Run numbers of a later owner begin this far above those of the one before. */
@@ -48,6 +47,8 @@
   isFirst: boolean;
   /** The owner before handed it over, so it gives no more orders. */
   isHandover: boolean;
+  /** Sequence number of the claim in the store; the owner's appends follow it. */
+  sequence: number;
 }
 
 /** Parts of a shard that tests replace. */
@@ -141,9 +142,6 @@
 
   /** Adds an accepted job. */
   addJob(booked: BookedJob): void {
-    if (booked.cancelledAtMs !== undefined && booked.progress?.state === undefined) {
-      // Cancelled before it began: nothing runs, and its state is read from the cancellation.
-    }
     const queue = this.#queues.get(booked.queue) ?? Shard.#restoreQueue(booked);
     const job = this.#jobs.add(booked, queue, this.#clock.readWall());
     if (job !== undefined && booked.cancelledAtMs !== undefined) this.cancelJob(booked.id);
@@ -330,11 +328,6 @@
     waves.forEach((wave) => this.#machines.dirtyWaves.add(wave));
   }
 
-  /** Counts the jobs of each queue for which no task has started. */
-  countWaiting(): Record<string, number> {
-    return this.#jobs.countWaiting();
-  }
-
   /** Computes for each pool how long its hosts need for the work that waits, in ms. */
   computeBacklogs(): Record<string, number> {
     return this.#load.computeBacklogs(this.#now, this.#pools);
@@ -492,5 +485,3 @@
     if (victim !== undefined) this.#ledger.stop(victim, now, 'preempted');
   }
 }
-
-export type { UpkeepOrder };
--- a/src/schedule/UpkeepPlanner.ts
+++ b/src/schedule/UpkeepPlanner.ts
@@ -25,6 +25,8 @@
   machinesReadAt: number;
   /** Host that each machine carries. */
   hosts: ReadonlyMap<string, ManagedHost>;
+  /** Checks whether a machine is on its way to another pool. */
+  isMoving: (machine: string) => boolean;
   /** How pressed a pool is: work that waits against its room, 0 for idle. */
   pressure: (pool: string) => number;
 }
@@ -79,17 +81,18 @@
 export class UpkeepPlanner {
   readonly #waves = new Map<number, Wave>();
 
-  /** Adds or changes a wave; a record of an earlier owner tells what has begun. */
-  setOrder(order: WaveOrder, nowWallMs: number, record?: WaveRecord): void {
+  /** Adds or changes a wave and returns true for a new one. */
+  setOrder(order: WaveOrder, nowWallMs: number, record?: WaveRecord): boolean {
     const known = this.#waves.get(order.wave);
     if (known !== undefined) {
       known.order = order;
-      return;
+      return false;
     }
     const wave = new Wave(order, record?.seenAtMs ?? nowWallMs);
     record?.begun.forEach((machine) => wave.begun.add(machine));
     wave.isCompleted = record?.isCompleted ?? false;
     this.#waves.set(order.wave, wave);
+    return true;
   }
 
   /** Describes a wave for the log. */
@@ -135,7 +138,10 @@
   static #planWave(wave: Wave, view: UpkeepView, plan: UpkeepPlan): void {
     const { order } = wave;
     UpkeepPlanner.#closeTurns(wave, view);
-    const open = order.machines.filter((machine) => !wave.begun.has(machine));
+    // A machine that the provider no longer lists has been removed for good.
+    const open = order.machines.filter(
+      (machine) => !wave.begun.has(machine) && view.machines.has(machine),
+    );
     const pending = open.filter((machine) => !wave.turns.has(machine));
     if (open.length === 0) {
       wave.isCompleted = true;
@@ -144,6 +150,7 @@
     }
     const present = pending.filter((machine) => {
       const state = view.machines.get(machine)?.state;
+      if (view.isMoving(machine)) return false;
       return state === 'up' && (wave.notBefore.get(machine) ?? 0) <= view.now;
     });
     const restMs = wave.seenAtMs + order.durationMs - view.nowWallMs;
--- /dev/null
+++ b/src/testing/ScheduleRig.ts
@@ -0,0 +1,181 @@
+import type { BookedJob } from '../book/mod.js';
+import { ManualClock } from '../clock/mod.js';
+import type { HostEntry, HostReport, ListedEnd, QueueRule, RunOutcome } from '../port/mod.js';
+import {
+  Shard,
+  ShardOutput,
+  type DecisionNote,
+  type Run,
+  type ShardCommand,
+  type Takeover,
+} from '../schedule/mod.js';
+import { JobSpec } from '../task/mod.js';
+import type { z } from 'zod';
+
+/** Queue rule of tests, with the fields that a test cares about. */
+export function buildQueueRule(fields: Partial<QueueRule> = {}): QueueRule {
+  return {
+    name: 'renders',
+    hostName: 'jobs.example',
+    pathPrefix: '/renders/',
+    pool: 'studio',
+    priority: 0,
+    maxAttempts: 3,
+    stretch: 2,
+    latencyTargetMs: 600,
+    timeoutMs: 3_000,
+    ...fields,
+  };
+}
+
+/** A booked job with the given steps. */
+export function buildBookedJob(
+  id: string,
+  steps: z.input<typeof JobSpec>['steps'],
+  fields: Partial<BookedJob> = {},
+): BookedJob {
+  return {
+    id,
+    queue: 'renders',
+    pool: 'studio',
+    submittedAtMs: 0,
+    acceptedOffset: 100,
+    spec: JobSpec.parse({ payload: id, steps }),
+    ...fields,
+  };
+}
+
+/** Entry of a ready host with 16 cores. */
+export function buildHostEntry(id: string, fields: Partial<HostEntry> = {}): HostEntry {
+  return {
+    id,
+    pool: 'studio',
+    address: `${id}:80`,
+    dataCentre: 'dc-1',
+    state: 'ready',
+    labels: ['r1'],
+    rack: 'r1',
+    capacity: { cpuMilli: 16_000, memoryMb: 32_768, accelerators: 0 },
+    clockMs: 0,
+    bornMs: undefined,
+    machine: `machine-of-${id}`,
+    remainingMs: undefined,
+    ...fields,
+  };
+}
+
+class CollectingOutput extends ShardOutput {
+  readonly commands: ShardCommand[] = [];
+
+  readonly notes: DecisionNote[] = [];
+
+  override send(command: ShardCommand): void {
+    this.commands.push(command);
+  }
+
+  override record(note: DecisionNote): void {
+    this.notes.push(note);
+  }
+}
+
+const FIRST: Takeover = {
+  token: 1,
+  claimOffset: 0,
+  isFirst: true,
+  isHandover: false,
+  sequence: 0,
+};
+
+/** A shard with a clock that the test moves, and hosts that do what the test says. */
+export class ScheduleRig {
+  readonly clock = new ManualClock();
+
+  readonly output = new CollectingOutput();
+
+  readonly shard: Shard;
+
+  readonly #ends = new Map<string, number>();
+
+  constructor(takeover: Partial<Takeover> = {}, queues: QueueRule[] = [buildQueueRule()]) {
+    this.shard = new Shard(
+      { ...FIRST, ...takeover },
+      {
+        maxLeaseMs: 10_000,
+        leaseMs: 5_000,
+        moveMs: 1_500,
+        machineLeaseMs: 3_000,
+        detachedLimitMs: 20_000,
+        borrowAboveMs: 400,
+        parkAfterMs: 1_500,
+        keepHosts: 2,
+      },
+      { clock: this.clock, output: this.output },
+    );
+    const pools = [...new Set(queues.map(({ pool }) => pool))];
+    this.shard.applyConfiguration({
+      version: 1,
+      queues,
+      pools: [
+        ...pools.map((name) => ({
+          name,
+          refusesOverload: true,
+          isStandby: false,
+          maxConnections: 64,
+        })),
+        { name: 'spare', refusesOverload: true, isStandby: true, maxConnections: 64 },
+      ],
+      limits: {
+        maxHeaderBytes: 16_384,
+        maxBodyBytes: 262_144,
+        headerTimeoutMs: 3_000,
+        idleTimeoutMs: 15_000,
+      },
+    });
+  }
+
+  /** Adds a host that has answered its first hold. */
+  addHost(id: string, fields: Partial<HostEntry> = {}): void {
+    this.shard.updateHost(buildHostEntry(id, fields));
+    this.report(id);
+  }
+
+  /** Lets the shard plan and returns the commands. */
+  plan(): ShardCommand[] {
+    this.output.commands.length = 0;
+    this.shard.plan();
+    return [...this.output.commands];
+  }
+
+  /** Plans and answers every start with yes; returns the runs. */
+  startAll(): Run[] {
+    const runs = this.plan().flatMap((command) => (command.type === 'start' ? [command.run] : []));
+    runs.forEach((run) => this.shard.reportStart(run, { type: 'done', clockMs: undefined }));
+    return runs;
+  }
+
+  /** Reports the end of a run, with the other runs of its host still running. */
+  end(run: Run, outcome: RunOutcome): void {
+    const number = (this.#ends.get(run.host.id) ?? 0) + 1;
+    this.#ends.set(run.host.id, number);
+    const ended: ListedEnd = { number, task: run.task, run: run.number, outcome, checkpoint: '' };
+    this.report(run.host.id, { ended: [ended] }, run);
+  }
+
+  /** Reports what runs on a host; by default all that the shard believes to run there. */
+  report(id: string, fields: Partial<HostReport> = {}, without?: Run): void {
+    const host = this.shard.findHost(id);
+    if (host === undefined) throw new RangeError(`no host "${id}"`);
+    const running = [...host.runs.values()]
+      .filter((run) => run !== without)
+      .map((run) => ({
+        task: run.task,
+        run: run.number,
+        checkpoint: '',
+        percent: 100,
+        load: 1_000,
+      }));
+    const now = this.clock.readMonotonic();
+    const report = { clockMs: Math.floor(now), bornMs: undefined, running, ended: [], ...fields };
+    this.shard.reportHold(host, report, now);
+  }
+}
