Test nodes against an emulated platform under faults, and mend the silence of idle logs

Cause: a follower took a long read without records for old news, so that on an idle log no node claimed the shard of a killed owner (found by the test of a killed owner).

--- a/src/node/Candidate.ts
+++ b/src/node/Candidate.ts
@@ -10,8 +10,6 @@
 const CLAIM_SPREAD_MS = 250;
 /** Longest random delay in ms where no owner exists or it has handed over. */
 const FREE_SPREAD_MS = 30;
-/** A claim is made only on a state of at most this age, in ms. */
-const MAX_STATE_AGE_MS = 1_000;
 /** A claim whose outcome is not known is repeated after this time in ms at the earliest. */
 const CLAIM_PAUSE_MS = 300;
 
@@ -126,7 +124,7 @@
   /** Claims the shard if there is a reason to. */
   #consider(book: JobBook, state: FollowState, now: number): void {
     if (this.#owner !== undefined || this.#isClaiming || this.#isStopping) return;
-    if (!state.isCurrent || now - state.freshAt > MAX_STATE_AGE_MS) return;
+    if (!state.isCurrent || !state.isInContact) return;
     if (now < this.#claimNotBefore) return;
     const { owner } = book;
     if (!this.#isFree(book, state, now)) return;
--- /dev/null
+++ b/src/node/Node.property.test.ts
@@ -0,0 +1,175 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import fc from 'fast-check';
+import type { OrderFault } from '../emulator/mod.js';
+import { NodeCluster } from '../testing/NodeCluster.js';
+import { readSeed } from '../testing/readSeed.js';
+import { waitFor } from '../testing/waitFor.js';
+
+const NODES = 3;
+const MACHINES = 4;
+/** Longest wait for all accepted jobs after the last fault, in ms. */
+const SETTLE_MS = 25_000;
+
+const node = fc.integer({ min: 0, max: NODES - 1 }).map((index) => `node-${index}`);
+const machine = fc.integer({ min: 0, max: MACHINES - 1 }).map((index) => `m-${index}`);
+
+/** A step of a run: a submission, or a fault that comes or goes. */
+const action = fc.oneof(
+  { weight: 6, arbitrary: fc.record({ type: fc.constant('submit' as const), node }) },
+  { weight: 1, arbitrary: fc.record({ type: fc.constant('kill' as const), node }) },
+  { weight: 1, arbitrary: fc.record({ type: fc.constant('restart' as const), node }) },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      type: fc.constant('store' as const),
+      node: fc.option(node, { nil: undefined }),
+      mode: fc.constantFrom('well', 'refusing', 'silent', 'losing-answers'),
+    }),
+  },
+  { weight: 1, arbitrary: fc.record({ type: fc.constant('crash' as const), machine }) },
+  { weight: 1, arbitrary: fc.record({ type: fc.constant('restore' as const), machine }) },
+  {
+    weight: 1,
+    arbitrary: fc.record({ type: fc.constant('cut' as const), machine, isCut: fc.boolean() }),
+  },
+  { weight: 1, arbitrary: fc.record({ type: fc.constant('expire' as const) }) },
+  { weight: 2, arbitrary: fc.record({ type: fc.constant('wait' as const), ms: fc.nat(600) }) },
+);
+type Action = typeof action extends fc.Arbitrary<infer T> ? T : never;
+
+class FaultRun {
+  readonly #cluster: NodeCluster;
+
+  readonly #accepted = new Set<string>();
+
+  readonly #refused = new Set<string>();
+
+  readonly #down = new Set<string>();
+
+  readonly #calls: Promise<void>[] = [];
+
+  #jobs = 0;
+
+  constructor(cluster: NodeCluster) {
+    this.#cluster = cluster;
+  }
+
+  async apply(step: Action): Promise<void> {
+    const cluster = this.#cluster;
+    switch (step.type) {
+      case 'submit':
+        this.#calls.push(this.#submit(step.node));
+        break;
+      case 'kill':
+        cluster.kill(step.node);
+        break;
+      case 'restart':
+        cluster.kill(step.node);
+        cluster.start(step.node);
+        break;
+      case 'store':
+        cluster.store.setMode(step.mode as 'well', step.node);
+        break;
+      case 'crash':
+        if (!this.#down.has(step.machine)) cluster.fleet.crash(step.machine);
+        this.#down.add(step.machine);
+        break;
+      case 'restore':
+        if (this.#down.delete(step.machine)) cluster.fleet.restore(step.machine);
+        break;
+      case 'cut':
+        cluster.fleet.cut(step.machine, step.isCut);
+        break;
+      case 'expire':
+        cluster.store.expire('work');
+        break;
+      default:
+    }
+    const pauseMs = step.type === 'wait' ? step.ms : 20;
+    await new Promise((resolve) => {
+      setTimeout(resolve, pauseMs);
+    });
+  }
+
+  /** Ends all faults and checks the promises. */
+  async check(): Promise<void> {
+    const cluster = this.#cluster;
+    cluster.store.setMode('well');
+    for (let index = 0; index < MACHINES; index += 1) {
+      cluster.fleet.cut(`m-${index}`, false);
+      if (this.#down.has(`m-${index}`)) cluster.fleet.restore(`m-${index}`);
+    }
+    for (let index = 0; index < NODES; index += 1) {
+      const name = `node-${index}`;
+      cluster.store.setMode('well', name);
+      if (cluster.get(name) === undefined) cluster.start(name);
+    }
+    await Promise.all(this.#calls);
+    for (const id of this.#accepted) {
+      await waitFor(
+        `the accepted job ${id}`,
+        async () => (await cluster.findState('node-0', id)) === 'completed',
+        SETTLE_MS,
+      );
+    }
+    assert.deepEqual(cluster.listOverlaps(), [], 'two runs of one task at once');
+    assert.deepEqual(cluster.listRepeats(), [], 'a start after a run that was done');
+    const ran = new Set(cluster.fleet.started.map(({ task }) => task.split('.', 1)[0] ?? ''));
+    const lied = [...this.#refused].filter((id) => ran.has(id));
+    assert.deepEqual(lied, [], 'a job ran although it was refused');
+  }
+
+  async #submit(name: string): Promise<void> {
+    this.#jobs += 1;
+    const id = `job${this.#jobs}`;
+    const { type } = await this.#cluster.submit(name, id, [
+      { count: 2, cpuMilli: 1_000, estimateMs: 100 },
+      { count: 1, cpuMilli: 1_000, estimateMs: 100, after: [0] },
+    ]);
+    if (type === 'accepted') this.#accepted.add(id);
+    if (type === 'refused') this.#refused.add(id);
+  }
+}
+
+/** Draws faults of orders from a seed: some are lost after they were carried out, some come late. */
+function createFaultDraw(
+  seed: number,
+): () => { fault: OrderFault; delayMs: number } | undefined {
+  let state = seed >>> 0;
+  return () => {
+    state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0;
+    const share = state / 2 ** 32;
+    if (share < 0.03) return { fault: 'answer-lost', delayMs: 0 };
+    if (share < 0.06) return { fault: 'late', delayMs: 200 + share * 20_000 };
+    return undefined;
+  };
+}
+
+describe('Node under faults', () => {
+  it('keeps its promises whatever fails, in any order', async () => {
+    const seed = readSeed();
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(action, { minLength: 20, maxLength: 50 }),
+        fc.nat(),
+        async (steps, faultSeed) => {
+          const cluster = new NodeCluster({
+            nodes: NODES,
+            machines: MACHINES,
+            script: () => ({ runMs: 120, outcome: 'done' }),
+            drawFault: createFaultDraw(faultSeed),
+          });
+          try {
+            const run = new FaultRun(cluster);
+            for (const step of steps) await run.apply(step);
+            await run.check();
+          } finally {
+            cluster.close();
+          }
+        },
+      ),
+      { seed, numRuns: Number(process.env.FAULT_RUNS ?? 4), endOnFailure: true },
+    );
+  });
+});
--- /dev/null
+++ b/src/node/Node.test.ts
@@ -0,0 +1,132 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { NodeCluster } from '../testing/NodeCluster.js';
+import { waitFor } from '../testing/waitFor.js';
+
+const STEPS = [
+  { count: 3, cpuMilli: 1_000, estimateMs: 100 },
+  { count: 2, cpuMilli: 1_000, estimateMs: 100, after: [0] },
+];
+
+function isCompleted(cluster: NodeCluster, node: string, id: string): () => Promise<boolean> {
+  return async () => (await cluster.findState(node, id)) === 'completed';
+}
+
+async function withCluster(
+  options: Partial<ConstructorParameters<typeof NodeCluster>[0]>,
+  use: (cluster: NodeCluster) => Promise<void>,
+): Promise<void> {
+  const cluster = new NodeCluster({
+    nodes: 3,
+    machines: 3,
+    script: () => ({ runMs: 80, outcome: 'done' }),
+    ...options,
+  });
+  try {
+    await waitFor('ready nodes', () => cluster.names.every((name) => cluster.get(name)?.isReady === true));
+    await use(cluster);
+    assert.deepEqual(cluster.listOverlaps(), [], 'two runs of one task at once');
+    assert.deepEqual(cluster.listRepeats(), [], 'a start after a run that was done');
+  } finally {
+    cluster.close();
+  }
+}
+
+describe('Node', () => {
+  it('finishes a job that another node accepted, and every node tells so', () =>
+    withCluster({}, async (cluster) => {
+      assert.equal((await cluster.submit('node-1', 'a', STEPS)).type, 'accepted');
+      for (const name of cluster.names) await waitFor('a completed job', isCompleted(cluster, name, 'a'));
+      assert.equal(cluster.fleet.started.length, 5);
+    }));
+
+  it('takes a repeated submission for the same job', () =>
+    withCluster({}, async (cluster) => {
+      await cluster.submit('node-0', 'a', STEPS);
+      await cluster.submit('node-1', 'a', STEPS);
+      await waitFor('a completed job', isCompleted(cluster, 'node-2', 'a'));
+      await cluster.submit('node-2', 'a', STEPS);
+      await waitFor('a completed job', isCompleted(cluster, 'node-0', 'a'));
+      assert.equal(cluster.fleet.started.length, 5);
+    }));
+
+  it('finishes a job whose owner is killed while its tasks run', () =>
+    withCluster({ script: () => ({ runMs: 600, outcome: 'done' }) }, async (cluster) => {
+      await cluster.submit('node-0', 'a', STEPS);
+      await waitFor('started tasks', () => cluster.fleet.started.length >= 3);
+      const owner = cluster.store
+        .listNewest('work')
+        .find(({ key }) => key === 'owner')
+        ?.value?.toString('utf8');
+      const { node } = JSON.parse(owner ?? '{}') as { node: string };
+      cluster.kill(node);
+      const other = cluster.names[0] ?? '';
+      await waitFor('a completed job', isCompleted(cluster, other, 'a'), 10_000);
+      assert.equal(cluster.fleet.started.length, 5);
+    }));
+
+  it('finishes a job on other hosts when a host crashes', () =>
+    withCluster({ script: () => ({ runMs: 400, outcome: 'done' }) }, async (cluster) => {
+      await cluster.submit('node-0', 'a', STEPS);
+      await waitFor('started tasks', () => cluster.fleet.started.length >= 3);
+      const host = cluster.fleet.listMachines().find(({ hostId }) =>
+        cluster.fleet.started.some((run) => run.host === hostId),
+      );
+      cluster.fleet.crash(host?.name ?? '');
+      await waitFor('a completed job', isCompleted(cluster, 'node-1', 'a'), 10_000);
+    }));
+
+  it('says that a job was not accepted while the store refuses, and never runs it', () =>
+    withCluster({}, async (cluster) => {
+      cluster.store.setMode('refusing');
+      const answer = await cluster.submit('node-0', 'a', STEPS);
+      assert.equal(answer.type, 'refused');
+      cluster.store.setMode('well');
+      await cluster.submit('node-0', 'b', STEPS);
+      await waitFor('a completed job', isCompleted(cluster, 'node-0', 'b'), 10_000);
+      assert.ok(cluster.fleet.started.every(({ task }) => !task.startsWith('a.')));
+    }));
+
+  it('does not refuse a job whose append may have been done', () =>
+    withCluster({}, async (cluster) => {
+      cluster.store.setMode('losing-answers', 'node-0');
+      const answer = await cluster.submit('node-0', 'a', STEPS);
+      assert.equal(answer.type, 'unknown');
+      await waitFor('a completed job', isCompleted(cluster, 'node-1', 'a'), 10_000);
+    }));
+
+  it('goes on with accepted jobs while the store is silent', () =>
+    withCluster({}, async (cluster) => {
+      await cluster.submit('node-0', 'a', STEPS);
+      await waitFor('started tasks', () => cluster.fleet.started.length >= 3);
+      cluster.store.setMode('silent');
+      await waitFor('started tasks', () => cluster.fleet.started.length === 5);
+      cluster.store.setMode('well');
+      await waitFor('a completed job', isCompleted(cluster, 'node-1', 'a'), 10_000);
+    }));
+
+  it('replaces an owner that is cut off from the store', () =>
+    withCluster({ script: () => ({ runMs: 300, outcome: 'done' }) }, async (cluster) => {
+      await cluster.submit('node-0', 'a', STEPS);
+      await waitFor('started tasks', () => cluster.fleet.started.length >= 3);
+      const record = cluster.store.listNewest('work').find(({ key }) => key === 'owner');
+      const { node } = JSON.parse(record?.value?.toString('utf8') ?? '{}') as { node: string };
+      cluster.store.setMode('silent', node);
+      const other = cluster.names.find((name) => name !== node) ?? '';
+      await cluster.submit(other, 'b', STEPS);
+      await waitFor('a completed job', isCompleted(cluster, other, 'b'), 10_000);
+      await waitFor('a completed job', isCompleted(cluster, other, 'a'), 10_000);
+    }));
+
+  it('reads on when the store has forgotten its history', () =>
+    withCluster({}, async (cluster) => {
+      await cluster.submit('node-0', 'a', STEPS);
+      cluster.store.expire('work');
+      cluster.store.expire('operator');
+      await cluster.submit('node-1', 'b', STEPS);
+      for (const name of cluster.names) {
+        await waitFor('a completed job', isCompleted(cluster, name, 'a'), 10_000);
+        await waitFor('a completed job', isCompleted(cluster, name, 'b'), 10_000);
+      }
+    }));
+});
--- a/src/node/TopicFollower.ts
+++ b/src/node/TopicFollower.ts
@@ -20,8 +20,10 @@
   end: number;
   /** It has read to the end of the log at least once. */
   isCurrent: boolean;
-  /** Steady time at which the last read that was answered was sent. */
+  /** Steady time at which the state was the newest for certain. */
   freshAt: number;
+  /** The last read was answered. */
+  isInContact: boolean;
   /** Steady time since which reads have been answered without a failure. */
   contactSince: number;
 }
@@ -69,6 +71,7 @@
       end: this.#next ?? 0,
       isCurrent: this.#isCurrent,
       freshAt: this.#freshAt,
+      isInContact: this.#isInContact,
       contactSince: this.#contactSince,
     };
   }
@@ -147,7 +150,10 @@
   }
 
   #handleAnswer(answer: ReadAnswer, sentAt: number): void {
-    this.#markContact(sentAt);
+    // A read that waited in vain tells that nothing came until the end of its wait.
+    const isEmpty = answer.type === 'records' && answer.records.length === 0;
+    const now = this.#parts.clock.readMonotonic();
+    this.#markContact(isEmpty ? Math.min(now, sentAt + READ_WAIT_MS) : sentAt);
     if (answer.type === 'expired') {
       this.#parts.log.record('log-expired', this.#topic, { next: this.#next, first: answer.first });
       this.#next = undefined;
--- /dev/null
+++ b/src/testing/NodeCluster.ts
@@ -0,0 +1,178 @@
+import { ActorScope } from '../actor/mod.js';
+import { SystemClock } from '../clock/mod.js';
+import {
+  EmulatedDecoder,
+  EmulatedFleet,
+  EmulatedStore,
+  type EmulatedFleetOptions,
+  type StartedRun,
+} from '../emulator/mod.js';
+import { createLogger } from '../logging/mod.js';
+import { Metrics } from '../metrics/mod.js';
+import { DecisionLog, Node, NodeSettings, type CallAnswer } from '../node/mod.js';
+import { AdviceDesk, type Advice, type QueueRule } from '../port/mod.js';
+import { JobSpec } from '../task/mod.js';
+import { buildQueueRule } from './ScheduleRig.js';
+
+class NoAdvice extends AdviceDesk {
+  override askAdvice(): Promise<Advice> {
+    return Promise.reject(new Error('no advice service'));
+  }
+
+  override close(): Promise<void> {
+    return Promise.resolve();
+  }
+}
+
+/** A node of a cluster with what has to be closed with it. */
+interface RunningNode {
+  node: Node;
+  scope: ActorScope;
+}
+
+/** Options of a cluster. */
+export interface NodeClusterOptions extends Pick<EmulatedFleetOptions, 'script' | 'drawFault'> {
+  nodes: number;
+  machines: number;
+}
+
+/** Several nodes in one process on an emulated platform. */
+export class NodeCluster {
+  readonly clock = new SystemClock();
+
+  readonly store = new EmulatedStore(this.clock);
+
+  readonly fleet: EmulatedFleet;
+
+  readonly queue: QueueRule = buildQueueRule({ maxAttempts: 1_000 });
+
+  readonly #nodes = new Map<string, RunningNode>();
+
+  #sessions = 0;
+
+  constructor(options: NodeClusterOptions) {
+    this.fleet = new EmulatedFleet({ clock: this.clock, store: this.store, ...options });
+    const configuration = {
+      version: 1,
+      queues: [this.queue],
+      pools: [{ name: 'studio', refusesOverload: true, isStandby: false, maxConnections: 64 }],
+      limits: {},
+    };
+    this.store.write('operator', 'config', JSON.stringify({ type: 'configuration', configuration }));
+    for (let index = 0; index < options.machines; index += 1) {
+      this.fleet.addMachine(`m-${index}`, 'studio', `r${index % 2}`);
+    }
+    for (let index = 0; index < options.nodes; index += 1) this.start(`node-${index}`);
+  }
+
+  get names(): string[] {
+    return [...this.#nodes.keys()];
+  }
+
+  /** Starts a node, or starts it again. */
+  start(name: string): void {
+    this.#sessions += 1;
+    const logger = createLogger('node', { level: process.env.TEST_LOG_LEVEL ?? 'error', process: name });
+    const metrics = new Metrics();
+    const log = new DecisionLog(logger, this.clock, metrics);
+    const scope = new ActorScope(name, (actor, error) => log.reportFault(actor, error));
+    const node = new Node({
+      scope,
+      clock: this.clock,
+      log,
+      metrics,
+      settings: NodeSettings.parse({
+        name,
+        dataCentre: 'dc-1',
+        stopGraceMs: 2_000,
+        retentionMs: 60_000,
+        ownerSilenceMs: 500,
+        ownerBeatMs: 100,
+        shard: {
+          maxLeaseMs: 1_500,
+          leaseMs: 1_000,
+          moveMs: 300,
+          machineLeaseMs: 300,
+          detachedLimitMs: 2_000,
+        },
+      }),
+      store: this.store.connect(name),
+      decoder: new EmulatedDecoder(),
+      hosts: this.fleet.connectHosts(),
+      machines: this.fleet.connectMachines(),
+      advice: new NoAdvice(),
+      session: `session-${this.#sessions}`,
+    });
+    this.#nodes.set(name, { node, scope });
+    node.open().catch((error: unknown) => log.reportFault('open', error as Error));
+  }
+
+  /** Ends a node without notice, as a kill does. */
+  kill(name: string): void {
+    const running = this.#nodes.get(name);
+    if (running === undefined) return;
+    this.#nodes.delete(name);
+    running.node.close();
+    running.scope.close();
+  }
+
+  /** Finds a node. */
+  get(name: string): Node | undefined {
+    return this.#nodes.get(name)?.node;
+  }
+
+  /** Submits a job at a node; `unknown` where the node is away. */
+  async submit(name: string, id: string, steps: unknown): Promise<CallAnswer> {
+    const node = this.get(name);
+    if (node === undefined) return { type: 'unknown' };
+    try {
+      return await node.desk.submit(id, this.queue, JobSpec.parse({ payload: id, steps }));
+    } catch {
+      // The node was killed while the call was open; its caller learns nothing.
+      return { type: 'unknown' };
+    }
+  }
+
+  /** Asks a node for the state of a job; undefined where it gives none. */
+  async findState(name: string, id: string): Promise<string | undefined> {
+    try {
+      const answer = await this.get(name)?.desk.describe(id, this.queue);
+      return answer?.type === 'state' ? answer.state : undefined;
+    } catch {
+      // As above.
+      return undefined;
+    }
+  }
+
+  /** Lists pairs of runs of one task that were present at the same time. */
+  listOverlaps(): [StartedRun, StartedRun][] {
+    this.fleet.settle();
+    const byTask = new Map<string, StartedRun[]>();
+    this.fleet.started.forEach((run) => byTask.set(run.task, [...(byTask.get(run.task) ?? []), run]));
+    return [...byTask.values()].flatMap((runs) =>
+      runs.flatMap((run, index) =>
+        runs
+          .slice(index + 1)
+          .filter((later) => later.startedAt < (run.endedAt ?? Infinity))
+          .map((later): [StartedRun, StartedRun] => [run, later]),
+      ),
+    );
+  }
+
+  /** Lists starts of tasks after a run of theirs was done. */
+  listRepeats(): StartedRun[] {
+    this.fleet.settle();
+    const done = new Map<string, number>();
+    this.fleet.started.forEach(({ task, outcome, endedAt }) => {
+      if (outcome === 'done' && endedAt !== undefined) done.set(task, endedAt);
+    });
+    return this.fleet.started.filter(({ task, startedAt }) => {
+      const doneAt = done.get(task);
+      return doneAt !== undefined && startedAt > doneAt;
+    });
+  }
+
+  close(): void {
+    this.names.forEach((name) => this.kill(name));
+  }
+}
