--- a/src/schedule/Shard.test.ts
+++ b/src/schedule/Shard.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { buildBookedJob, buildQueueRule, ScheduleRig } from '../testing/ScheduleRig.js';
+import { buildBookedJob, buildHostEntry, buildQueueRule, ScheduleRig } from '../testing/ScheduleRig.js';
 
 const TWO_STEPS = [
   { count: 2, cpuMilli: 1_000, estimateMs: 500 },
@@ -124,6 +124,14 @@
     );
   });
 
+  it('finds a host whose machine was listed before its own entry was read', () => {
+    const rig = new ScheduleRig({ token: 2, claimOffset: 500, isFirst: false });
+    const machine = { name: 'machine-of-h1', pool: 'studio', dataCentre: 'dc-1', hostId: 'h1' };
+    rig.shard.updateMachines([{ ...machine, state: 'up' }], 0);
+    assert.equal(rig.shard.updateHost(buildHostEntry('h1')).isNew, true);
+    assert.equal(rig.shard.updateHost(buildHostEntry('h1')).isNew, false);
+  });
+
   it('takes over runs that a host lists, and stops those that nobody wants', () => {
     const rig = new ScheduleRig({ token: 2, claimOffset: 500, isFirst: false });
     rig.shard.updateMachines([], 0);
--- a/src/schedule/Shard.ts
+++ b/src/schedule/Shard.ts
@@ -162,10 +162,12 @@
   updateHost(entry: HostEntry): { host: ManagedHost; isNew: boolean } {
     const now = this.#clock.readMonotonic();
     const known = this.#hosts.get(entry.id);
+    // A host that the list of machines named first has no address until its entry is read.
+    const hadAddress = known !== undefined && known.entry.address !== '';
     const { host, replaced } = this.#hosts.update(entry, now);
     if (replaced !== undefined) this.#endLife(replaced, 'other-life', now);
     if (host.entry.state === 'draining') this.#evacuate(host, now);
-    const isNew = known !== host || known.entry.address === '';
+    const isNew = known !== host || !hadAddress;
     if (isNew && replaced === undefined && !this.#takeover.isFirst && known === undefined) {
       // A host that came up after the claim has never heard an earlier owner, but its entry does
       // not tell when it came; its first report does.
