--- a/src/emulator/EmulatedFleet.ts
+++ b/src/emulator/EmulatedFleet.ts
@@ -51,6 +51,8 @@
   script: TaskScript;
   /** Draws the fault of an order; undefined for none. */
   drawFault?: () => { fault: OrderFault; delayMs: number } | undefined;
+  /** Address of a machine, where it differs from its name. */
+  toAddress?: (machine: string) => string;
 }
 
 function wait(ms: number): Promise<void> {
@@ -195,8 +197,12 @@
   }
 
   async #reach(id: string, address: string): Promise<EmulatedHost | undefined> {
-    const machine = this.#machines.get(address);
-    if (machine === undefined || this.#cut.has(address)) {
+    const { toAddress } = this.#options;
+    const machine =
+      toAddress === undefined
+        ? this.#machines.get(address)
+        : [...this.#machines.values()].find(({ name }) => toAddress(name) === address);
+    if (machine === undefined || this.#cut.has(machine.name)) {
       await wait(UNANSWERED_MS);
       throw new OrderUnansweredError('no answer');
     }
@@ -210,7 +216,7 @@
     const entry = {
       id: `host-${this.#lives}`,
       pool: machine.pool,
-      address: machine.name,
+      address: this.#options.toAddress?.(machine.name) ?? machine.name,
       dataCentre: 'dc-1',
       state: 'ready' as const,
       labels: [machine.rack],
