Test the decisions one by one, and keep maintenance off hosts that have not answered

Change: a host that has not answered, or whose entry has not been read, is not maintained; a pressing wave gives up short tasks only. Tests of order, estimates, blame, advice, interference, sizing, waves and the book.

--- a/src/emulator/EmulatedFleet.ts
+++ b/src/emulator/EmulatedFleet.ts
@@ -15,7 +15,12 @@
   type StartOrder,
   type StopOrder,
 } from '../port/mod.js';
-import { DEFAULT_CAPACITY, EmulatedHost, type StartedRun, type TaskScript } from './EmulatedHost.js';
+import {
+  DEFAULT_CAPACITY,
+  EmulatedHost,
+  type StartedRun,
+  type TaskScript,
+} from './EmulatedHost.js';
 import type { EmulatedStore } from './EmulatedStore.js';
 
 /** Time that a machine is away for a move or for maintenance, in ms. */
--- a/src/emulator/EmulatedHost.ts
+++ b/src/emulator/EmulatedHost.ts
@@ -143,15 +143,13 @@
     if (refused?.type === 'refused') return { type: 'refused', reason: refused.reason };
     if (leaseEndMs !== undefined) this.#leaseEndMs = Math.max(this.#leaseEndMs, leaseEndMs);
     this.#ends = this.#ends.filter(({ number }) => number > acknowledged);
-    const running = [...this.#runs.values()].map(
-      ({ order }): ListedRun => ({
-        task: order.task,
-        run: order.run,
-        checkpoint: '',
-        percent: 100,
-        load: 1,
-      }),
-    );
+    const running = [...this.#runs.values()].map(({ order }): ListedRun => ({
+      task: order.task,
+      run: order.run,
+      checkpoint: '',
+      percent: 100,
+      load: 1,
+    }));
     return {
       type: 'report',
       report: { clockMs: this.clockMs, bornMs: undefined, running, ended: [...this.#ends] },
@@ -188,7 +186,9 @@
     return { type: 'done', clockMs: this.clockMs };
   }
 
-  #refuse(reason: (OrderAnswer & { type: 'refused' })['reason']): OrderAnswer & { type: 'refused' } {
+  #refuse(
+    reason: (OrderAnswer & { type: 'refused' })['reason'],
+  ): OrderAnswer & { type: 'refused' } {
     return { type: 'refused', reason, clockMs: this.clockMs };
   }
 
--- a/src/logging/createLogger.ts
+++ b/src/logging/createLogger.ts
@@ -30,8 +30,6 @@
       winston.format.errors({ stack: true }),
       winston.format.json(),
     ),
-    transports: [
-      new winston.transports.Console({ stderrLevels }),
-    ],
+    transports: [new winston.transports.Console({ stderrLevels })],
   });
 }
--- a/src/node/CallAnswer.ts
+++ b/src/node/CallAnswer.ts
@@ -25,6 +25,4 @@
 }
 
 /** A decoded job, or everything that is wrong with it. */
-export type DecodedJob =
-  | { job: import('../task/mod.js').JobSpec }
-  | { findings: Finding[] };
+export type DecodedJob = { job: import('../task/mod.js').JobSpec } | { findings: Finding[] };
--- a/src/node/CallerDesk.ts
+++ b/src/node/CallerDesk.ts
@@ -46,7 +46,10 @@
 
   /** Sets what the operator asks for. */
   setOperator(state: OperatorState): void {
-    if (state.configuration !== undefined && state.configuration !== this.#operator?.configuration) {
+    if (
+      state.configuration !== undefined &&
+      state.configuration !== this.#operator?.configuration
+    ) {
       this.#table = new QueueTable(state.configuration);
     }
     this.#operator = state;
@@ -57,7 +60,11 @@
     const match = this.#table?.find(hostName, path);
     if (match !== undefined) return match;
     if (this.#table === undefined || !this.#isFresh(this.#operator?.freshAt)) {
-      return { type: 'refused', reason: 'the configuration is not known', retryAfterMs: START_RETRY_MS };
+      return {
+        type: 'refused',
+        reason: 'the configuration is not known',
+        retryAfterMs: START_RETRY_MS,
+      };
     }
     return { type: 'no-queue' };
   }
--- a/src/node/Node.property.test.ts
+++ b/src/node/Node.property.test.ts
@@ -133,9 +133,7 @@
 }
 
 /** Draws faults of orders from a seed: some are lost after they were carried out, some come late. */
-function createFaultDraw(
-  seed: number,
-): () => { fault: OrderFault; delayMs: number } | undefined {
+function createFaultDraw(seed: number): () => { fault: OrderFault; delayMs: number } | undefined {
   let state = seed >>> 0;
   return () => {
     state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0;
--- a/src/node/Node.test.ts
+++ b/src/node/Node.test.ts
@@ -23,7 +23,9 @@
     ...options,
   });
   try {
-    await waitFor('ready nodes', () => cluster.names.every((name) => cluster.get(name)?.isReady === true));
+    await waitFor('ready nodes', () =>
+      cluster.names.every((name) => cluster.get(name)?.isReady === true),
+    );
     await use(cluster);
     assert.deepEqual(cluster.listOverlaps(), [], 'two runs of one task at once');
     assert.deepEqual(cluster.listRepeats(), [], 'a start after a run that was done');
@@ -36,7 +38,8 @@
   it('finishes a job that another node accepted, and every node tells so', () =>
     withCluster({}, async (cluster) => {
       assert.equal((await cluster.submit('node-1', 'a', STEPS)).type, 'accepted');
-      for (const name of cluster.names) await waitFor('a completed job', isCompleted(cluster, name, 'a'));
+      for (const name of cluster.names)
+        await waitFor('a completed job', isCompleted(cluster, name, 'a'));
       assert.equal(cluster.fleet.started.length, 5);
     }));
 
@@ -69,9 +72,9 @@
     withCluster({ script: () => ({ runMs: 400, outcome: 'done' }) }, async (cluster) => {
       await cluster.submit('node-0', 'a', STEPS);
       await waitFor('started tasks', () => cluster.fleet.started.length >= 3);
-      const host = cluster.fleet.listMachines().find(({ hostId }) =>
-        cluster.fleet.started.some((run) => run.host === hostId),
-      );
+      const host = cluster.fleet
+        .listMachines()
+        .find(({ hostId }) => cluster.fleet.started.some((run) => run.host === hostId));
       cluster.fleet.crash(host?.name ?? '');
       await waitFor('a completed job', isCompleted(cluster, 'node-1', 'a'), 10_000);
     }));
--- a/src/node/ShardOwner.ts
+++ b/src/node/ShardOwner.ts
@@ -269,8 +269,7 @@
         this.#watches.get(run.host)?.link.send({
           type: 'order',
           send: (target) => this.#parts.hosts.paceRun(target, order),
-          reply: (outcome) =>
-            this.#sendSettle((shard) => shard.reportPace(run, percent, outcome)),
+          reply: (outcome) => this.#sendSettle((shard) => shard.reportPace(run, percent, outcome)),
         });
         break;
       }
@@ -508,7 +507,8 @@
       })),
       ...this.#collectRemovals(),
     ];
-    if (isBeatDue || isRelease || records.length === 0) records.push(this.#describeOwner(isRelease));
+    if (isBeatDue || isRelease || records.length === 0)
+      records.push(this.#describeOwner(isRelease));
     this.#isWriting = true;
     this.#writer
       .append(records)
--- a/src/port/HostOrders.ts
+++ b/src/port/HostOrders.ts
@@ -115,8 +115,7 @@
 
 /** What a host answered to a hold. */
 export type HoldAnswer =
-  | { type: 'report'; report: HostReport }
-  | { type: 'refused'; reason: OrderRefusal };
+  { type: 'report'; report: HostReport } | { type: 'refused'; reason: OrderRefusal };
 
 /** No answer came: the order may have been carried out, or may be later. */
 export class OrderUnansweredError extends Error {
--- a/src/schedule/MachinePlanner.ts
+++ b/src/schedule/MachinePlanner.ts
@@ -109,6 +109,7 @@
       isMoving: (machine) => this.#moves.has(machine),
       machinesReadAt: this.#hosts.machinesReadAt,
       hosts,
+      isStandby: (pool) => pools.get(pool)?.isStandby ?? false,
       pressure: (pool) => (backlogs[pool] ?? 0) / 1_000,
     });
     hosts.forEach((host) => this.#empty(host, plan.emptying.has(host.machine), now));
--- a/src/schedule/PlacementPolicy.ts
+++ b/src/schedule/PlacementPolicy.ts
@@ -124,11 +124,7 @@
     return PackingPlacement.#fill(unit, hosts, room);
   }
 
-  static #fill(
-    unit: WorkUnit,
-    hosts: readonly ManagedHost[],
-    room: Room,
-  ): Placement[] | undefined {
+  static #fill(unit: WorkUnit, hosts: readonly ManagedHost[], room: Room): Placement[] | undefined {
     const placements: Placement[] = [];
     const limit = unit.spec.maxPerHost ?? Infinity;
     const sorted = [...hosts].sort(
--- /dev/null
+++ b/src/schedule/PoolSizing.test.ts
@@ -0,0 +1,68 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { IdleHostLending, type PoolView } from './PoolSizing.js';
+
+const LENDING = new IdleHostLending({ borrowAboveMs: 400, parkAfterMs: 1_500, keepHosts: 1 });
+
+function buildPool(name: string, fields: Partial<PoolView> = {}): PoolView {
+  return {
+    name,
+    isStandby: false,
+    size: 3,
+    incoming: 0,
+    waitingHosts: 0,
+    backlogMs: 0,
+    idle: [],
+    ...fields,
+  };
+}
+
+describe('IdleHostLending', () => {
+  it('brings standby hosts first and idle hosts of other pools next to a pressed pool', () => {
+    const moves = LENDING.plan([
+      buildPool('pressed', { waitingHosts: 2.5, backlogMs: 1_000 }),
+      buildPool('quiet', {
+        idle: [
+          { machine: 'q1', idleMs: 200 },
+          { machine: 'q2', idleMs: 900 },
+        ],
+      }),
+      buildPool('spare', { isStandby: true, idle: [{ machine: 's1', idleMs: Infinity }] }),
+    ]);
+    assert.deepEqual(moves, [
+      { machine: 's1', to: 'pressed' },
+      { machine: 'q2', to: 'pressed' },
+      { machine: 'q1', to: 'pressed' },
+    ]);
+  });
+
+  it('counts hosts that are on their way, and leaves each lender the hosts to keep', () => {
+    const moves = LENDING.plan([
+      buildPool('pressed', { waitingHosts: 2, incoming: 1, backlogMs: 1_000 }),
+      buildPool('quiet', { size: 1, idle: [{ machine: 'q1', idleMs: 200 }] }),
+    ]);
+    assert.deepEqual(moves, []);
+  });
+
+  it('moves nothing for work that is done before a move is', () => {
+    const moves = LENDING.plan([
+      buildPool('brief', { waitingHosts: 1, backlogMs: 100 }),
+      buildPool('quiet', { idle: [{ machine: 'q1', idleMs: 200 }] }),
+    ]);
+    assert.deepEqual(moves, []);
+  });
+
+  it('parks hosts that stay idle where they cost nothing', () => {
+    const moves = LENDING.plan([
+      buildPool('quiet', {
+        size: 2,
+        idle: [
+          { machine: 'q1', idleMs: 1_600 },
+          { machine: 'q2', idleMs: 1_700 },
+        ],
+      }),
+      buildPool('spare', { isStandby: true }),
+    ]);
+    assert.deepEqual(moves, [{ machine: 'q2', to: 'spare' }]);
+  });
+});
--- a/src/schedule/RunLedger.ts
+++ b/src/schedule/RunLedger.ts
@@ -175,7 +175,8 @@
     const isInDoubt = run.state === 'uncertain';
     if (reason === 'fenced') return 'fenced';
     if (!isInDoubt || reason === 'superseded') this.#release(run, now, RETRY_PAUSE_MS);
-    if (reason === 'no-room') host.suspendedUntil = Math.max(host.suspendedUntil, now + NO_ROOM_PAUSE_MS);
+    if (reason === 'no-room')
+      host.suspendedUntil = Math.max(host.suspendedUntil, now + NO_ROOM_PAUSE_MS);
     if (reason === 'unhealthy' || reason === 'invalid') {
       host.suspendedUntil = Math.max(host.suspendedUntil, now + UNHEALTHY_PAUSE_MS);
     }
@@ -205,9 +206,7 @@
   #adopt(host: ManagedHost, listed: ListedRun, now: number): Run | undefined {
     const id = parseTaskId(listed.task);
     const unit =
-      id === undefined
-        ? undefined
-        : this.#jobs.findUnit(id.job, id.occurrence, id.step, id.index);
+      id === undefined ? undefined : this.#jobs.findUnit(id.job, id.occurrence, id.step, id.index);
     if (id === undefined || unit === undefined || !RunLedger.#canAdopt(unit, id.index, listed)) {
       this.#stopUnwanted(host, listed, now);
       return undefined;
--- a/src/schedule/Shard.test.ts
+++ b/src/schedule/Shard.test.ts
@@ -1,6 +1,11 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { buildBookedJob, buildHostEntry, buildQueueRule, ScheduleRig } from '../testing/ScheduleRig.js';
+import {
+  buildBookedJob,
+  buildHostEntry,
+  buildQueueRule,
+  ScheduleRig,
+} from '../testing/ScheduleRig.js';
 
 const TWO_STEPS = [
   { count: 2, cpuMilli: 1_000, estimateMs: 500 },
--- /dev/null
+++ b/src/schedule/UpkeepPlanner.test.ts
@@ -0,0 +1,162 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import type { Machine } from '../port/mod.js';
+import { buildBookedJob, buildHostEntry, ScheduleRig } from '../testing/ScheduleRig.js';
+import { ManagedHost } from './ManagedHost.js';
+import { UpkeepPlanner, type UpkeepPlan, type UpkeepView } from './UpkeepPlanner.js';
+
+const MACHINES = 12;
+const CAP = 3;
+const DURATION_MS = 24_000;
+/** Time that the maintenance of one machine takes in the simulation, in ms. */
+const AWAY_MS = 2_000;
+
+class WaveSimulation {
+  now = 0;
+
+  readonly machines = new Map<string, Machine>();
+
+  readonly hosts = new Map<string, ManagedHost>();
+
+  readonly planner = new UpkeepPlanner();
+
+  readonly begun: string[] = [];
+
+  #returning: { machine: string; at: number }[] = [];
+
+  #lives = 0;
+
+  constructor() {
+    for (let index = 0; index < MACHINES; index += 1) this.#raise(`m-${index}`);
+    this.planner.setOrder(
+      { wave: 1, machines: [...this.machines.keys()], durationMs: DURATION_MS, cap: CAP },
+      0,
+    );
+  }
+
+  get down(): number {
+    return this.#returning.length;
+  }
+
+  step(ms: number): UpkeepPlan {
+    this.now += ms;
+    this.#returning
+      .filter(({ at }) => at <= this.now)
+      .forEach(({ machine }) => this.#raise(machine));
+    this.#returning = this.#returning.filter(({ at }) => at > this.now);
+    const view: UpkeepView = {
+      now: this.now,
+      nowWallMs: this.now,
+      machines: this.machines,
+      machinesReadAt: this.now,
+      hosts: this.hosts,
+      isMoving: () => false,
+      isStandby: () => false,
+      pressure: () => 0,
+    };
+    const plan = this.planner.plan(view);
+    plan.orders.forEach((order) => {
+      this.begun.push(order.machine);
+      this.planner.reportAnswer(order, true, this.now);
+      const machine = this.machines.get(order.machine);
+      if (machine !== undefined) {
+        this.machines.set(order.machine, { ...machine, state: 'maintenance', hostId: undefined });
+      }
+      this.hosts.delete(order.machine);
+      this.#returning.push({ machine: order.machine, at: this.now + AWAY_MS });
+    });
+    return plan;
+  }
+
+  #raise(name: string): void {
+    this.#lives += 1;
+    const id = `host-${this.#lives}`;
+    const host = new ManagedHost(buildHostEntry(id, { machine: name }), this.now);
+    host.isFenced = true;
+    this.hosts.set(name, host);
+    this.machines.set(name, {
+      name,
+      pool: 'studio',
+      state: 'up',
+      dataCentre: 'dc-1',
+      hostId: id,
+    });
+  }
+}
+
+describe('UpkeepPlanner', () => {
+  it('maintains every machine once, in time, with at most as many at once as the cap', () => {
+    const wave = new WaveSimulation();
+    let completedAt: number | undefined;
+    while (wave.now < DURATION_MS && completedAt === undefined) {
+      const plan = wave.step(100);
+      assert.ok(wave.down <= CAP, `${wave.down} machines are down at ${wave.now} ms`);
+      if (plan.completed.length > 0) completedAt = wave.now;
+    }
+    assert.ok(completedAt !== undefined && completedAt < DURATION_MS);
+    assert.equal(new Set(wave.begun).size, MACHINES);
+    assert.equal(wave.begun.length, MACHINES);
+  });
+
+  it('does not count a machine that the provider has removed', () => {
+    const wave = new WaveSimulation();
+    wave.machines.delete('m-3');
+    wave.hosts.delete('m-3');
+    let isCompleted = false;
+    while (wave.now < DURATION_MS && !isCompleted) {
+      isCompleted = wave.step(100).completed.length > 0;
+    }
+    assert.ok(isCompleted);
+    assert.ok(!wave.begun.includes('m-3'));
+  });
+
+  it('leaves a host alone that has not answered yet: it may run anything', () => {
+    const wave = new WaveSimulation();
+    wave.hosts.forEach((host) => {
+      Object.assign(host, { isFenced: false });
+    });
+    while (wave.now < DURATION_MS) wave.step(500);
+    assert.deepEqual(wave.begun, []);
+  });
+
+  it('moves lasting tasks away within what their job may miss before it maintains a host', () => {
+    const rig = new ScheduleRig();
+    const hosts = ['h1', 'h2', 'h3', 'h4'];
+    rig.shard.updateMachines(
+      hosts.map((id) => ({
+        name: `machine-of-${id}`,
+        pool: 'studio',
+        state: 'up' as const,
+        dataCentre: 'dc-1',
+        hostId: id,
+      })),
+      0,
+    );
+    hosts.forEach((id) => rig.addHost(id));
+    const steps = [{ count: 3, cpuMilli: 1_000, isLasting: true, mayMiss: 1, maxPerHost: 1 }];
+    rig.shard.addJob(buildBookedJob('a', steps));
+    rig.startAll();
+    hosts.forEach((id) => rig.report(id));
+    const order = {
+      wave: 1,
+      machines: hosts.map((id) => `machine-of-${id}`),
+      durationMs: 10_000,
+      cap: 4,
+    };
+    rig.shard.setWave(order, undefined);
+    for (let round = 0; round < 20; round += 1) {
+      const commands = rig.plan();
+      const stops = commands.filter(({ type }) => type === 'stop');
+      assert.ok(stops.length <= 1, 'two tasks of the step are taken away at once');
+      const ended = commands.filter(
+        (command) =>
+          command.type === 'maintain' &&
+          [...rig.shard.hosts].some(
+            (host) => host.machine === command.order.machine && host.runs.size > 0,
+          ),
+      );
+      assert.deepEqual(ended, [], 'a host is maintained while a lasting task runs there');
+      rig.clock.increase(200);
+    }
+  });
+});
--- a/src/schedule/UpkeepPlanner.ts
+++ b/src/schedule/UpkeepPlanner.ts
@@ -27,6 +27,8 @@
   hosts: ReadonlyMap<string, ManagedHost>;
   /** Checks whether a machine is on its way to another pool. */
   isMoving: (machine: string) => boolean;
+  /** Checks whether a pool is a standby pool, whose hosts run nothing. */
+  isStandby: (pool: string) => boolean;
   /** How pressed a pool is: work that waits against its room, 0 for idle. */
   pressure: (pool: string) => number;
 }
@@ -165,8 +167,8 @@
       wave.emptyingSince.set(machine, since);
       plan.emptying.add(machine);
       const isPressing = restMs < PRESSING_MS && view.now - since > PATIENCE_MS;
-      const mustWait = host !== undefined && host.runs.size > 0 && !isPressing;
-      if (mustWait || !UpkeepPlanner.#canBegin(wave, view)) return;
+      if (!UpkeepPlanner.#isEmpty(machine, view, isPressing)) return;
+      if (!UpkeepPlanner.#canBegin(wave, view)) return;
       wave.turns.set(machine, { orderedAt: view.now, hostId: host?.id, isAnswered: false });
       plan.orders.push({ machine, wave: order.wave });
     });
@@ -175,11 +177,27 @@
       .forEach((machine) => wave.emptyingSince.delete(machine));
   }
 
+  /**
+   * Checks whether the maintenance of a machine ends nothing that must not be ended. Short tasks are
+   * given up where the wave is pressing; lasting tasks are not, since their jobs are promised that
+   * few of them are away at once.
+   */
+  static #isEmpty(machine: string, view: UpkeepView, isPressing: boolean): boolean {
+    const host = view.hosts.get(machine);
+    if (host === undefined) {
+      // A host whose entry has not been read may run anything.
+      const listed = view.machines.get(machine);
+      return listed?.hostId === undefined || view.isStandby(listed.pool);
+    }
+    if (!host.isFenced) return view.isStandby(host.pool);
+    if (!isPressing) return host.runs.size === 0;
+    return [...host.runs.values()].every((run) => !run.unit.spec.isLasting);
+  }
+
   /** Counts machines under maintenance, those of earlier owners included. */
   static #countDown(wave: Wave, view: UpkeepView): number {
     const others = wave.order.machines.filter(
-      (machine) =>
-        !wave.turns.has(machine) && view.machines.get(machine)?.state === 'maintenance',
+      (machine) => !wave.turns.has(machine) && view.machines.get(machine)?.state === 'maintenance',
     );
     return wave.turns.size + others.length;
   }
--- /dev/null
+++ b/src/schedule/decisions.test.ts
@@ -0,0 +1,156 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { StepSpec } from '../task/mod.js';
+import {
+  buildBookedJob,
+  buildHostEntry,
+  buildQueueRule,
+  ScheduleRig,
+} from '../testing/ScheduleRig.js';
+import { AdviceBook } from './AdviceBook.js';
+import { HostBlame } from './HostBlame.js';
+import { LeastWorkFirst } from './JobOrder.js';
+import { ManagedHost } from './ManagedHost.js';
+import { RunTimeEstimator } from './RunTimeEstimator.js';
+import { ScheduledJob } from './ScheduledJob.js';
+import type { ScheduledStep } from './ScheduledStep.js';
+
+const NOW_MS = 20_000;
+
+function buildStep(
+  id: string,
+  step: Parameters<typeof StepSpec.parse>[0],
+  submittedAtMs = NOW_MS,
+  priority = 0,
+): ScheduledStep {
+  const booked = buildBookedJob(id, [step as never], { submittedAtMs });
+  const job = new ScheduledJob(booked, buildQueueRule({ priority }));
+  const [occurrence] = job.openOccurrences(NOW_MS);
+  const found = occurrence?.steps[0];
+  assert.ok(found !== undefined);
+  return found;
+}
+
+describe('LeastWorkFirst', () => {
+  it('takes the queue that comes first, then the least work; late jobs come last', () => {
+    const order = new LeastWorkFirst(new RunTimeEstimator());
+    const steps = [
+      buildStep('late', { count: 1, cpuMilli: 10, estimateMs: 1_000 }, 0),
+      buildStep('large', { count: 9, cpuMilli: 1_000, estimateMs: 1_000 }),
+      buildStep('other-queue', { count: 1, cpuMilli: 10, estimateMs: 10 }, NOW_MS, 1),
+      buildStep('small', { count: 2, cpuMilli: 1_000, estimateMs: 1_000 }),
+      buildStep('lasting', { count: 20, cpuMilli: 9_000, estimateMs: 1_000, isLasting: true }),
+    ];
+    assert.deepEqual(
+      order.sort(steps, NOW_MS).map(({ occurrence }) => occurrence.job.id),
+      ['lasting', 'small', 'large', 'late', 'other-queue'],
+    );
+  });
+});
+
+describe('RunTimeEstimator', () => {
+  it('uses what was observed where the declared times are far off', () => {
+    const estimator = new RunTimeEstimator();
+    const spec = StepSpec.parse({ count: 1, estimateMs: 8_000 });
+    for (let index = 0; index < 20; index += 1) estimator.report('renders', spec, 800);
+    assert.ok(Math.abs(estimator.estimate('renders', spec) - 800) < 1);
+  });
+
+  it('trusts declared times that are near', () => {
+    const estimator = new RunTimeEstimator();
+    for (let index = 0; index < 20; index += 1) {
+      const estimateMs = index % 2 === 0 ? 200 : 3_000;
+      estimator.report('renders', StepSpec.parse({ count: 1, estimateMs }), estimateMs * 1.1);
+    }
+    const spec = StepSpec.parse({ count: 1, estimateMs: 3_000 });
+    assert.equal(estimator.estimate('renders', spec), 3_000);
+  });
+});
+
+describe('HostBlame', () => {
+  const host = (): ManagedHost => new ManagedHost(buildHostEntry('h1'), 0);
+
+  it('suspends a host that fails the runs of several jobs in a row, longer each time', () => {
+    const blame = new HostBlame();
+    const one = host();
+    assert.equal(blame.reportFailure(one, 'a', 0), 0);
+    assert.equal(blame.reportFailure(one, 'b', 0), 0);
+    const first = blame.reportFailure(one, 'c', 0);
+    assert.ok(first > 0);
+    assert.equal(blame.reportFailure(one, 'd', first + 1), 2 * first);
+  });
+
+  it('does not blame a host for one job that fails everywhere', () => {
+    const blame = new HostBlame();
+    const one = host();
+    for (let index = 0; index < 10; index += 1) {
+      assert.equal(blame.reportFailure(one, 'poisoned', 0), 0);
+    }
+  });
+
+  it('forgets failures when a run is done', () => {
+    const blame = new HostBlame();
+    const one = host();
+    blame.reportFailure(one, 'a', 0);
+    blame.reportFailure(one, 'b', 0);
+    blame.reportSuccess(one);
+    assert.equal(blame.reportFailure(one, 'c', 0), 0);
+  });
+});
+
+describe('AdviceBook', () => {
+  it('asks once, remembers what was allowed for as long as it is valid, and asks again', () => {
+    const book = new AdviceBook();
+    const step = buildStep('a', { count: 1 });
+    const hosts = ['h1', 'h2'].map((id) => {
+      const host = new ManagedHost(buildHostEntry(id), 0);
+      host.isFenced = true;
+      return host;
+    });
+    assert.deepEqual(book.planQuestion(step, hosts, 0), ['h1', 'h2']);
+    assert.equal(book.planQuestion(step, hosts, 10), undefined);
+    book.report(step.id, { allowed: [{ hostId: 'h2', ticket: 't' }], validityMs: 3_000 }, 20);
+    assert.deepEqual([...book.collectAllowed(step, 30)], ['h2']);
+    assert.equal(book.findTicket(step, 'h2'), 't');
+    assert.equal(book.planQuestion(step, hosts, 40), undefined);
+    assert.deepEqual([...book.collectAllowed(step, 3_000)], []);
+    assert.deepEqual(book.planQuestion(step, hosts, 3_000), ['h2']);
+  });
+});
+
+describe('InterferenceControl', () => {
+  it('slows what uses idle processor time while a target is missed, and raises it after', () => {
+    const rig = new ScheduleRig();
+    rig.addHost('h1');
+    rig.shard.addJob(
+      buildBookedJob('serving', [
+        { count: 1, cpuMilli: 1_000, isLasting: true, latencyTargetMs: 100 },
+      ]),
+    );
+    rig.shard.addJob(
+      buildBookedJob('filling', [
+        { count: 1, cpuMilli: 4_000, isLasting: true, usesIdleCpu: true },
+      ]),
+    );
+    rig.startAll();
+    const list = (tailMs: number): void => {
+      const host = rig.shard.findHost('h1');
+      const running = [...(host?.runs.values() ?? [])].map(({ task, number }) => ({
+        task,
+        run: number,
+        checkpoint: '',
+        percent: 100,
+        load: task.startsWith('serving') ? tailMs : 900,
+      }));
+      rig.output.commands.length = 0;
+      rig.report('h1', { running });
+    };
+    list(150);
+    const [slow] = rig.output.commands;
+    assert.ok(slow?.type === 'pace' && slow.percent === 50);
+    rig.shard.reportPace(slow.run, slow.percent, { type: 'done', clockMs: undefined });
+    list(20);
+    const [raised] = rig.output.commands;
+    assert.ok(raised?.type === 'pace' && raised.percent > 50);
+  });
+});
--- a/src/task/checkJobSpec.ts
+++ b/src/task/checkJobSpec.ts
@@ -16,13 +16,11 @@
 export function checkJobSpec(value: unknown): JobCheck {
   const parsed = JobSpec.safeParse(value);
   if (!parsed.success) {
-    const findings = parsed.error.issues.map(
-      (issue): Finding => ({
-        severity: 'error',
-        message: issue.message,
-        place: { path: issue.path.map(String).join('.') },
-      }),
-    );
+    const findings = parsed.error.issues.map((issue): Finding => ({
+      severity: 'error',
+      message: issue.message,
+      place: { path: issue.path.map(String).join('.') },
+    }));
     return { findings };
   }
   const job = parsed.data;
--- a/src/testing/NodeCluster.ts
+++ b/src/testing/NodeCluster.ts
@@ -58,7 +58,11 @@
       pools: [{ name: 'studio', refusesOverload: true, isStandby: false, maxConnections: 64 }],
       limits: {},
     };
-    this.store.write('operator', 'config', JSON.stringify({ type: 'configuration', configuration }));
+    this.store.write(
+      'operator',
+      'config',
+      JSON.stringify({ type: 'configuration', configuration }),
+    );
     for (let index = 0; index < options.machines; index += 1) {
       this.fleet.addMachine(`m-${index}`, 'studio', `r${index % 2}`);
     }
@@ -72,7 +76,10 @@
   /** Starts a node, or starts it again. */
   start(name: string): void {
     this.#sessions += 1;
-    const logger = createLogger('node', { level: process.env.TEST_LOG_LEVEL ?? 'error', process: name });
+    const logger = createLogger('node', {
+      level: process.env.TEST_LOG_LEVEL ?? 'error',
+      process: name,
+    });
     const metrics = new Metrics();
     const log = new DecisionLog(logger, this.clock, metrics);
     const scope = new ActorScope(name, (actor, error) => log.reportFault(actor, error));
@@ -148,7 +155,9 @@
   listOverlaps(): [StartedRun, StartedRun][] {
     this.fleet.settle();
     const byTask = new Map<string, StartedRun[]>();
-    this.fleet.started.forEach((run) => byTask.set(run.task, [...(byTask.get(run.task) ?? []), run]));
+    this.fleet.started.forEach((run) =>
+      byTask.set(run.task, [...(byTask.get(run.task) ?? []), run]),
+    );
     return [...byTask.values()].flatMap((runs) =>
       runs.flatMap((run, index) =>
         runs
