Bring hosts for arriving work before a backlog has built up

Cause: at the begin of a queue's turn the backlog shows after some hundred ms, and a move takes 1.5 s, so that the first jobs of each turn are late. Change: the arrival rate of the last half second, against the room that lasting tasks leave, asks for hosts.

--- a/src/schedule/MachinePlanner.ts
+++ b/src/schedule/MachinePlanner.ts
@@ -205,6 +205,7 @@
         size: members.length,
         incoming: [...this.#moves.values()].filter(({ pool }) => pool === name).length,
         waitingHosts: waiting.get(name)?.hosts ?? 0,
+        risingHosts: isStandby ? 0 : this.#load.measureRise(name, now),
         backlogMs: backlogs[name] ?? 0,
         idle: idle.filter(
           ({ machine }) =>
--- a/src/schedule/PoolLoad.ts
+++ b/src/schedule/PoolLoad.ts
@@ -1,8 +1,10 @@
 import type { PoolRule } from '../port/mod.js';
+import { ArrivalMeter } from './ArrivalMeter.js';
 import { computeRoom } from './computeRoom.js';
 import type { HostTable } from './HostTable.js';
 import type { JobTable } from './JobTable.js';
 import type { RunTimeEstimator } from './RunTimeEstimator.js';
+import type { ScheduledJob } from './ScheduledJob.js';
 
 /** Work that waits in a pool. */
 export interface WaitingWork {
@@ -22,12 +24,33 @@
 
   readonly #estimator: RunTimeEstimator;
 
+  readonly #arrivals = new ArrivalMeter();
+
   constructor(jobs: JobTable, hosts: HostTable, estimator: RunTimeEstimator) {
     this.#jobs = jobs;
     this.#hosts = hosts;
     this.#estimator = estimator;
   }
 
+  /** Records a job that has just been accepted. */
+  reportArrival({ queue, booked, isLasting }: ScheduledJob, now: number): void {
+    if (isLasting) return;
+    const work = booked.spec.steps.reduce(
+      (sum, step) =>
+        sum + step.count * step.cpuMilli * this.#estimator.estimate(queue.name, step),
+      0,
+    );
+    this.#arrivals.report(queue.pool, work, now);
+  }
+
+  /** Measures how many hosts more the arriving work would keep busy than a pool has. */
+  measureRise(pool: string, now: number): number {
+    const rate = this.#arrivals.measureRate(pool, now);
+    if (rate === 0) return 0;
+    const free = this.measureCapacity(pool, now) - this.#measureLasting(pool);
+    return Math.max(0, (rate - free) / this.#findLargestHost().cpuMilli);
+  }
+
   /** Measures the work that waits in each pool. */
   measureWaiting(): Map<string, WaitingWork> {
     const result = new Map<string, WaitingWork>();
@@ -74,6 +97,17 @@
       .reduce((sum, host) => sum + host.capacity.cpuMilli, 0);
   }
 
+  /** Measures the processor room that lasting tasks take in a pool. */
+  #measureLasting(pool: string): number {
+    return this.#hosts.listPool(pool).reduce((sum, { runs }) => {
+      let used = 0;
+      runs.forEach(({ unit }) => {
+        if (unit.spec.isLasting) used += computeRoom(unit.spec).cpuMilli;
+      });
+      return sum + used;
+    }, 0);
+  }
+
   #findLargestHost(): { cpuMilli: number; memoryMb: number; accelerators: number } {
     const size = { cpuMilli: 1, memoryMb: 1, accelerators: 0 };
     [...this.#hosts.hosts].forEach(({ capacity }) => {
--- a/src/schedule/PoolSizing.test.ts
+++ b/src/schedule/PoolSizing.test.ts
@@ -11,6 +11,7 @@
     size: 3,
     incoming: 0,
     waitingHosts: 0,
+    risingHosts: 0,
     backlogMs: 0,
     idle: [],
     ...fields,
@@ -52,6 +53,20 @@
     assert.deepEqual(moves, []);
   });
 
+  it('moves hosts for arriving work before a backlog has built up', () => {
+    const moves = LENDING.plan([
+      buildPool('rising', { risingHosts: 1.2 }),
+      buildPool('spare', {
+        isStandby: true,
+        idle: ['s1', 's2', 's3'].map((machine) => ({ machine, idleMs: Infinity })),
+      }),
+    ]);
+    assert.deepEqual(moves, [
+      { machine: 's1', to: 'rising' },
+      { machine: 's2', to: 'rising' },
+    ]);
+  });
+
   it('parks hosts that stay idle where they cost nothing', () => {
     const moves = LENDING.plan([
       buildPool('quiet', {
--- a/src/schedule/PoolSizing.ts
+++ b/src/schedule/PoolSizing.ts
@@ -15,6 +15,8 @@
   incoming: number;
   /** Hosts' worth of room that waiting tasks would take. */
   waitingHosts: number;
+  /** Hosts more than the pool has that the arriving work would keep busy. */
+  risingHosts: number;
   /** Time in ms in which the hosts of the pool would finish the work that waits. */
   backlogMs: number;
   /** Hosts on which nothing runs. */
@@ -32,6 +34,9 @@
   abstract plan(pools: readonly PoolView[]): PoolMove[];
 }
 
+/** A rise below this many hosts is left to the backlog rule, since arrivals vary by chance. */
+const MIN_RISE_HOSTS = 0.5;
+
 /** Options of the lending of idle hosts. */
 export interface IdleHostLendingOptions {
   /** Backlog of a pool in ms above which it gets more hosts; about the time that a move takes. */
@@ -64,10 +69,11 @@
     const standby = pools.filter(({ isStandby }) => isStandby);
     const serving = pools.filter(({ isStandby }) => !isStandby);
     [...serving]
-      .filter(({ backlogMs }) => backlogMs > this.#options.borrowAboveMs)
+      .filter((pool) => this.#isPressed(pool))
       .sort((one, other) => other.backlogMs - one.backlogMs)
       .forEach((pool) => {
-        const needed = Math.ceil(pool.waitingHosts) - pool.incoming;
+        const waiting = pool.backlogMs > this.#options.borrowAboveMs ? pool.waitingHosts : 0;
+        const needed = Math.ceil(Math.max(waiting, pool.risingHosts)) - pool.incoming;
         const donors = this.#collectDonors(pool, standby, serving).filter(
           (machine) => !taken.has(machine),
         );
@@ -81,12 +87,18 @@
     return moves;
   }
 
+  #isPressed({ backlogMs, risingHosts }: PoolView): boolean {
+    return backlogMs > this.#options.borrowAboveMs || risingHosts > MIN_RISE_HOSTS;
+  }
+
   #collectDonors(
     pool: PoolView,
     standby: readonly PoolView[],
     serving: readonly PoolView[],
   ): string[] {
-    const lenders = serving.filter((one) => one !== pool && one.waitingHosts === 0);
+    const lenders = serving.filter(
+      (one) => one !== pool && one.waitingHosts === 0 && one.risingHosts === 0,
+    );
     const lent = lenders.flatMap((lender) =>
       IdleHostLending.#sortIdle(lender).slice(
         0,
@@ -99,7 +111,7 @@
 
   #park(serving: readonly PoolView[], park: string, taken: ReadonlySet<string>): PoolMove[] {
     return serving.flatMap((pool) => {
-      if (pool.waitingHosts > 0) return [];
+      if (pool.waitingHosts > 0 || pool.risingHosts > 0) return [];
       const stay = pool.size - this.#options.keepHosts;
       return IdleHostLending.#sortIdle(pool)
         .filter(({ machine, idleMs }) => idleMs >= this.#options.parkAfterMs && !taken.has(machine))
--- a/src/schedule/Shard.ts
+++ b/src/schedule/Shard.ts
@@ -144,7 +144,11 @@
   addJob(booked: BookedJob): void {
     const queue = this.#queues.get(booked.queue) ?? Shard.#restoreQueue(booked);
     const job = this.#jobs.add(booked, queue, this.#clock.readWall());
-    if (job !== undefined && booked.cancelledAtMs !== undefined) this.cancelJob(booked.id);
+    if (job === undefined) return;
+    if (booked.cancelledAtMs !== undefined) this.cancelJob(booked.id);
+    else if (booked.acceptedOffset > this.#takeover.claimOffset) {
+      this.#load.reportArrival(job, this.#now);
+    }
   }
 
   /** Cancels a job and stops its runs. */
