Count a failed run once across owners

Change: the progress holds the number of the last failed run that is counted; ends up to it count no more. The test fails without the check.

--- a/src/book/BookRecord.ts
+++ b/src/book/BookRecord.ts
@@ -19,8 +19,8 @@
 export const StepProgress = z.object({
   /** Indexes of the finished tasks. */
   done: z.array(z.number().int().nonnegative()),
-  /** Pairs of task index and number of failed runs. */
-  failed: z.array(z.tuple([z.number(), z.number()])),
+  /** Task index, count of failed runs, and number of the last one that is counted. */
+  failed: z.array(z.tuple([z.number(), z.number(), z.number()])),
 });
 export type StepProgress = z.infer<typeof StepProgress>;
 
--- a/src/schedule/PoolLoad.ts
+++ b/src/schedule/PoolLoad.ts
@@ -36,8 +36,7 @@
   reportArrival({ queue, booked, isLasting }: ScheduledJob, now: number): void {
     if (isLasting) return;
     const work = booked.spec.steps.reduce(
-      (sum, step) =>
-        sum + step.count * step.cpuMilli * this.#estimator.estimate(queue.name, step),
+      (sum, step) => sum + step.count * step.cpuMilli * this.#estimator.estimate(queue.name, step),
       0,
     );
     this.#arrivals.report(queue.pool, work, now);
--- a/src/schedule/RunLedger.ts
+++ b/src/schedule/RunLedger.ts
@@ -275,7 +275,7 @@
     unit.lastRun = Math.max(unit.lastRun, end.run);
     if (end.checkpoint !== '' && unit.spec.checkpoints) unit.checkpoint = end.checkpoint;
     if (end.outcome === 'done') this.#handleDone(host, unit, run, now);
-    if (end.outcome === 'failed') this.#handleFailed(host, unit, now);
+    if (end.outcome === 'failed') this.#handleFailed(host, unit, end.run, now);
     if (run !== undefined) this.#release(run, now, 0);
   }
 
@@ -294,7 +294,9 @@
     });
   }
 
-  #handleFailed(host: ManagedHost, unit: WorkUnit, now: number): void {
+  #handleFailed(host: ManagedHost, unit: WorkUnit, number: number, now: number): void {
+    if (number <= unit.lastFailedRun) return;
+    unit.lastFailedRun = number;
     const { job } = unit.step.occurrence;
     unit.avoided.add(host.machine);
     const suspensionMs = this.#blame.reportFailure(host, job.id, now);
--- a/src/schedule/ScheduledJob.ts
+++ b/src/schedule/ScheduledJob.ts
@@ -106,7 +106,7 @@
         done: step.units.flatMap((unit) => (unit.isDone ? unit.indexes.slice(0, 1) : [])),
         failed: step.units
           .filter((unit) => unit.failures > 0 && !unit.isDone)
-          .map((unit): [number, number] => [unit.indexes[0] ?? 0, unit.failures]),
+          .map((unit) => [unit.indexes[0] ?? 0, unit.failures, unit.lastFailedRun]),
       })),
     };
   }
@@ -135,10 +135,11 @@
           unit.isDone = true;
           step.remaining -= 1;
         });
-        failed.forEach(([task, count]) => {
+        failed.forEach(([task, count, lastRun]) => {
           const unit = step.findUnit(task);
           if (unit === undefined) return;
           unit.failures = count;
+          unit.lastFailedRun = lastRun;
           this.failures += count;
         });
       });
--- a/src/schedule/Shard.test.ts
+++ b/src/schedule/Shard.test.ts
@@ -92,6 +92,31 @@
     assert.equal(rig.shard.takeDirty()[0]?.final, 'failed');
   });
 
+  it('counts a failed run once when an earlier owner has counted it but not acknowledged it', () => {
+    const rig = new ScheduleRig({ token: 2, claimOffset: 500, isFirst: false });
+    rig.shard.updateMachines([], 0);
+    const progress = {
+      token: 1,
+      state: 'active' as const,
+      finishedBelow: 0,
+      finished: [],
+      occurrences: [
+        { number: 0, steps: [{ done: [], failed: [[0, 2, 7] as [number, number, number]] }] },
+      ],
+    };
+    rig.shard.addJob(buildBookedJob('a', [{ count: 1, cpuMilli: 1_000 }], { progress }));
+    rig.addHost('h1');
+    const ended = {
+      number: 1,
+      task: 'a.0.0.0',
+      run: 7,
+      outcome: 'failed',
+      checkpoint: '',
+    } as const;
+    rig.report('h1', { ended: [ended] });
+    assert.equal(rig.startAll().length, 1);
+  });
+
   it('restarts a lasting task however often it fails', () => {
     const rig = new ScheduleRig();
     rig.addHost('h1');
--- a/src/schedule/WorkUnit.ts
+++ b/src/schedule/WorkUnit.ts
@@ -10,6 +10,9 @@
   /** Failed runs that count against the attempts of the queue. */
   failures = 0;
 
+  /** Number of the last failed run that is counted; a host may list its end to two owners. */
+  lastFailedRun = 0;
+
   /** Number of the last run. */
   lastRun = 0;
 
