--- a/src/emulator/EmulatedFleet.ts
+++ b/src/emulator/EmulatedFleet.ts
@@ -1,19 +1,17 @@
 import type { Clock } from '../clock/mod.js';
 import {
-  HostOrders,
-  MachineDesk,
   OrderUnansweredError,
   OrderUnsentError,
   type HoldAnswer,
   type HoldOrder,
+  type HostOrders,
   type HostTarget,
   type Machine,
   type MachineAnswer,
+  type MachineDesk,
   type MachineOrder,
   type MachineState,
   type OrderAnswer,
-  type StartOrder,
-  type StopOrder,
 } from '../port/mod.js';
 import {
   DEFAULT_CAPACITY,
@@ -22,6 +20,8 @@
   type TaskScript,
 } from './EmulatedHost.js';
 import type { EmulatedStore } from './EmulatedStore.js';
+import { HostConnection } from './_HostConnection.js';
+import { MachineConnection } from './_MachineConnection.js';
 
 /** Time that a machine is away for a move or for maintenance, in ms. */
 const AWAY_MS = 300;
@@ -251,61 +251,3 @@
     this.#options.store.write('hosts', host.entry.id, undefined);
   }
 }
-
-class HostConnection extends HostOrders {
-  readonly #fleet: EmulatedFleet;
-
-  constructor(fleet: EmulatedFleet) {
-    super();
-    this.#fleet = fleet;
-  }
-
-  override startRun(target: HostTarget, order: StartOrder): Promise<OrderAnswer> {
-    return this.#fleet.order(target, (host) => host.start(order));
-  }
-
-  override stopRun(target: HostTarget, order: StopOrder): Promise<OrderAnswer> {
-    return this.#fleet.order(target, (host) => host.stop(order));
-  }
-
-  override paceRun(target: HostTarget): Promise<OrderAnswer> {
-    return this.#fleet.order(target, (host) => ({ type: 'done', clockMs: host.clockMs }));
-  }
-
-  override hold(target: HostTarget, order: HoldOrder): Promise<HoldAnswer> {
-    return this.#fleet.hold(target, order);
-  }
-
-  override forget(): void {
-    // An emulated host has no connections to close.
-  }
-
-  override close(): Promise<void> {
-    return Promise.resolve();
-  }
-}
-
-class MachineConnection extends MachineDesk {
-  readonly #fleet: EmulatedFleet;
-
-  constructor(fleet: EmulatedFleet) {
-    super();
-    this.#fleet = fleet;
-  }
-
-  override listMachines(): Promise<Machine[]> {
-    return Promise.resolve(this.#fleet.listMachines());
-  }
-
-  override moveMachine(order: MachineOrder, pool: string): Promise<MachineAnswer> {
-    return Promise.resolve(this.#fleet.change(order, pool, undefined));
-  }
-
-  override maintainMachine(order: MachineOrder, wave: number): Promise<MachineAnswer> {
-    return Promise.resolve(this.#fleet.change(order, undefined, wave));
-  }
-
-  override close(): Promise<void> {
-    return Promise.resolve();
-  }
-}
--- a/src/emulator/EmulatedStore.ts
+++ b/src/emulator/EmulatedStore.ts
@@ -1,17 +1,16 @@
 import type { Clock } from '../clock/mod.js';
-import {
+import type {
+  AppendAnswer,
+  AppendOptions,
+  KeyedValue,
+  NewestPage,
+  ReadAnswer,
   Store,
-  StoreRefusedError,
-  StoreUnansweredError,
-  type AppendAnswer,
-  type AppendOptions,
-  type KeyedValue,
-  type NewestPage,
-  type ReadAnswer,
-  type ReadOptions,
-  type StoreRecord,
-  type StoreTopic,
+  StoreRecord,
+  StoreTopic,
 } from '../port/mod.js';
+import { EmulatedLog } from './_EmulatedLog.js';
+import { StoreConnection } from './_StoreConnection.js';
 
 /** Repeats of this many last appends of a writer get their first answer again. */
 const REMEMBERED_APPENDS = 5;
@@ -26,43 +25,6 @@
   /** Does what it is asked and does not answer appends. */
   | 'losing-answers';
 
-/** State that all connections to one emulated store share. */
-class Log {
-  readonly records: StoreRecord[] = [];
-
-  /** Offset of the first record that is kept. */
-  first = 0;
-
-  readonly newest = new Map<string, StoreRecord>();
-
-  readonly waiting = new Set<() => void>();
-
-  get end(): number {
-    return this.first + this.records.length;
-  }
-
-  append(values: readonly KeyedValue[]): number {
-    const offset = this.end;
-    values.forEach(({ key, value }) => {
-      const record = {
-        offset: this.end,
-        key,
-        value: value === undefined ? undefined : Buffer.from(value),
-      };
-      this.records.push(record);
-      if (record.value === undefined) this.newest.delete(key);
-      else this.newest.set(key, record);
-    });
-    [...this.waiting].forEach((wake) => wake());
-    return offset;
-  }
-
-  expire(): void {
-    this.first = this.end;
-    this.records.length = 0;
-  }
-}
-
 interface WriterState {
   epoch: number;
   last: { sequence: number; answer: AppendAnswer }[];
@@ -83,11 +45,11 @@
 export class EmulatedStore {
   readonly #clock: Clock;
 
-  readonly #logs: Record<StoreTopic | 'status', Log> = {
-    work: new Log(),
-    operator: new Log(),
-    hosts: new Log(),
-    status: new Log(),
+  readonly #logs: Record<StoreTopic | 'status', EmulatedLog> = {
+    work: new EmulatedLog(),
+    operator: new EmulatedLog(),
+    hosts: new EmulatedLog(),
+    status: new EmulatedLog(),
   };
 
   readonly #writers = new Map<string, WriterState>();
@@ -193,74 +155,3 @@
     return { records, next: undefined, end: log.end };
   }
 }
-
-/** Time after which a call to a silent store counts as unanswered, in ms. */
-const SILENT_MS = 300;
-
-/** The connection of one node to an emulated store. */
-class StoreConnection extends Store {
-  readonly #store: EmulatedStore;
-
-  readonly #node: string;
-
-  constructor(store: EmulatedStore, node: string) {
-    super();
-    this.#store = store;
-    this.#node = node;
-  }
-
-  override async append(
-    records: readonly KeyedValue[],
-    options: AppendOptions = {},
-  ): Promise<AppendAnswer> {
-    await this.#pass();
-    const answer = this.#store.append(records, options);
-    if (this.#store.getMode(this.#node) === 'losing-answers') {
-      await StoreConnection.#time(SILENT_MS);
-      throw new StoreUnansweredError('the answer was lost');
-    }
-    return answer;
-  }
-
-  override async read(
-    topic: StoreTopic,
-    from: number,
-    { waitMs = 0 }: ReadOptions = {},
-  ): Promise<ReadAnswer> {
-    await this.#pass();
-    const answer = await this.#store.read(topic, from, waitMs);
-    await this.#pass();
-    return answer;
-  }
-
-  override async readNewest(topic: StoreTopic): Promise<NewestPage> {
-    await this.#pass();
-    return this.#store.readNewest(topic);
-  }
-
-  override async publishWave(wave: number, state: 'running' | 'completed'): Promise<AppendAnswer> {
-    await this.#pass();
-    return this.#store.publish(wave, state);
-  }
-
-  override close(): Promise<void> {
-    return Promise.resolve();
-  }
-
-  /** Fails as the mode of the store says; otherwise lets the call through after a turn. */
-  async #pass(): Promise<void> {
-    await StoreConnection.#time(1);
-    const mode = this.#store.getMode(this.#node);
-    if (mode === 'refusing') throw new StoreRefusedError('the store refuses calls');
-    if (mode === 'silent') {
-      await StoreConnection.#time(SILENT_MS);
-      throw new StoreUnansweredError('the store does not answer');
-    }
-  }
-
-  static #time(ms: number): Promise<void> {
-    return new Promise((resolve) => {
-      setTimeout(resolve, ms);
-    });
-  }
-}
--- /dev/null
+++ b/src/emulator/_HostConnection.ts
@@ -0,0 +1,44 @@
+import {
+  HostOrders,
+  type HoldAnswer,
+  type HoldOrder,
+  type HostTarget,
+  type OrderAnswer,
+  type StartOrder,
+  type StopOrder,
+} from '../port/mod.js';
+import type { EmulatedFleet } from './EmulatedFleet.js';
+
+/** The host orders of one node. */
+export class HostConnection extends HostOrders {
+  readonly #fleet: EmulatedFleet;
+
+  constructor(fleet: EmulatedFleet) {
+    super();
+    this.#fleet = fleet;
+  }
+
+  override startRun(target: HostTarget, order: StartOrder): Promise<OrderAnswer> {
+    return this.#fleet.order(target, (host) => host.start(order));
+  }
+
+  override stopRun(target: HostTarget, order: StopOrder): Promise<OrderAnswer> {
+    return this.#fleet.order(target, (host) => host.stop(order));
+  }
+
+  override paceRun(target: HostTarget): Promise<OrderAnswer> {
+    return this.#fleet.order(target, (host) => ({ type: 'done', clockMs: host.clockMs }));
+  }
+
+  override hold(target: HostTarget, order: HoldOrder): Promise<HoldAnswer> {
+    return this.#fleet.hold(target, order);
+  }
+
+  override forget(): void {
+    // An emulated host has no connections to close.
+  }
+
+  override close(): Promise<void> {
+    return Promise.resolve();
+  }
+}
--- a/src/node/BookKeeper.ts
+++ b/src/node/BookKeeper.ts
@@ -21,7 +21,7 @@
   | { type: 'find'; id: string; reply: (answer: JobAnswer) => void }
   | { type: 'count-waiting'; queue: string; reply: (count: number) => void }
   | { type: 'owning'; isOwner: boolean }
-  | { type: 'hurry' }
+  | { type: 'read-now' }
   | { type: 'use'; use: (book: JobBook, state: FollowState) => void };
 
 /** Receives what was folded; called in the order of the log. */
@@ -72,8 +72,8 @@
       case 'owning':
         this.gatherMs = message.isOwner ? OWNER_GATHER_MS : FOLLOWER_GATHER_MS;
         break;
-      case 'hurry':
-        this.hurry();
+      case 'read-now':
+        this.readNow();
         break;
       default:
         message.use(this.#book, this.state);
--- a/src/node/CallerDesk.ts
+++ b/src/node/CallerDesk.ts
@@ -137,7 +137,7 @@
       if (follow.isCurrent && follow.freshAt >= calledAt) return NO_JOB;
       const waitedMs = this.#parts.clock.readMonotonic() - calledAt;
       if (waitedMs > MAX_STATE_AGE_MS) return { state: undefined, isCurrent: false };
-      this.#keeper.send({ type: 'hurry' });
+      this.#keeper.send({ type: 'read-now' });
       await new Promise((resolve) => {
         setTimeout(resolve, READ_POLL_MS);
       });
--- a/src/node/Candidate.ts
+++ b/src/node/Candidate.ts
@@ -110,7 +110,7 @@
         break;
       default:
         this.#isStopping = true;
-        await this.#handOver();
+        await this.#releaseShard();
         message.reply(true);
     }
   }
@@ -185,7 +185,7 @@
     this.#options.onOwning(true);
   }
 
-  async #handOver(): Promise<void> {
+  async #releaseShard(): Promise<void> {
     const owner = this.#owner;
     if (owner === undefined) return;
     try {
--- a/src/node/HostFollower.ts
+++ b/src/node/HostFollower.ts
@@ -6,7 +6,9 @@
 const GATHER_MS = 60;
 
 /** Messages of the host follower. */
-export type HostFollowerMessage = { type: 'none' };
+export interface HostFollowerMessage {
+  type: 'none';
+}
 
 /** Follows the list of hosts while the node owns the shard. */
 export class HostFollower extends TopicFollower<HostFollowerMessage> {
--- a/src/node/Node.property.test.ts
+++ b/src/node/Node.property.test.ts
@@ -8,6 +8,10 @@
 
 const NODES = 3;
 const MACHINES = 4;
+/** Steps in which the share of an order is drawn. */
+const DRAW_UNITS = 10_000;
+/** Orders after which the drawn faults repeat. */
+const DRAWN_ORDERS = 500;
 /** Longest wait for all accepted jobs after the last fault, in ms. */
 const SETTLE_MS = 25_000;
 
@@ -69,7 +73,7 @@
         cluster.start(step.node);
         break;
       case 'store':
-        cluster.store.setMode(step.mode as 'well', step.node);
+        cluster.store.setMode(step.mode, step.node);
         break;
       case 'crash':
         if (!this.#down.has(step.machine)) cluster.fleet.crash(step.machine);
@@ -134,10 +138,14 @@
 
 /** Draws faults of orders from a seed: some are lost after they were carried out, some come late. */
 function createFaultDraw(seed: number): () => { fault: OrderFault; delayMs: number } | undefined {
-  let state = seed >>> 0;
+  const random = fc.sample(fc.noBias(fc.nat(DRAW_UNITS)), {
+    seed,
+    numRuns: DRAWN_ORDERS,
+  });
+  let next = 0;
   return () => {
-    state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0;
-    const share = state / 2 ** 32;
+    const share = (random[next % DRAWN_ORDERS] ?? 0) / DRAW_UNITS;
+    next += 1;
     if (share < 0.03) return { fault: 'answer-lost', delayMs: 0 };
     if (share < 0.06) return { fault: 'late', delayMs: 200 + share * 20_000 };
     return undefined;
--- a/src/node/Node.ts
+++ b/src/node/Node.ts
@@ -48,7 +48,7 @@
     this.#candidate = new Candidate(parts, {
       random: Math.random,
       onOwning: (isOwner) => this.#keeper.send({ type: 'owning', isOwner }),
-      onHurry: () => this.#keeper.send({ type: 'hurry' }),
+      onHurry: () => this.#keeper.send({ type: 'read-now' }),
     });
     this.#keeper = new BookKeeper(parts, [
       (changes, book, state) => {
--- a/src/node/OperatorFollower.ts
+++ b/src/node/OperatorFollower.ts
@@ -15,7 +15,9 @@
 }
 
 /** Messages of the operator follower. */
-export type OperatorFollowerMessage = { type: 'none' };
+export interface OperatorFollowerMessage {
+  type: 'none';
+}
 
 /** Follows the operator's configuration and waves; a configuration never goes back. */
 export class OperatorFollower extends TopicFollower<OperatorFollowerMessage> {
--- a/src/node/ShardOwner.ts
+++ b/src/node/ShardOwner.ts
@@ -3,8 +3,6 @@
 import type { HostRecord, KeyedValue, MachineAnswer } from '../port/mod.js';
 import {
   Shard,
-  ShardOutput,
-  type DecisionNote,
   type LedgerResult,
   type ManagedHost,
   type ShardCommand,
@@ -15,6 +13,7 @@
 import { HostFollower } from './HostFollower.js';
 import { HostLink, type HoldOutcome } from './HostLink.js';
 import { HostWatch } from './HostWatch.js';
+import { OwnerOutput } from './_OwnerOutput.js';
 import type { NodeParts } from './NodeParts.js';
 import type { OperatorState } from './OperatorFollower.js';
 import { OwnerWriter, type OwnerWriteResult } from './OwnerWriter.js';
@@ -61,25 +60,6 @@
   onLost: (reason: string) => void;
 }
 
-class OwnerOutput extends ShardOutput {
-  readonly commands: ShardCommand[] = [];
-
-  readonly #parts: NodeParts;
-
-  constructor(parts: NodeParts) {
-    super();
-    this.#parts = parts;
-  }
-
-  override send(command: ShardCommand): void {
-    this.commands.push(command);
-  }
-
-  override record({ decision, subject, inputs }: DecisionNote): void {
-    this.#parts.log.record(decision, subject, inputs);
-  }
-}
-
 /** Owns a shard: feeds its decisions with events and carries out their commands. */
 export class ShardOwner extends Actor<ShardOwnerMessage> {
   readonly #parts: NodeParts;
@@ -148,12 +128,12 @@
 
   protected override receive(message: ShardOwnerMessage): void {
     if (this.#hasLostContact()) {
-      this.#lose('no contact to the store');
+      this.#endOwnership('no contact to the store');
       return;
     }
     switch (message.type) {
       case 'tick':
-        this.#tick();
+        this.#handleTick();
         return;
       case 'plan':
         this.#isPlanning = false;
@@ -203,17 +183,17 @@
     return silentMs > this.#parts.settings.shard.detachedLimitMs;
   }
 
-  #lose(reason: string): void {
+  #endOwnership(reason: string): void {
     if (this.isClosed) return;
     this.#parts.log.record('ownership-lost', String(this.token), { reason });
     this.close();
     this.#options.onLost(reason);
   }
 
-  #tick(): void {
+  #handleTick(): void {
     if (this.#pauses.readTick(this.#parts.clock.readWall())) {
       // Another node may have claimed the shard; the book tells before the next order.
-      this.#lose('the process was suspended');
+      this.#endOwnership('the process was suspended');
       return;
     }
     this.#readMachines();
@@ -383,7 +363,7 @@
   }
 
   #settle(result: LedgerResult): void {
-    if (result === 'fenced') this.#lose('a later owner has given orders');
+    if (result === 'fenced') this.#endOwnership('a later owner has given orders');
     this.#closeEnded();
   }
 
@@ -451,7 +431,8 @@
         this.#shard.cancelJob(change.job.id);
         break;
       case 'owner':
-        if (change.owner.token > this.token) this.#lose('a later owner has claimed the shard');
+        if (change.owner.token > this.token)
+          this.#endOwnership('a later owner has claimed the shard');
         break;
       default:
     }
@@ -543,7 +524,7 @@
   #handleWritten(result: OwnerWriteResult, batch: WrittenBatch): void {
     this.#isWriting = false;
     if (result === 'fenced') {
-      this.#lose('a later owner has written');
+      this.#endOwnership('a later owner has written');
       return;
     }
     this.#writtenAt = this.#parts.clock.readMonotonic();
@@ -551,12 +532,12 @@
       if (endedAtMs !== undefined) this.#finished.push({ id, endedAtMs });
     });
     batch.ends.forEach(([host, number]) => {
-      host.acknowledgedEnd = Math.max(host.acknowledgedEnd, number);
+      host.acknowledge(number);
       this.#watches.get(host)?.acknowledge(number);
     });
     if (batch.isRelease) {
       const reply = this.#release;
-      this.#lose('handed over');
+      this.#endOwnership('handed over');
       reply?.(true);
       return;
     }
--- a/src/node/TopicFollower.ts
+++ b/src/node/TopicFollower.ts
@@ -109,7 +109,7 @@
   }
 
   /** Reads at once instead of after the pause. */
-  protected hurry(): void {
+  protected readNow(): void {
     if (!this.#isReading) this.#schedule(0);
   }
 
--- a/src/node/WorkWriter.ts
+++ b/src/node/WorkWriter.ts
@@ -32,8 +32,8 @@
 interface PendingWrite {
   record: KeyedValue;
   reply: (outcome: WriteOutcome) => void;
-  unanswered: number;
-  refused: number;
+  /** Appends of the record that failed, in order. */
+  failures: ('refused' | 'unanswered')[];
 }
 
 /**
@@ -69,8 +69,7 @@
         this.#queue.push({
           record: message.record,
           reply: message.reply,
-          unanswered: 0,
-          refused: 0,
+          failures: [],
         });
         this.#flush();
         break;
@@ -132,15 +131,14 @@
 
   /** Counts a failed append; answers the caller and returns true after too many. */
   static #giveUp(write: PendingWrite, outcome: 'refused' | 'unanswered'): boolean {
-    if (outcome === 'unanswered') write.unanswered += 1;
-    else write.refused += 1;
-    const isUnknown = write.unanswered > 0;
-    const tries = write.unanswered + write.refused;
-    if (write.unanswered >= MAX_UNANSWERED || (isUnknown && tries > MAX_REFUSED)) {
+    const { failures } = write;
+    failures.push(outcome);
+    const unanswered = failures.filter((one) => one === 'unanswered').length;
+    if (unanswered >= MAX_UNANSWERED || (unanswered > 0 && failures.length > MAX_REFUSED)) {
       write.reply('unknown');
       return true;
     }
-    if (!isUnknown && write.refused >= MAX_REFUSED) {
+    if (unanswered === 0 && failures.length >= MAX_REFUSED) {
       write.reply('not-stored');
       return true;
     }
--- a/src/port/HostOrders.ts
+++ b/src/port/HostOrders.ts
@@ -117,16 +117,6 @@
 export type HoldAnswer =
   { type: 'report'; report: HostReport } | { type: 'refused'; reason: OrderRefusal };
 
-/** No answer came: the order may have been carried out, or may be later. */
-export class OrderUnansweredError extends Error {
-  override name = 'OrderUnansweredError';
-}
-
-/** The order did not leave this process, so the host did not receive it. */
-export class OrderUnsentError extends Error {
-  override name = 'OrderUnsentError';
-}
-
 /** Orders to the upstream hosts. */
 export abstract class HostOrders {
   abstract startRun(host: HostTarget, order: StartOrder): Promise<OrderAnswer>;
--- a/src/port/Store.ts
+++ b/src/port/Store.ts
@@ -65,16 +65,6 @@
   waitMs?: number;
 }
 
-/** The store gave no answer, so a change may or may not have been made, now or later. */
-export class StoreUnansweredError extends Error {
-  override name = 'StoreUnansweredError';
-}
-
-/** The store was not reached or refused; nothing was done. */
-export class StoreRefusedError extends Error {
-  override name = 'StoreRefusedError';
-}
-
 /** The platform's store as the product uses it: keyed logs with offsets, conditions and epochs. */
 export abstract class Store {
   /**
--- a/src/schedule/ArrivalMeter.ts
+++ b/src/schedule/ArrivalMeter.ts
@@ -39,12 +39,12 @@
     const arrivals = this.#arrivals.get(pool) ?? [];
     const long = arrivals.filter(({ at }) => at >= now - WINDOW_MS);
     const recent = long.filter(({ at }) => at >= now - RECENT_MS);
-    const longRate = ArrivalMeter.#sum(long) / WINDOW_MS;
+    const longRate = ArrivalMeter.#computeSum(long) / WINDOW_MS;
     if (recent.length < MIN_RECENT_JOBS) return longRate;
-    return Math.max(longRate, ArrivalMeter.#sum(recent) / RECENT_MS);
+    return Math.max(longRate, ArrivalMeter.#computeSum(recent) / RECENT_MS);
   }
 
-  static #sum(arrivals: readonly Arrival[]): number {
+  static #computeSum(arrivals: readonly Arrival[]): number {
     return arrivals.reduce((sum, { work }) => sum + work, 0);
   }
 }
--- a/src/schedule/HostBlame.ts
+++ b/src/schedule/HostBlame.ts
@@ -26,22 +26,20 @@
 
   /** Records a finished run. */
   reportSuccess(host: ManagedHost): void {
-    host.failuresInRow = 0;
-    host.failedJobs.clear();
+    host.recordOutcome('', false);
     this.#suspensions.delete(host.id);
   }
 
   /** Records a failed run and returns for how many ms the host is suspended, 0 for none. */
   reportFailure(host: ManagedHost, job: string, now: number): number {
-    host.failuresInRow += 1;
-    host.failedJobs.add(job);
+    host.recordOutcome(job, true);
     const repeats = this.#suspensions.get(host.id) ?? 0;
     const isSuspect =
       host.failuresInRow >= FAILURES_IN_ROW && (host.failedJobs.size >= FAILED_JOBS || repeats > 0);
     if (!isSuspect || host.suspendedUntil > now) return 0;
     const durationMs = Math.min(MAX_SUSPENSION_MS, SUSPENSION_MS * 2 ** repeats);
     this.#suspensions.set(host.id, repeats + 1);
-    host.suspendedUntil = now + durationMs;
+    host.suspend(now + durationMs);
     return durationMs;
   }
 
--- a/src/schedule/PoolSizing.test.ts
+++ b/src/schedule/IdleHostLending.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { IdleHostLending, type PoolView } from './PoolSizing.js';
+import { IdleHostLending } from './IdleHostLending.js';
+import type { PoolView } from './PoolSizing.js';
 
 const LENDING = new IdleHostLending({ borrowAboveMs: 400, parkAfterMs: 1_500, keepHosts: 1 });
 
--- /dev/null
+++ b/src/schedule/IdleHostLending.ts
@@ -0,0 +1,92 @@
+import { PoolSizing, type MovableHost, type PoolMove, type PoolView } from './PoolSizing.js';
+
+/** A rise below this many hosts is left to the backlog rule, since arrivals vary by chance. */
+const MIN_RISE_HOSTS = 0.5;
+
+/** Options of the lending of idle hosts. */
+export interface IdleHostLendingOptions {
+  /** Backlog of a pool in ms above which it gets more hosts; about the time that a move takes. */
+  borrowAboveMs: number;
+  /** A host that has been idle for this time in ms goes to the standby pool. */
+  parkAfterMs: number;
+  /** Hosts that stay in each pool. */
+  keepHosts: number;
+}
+
+/**
+ * Moves idle hosts to the pool whose waiting work its own hosts cannot finish by the time that a
+ * move takes, and parks hosts that stay idle in the standby pool, where they cost nothing.
+ *
+ * It answers queues that rise by turns to several times the capacity of their pool for some
+ * seconds: the hosts follow the load. A standby host goes first, then hosts of pools without
+ * waiting work, the longest idle first.
+ */
+export class IdleHostLending extends PoolSizing {
+  readonly #options: IdleHostLendingOptions;
+
+  constructor(options: IdleHostLendingOptions) {
+    super();
+    this.#options = options;
+  }
+
+  override plan(pools: readonly PoolView[]): PoolMove[] {
+    const moves: PoolMove[] = [];
+    const taken = new Set<string>();
+    const standby = pools.filter(({ isStandby }) => isStandby);
+    const serving = pools.filter(({ isStandby }) => !isStandby);
+    [...serving]
+      .filter((pool) => this.#isPressed(pool))
+      .sort((one, other) => other.backlogMs - one.backlogMs)
+      .forEach((pool) => {
+        const waiting = pool.backlogMs > this.#options.borrowAboveMs ? pool.waitingHosts : 0;
+        const needed = Math.ceil(Math.max(waiting, pool.risingHosts)) - pool.incoming;
+        const donors = this.#collectDonors(pool, standby, serving).filter(
+          (machine) => !taken.has(machine),
+        );
+        donors.slice(0, Math.max(0, needed)).forEach((machine) => {
+          taken.add(machine);
+          moves.push({ machine, to: pool.name });
+        });
+      });
+    const [park] = standby;
+    if (park !== undefined) moves.push(...this.#planParking(serving, park.name, taken));
+    return moves;
+  }
+
+  #isPressed({ backlogMs, risingHosts }: PoolView): boolean {
+    return backlogMs > this.#options.borrowAboveMs || risingHosts > MIN_RISE_HOSTS;
+  }
+
+  #collectDonors(
+    pool: PoolView,
+    standby: readonly PoolView[],
+    serving: readonly PoolView[],
+  ): string[] {
+    const lenders = serving.filter(
+      (one) => one !== pool && one.waitingHosts === 0 && one.risingHosts === 0,
+    );
+    const lent = lenders.flatMap((lender) =>
+      IdleHostLending.#sortIdle(lender).slice(
+        0,
+        Math.max(0, lender.size - this.#options.keepHosts),
+      ),
+    );
+    lent.sort((one, other) => other.idleMs - one.idleMs);
+    return [...standby.flatMap(({ idle }) => idle), ...lent].map(({ machine }) => machine);
+  }
+
+  #planParking(serving: readonly PoolView[], park: string, taken: ReadonlySet<string>): PoolMove[] {
+    return serving.flatMap((pool) => {
+      if (pool.waitingHosts > 0 || pool.risingHosts > 0) return [];
+      const stay = pool.size - this.#options.keepHosts;
+      return IdleHostLending.#sortIdle(pool)
+        .filter(({ machine, idleMs }) => idleMs >= this.#options.parkAfterMs && !taken.has(machine))
+        .slice(0, Math.max(0, stay))
+        .map(({ machine }) => ({ machine, to: park }));
+    });
+  }
+
+  static #sortIdle({ idle }: PoolView): MovableHost[] {
+    return [...idle].sort((one, other) => other.idleMs - one.idleMs);
+  }
+}
--- a/src/schedule/InterferenceControl.ts
+++ b/src/schedule/InterferenceControl.ts
@@ -26,12 +26,12 @@
  *
  * @example
  * ```ts
- * control.plan(host).forEach(({ run, percent }) => pace(run, percent));
+ * InterferenceControl.plan(host).forEach(({ run, percent }) => pace(run, percent));
  * ```
  */
 export class InterferenceControl {
   /** Plans changes for one host from its last report. */
-  plan(host: ManagedHost): PaceChange[] {
+  static plan(host: ManagedHost): PaceChange[] {
     let worst = 0;
     const fillers: Run[] = [];
     host.runs.forEach((run) => {
--- a/src/schedule/JobTable.ts
+++ b/src/schedule/JobTable.ts
@@ -51,7 +51,7 @@
   /** Gives jobs the newest rule of their queue. */
   updateQueues(find: (name: string) => QueueRule | undefined): void {
     this.#jobs.forEach((job) => {
-      job.queue = find(job.queue.name) ?? job.queue;
+      job.setQueue(find(job.queue.name) ?? job.queue);
     });
   }
 
@@ -93,9 +93,8 @@
   finishUnit(unit: WorkUnit, nowWallMs: number): void {
     // A run of a job that is over may still report its end; the job must not go on from there.
     if (unit.isDone || unit.step.occurrence.job.final !== undefined) return;
-    unit.isDone = true;
+    unit.finish();
     const { step } = unit;
-    step.remaining -= 1;
     const { occurrence } = step;
     this.#dirty.add(occurrence.job);
     if (step.isDone) this.#settle(occurrence, nowWallMs);
@@ -105,19 +104,16 @@
   failUnit(unit: WorkUnit, nowWallMs: number): boolean {
     const { job } = unit.step.occurrence;
     if (job.final !== undefined) return false;
-    unit.failures += 1;
-    job.failures += 1;
+    const failures = unit.recordFailure();
     this.#dirty.add(job);
-    if (unit.failures < job.queue.maxAttempts) return false;
-    this.finishJob(job, 'failed', nowWallMs, `task failed ${unit.failures} times`);
+    if (failures < job.queue.maxAttempts) return false;
+    this.finishJob(job, 'failed', nowWallMs, `a task failed ${failures} times`);
     return true;
   }
 
   /** Gives a job its final state. Its runs are for the caller to stop. */
   finishJob(job: ScheduledJob, final: FinalState, nowWallMs: number, reason?: string): void {
-    job.final = final;
-    job.reason = reason;
-    job.endedAtMs = nowWallMs;
+    job.finish(final, nowWallMs, reason);
     this.#jobs.delete(job.id);
     job.occurrences.forEach(({ steps }) => steps.forEach((step) => this.#ready.delete(step)));
     this.#dirty.add(job);
--- a/src/schedule/ManagedHost.ts
+++ b/src/schedule/ManagedHost.ts
@@ -99,6 +99,60 @@
     this.#clockReadAt = now;
   }
 
+  /** Marks ends up to a number as recorded in the store. */
+  acknowledge(number: number): void {
+    this.acknowledgedEnd = Math.max(this.acknowledgedEnd, number);
+  }
+
+  /** Keeps new work away until a steady time, or longer where that is set already. */
+  suspend(until: number): void {
+    this.suspendedUntil = Math.max(this.suspendedUntil, until);
+  }
+
+  /** Reserves the host for what an earlier owner may run there. */
+  reserve(until: number): void {
+    this.reservedUntil = until;
+  }
+
+  /** Marks the host as held by this owner: earlier owners cannot give orders there any more. */
+  fence(): void {
+    this.isFenced = true;
+    this.reservedUntil = 0;
+  }
+
+  /** Marks the life as over. */
+  finish(): void {
+    this.hasEnded = true;
+  }
+
+  /** Marks the host as missing from the list. */
+  removeFromList(): void {
+    this.isListed = false;
+  }
+
+  /** Records a call that was not answered. */
+  recordSilence(): void {
+    this.silentCalls += 1;
+  }
+
+  /** Takes an end for processing; false for one that was processed before. */
+  takeEnd(number: number): boolean {
+    if (number <= this.processedEnd) return false;
+    this.processedEnd = number;
+    return true;
+  }
+
+  /** Records the outcome of a run for the judgement of the host. */
+  recordOutcome(job: string, hasFailed: boolean): void {
+    if (hasFailed) {
+      this.failuresInRow += 1;
+      this.failedJobs.add(job);
+    } else {
+      this.failuresInRow = 0;
+      this.failedJobs.clear();
+    }
+  }
+
   /** Records an answer of the host. */
   recordAnswer(clockMs: number | undefined, now: number): void {
     this.silentCalls = 0;
--- /dev/null
+++ b/src/schedule/PackingPlacement.ts
@@ -0,0 +1,128 @@
+import { computeRoom } from './computeRoom.js';
+import type { ManagedHost, Room } from './ManagedHost.js';
+import { PlacementPolicy, type Placement, type PlacementOptions } from './PlacementPolicy.js';
+import type { WorkUnit } from './WorkUnit.js';
+
+/** Counts runs of a step on a host, for the limit of tasks per host. */
+function countRuns(host: ManagedHost, unit: WorkUnit): number {
+  let count = 0;
+  host.runs.forEach((run) => {
+    if (run.unit.step === unit.step) count += 1;
+  });
+  return count;
+}
+
+/** Checks what does not depend on free room. */
+function isEligible(unit: WorkUnit, host: ManagedHost, options: PlacementOptions): boolean {
+  const { spec } = unit;
+  if (!host.isAvailable(options.now)) return false;
+  if (spec.requiredLabel !== undefined && !host.entry.labels.includes(spec.requiredLabel)) {
+    return false;
+  }
+  if (options.allowed !== undefined && !options.allowed.has(host.id)) return false;
+  return spec.maxPerHost === undefined || countRuns(host, unit) < spec.maxPerHost;
+}
+
+/**
+ * Packs tasks onto the fullest host that has room, so that idle hosts stay idle and can be lent;
+ * lasting tasks are spread, since tasks beside each other disturb one another.
+ *
+ * A host in the rack of the step's data goes before all others, and a machine on which the task
+ * failed comes after all others.
+ */
+export class PackingPlacement extends PlacementPolicy {
+  override choose(
+    unit: WorkUnit,
+    hosts: readonly ManagedHost[],
+    options: PlacementOptions,
+  ): Placement[] | undefined {
+    const room = computeRoom(unit.spec);
+    const eligible = hosts.filter((host) => isEligible(unit, host, options));
+    if (unit.indexes.length === 1) {
+      const host = PackingPlacement.#chooseOne(unit, eligible, room);
+      return host === undefined ? undefined : [{ index: unit.indexes[0] ?? 0, host }];
+    }
+    return PackingPlacement.#chooseGang(unit, eligible, room);
+  }
+
+  static #chooseOne(
+    unit: WorkUnit,
+    hosts: readonly ManagedHost[],
+    room: Room,
+  ): ManagedHost | undefined {
+    let best: ManagedHost | undefined;
+    let bestScore = -Infinity;
+    hosts.forEach((host) => {
+      if (!host.hasRoom(room)) return;
+      const score = PackingPlacement.#score(unit, host);
+      if (score > bestScore) {
+        best = host;
+        bestScore = score;
+      }
+    });
+    return best;
+  }
+
+  static #score(unit: WorkUnit, host: ManagedHost): number {
+    const { spec } = unit;
+    const { used, capacity } = host;
+    const fullness = Math.max(
+      capacity.cpuMilli > 0 ? used.cpuMilli / capacity.cpuMilli : 0,
+      capacity.memoryMb > 0 ? used.memoryMb / capacity.memoryMb : 0,
+    );
+    let score = fullness;
+    if (spec.isLasting || spec.usesIdleCpu) {
+      let lasting = 0;
+      host.runs.forEach((run) => {
+        if (run.unit.spec.isLasting || run.unit.spec.usesIdleCpu) lasting += 1;
+      });
+      score = -lasting - 0.1 * fullness;
+    }
+    if (spec.dataRack !== undefined && host.entry.rack === spec.dataRack) score += 100;
+    if (unit.avoided.has(host.machine)) score -= 1_000;
+    return score;
+  }
+
+  static #chooseGang(
+    unit: WorkUnit,
+    hosts: readonly ManagedHost[],
+    room: Room,
+  ): Placement[] | undefined {
+    if (unit.spec.prefersOneRack) {
+      const racks = new Map<string, ManagedHost[]>();
+      hosts.forEach((host) => {
+        const rack = host.entry.rack ?? '';
+        racks.set(rack, [...(racks.get(rack) ?? []), host]);
+      });
+      for (const inRack of racks.values()) {
+        const placed = PackingPlacement.#fill(unit, inRack, room);
+        if (placed !== undefined) return placed;
+      }
+    }
+    return PackingPlacement.#fill(unit, hosts, room);
+  }
+
+  static #fill(unit: WorkUnit, hosts: readonly ManagedHost[], room: Room): Placement[] | undefined {
+    const placements: Placement[] = [];
+    const limit = unit.spec.maxPerHost ?? Infinity;
+    const sorted = [...hosts].sort(
+      (one, other) => PackingPlacement.#score(unit, other) - PackingPlacement.#score(unit, one),
+    );
+    sorted.forEach((host) => {
+      let taken = 1;
+      while (
+        placements.length < unit.indexes.length &&
+        countRuns(host, unit) + taken <= limit &&
+        host.hasRoom({
+          cpuMilli: room.cpuMilli * taken,
+          memoryMb: room.memoryMb * taken,
+          accelerators: room.accelerators * taken,
+        })
+      ) {
+        placements.push({ index: unit.indexes[placements.length] ?? 0, host });
+        taken += 1;
+      }
+    });
+    return placements.length === unit.indexes.length ? placements : undefined;
+  }
+}
--- a/src/schedule/Run.ts
+++ b/src/schedule/Run.ts
@@ -1,3 +1,4 @@
+import type { ListedRun } from '../port/mod.js';
 import type { ManagedHost } from './ManagedHost.js';
 import type { WorkUnit } from './WorkUnit.js';
 
@@ -66,6 +67,51 @@
     this.lastImpairedAt = now;
   }
 
+  /** Marks the run as confirmed by its host. */
+  confirm(now: number): void {
+    // A stop that was ordered while the start was in doubt stays in force.
+    if (this.state === 'starting' || this.state === 'uncertain') {
+      this.state = this.stopOrderedAt === undefined ? 'running' : 'stopping';
+    }
+    this.startedAt ??= now;
+    this.seenAt = now;
+    this.unlisted = 0;
+  }
+
+  /** Marks the start as not answered; the next report tells whether the run is there. */
+  doubt(): void {
+    if (this.state === 'starting') this.state = 'uncertain';
+  }
+
+  /** Records that a stop was ordered. */
+  orderStop(now: number): void {
+    if (this.state !== 'uncertain') this.state = 'stopping';
+    this.stopOrderedAt = now;
+  }
+
+  /** Takes what the host lists of the run. */
+  update({ checkpoint, percent, load }: ListedRun, now: number): void {
+    this.confirm(now);
+    this.checkpoint = checkpoint;
+    this.percent = percent;
+    this.load = load;
+    if (percent < 100) this.lastImpairedAt = now;
+    const isIdle = load === 0 && this.unit.spec.latencyTargetMs === undefined;
+    this.idleReports = isIdle ? this.idleReports + 1 : 0;
+  }
+
+  /** Counts a report that does not list the run; returns how many there were in a row. */
+  recordUnlisted(): number {
+    this.unlisted += 1;
+    return this.unlisted;
+  }
+
+  /** Records a change of the pace: ordered, or answered with the pace in force. */
+  setPace(pace: number | undefined): void {
+    this.isPacing = pace === undefined;
+    this.pace = pace ?? this.pace;
+  }
+
   /** Checks whether a lasting task is at full work. */
   get isAtWork(): boolean {
     return this.state === 'running' && this.percent >= 100;
--- a/src/schedule/RunLedger.ts
+++ b/src/schedule/RunLedger.ts
@@ -79,18 +79,14 @@
     const { host } = run;
     if (!host.runs.has(`${run.task}#${run.number}`)) return 'ok';
     if (outcome.type === 'unanswered' || outcome.type === 'unsent') {
-      host.silentCalls += 1;
-      if (outcome.type === 'unsent') this.#release(run, now, RETRY_PAUSE_MS);
-      // The next report tells whether the run is there; only if it is not, it has to be stopped.
-      else if (run.state === 'starting') run.state = 'uncertain';
+      host.recordSilence();
+      if (outcome.type === 'unsent') RunLedger.#release(run, now, RETRY_PAUSE_MS);
+      else run.doubt();
       return 'ok';
     }
     host.recordAnswer(outcome.clockMs, now);
     if (outcome.type === 'done') {
-      if (run.state !== 'starting') return 'ok';
-      run.state = 'running';
-      run.startedAt = now;
-      run.seenAt = now;
+      if (run.state === 'starting') run.confirm(now);
       return 'ok';
     }
     this.#output.record({
@@ -98,14 +94,14 @@
       subject: run.task,
       inputs: { host: host.id, run: run.number, reason: outcome.reason },
     });
-    return this.#handleRefusal(run, outcome.reason, now);
+    return RunLedger.#handleRefusal(run, outcome.reason, now);
   }
 
   /** Orders the stop of a run; its end is still to be listed. */
   stop(run: Run, now: number, reason: string): void {
-    if (run.state !== 'uncertain') run.state = 'stopping';
-    if (run.stopOrderedAt !== undefined && now - run.stopOrderedAt < STOP_REPEAT_MS) return;
-    run.stopOrderedAt = now;
+    const sinceMs = run.stopOrderedAt === undefined ? Infinity : now - run.stopOrderedAt;
+    if (sinceMs < STOP_REPEAT_MS) return;
+    run.orderStop(now);
     this.#output.send({ type: 'stop', host: run.host, task: run.task, number: run.number });
     this.#output.record({
       decision: 'stop',
@@ -115,14 +111,14 @@
   }
 
   /** Handles the outcome of a stop. */
-  reportStop(
+  static reportStop(
     host: ManagedHost,
     { task, number }: { task: string; number: number },
     outcome: OrderOutcome,
     now: number,
   ): LedgerResult {
     if (outcome.type === 'unanswered' || outcome.type === 'unsent') {
-      host.silentCalls += 1;
+      host.recordSilence();
       return 'ok';
     }
     host.recordAnswer(outcome.clockMs, now);
@@ -150,8 +146,8 @@
   }
 
   /** Releases all runs of a life that is over. */
-  endHost(host: ManagedHost, now: number): void {
-    [...host.runs.values()].forEach((run) => this.#release(run, now, 0));
+  static endHost(host: ManagedHost, now: number): void {
+    [...host.runs.values()].forEach((run) => RunLedger.#release(run, now, 0));
   }
 
   /** Orders again the stops that were not answered. */
@@ -170,15 +166,14 @@
     });
   }
 
-  #handleRefusal(run: Run, reason: string, now: number): LedgerResult {
+  static #handleRefusal(run: Run, reason: string, now: number): LedgerResult {
     const { host } = run;
     const isInDoubt = run.state === 'uncertain';
     if (reason === 'fenced') return 'fenced';
-    if (!isInDoubt || reason === 'superseded') this.#release(run, now, RETRY_PAUSE_MS);
-    if (reason === 'no-room')
-      host.suspendedUntil = Math.max(host.suspendedUntil, now + NO_ROOM_PAUSE_MS);
+    if (!isInDoubt || reason === 'superseded') RunLedger.#release(run, now, RETRY_PAUSE_MS);
+    if (reason === 'no-room') host.suspend(now + NO_ROOM_PAUSE_MS);
     if (reason === 'unhealthy' || reason === 'invalid') {
-      host.suspendedUntil = Math.max(host.suspendedUntil, now + UNHEALTHY_PAUSE_MS);
+      host.suspend(now + UNHEALTHY_PAUSE_MS);
     }
     return reason === 'other-life' ? 'other-life' : 'ok';
   }
@@ -186,19 +181,7 @@
   #handleListed(host: ManagedHost, listed: ListedRun, now: number): Run | undefined {
     const run = host.findRun(listed.task, listed.run) ?? this.#adopt(host, listed, now);
     if (run === undefined) return undefined;
-    run.seenAt = now;
-    run.unlisted = 0;
-    if (run.state === 'starting' || run.state === 'uncertain') {
-      run.startedAt ??= now;
-      // A stop that was ordered while the start was in doubt stays in force.
-      run.state = run.stopOrderedAt === undefined ? 'running' : 'stopping';
-    }
-    run.checkpoint = listed.checkpoint;
-    run.percent = listed.percent;
-    run.load = listed.load;
-    if (listed.percent < 100) run.lastImpairedAt = now;
-    const isIdle = listed.load === 0 && run.unit.spec.latencyTargetMs === undefined;
-    run.idleReports = isIdle ? run.idleReports + 1 : 0;
+    run.update(listed, now);
     return run;
   }
 
@@ -213,8 +196,7 @@
     }
     unit.lastRun = Math.max(unit.lastRun, listed.run);
     const run = this.open(unit, id.index, host, listed.run, now);
-    run.state = 'running';
-    run.startedAt = now;
+    run.confirm(now);
     this.#output.record({
       decision: 'run-adopted',
       subject: listed.task,
@@ -250,19 +232,18 @@
     if (run.state === 'uncertain') {
       if (run.stopOrderedAt === undefined) this.stop(run, now, 'start-unanswered');
       else if (run.stopAnsweredAt !== undefined && sentAt > run.stopAnsweredAt) {
-        this.#release(run, now, 0);
+        RunLedger.#release(run, now, 0);
       }
       return;
     }
-    run.unlisted += 1;
-    if (run.unlisted < MISSING_REPORTS) return;
-    if (run.stopAnsweredAt !== undefined && sentAt > run.stopAnsweredAt) this.#release(run, now, 0);
+    if (run.recordUnlisted() < MISSING_REPORTS) return;
+    if (run.stopAnsweredAt !== undefined && sentAt > run.stopAnsweredAt)
+      RunLedger.#release(run, now, 0);
     else this.stop(run, now, 'not-listed');
   }
 
   #handleEnd(host: ManagedHost, end: ListedEnd, now: number): void {
-    if (end.number <= host.processedEnd) return;
-    host.processedEnd = end.number;
+    if (!host.takeEnd(end.number)) return;
     this.#unwanted.delete(`${host.id}#${end.task}#${end.run}`);
     const run = host.findRun(end.task, end.run);
     const id = parseTaskId(end.task);
@@ -276,7 +257,7 @@
     if (end.checkpoint !== '' && unit.spec.checkpoints) unit.checkpoint = end.checkpoint;
     if (end.outcome === 'done') this.#handleDone(host, unit, run, now);
     if (end.outcome === 'failed') this.#handleFailed(host, unit, end.run, now);
-    if (run !== undefined) this.#release(run, now, 0);
+    if (run !== undefined) RunLedger.#release(run, now, 0);
   }
 
   #handleDone(host: ManagedHost, unit: WorkUnit, run: Run | undefined, now: number): void {
@@ -295,8 +276,7 @@
   }
 
   #handleFailed(host: ManagedHost, unit: WorkUnit, number: number, now: number): void {
-    if (number <= unit.lastFailedRun) return;
-    unit.lastFailedRun = number;
+    if (!unit.takeFailure(number)) return;
     const { job } = unit.step.occurrence;
     unit.avoided.add(host.machine);
     const suspensionMs = this.#blame.reportFailure(host, job.id, now);
@@ -309,7 +289,7 @@
     if (this.#jobs.failUnit(unit, this.#clock.readWall())) this.stopJob(job, now, 'job-failed');
   }
 
-  #release(run: Run, now: number, pauseMs: number): void {
+  static #release(run: Run, now: number, pauseMs: number): void {
     const { unit, host } = run;
     host.removeRun(run, computeRoom(unit.spec), now);
     unit.runs.delete(run);
--- a/src/schedule/ScheduledJob.ts
+++ b/src/schedule/ScheduledJob.ts
@@ -66,6 +66,23 @@
     return opened;
   }
 
+  /** Counts a failed run of any of its tasks. */
+  recordFailure(): void {
+    this.failures += 1;
+  }
+
+  /** Takes the newest rule of the queue. */
+  setQueue(queue: QueueRule): void {
+    this.queue = queue;
+  }
+
+  /** Gives the job its final state. */
+  finish(final: FinalState, endedAtMs: number, reason: string | undefined): void {
+    this.final = final;
+    this.endedAtMs = endedAtMs;
+    this.reason = reason;
+  }
+
   /** Marks an occurrence as finished; true when the job is finished with it. */
   finishOccurrence(number: number): boolean {
     this.occurrences.delete(number);
--- a/src/schedule/Shard.ts
+++ b/src/schedule/Shard.ts
@@ -16,11 +16,13 @@
 import { HostBlame } from './HostBlame.js';
 import { HostTable } from './HostTable.js';
 import { InterferenceControl } from './InterferenceControl.js';
-import { LeastWorkFirst, type JobOrder } from './JobOrder.js';
+import type { JobOrder } from './JobOrder.js';
 import { JobTable } from './JobTable.js';
+import { LeastWorkFirst } from './LeastWorkFirst.js';
 import type { ManagedHost } from './ManagedHost.js';
 import { MachinePlanner } from './MachinePlanner.js';
-import { PackingPlacement, type PlacementPolicy } from './PlacementPolicy.js';
+import { PackingPlacement } from './PackingPlacement.js';
+import type { PlacementPolicy } from './PlacementPolicy.js';
 import { PoolLoad } from './PoolLoad.js';
 import type { Run } from './Run.js';
 import { RunLedger, type LedgerResult, type OrderOutcome } from './RunLedger.js';
@@ -91,8 +93,6 @@
 
   readonly #placement: PlacementPolicy;
 
-  readonly #interference = new InterferenceControl();
-
   readonly #advice = new AdviceBook();
 
   readonly #machines: MachinePlanner;
@@ -175,7 +175,7 @@
     if (isNew && replaced === undefined && !this.#takeover.isFirst && known === undefined) {
       // A host that came up after the claim has never heard an earlier owner, but its entry does
       // not tell when it came; its first report does.
-      host.reservedUntil = this.#computeReserve();
+      host.reserve(this.#computeReserve());
     }
     return { host, isNew };
   }
@@ -184,7 +184,7 @@
   removeHost(id: string): void {
     const host = this.#hosts.get(id);
     if (host === undefined) return;
-    host.isListed = false;
+    host.removeFromList();
     if (host.runs.size === 0 && host.isFenced) this.#endLife(host, 'not-listed', this.#now);
   }
 
@@ -199,7 +199,7 @@
         if (hostId === undefined || machine.state !== 'up' || this.#hosts.get(hostId)) return;
         if (this.#pools.get(machine.pool)?.isStandby === true) return;
         const host = this.#hosts.addUnlisted({ ...machine, hostId }, now);
-        host.reservedUntil = this.#computeReserve();
+        host.reserve(this.#computeReserve());
       });
     }
     [...this.#hosts.hosts].forEach((host) => {
@@ -231,18 +231,14 @@
     stop: { task: string; number: number },
     outcome: OrderOutcome,
   ): LedgerResult {
-    return this.#settle(host, this.#ledger.reportStop(host, stop, outcome, this.#now));
+    return this.#settle(host, RunLedger.reportStop(host, stop, outcome, this.#now));
   }
 
   /** Handles the outcome of a change of pace. */
   reportPace(run: Run, percent: number, outcome: OrderOutcome): LedgerResult {
-    // eslint-disable-next-line no-param-reassign -- the run is owned by the shard
-    run.isPacing = false;
-    if (outcome.type === 'unanswered' || outcome.type === 'unsent') return 'ok';
-    if (outcome.type === 'refused') return outcome.reason === 'fenced' ? 'fenced' : 'ok';
-    // eslint-disable-next-line no-param-reassign -- as above
-    run.pace = percent;
-    return 'ok';
+    run.setPace(outcome.type === 'done' ? percent : run.pace);
+    const isFenced = outcome.type === 'refused' && outcome.reason === 'fenced';
+    return this.#settle(run.host, isFenced ? 'fenced' : 'ok');
   }
 
   /** Handles the report of a host; the first one ends what an earlier owner may order there. */
@@ -250,11 +246,10 @@
     const now = this.#now;
     if (host.hasEnded) return 'ok';
     if (host.isOtherLife(report)) return this.#settle(host, 'other-life');
-    host.isFenced = true;
-    host.reservedUntil = 0;
+    host.fence();
     this.#ledger.reportHold(host, report, sentAt, now);
-    this.#interference.plan(host).forEach(({ run, percent }) => {
-      run.isPacing = true;
+    InterferenceControl.plan(host).forEach(({ run, percent }) => {
+      run.setPace(undefined);
       this.#output.send({ type: 'pace', run, percent });
     });
     return 'ok';
@@ -264,7 +259,7 @@
   reportHoldFailure(host: ManagedHost, reason: string): LedgerResult {
     if (reason === 'fenced') return 'fenced';
     if (reason === 'other-life') return this.#settle(host, 'other-life');
-    host.silentCalls += 1;
+    host.recordSilence();
     return 'ok';
   }
 
@@ -307,7 +302,7 @@
   plan(): void {
     const now = this.#now;
     this.#jobs.openDue(this.#clock.readWall());
-    this.#sweep(now);
+    this.#expireLeases(now);
     this.#machines.planUpkeep(now, this.#clock.readWall(), this.#pools);
     const waiting = this.#jobs.listWaiting();
     waiting.forEach((steps, pool) => this.#planPool(pool, steps, now));
@@ -372,20 +367,19 @@
 
   #endLife(host: ManagedHost, proof: string, now: number): void {
     if (host.hasEnded) return;
-    // eslint-disable-next-line no-param-reassign -- the host is owned by the shard
-    host.hasEnded = true;
+    host.finish();
     this.#output.record({
       decision: 'host-ended',
       subject: host.id,
       inputs: { machine: host.machine, proof, runs: host.runs.size },
     });
-    this.#ledger.endHost(host, now);
+    RunLedger.endHost(host, now);
     this.#blame.remove(host);
     this.#hosts.remove(host);
   }
 
   /** Ends lives whose leases have expired, and repeats stops. */
-  #sweep(now: number): void {
+  #expireLeases(now: number): void {
     [...this.#hosts.hosts].forEach((host) => {
       const isSilent = host.silentCalls > 0 || !host.isListed;
       if (isSilent && host.runs.size > 0 && host.computeExpiry() < now) {
@@ -395,7 +389,7 @@
           subject: host.id,
           inputs: { runs: host.runs.size },
         });
-        this.#ledger.endHost(host, now);
+        RunLedger.endHost(host, now);
       }
       if (!host.isListed && host.runs.size === 0 && host.reservedUntil < now) {
         this.#endLife(host, 'not-listed', now);
--- a/src/schedule/UpkeepPlanner.test.ts
+++ b/src/schedule/UpkeepPlanner.test.ts
@@ -38,7 +38,7 @@
     return this.#returning.length;
   }
 
-  step(ms: number): UpkeepPlan {
+  run(ms: number): UpkeepPlan {
     this.now += ms;
     this.#returning
       .filter(({ at }) => at <= this.now)
@@ -89,7 +89,7 @@
     const wave = new WaveSimulation();
     let completedAt: number | undefined;
     while (wave.now < DURATION_MS && completedAt === undefined) {
-      const plan = wave.step(100);
+      const plan = wave.run(100);
       assert.ok(wave.down <= CAP, `${wave.down} machines are down at ${wave.now} ms`);
       if (plan.completed.length > 0) completedAt = wave.now;
     }
@@ -104,7 +104,7 @@
     wave.hosts.delete('m-3');
     let isCompleted = false;
     while (wave.now < DURATION_MS && !isCompleted) {
-      isCompleted = wave.step(100).completed.length > 0;
+      isCompleted = wave.run(100).completed.length > 0;
     }
     assert.ok(isCompleted);
     assert.ok(!wave.begun.includes('m-3'));
@@ -115,7 +115,7 @@
     wave.hosts.forEach((host) => {
       Object.assign(host, { isFenced: false });
     });
-    while (wave.now < DURATION_MS) wave.step(500);
+    while (wave.now < DURATION_MS) wave.run(500);
     assert.deepEqual(wave.begun, []);
   });
 
--- a/src/schedule/UpkeepPlanner.ts
+++ b/src/schedule/UpkeepPlanner.ts
@@ -1,5 +1,6 @@
-import type { Machine, WaveOrder } from '../port/mod.js';
 import type { WaveRecord } from '../book/mod.js';
+import type { Machine, WaveOrder } from '../port/mod.js';
+import { UpkeepWave } from './_UpkeepWave.js';
 import type { ManagedHost } from './ManagedHost.js';
 
 /** Part of a wave's time in which all maintenance should have begun; the rest is for trouble. */
@@ -49,30 +50,6 @@
   completed: number[];
 }
 
-interface Turn {
-  orderedAt: number;
-  /** Host life that the machine carried before. */
-  hostId: string | undefined;
-  isAnswered: boolean;
-}
-
-class Wave {
-  readonly begun = new Set<string>();
-
-  readonly turns = new Map<string, Turn>();
-
-  readonly emptyingSince = new Map<string, number>();
-
-  readonly notBefore = new Map<string, number>();
-
-  isCompleted = false;
-
-  constructor(
-    public order: WaveOrder,
-    readonly seenAtMs: number,
-  ) {}
-}
-
 /**
  * Plans maintenance waves: which machine next, how many at once, and when a host is empty enough.
  *
@@ -81,7 +58,7 @@
  * maintenance is ordered until it is seen up with another life of its host.
  */
 export class UpkeepPlanner {
-  readonly #waves = new Map<number, Wave>();
+  readonly #waves = new Map<number, UpkeepWave>();
 
   /** Adds or changes a wave and returns true for a new one. */
   setOrder(order: WaveOrder, nowWallMs: number, record?: WaveRecord): boolean {
@@ -90,7 +67,7 @@
       known.order = order;
       return false;
     }
-    const wave = new Wave(order, record?.seenAtMs ?? nowWallMs);
+    const wave = new UpkeepWave(order, record?.seenAtMs ?? nowWallMs);
     record?.begun.forEach((machine) => wave.begun.add(machine));
     wave.isCompleted = record?.isCompleted ?? false;
     this.#waves.set(order.wave, wave);
@@ -137,7 +114,7 @@
     return plan;
   }
 
-  static #planWave(wave: Wave, view: UpkeepView, plan: UpkeepPlan): void {
+  static #planWave(wave: UpkeepWave, view: UpkeepView, plan: UpkeepPlan): void {
     const { order } = wave;
     UpkeepPlanner.#closeTurns(wave, view);
     // A machine that the provider no longer lists has been removed for good.
@@ -146,7 +123,7 @@
     );
     const pending = open.filter((machine) => !wave.turns.has(machine));
     if (open.length === 0) {
-      wave.isCompleted = true;
+      wave.finish();
       plan.completed.push(order.wave);
       return;
     }
@@ -195,19 +172,19 @@
   }
 
   /** Counts machines under maintenance, those of earlier owners included. */
-  static #countDown(wave: Wave, view: UpkeepView): number {
+  static #countDown(wave: UpkeepWave, view: UpkeepView): number {
     const others = wave.order.machines.filter(
       (machine) => !wave.turns.has(machine) && view.machines.get(machine)?.state === 'maintenance',
     );
     return wave.turns.size + others.length;
   }
 
-  static #canBegin(wave: Wave, view: UpkeepView): boolean {
+  static #canBegin(wave: UpkeepWave, view: UpkeepView): boolean {
     return UpkeepPlanner.#countDown(wave, view) < wave.order.cap;
   }
 
   /** Computes how many machines to empty or to maintain at once, so that the wave is in time. */
-  static #countPlaces(wave: Wave, view: UpkeepView, open: number): number {
+  static #countPlaces(wave: UpkeepWave, view: UpkeepView, open: number): number {
     const { order, seenAtMs } = wave;
     const plannedMs = seenAtMs + order.durationMs * PLANNED_SHARE - view.nowWallMs;
     const atOnce = Math.ceil((open * TURN_MS) / Math.max(TURN_MS, plannedMs));
@@ -216,7 +193,7 @@
     return Math.max(0, Math.min(order.cap + 1, atOnce) - down);
   }
 
-  static #computeCost(wave: Wave, machine: string, view: UpkeepView): number {
+  static #computeCost(wave: UpkeepWave, machine: string, view: UpkeepView): number {
     const host = view.hosts.get(machine);
     // What has begun to be emptied is not given up for another.
     if (wave.emptyingSince.has(machine)) return -1_000;
@@ -230,7 +207,7 @@
   }
 
   /** Ends the turns of machines that are up again with another life of their host. */
-  static #closeTurns(wave: Wave, view: UpkeepView): void {
+  static #closeTurns(wave: UpkeepWave, view: UpkeepView): void {
     [...wave.turns].forEach(([machine, turn]) => {
       if (!turn.isAnswered || view.now - turn.orderedAt < MIN_DOWN_MS) return;
       const listed = view.machines.get(machine);
--- a/src/schedule/WorkUnit.ts
+++ b/src/schedule/WorkUnit.ts
@@ -45,6 +45,26 @@
     return !this.isDone && this.runs.size === 0;
   }
 
+  /** Takes a failed run for counting; false for one that was counted before. */
+  takeFailure(number: number): boolean {
+    if (number <= this.lastFailedRun) return false;
+    this.lastFailedRun = number;
+    return true;
+  }
+
+  /** Marks the unit as done. */
+  finish(): void {
+    this.isDone = true;
+    this.step.remaining -= 1;
+  }
+
+  /** Counts a failed run and returns how many there were. */
+  recordFailure(): number {
+    this.failures += 1;
+    this.step.occurrence.job.recordFailure();
+    return this.failures;
+  }
+
   /** Takes the number of the next run; numbers of later owners are above those of earlier ones. */
   increaseRun(floor: number): number {
     this.lastRun = Math.max(this.lastRun, floor) + 1;
--- a/src/schedule/decisions.test.ts
+++ b/src/schedule/decisions.test.ts
@@ -9,7 +9,7 @@
 } from '../testing/ScheduleRig.js';
 import { AdviceBook } from './AdviceBook.js';
 import { HostBlame } from './HostBlame.js';
-import { LeastWorkFirst } from './JobOrder.js';
+import { LeastWorkFirst } from './LeastWorkFirst.js';
 import { ManagedHost } from './ManagedHost.js';
 import { RunTimeEstimator } from './RunTimeEstimator.js';
 import { ScheduledJob } from './ScheduledJob.js';
--- a/src/schedule/mod.ts
+++ b/src/schedule/mod.ts
@@ -4,10 +4,13 @@
  * @module
  */
 export * from './HostBlame.js';
+export * from './IdleHostLending.js';
 export * from './InterferenceControl.js';
 export * from './JobOrder.js';
 export * from './JobTable.js';
+export * from './LeastWorkFirst.js';
 export * from './ManagedHost.js';
+export * from './PackingPlacement.js';
 export * from './PlacementPolicy.js';
 export * from './PoolSizing.js';
 export * from './Run.js';
--- a/src/testing/NodeCluster.ts
+++ b/src/testing/NodeCluster.ts
@@ -10,20 +10,11 @@
 import { createLogger } from '../logging/mod.js';
 import { Metrics } from '../metrics/mod.js';
 import { DecisionLog, Node, NodeSettings, type CallAnswer } from '../node/mod.js';
-import { AdviceDesk, type Advice, type QueueRule } from '../port/mod.js';
+import type { QueueRule } from '../port/mod.js';
 import { JobSpec } from '../task/mod.js';
+import { NoAdviceDesk } from './NoAdviceDesk.js';
 import { buildQueueRule } from './ScheduleRig.js';
 
-class NoAdvice extends AdviceDesk {
-  override askAdvice(): Promise<Advice> {
-    return Promise.reject(new Error('no advice service'));
-  }
-
-  override close(): Promise<void> {
-    return Promise.resolve();
-  }
-}
-
 /** A node of a cluster with what has to be closed with it. */
 interface RunningNode {
   node: Node;
@@ -107,7 +98,7 @@
       decoder: new EmulatedDecoder(),
       hosts: this.fleet.connectHosts(),
       machines: this.fleet.connectMachines(),
-      advice: new NoAdvice(),
+      advice: new NoAdviceDesk(),
       session: `session-${this.#sessions}`,
     });
     this.#nodes.set(name, { node, scope });
--- a/src/testing/ScheduleRig.ts
+++ b/src/testing/ScheduleRig.ts
@@ -1,16 +1,10 @@
+import type { z } from 'zod';
 import type { BookedJob } from '../book/mod.js';
 import { ManualClock } from '../clock/mod.js';
 import type { HostEntry, HostReport, ListedEnd, QueueRule, RunOutcome } from '../port/mod.js';
-import {
-  Shard,
-  ShardOutput,
-  type DecisionNote,
-  type Run,
-  type ShardCommand,
-  type Takeover,
-} from '../schedule/mod.js';
+import { Shard, type Run, type ShardCommand, type Takeover } from '../schedule/mod.js';
 import { JobSpec } from '../task/mod.js';
-import type { z } from 'zod';
+import { CollectingOutput } from './CollectingOutput.js';
 
 /** Queue rule of tests, with the fields that a test cares about. */
 export function buildQueueRule(fields: Partial<QueueRule> = {}): QueueRule {
@@ -64,20 +58,6 @@
   };
 }
 
-class CollectingOutput extends ShardOutput {
-  readonly commands: ShardCommand[] = [];
-
-  readonly notes: DecisionNote[] = [];
-
-  override send(command: ShardCommand): void {
-    this.commands.push(command);
-  }
-
-  override record(note: DecisionNote): void {
-    this.notes.push(note);
-  }
-}
-
 const FIRST: Takeover = {
   token: 1,
   claimOffset: 0,
