Relay records through other nodes, and keep a queue's rule with its jobs

Change: submissions, cancellations and questions go through another node (tRPC) where the own store connection fails; an append is repeated until the caller's deadline; the rule of the queue is part of the job's record.

--- a/src/book/BookRecord.ts
+++ b/src/book/BookRecord.ts
@@ -5,6 +5,13 @@
 export const AcceptedJob = z.object({
   queue: z.string(),
   pool: z.string(),
+  /** Rule of the queue, for the time after the queue has been removed. */
+  rule: z.object({
+    priority: z.number(),
+    maxAttempts: z.number(),
+    stretch: z.number(),
+    latencyTargetMs: z.number(),
+  }),
   /** Wall-clock time of the submission at the accepting node, ms since 1970. */
   submittedAtMs: z.number(),
   spec: JobSpec,
--- a/src/book/JobBook.test.ts
+++ b/src/book/JobBook.test.ts
@@ -9,6 +9,7 @@
 const JOB = {
   queue: 'renders',
   pool: 'studio',
+  rule: { priority: 0, maxAttempts: 3, stretch: 2, latencyTargetMs: 600 },
   submittedAtMs: 1,
   spec: { payload: 'x', steps: [{ count: 1 }] },
 };
--- a/src/book/describeJobState.ts
+++ b/src/book/describeJobState.ts
@@ -1,7 +1,9 @@
+import { z } from 'zod';
 import type { BookedJob } from './BookedJob.js';
 
 /** State of a job as callers see it. */
-export type JobState = 'queued' | 'running' | 'completed' | 'failed' | 'cancelled';
+export const JobState = z.enum(['queued', 'running', 'completed', 'failed', 'cancelled']);
+export type JobState = z.infer<typeof JobState>;
 
 /**
  * Describes the state of a job from what the book says of it.
--- a/src/node/CallerDesk.ts
+++ b/src/node/CallerDesk.ts
@@ -1,4 +1,4 @@
-import { BookKey, type JobState } from '../book/mod.js';
+import { BookKey, JobState } from '../book/mod.js';
 import type { QueueRule } from '../port/mod.js';
 import type { JobSpec } from '../task/mod.js';
 import type { BookKeeper, JobAnswer } from './BookKeeper.js';
@@ -6,6 +6,8 @@
 import type { NodeParts } from './NodeParts.js';
 import type { OperatorState } from './OperatorFollower.js';
 import { QueueTable, type QueueMatch } from './QueueTable.js';
+import type { RelayClient } from './RelayClient.js';
+import { RelayApi } from './RelayRouter.js';
 import type { WorkWriter, WriteOutcome } from './WorkWriter.js';
 
 /** A node whose last answer of the store is older than this does not answer from its state, in ms. */
@@ -18,27 +20,40 @@
 /** Pause in ms between looks at the book while it reads on. */
 const READ_POLL_MS = 30;
 
+/** Kept of a caller's patience for the way of the answer, in ms. */
+const ANSWER_MARGIN_MS = 150;
+/** Time in ms that a relay through another node needs at least, and gets at most. */
+const MIN_RELAY_MS = 100;
+const MAX_RELAY_MS = 700;
+/** The writer itself gives up in time; only a writer that is closed does not answer, in ms. */
+const WRITE_MARGIN_MS = 2_000;
+
 const NO_JOB = { state: undefined, isCurrent: true } as const;
 
 /** Actors that the desk asks. */
 export interface CallerDeskParts {
   keeper: BookKeeper;
   writer: WorkWriter;
+  relay: RelayClient;
 }
 
 /** Answers the calls of callers: submit, ask, cancel and count. */
-export class CallerDesk {
+export class CallerDesk extends RelayApi {
   readonly #parts: NodeParts;
 
   readonly #keeper: BookKeeper;
 
   readonly #writer: WorkWriter;
 
+  readonly #relay: RelayClient;
+
   #operator: OperatorState | undefined;
 
   #table: QueueTable | undefined;
 
-  constructor(parts: NodeParts, { keeper, writer }: CallerDeskParts) {
+  constructor(parts: NodeParts, { keeper, writer, relay }: CallerDeskParts) {
+    super();
+    this.#relay = relay;
     this.#parts = parts;
     this.#keeper = keeper;
     this.#writer = writer;
@@ -70,15 +85,26 @@
   }
 
   /** Accepts a job once it is stored. */
-  async submit(id: string, queue: QueueRule, spec: JobSpec): Promise<CallAnswer> {
+  async submit(
+    id: string,
+    queue: QueueRule,
+    spec: JobSpec,
+    patienceMs = queue.timeoutMs,
+  ): Promise<CallAnswer> {
     const startedAt = this.#parts.clock.readMonotonic();
     const value = JSON.stringify({
       queue: queue.name,
       pool: queue.pool,
+      rule: {
+        priority: queue.priority,
+        maxAttempts: queue.maxAttempts,
+        stretch: queue.stretch,
+        latencyTargetMs: queue.latencyTargetMs,
+      },
       submittedAtMs: this.#parts.clock.readWall(),
       spec,
     });
-    const outcome = await this.#write(BookKey.job(id), value);
+    const outcome = await this.#writeAnyhow(BookKey.job(id), value, patienceMs);
     const tookMs = this.#parts.clock.readMonotonic() - startedAt;
     this.#parts.metrics.recordLatency('submit', tookMs);
     this.#parts.log.record(`job-${outcome === 'stored' ? 'accepted' : outcome}`, id, {
@@ -90,14 +116,14 @@
   }
 
   /** Cancels a job once the cancellation is stored. */
-  async cancel(id: string, queue: QueueRule): Promise<CallAnswer> {
+  async cancel(id: string, queue: QueueRule, patienceMs = queue.timeoutMs): Promise<CallAnswer> {
     const { state, isCurrent } = await this.#findCurrent(id, queue);
     if (state === undefined && isCurrent) return { type: 'no-job' };
     if (state !== undefined && state !== 'queued' && state !== 'running') {
       return { type: 'cancelled' };
     }
     const value = JSON.stringify({ atMs: this.#parts.clock.readWall() });
-    const outcome = await this.#write(BookKey.cancel(id), value);
+    const outcome = await this.#writeAnyhow(BookKey.cancel(id), value, patienceMs);
     this.#parts.log.record('cancel', id, { queue: queue.name, outcome });
     return CallerDesk.#toAnswer(outcome, { type: 'cancelled' });
   }
@@ -136,7 +162,7 @@
       }
       if (follow.isCurrent && follow.freshAt >= calledAt) return NO_JOB;
       const waitedMs = this.#parts.clock.readMonotonic() - calledAt;
-      if (waitedMs > MAX_STATE_AGE_MS) return { state: undefined, isCurrent: false };
+      if (!follow.isInContact || waitedMs > MAX_STATE_AGE_MS) return this.#findElsewhere(id, queue);
       this.#keeper.send({ type: 'read-now' });
       await new Promise((resolve) => {
         setTimeout(resolve, READ_POLL_MS);
@@ -144,16 +170,51 @@
     }
   }
 
+  /** Asks other nodes for the state of a job. */
+  async #findElsewhere(
+    id: string,
+    queue: QueueRule,
+  ): Promise<{ state: JobState | undefined; isCurrent: boolean }> {
+    const found = await this.#relay.findState(id);
+    if (found === undefined) return { state: undefined, isCurrent: false };
+    const state = JobState.safeParse(found.state).data;
+    return { state: found.queue === queue.name ? state : undefined, isCurrent: true };
+  }
+
   #find(id: string): Promise<JobAnswer> {
     return this.#keeper.ask<JobAnswer>((reply) => ({ type: 'find', id, reply }));
   }
 
-  #write(key: string, value: string): Promise<WriteOutcome> {
-    return this.#writer.ask<WriteOutcome>((reply) => ({
-      type: 'write',
-      record: { key, value },
-      reply,
-    }));
+  /** Appends a record for another node, without asking further nodes. */
+  override write(key: string, value: string, timeoutMs: number): Promise<WriteOutcome> {
+    const giveUpAt = this.#parts.clock.readMonotonic() + timeoutMs;
+    return this.#writer.ask<WriteOutcome>(
+      (reply) => ({ type: 'write', record: { key, value }, giveUpAt, reply }),
+      timeoutMs + WRITE_MARGIN_MS,
+    );
+  }
+
+  /** Tells another node the state of a job, if the state here is current. */
+  override async findState(
+    id: string,
+  ): Promise<{ state: string | null; queue: string | null } | undefined> {
+    const { state, queue, follow } = await this.#find(id);
+    if (!follow.isCurrent || !this.#isFresh(follow.freshAt)) return undefined;
+    return { state: state ?? null, queue: queue ?? null };
+  }
+
+  /** Appends a record, through another node where this one cannot reach the store. */
+  async #writeAnyhow(key: string, value: string, patienceMs: number): Promise<WriteOutcome> {
+    const startedAt = this.#parts.clock.readMonotonic();
+    const limitMs = Math.max(0, patienceMs - ANSWER_MARGIN_MS);
+    const outcome = await this.write(key, value, limitMs);
+    if (outcome === 'stored') return outcome;
+    const restMs = limitMs - (this.#parts.clock.readMonotonic() - startedAt);
+    if (restMs < MIN_RELAY_MS) return outcome;
+    const relayed = await this.#relay.write(key, value, Math.min(restMs, MAX_RELAY_MS));
+    this.#parts.log.record('write-relayed', key, { outcome, relayed });
+    // What this node may have appended stays unknown, whatever another node says.
+    return relayed === 'not-stored' ? outcome : relayed;
   }
 
   #isFresh(freshAt: number | undefined): boolean {
--- a/src/node/Node.ts
+++ b/src/node/Node.ts
@@ -4,6 +4,8 @@
 import { Candidate } from './Candidate.js';
 import type { NodeParts } from './NodeParts.js';
 import { OperatorFollower, type OperatorState } from './OperatorFollower.js';
+import { RelayClient } from './RelayClient.js';
+import { RelayServer } from './RelayServer.js';
 import { WorkWriter, type WriteOutcome } from './WorkWriter.js';
 
 /** Without news of the store for this time in ms a node asks for no new callers. */
@@ -18,7 +20,7 @@
  * node.open();
  * node.isReady; // false until the configuration and the jobs have been read
  * await node.stop();
- * node.close();
+ * await node.close();
  * ```
  */
 export class Node {
@@ -34,6 +36,10 @@
 
   readonly #desk: CallerDesk;
 
+  readonly #relay: RelayClient;
+
+  readonly #relayServer: RelayServer;
+
   #operatorState: OperatorState | undefined;
 
   #bookFreshAt = -Infinity;
@@ -45,6 +51,11 @@
   constructor(parts: NodeParts) {
     this.#parts = parts;
     this.#writer = new WorkWriter(parts);
+    this.#relay = new RelayClient({
+      name: parts.settings.name,
+      dataCentre: parts.settings.dataCentre,
+      readClock: () => parts.clock.readMonotonic(),
+    });
     this.#candidate = new Candidate(parts, {
       random: Math.random,
       onOwning: (isOwner) => this.#keeper.send({ type: 'owning', isOwner }),
@@ -54,10 +65,18 @@
       (changes, book, state) => {
         this.#bookFreshAt = state.freshAt;
         this.#isBookCurrent = state.isCurrent;
+        changes.forEach((change) => {
+          if (change.type === 'node') this.#relay.setPeer(change.name, change.node);
+        });
         this.#candidate.applyBook(changes, book, state);
       },
     ]);
-    this.#desk = new CallerDesk(parts, { keeper: this.#keeper, writer: this.#writer });
+    this.#desk = new CallerDesk(parts, {
+      keeper: this.#keeper,
+      writer: this.#writer,
+      relay: this.#relay,
+    });
+    this.#relayServer = new RelayServer(this.#desk);
     this.#operator = new OperatorFollower(parts, (state) => {
       this.#operatorState = state;
       this.#desk.setOperator(state);
@@ -85,6 +104,7 @@
   /** Makes the node known to the others. */
   async open(): Promise<WriteOutcome> {
     const { settings, session } = this.#parts;
+    if (settings.peerAddress !== undefined) await this.#relayServer.open(settings.peerAddress);
     const value = JSON.stringify({
       session,
       address: settings.peerAddress ?? '',
@@ -93,6 +113,7 @@
     return this.#writer.ask<WriteOutcome>((reply) => ({
       type: 'write',
       record: { key: BookKey.node(settings.name), value },
+      giveUpAt: Infinity,
       reply,
     }));
   }
@@ -103,10 +124,11 @@
     await this.#candidate.ask<boolean>((reply) => ({ type: 'stop', reply }), 2_000);
   }
 
-  close(): void {
+  async close(): Promise<void> {
     this.#candidate.close();
     this.#operator.close();
     this.#keeper.close();
     this.#writer.close();
+    await this.#relayServer.close();
   }
 }
--- /dev/null
+++ b/src/node/RelayClient.ts
@@ -0,0 +1,105 @@
+import { createTRPCClient, httpLink, TRPCClientError, type TRPCClient } from '@trpc/client';
+import type { NodeRecord } from '../book/mod.js';
+import { fetchJson } from '../net/mod.js';
+import type { RelayRouter } from './RelayRouter.js';
+import type { WriteOutcome } from './WorkWriter.js';
+
+/** Peers that are asked for one record at most: an outage of the whole store meets all of them. */
+const MAX_PEERS = 2;
+/** Longest wait for a peer in ms, beside the time that it may take to append. */
+const PEER_MARGIN_MS = 300;
+/** Time in ms for which a peer that did not help is asked last. */
+const AVOID_MS = 1_000;
+const FIND_TIMEOUT_MS = 400;
+/** Errors that mean that the call did not leave this process. */
+const UNSENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
+
+/** Options of a relay client. */
+export interface RelayClientOptions {
+  name: string;
+  dataCentre: string;
+  readClock: () => number;
+}
+
+interface Peer {
+  client: TRPCClient<RelayRouter>;
+  address: string;
+  dataCentre: string;
+  avoidedUntil: number;
+}
+
+function isUnsent(error: unknown): boolean {
+  const cause = error instanceof TRPCClientError ? error.cause : error;
+  const { code } = (cause ?? {}) as { code?: string };
+  return code !== undefined && UNSENT_CODES.has(code);
+}
+
+/** Lets other nodes append records and tell states while this one cannot reach the store. */
+export class RelayClient {
+  readonly #options: RelayClientOptions;
+
+  readonly #peers = new Map<string, Peer>();
+
+  constructor(options: RelayClientOptions) {
+    this.#options = options;
+  }
+
+  /** Takes a node's record; undefined when it is gone. */
+  setPeer(name: string, node: NodeRecord | undefined): void {
+    if (node === undefined || node.address === '' || name === this.#options.name) {
+      this.#peers.delete(name);
+      return;
+    }
+    if (this.#peers.get(name)?.address === node.address) return;
+    this.#peers.set(name, {
+      client: createTRPCClient<RelayRouter>({
+        links: [httpLink({ url: `http://${node.address}`, fetch: fetchJson })],
+      }),
+      address: node.address,
+      dataCentre: node.dataCentre,
+      avoidedUntil: 0,
+    });
+  }
+
+  /** Lets a peer append a record. */
+  async write(key: string, value: string, timeoutMs: number): Promise<WriteOutcome> {
+    let outcome: WriteOutcome = 'not-stored';
+    for (const peer of this.#choosePeers()) {
+      const signal = AbortSignal.timeout(timeoutMs + PEER_MARGIN_MS);
+      try {
+        const result = await peer.client.write.mutate({ key, value, timeoutMs }, { signal });
+        if (result === 'stored') return result;
+        if (result === 'unknown') outcome = 'unknown';
+      } catch (error) {
+        if (!isUnsent(error)) outcome = 'unknown';
+      }
+      peer.avoidedUntil = this.#options.readClock() + AVOID_MS;
+    }
+    return outcome;
+  }
+
+  /** Asks peers for the state of a job; undefined where none of them has a current state. */
+  async findState(id: string): Promise<{ state: string | null; queue: string | null } | undefined> {
+    for (const peer of this.#choosePeers()) {
+      try {
+        const signal = AbortSignal.timeout(FIND_TIMEOUT_MS);
+        const found = await peer.client.find.query({ id }, { signal });
+        if (found !== null) return found;
+      } catch {
+        // The next peer may answer; without an answer the caller is told to come back.
+      }
+      peer.avoidedUntil = this.#options.readClock() + AVOID_MS;
+    }
+    return undefined;
+  }
+
+  /** Chooses peers that have not failed lately, those of the own data centre first. */
+  #choosePeers(): Peer[] {
+    const now = this.#options.readClock();
+    const rank = ({ avoidedUntil, dataCentre }: Peer): number =>
+      (avoidedUntil > now ? 2 : 0) + (dataCentre === this.#options.dataCentre ? 0 : 1);
+    return [...this.#peers.values()]
+      .sort((one, other) => rank(one) - rank(other))
+      .slice(0, MAX_PEERS);
+  }
+}
--- a/src/node/WorkWriter.ts
+++ b/src/node/WorkWriter.ts
@@ -8,8 +8,6 @@
 const BATCH_BYTES = 512 * 1_024;
 /** Longest wait for the store's answer to an append, in ms. */
 const APPEND_TIMEOUT_MS = 700;
-/** Unanswered appends after which the outcome of a record is reported as unknown. */
-const MAX_UNANSWERED = 2;
 /** Refused appends after which a record is reported as not stored. */
 const MAX_REFUSED = 3;
 /** Pause after a refused or unanswered append, in ms. */
@@ -25,13 +23,20 @@
 
 /** Messages of the writer. */
 export type WorkWriterMessage =
-  | { type: 'write'; record: KeyedValue; reply: (outcome: WriteOutcome) => void }
+  | {
+      type: 'write';
+      record: KeyedValue;
+      /** Steady time at which the outcome is reported as unknown, if it is. */
+      giveUpAt: number;
+      reply: (outcome: WriteOutcome) => void;
+    }
   | { type: 'answered'; outcome: 'stored' | 'refused' | 'unanswered'; reason: string }
   | { type: 'send' };
 
 interface PendingWrite {
   record: KeyedValue;
   reply: (outcome: WriteOutcome) => void;
+  giveUpAt: number;
   /** Appends of the record that failed, in order. */
   failures: ('refused' | 'unanswered')[];
 }
@@ -69,6 +74,7 @@
         this.#queue.push({
           record: message.record,
           reply: message.reply,
+          giveUpAt: message.giveUpAt,
           failures: [],
         });
         this.#flush();
@@ -121,7 +127,8 @@
     }
     this.#parts.log.record('append-failed', 'work', { outcome, reason, records: writes.length });
     if (outcome === 'unanswered') this.#isFailing = true;
-    const again = writes.filter((write) => !WorkWriter.#giveUp(write, outcome));
+    const now = this.#parts.clock.readMonotonic();
+    const again = writes.filter((write) => !WorkWriter.#giveUp(write, outcome, now));
     // Records whose outcome is unknown go on being appended; the others wait for the next turn.
     this.#queue = [...again, ...this.#queue];
     if (this.#queue.length === 0) this.#isFailing = false;
@@ -130,15 +137,15 @@
   }
 
   /** Counts a failed append; answers the caller and returns true after too many. */
-  static #giveUp(write: PendingWrite, outcome: 'refused' | 'unanswered'): boolean {
+  static #giveUp(write: PendingWrite, outcome: 'refused' | 'unanswered', now: number): boolean {
     const { failures } = write;
     failures.push(outcome);
-    const unanswered = failures.filter((one) => one === 'unanswered').length;
-    if (unanswered >= MAX_UNANSWERED || (unanswered > 0 && failures.length > MAX_REFUSED)) {
+    const isUnknown = failures.includes('unanswered');
+    if (isUnknown && now >= write.giveUpAt) {
       write.reply('unknown');
       return true;
     }
-    if (unanswered === 0 && failures.length >= MAX_REFUSED) {
+    if (!isUnknown && (failures.length >= MAX_REFUSED || now >= write.giveUpAt)) {
       write.reply('not-stored');
       return true;
     }
--- a/src/schedule/Shard.ts
+++ b/src/schedule/Shard.ts
@@ -339,18 +339,8 @@
   }
 
   /** Queue rule of a job whose queue has been removed from the configuration. */
-  static #restoreQueue({ queue, pool }: BookedJob): QueueRule {
-    return {
-      name: queue,
-      hostName: '',
-      pathPrefix: '',
-      pool,
-      priority: 0,
-      maxAttempts: 1,
-      stretch: 2,
-      latencyTargetMs: 0,
-      timeoutMs: 1_000,
-    };
+  static #restoreQueue({ queue, pool, rule }: BookedJob): QueueRule {
+    return { name: queue, hostName: '', pathPrefix: '', pool, timeoutMs: 0, ...rule };
   }
 
   /** Computes until when runs of an earlier owner may exist on a host that does not answer. */
--- a/src/testing/NodeCluster.ts
+++ b/src/testing/NodeCluster.ts
@@ -110,7 +110,9 @@
     const running = this.#nodes.get(name);
     if (running === undefined) return;
     this.#nodes.delete(name);
-    running.node.close();
+    running.node.close().catch((error: unknown) => {
+      process.stderr.write(`close of ${name}: ${String(error)}\n`);
+    });
     running.scope.close();
   }
 
--- a/src/testing/ScheduleRig.ts
+++ b/src/testing/ScheduleRig.ts
@@ -32,6 +32,7 @@
     id,
     queue: 'renders',
     pool: 'studio',
+    rule: { priority: 0, maxAttempts: 3, stretch: 2, latencyTargetMs: 600 },
     submittedAtMs: 0,
     acceptedOffset: 100,
     spec: JobSpec.parse({ payload: id, steps }),
