Record ends of runs that an earlier owner started, and let a cut-off owner restart nothing it cannot see

Change: an end marks its job as begun; failed runs are kept by number; while the owner is out of contact with the store, no life and no lease counts as over, and no machine is ordered away. Three tests that failed before.

--- a/src/book/BookRecord.ts
+++ b/src/book/BookRecord.ts
@@ -26,8 +26,8 @@
 export const StepProgress = z.object({
   /** Indexes of the finished tasks. */
   done: z.array(z.number().int().nonnegative()),
-  /** Task index, count of failed runs, and number of the last one that is counted. */
-  failed: z.array(z.tuple([z.number(), z.number(), z.number()])),
+  /** Task index and the numbers of its failed runs. */
+  failed: z.array(z.tuple([z.number(), z.array(z.number())])),
 });
 export type StepProgress = z.infer<typeof StepProgress>;
 
--- a/src/node/ShardOwner.ts
+++ b/src/node/ShardOwner.ts
@@ -210,6 +210,7 @@
   #plan(): void {
     if (this.#release !== undefined) return;
     const startedAt = this.#parts.clock.readMonotonic();
+    this.#shard.setDetached(startedAt - this.#writtenAt > this.#parts.settings.ownerSilenceMs);
     this.#shard.plan();
     this.#parts.metrics.recordLatency('plan', this.#parts.clock.readMonotonic() - startedAt);
     this.#runCommands();
--- a/src/schedule/JobTable.ts
+++ b/src/schedule/JobTable.ts
@@ -101,10 +101,11 @@
   }
 
   /** Records a failed run against the attempts of its queue; true when the job has failed. */
-  failUnit(unit: WorkUnit, nowWallMs: number): boolean {
+  failUnit(unit: WorkUnit, run: number, nowWallMs: number): boolean {
     const { job } = unit.step.occurrence;
     if (job.final !== undefined) return false;
-    const failures = unit.recordFailure();
+    if (!unit.recordFailure(run)) return false;
+    const { failures } = unit;
     this.#dirty.add(job);
     if (failures < job.queue.maxAttempts) return false;
     this.finishJob(job, 'failed', nowWallMs, `a task failed ${failures} times`);
--- a/src/schedule/RunLedger.ts
+++ b/src/schedule/RunLedger.ts
@@ -253,6 +253,8 @@
         ? undefined
         : this.#jobs.findUnit(id.job, id.occurrence, id.step, id.index));
     if (unit === undefined) return;
+    // The run may be one of an earlier owner that has recorded nothing of the job.
+    this.#jobs.markBegun(unit);
     unit.lastRun = Math.max(unit.lastRun, end.run);
     if (end.checkpoint !== '' && unit.spec.checkpoints) unit.checkpoint = end.checkpoint;
     if (end.outcome === 'done') this.#handleDone(host, unit, run, now);
@@ -276,7 +278,7 @@
   }
 
   #handleFailed(host: ManagedHost, unit: WorkUnit, number: number, now: number): void {
-    if (!unit.takeFailure(number)) return;
+    if (unit.failedRuns.has(number)) return;
     const { job } = unit.step.occurrence;
     unit.avoided.add(host.machine);
     const suspensionMs = this.#blame.reportFailure(host, job.id, now);
@@ -286,7 +288,8 @@
       inputs: { host: host.id, failures: unit.failures + 1, suspensionMs },
     });
     if (unit.spec.isLasting || unit.isDone || job.final !== undefined) return;
-    if (this.#jobs.failUnit(unit, this.#clock.readWall())) this.stopJob(job, now, 'job-failed');
+    if (this.#jobs.failUnit(unit, number, this.#clock.readWall()))
+      this.stopJob(job, now, 'job-failed');
   }
 
   static #release(run: Run, now: number, pauseMs: number): void {
--- a/src/schedule/ScheduledJob.ts
+++ b/src/schedule/ScheduledJob.ts
@@ -123,7 +123,7 @@
         done: step.units.flatMap((unit) => (unit.isDone ? unit.indexes.slice(0, 1) : [])),
         failed: step.units
           .filter((unit) => unit.failures > 0 && !unit.isDone)
-          .map((unit) => [unit.indexes[0] ?? 0, unit.failures, unit.lastFailedRun]),
+          .map((unit) => [unit.indexes[0] ?? 0, [...unit.failedRuns]]),
       })),
     };
   }
@@ -152,12 +152,9 @@
           unit.isDone = true;
           step.remaining -= 1;
         });
-        failed.forEach(([task, count, lastRun]) => {
+        failed.forEach(([task, runs]) => {
           const unit = step.findUnit(task);
-          if (unit === undefined) return;
-          unit.failures = count;
-          unit.lastFailedRun = lastRun;
-          this.failures += count;
+          runs.forEach((run) => unit?.recordFailure(run));
         });
       });
     });
--- a/src/schedule/Shard.test.ts
+++ b/src/schedule/Shard.test.ts
@@ -101,7 +101,7 @@
       finishedBelow: 0,
       finished: [],
       occurrences: [
-        { number: 0, steps: [{ done: [], failed: [[0, 2, 7] as [number, number, number]] }] },
+        { number: 0, steps: [{ done: [], failed: [[0, [6, 7]] as [number, number[]]] }] },
       ],
     };
     rig.shard.addJob(buildBookedJob('a', [{ count: 1, cpuMilli: 1_000 }], { progress }));
@@ -212,6 +212,46 @@
     );
   });
 
+  it('restarts nothing of a silent host while a later owner may exist', () => {
+    const rig = new ScheduleRig();
+    rig.addHost('h1');
+    rig.shard.addJob(buildBookedJob('a', [{ count: 1, cpuMilli: 1_000 }]));
+    const [run] = rig.startAll();
+    assert.ok(run !== undefined);
+    rig.addHost('h2');
+    rig.shard.setDetached(true);
+    rig.shard.reportHoldFailure(run.host, 'no answer');
+    rig.shard.reportHoldFailure(run.host, 'no answer');
+    rig.clock.increase(9_000);
+    rig.shard.updateMachines([], rig.clock.readMonotonic());
+    assert.deepEqual(rig.startAll(), []);
+    rig.shard.setDetached(false);
+    assert.equal(rig.startAll().length, 1);
+  });
+
+  it('records the ends of runs that an earlier owner started without recording the job', () => {
+    const rig = new ScheduleRig({ token: 2, claimOffset: 500, isFirst: false });
+    rig.shard.updateMachines([], 0);
+    rig.shard.addJob(buildBookedJob('a', [{ count: 2, cpuMilli: 1_000 }]));
+    rig.shard.updateHost(buildHostEntry('h1'));
+    const ended = { task: 'a.0.0.1', run: 3, outcome: 'done', checkpoint: '', number: 1 } as const;
+    rig.report('h1', { ended: [ended] });
+    const [job] = rig.shard.takeDirty();
+    assert.deepEqual(job?.describeProgress(2).occurrences[0]?.steps[0]?.done, [1]);
+  });
+
+  it('counts failed runs whose ends come in another order than the runs', () => {
+    const rig = new ScheduleRig({ token: 2, claimOffset: 500, isFirst: false });
+    rig.shard.updateMachines([], 0);
+    rig.shard.addJob(buildBookedJob('a', [{ count: 1, cpuMilli: 1_000 }]));
+    [3, 1, 2].forEach((number) => {
+      rig.shard.updateHost(buildHostEntry(`h${number}`));
+      const end = { number: 1, task: 'a.0.0.0', outcome: 'failed', checkpoint: '' } as const;
+      rig.report(`h${number}`, { ended: [{ ...end, run: number }] });
+    });
+    assert.equal(rig.shard.takeDirty()[0]?.final, 'failed');
+  });
+
   it('frees the runs of a silent host when its machine carries another life', () => {
     const rig = new ScheduleRig();
     rig.addHost('h1');
--- a/src/schedule/Shard.ts
+++ b/src/schedule/Shard.ts
@@ -99,6 +99,8 @@
 
   readonly #load: PoolLoad;
 
+  #isDetached = false;
+
   #pools = new Map<string, PoolRule>();
 
   #queues = new Map<string, QueueRule>();
@@ -133,6 +135,17 @@
     return this.#takeover.token;
   }
 
+  /**
+   * Tells whether the owner is out of contact with the store, so that a later owner may exist.
+   *
+   * A later owner may have taken over what runs on hosts that do not answer here, and may have
+   * recorded its end. While that is possible, nothing that ran there is started again, and no machine
+   * is ordered away.
+   */
+  setDetached(isDetached: boolean): void {
+    this.#isDetached = isDetached;
+  }
+
   /** Applies the newest configuration. */
   applyConfiguration({ queues, pools }: Configuration): void {
     this.#queues = new Map(queues.map((queue) => [queue.name, queue]));
@@ -303,10 +316,12 @@
     const now = this.#now;
     this.#jobs.openDue(this.#clock.readWall());
     this.#expireLeases(now);
-    this.#machines.planUpkeep(now, this.#clock.readWall(), this.#pools);
+    if (!this.#isDetached) {
+      this.#machines.planUpkeep(now, this.#clock.readWall(), this.#pools);
+    }
     const waiting = this.#jobs.listWaiting();
     waiting.forEach((steps, pool) => this.#planPool(pool, steps, now));
-    this.#machines.planMoves(now, this.#pools);
+    if (!this.#isDetached) this.#machines.planMoves(now, this.#pools);
   }
 
   /** Takes the jobs whose progress has to be recorded. */
@@ -356,7 +371,7 @@
   }
 
   #endLife(host: ManagedHost, proof: string, now: number): void {
-    if (host.hasEnded) return;
+    if (host.hasEnded || this.#isDetached) return;
     host.finish();
     this.#output.record({
       decision: 'host-ended',
@@ -372,7 +387,8 @@
   #expireLeases(now: number): void {
     [...this.#hosts.hosts].forEach((host) => {
       const isSilent = host.silentCalls > 0 || !host.isListed;
-      if (isSilent && host.runs.size > 0 && host.computeExpiry() < now) {
+      const hasExpired = !this.#isDetached && host.computeExpiry() < now;
+      if (isSilent && host.runs.size > 0 && hasExpired) {
         // Its leases have expired, but the host may come back: only its runs are over.
         this.#output.record({
           decision: 'leases-expired',
--- a/src/schedule/WorkUnit.ts
+++ b/src/schedule/WorkUnit.ts
@@ -7,11 +7,8 @@
   /** Runs that hold room, on any host. */
   readonly runs = new Set<Run>();
 
-  /** Failed runs that count against the attempts of the queue. */
-  failures = 0;
-
-  /** Number of the last failed run that is counted; a host may list its end to two owners. */
-  lastFailedRun = 0;
+  /** Numbers of the failed runs; a host may list an end to two owners, and hosts in any order. */
+  readonly failedRuns = new Set<number>();
 
   /** Number of the last run. */
   lastRun = 0;
@@ -45,24 +42,23 @@
     return !this.isDone && this.runs.size === 0;
   }
 
-  /** Takes a failed run for counting; false for one that was counted before. */
-  takeFailure(number: number): boolean {
-    if (number <= this.lastFailedRun) return false;
-    this.lastFailedRun = number;
-    return true;
-  }
-
   /** Marks the unit as done. */
   finish(): void {
     this.isDone = true;
     this.step.remaining -= 1;
   }
 
-  /** Counts a failed run and returns how many there were. */
-  recordFailure(): number {
-    this.failures += 1;
+  /** Failed runs that count against the attempts of the queue. */
+  get failures(): number {
+    return this.failedRuns.size;
+  }
+
+  /** Counts a failed run; false for one that was counted before. */
+  recordFailure(number: number): boolean {
+    if (this.failedRuns.has(number)) return false;
+    this.failedRuns.add(number);
     this.step.occurrence.job.recordFailure();
-    return this.failures;
+    return true;
   }
 
   /** Takes the number of the next run; numbers of later owners are above those of earlier ones. */
