--- a/src/demo/runDemo.ts
+++ b/src/demo/runDemo.ts
@@ -2,6 +2,7 @@
 import { DemoStage, type LinePrinter } from './DemoStage.js';
 import type { DemoScenario } from './DemoScenario.js';
 import { FailureScenario } from './_FailureScenario.js';
+import { JobsScenario } from './_JobsScenario.js';
 import { MaintenanceScenario } from './_MaintenanceScenario.js';
 import { RaceScenario } from './_RaceScenario.js';
 import { TourScenario } from './_TourScenario.js';
@@ -12,6 +13,7 @@
   new MaintenanceScenario(),
   new FailureScenario(),
   new RaceScenario(),
+  new JobsScenario(),
 ];
 
 /**
--- a/src/emulator/EmulatedStore.ts
+++ b/src/emulator/EmulatedStore.ts
@@ -98,6 +98,11 @@
     return [...this.#logs[topic].newest.values()];
   }
 
+  /** Reads which state of a wave was published last. */
+  findWaveState(wave: number): string | undefined {
+    return this.#logs.status.newest.get(`wave/${wave}`)?.value?.toString('utf8');
+  }
+
   /** Appends as a node does. */
   append(values: readonly KeyedValue[], options: AppendOptions): AppendAnswer {
     const log = this.#logs.work;
--- a/src/testing/NodeCluster.ts
+++ b/src/emulator/NodeCluster.ts
@@ -1,19 +1,16 @@
 import { ActorScope } from '../actor/mod.js';
+import { OwnerRecord } from '../book/mod.js';
 import { SystemClock } from '../clock/mod.js';
-import {
-  EmulatedDecoder,
-  EmulatedFleet,
-  EmulatedStore,
-  type EmulatedFleetOptions,
-  type StartedRun,
-} from '../emulator/mod.js';
+import { EmulatedDecoder } from './EmulatedDecoder.js';
+import { EmulatedFleet, type EmulatedFleetOptions } from './EmulatedFleet.js';
+import type { StartedRun } from './EmulatedHost.js';
+import { EmulatedStore } from './EmulatedStore.js';
 import { createLogger } from '../logging/mod.js';
 import { Metrics } from '../metrics/mod.js';
 import { DecisionLog, Node, NodeSettings, type CallAnswer } from '../node/mod.js';
-import type { QueueRule } from '../port/mod.js';
+import { QueueRule, type WaveOrder } from '../port/mod.js';
 import { JobSpec } from '../task/mod.js';
 import { NoAdviceDesk } from './NoAdviceDesk.js';
-import { buildQueueRule } from './ScheduleRig.js';
 
 /** A node of a cluster with what has to be closed with it. */
 interface RunningNode {
@@ -35,7 +32,14 @@
 
   readonly fleet: EmulatedFleet;
 
-  readonly queue: QueueRule = buildQueueRule({ maxAttempts: 1_000 });
+  readonly queue = QueueRule.parse({
+    name: 'renders',
+    hostName: 'jobs.example',
+    pathPrefix: '/renders/',
+    pool: 'studio',
+    maxAttempts: 1_000,
+    latencyTargetMs: 600,
+  });
 
   readonly #nodes = new Map<string, RunningNode>();
 
@@ -144,6 +148,18 @@
     }
   }
 
+  /** Reads which node owns the shard. */
+  findOwner(): string | undefined {
+    const record = this.store.listNewest('work').find(({ key }) => key === 'owner');
+    if (record?.value === undefined) return undefined;
+    return OwnerRecord.parse(JSON.parse(record.value.toString('utf8'))).node;
+  }
+
+  /** Asks for a wave as the operator does. */
+  orderWave(order: WaveOrder): void {
+    this.store.write('operator', `wave/${order.wave}`, JSON.stringify({ type: 'wave', order }));
+  }
+
   /** Lists pairs of runs of one task that were present at the same time. */
   listOverlaps(): [StartedRun, StartedRun][] {
     this.fleet.settle();
--- a/src/emulator/mod.ts
+++ b/src/emulator/mod.ts
@@ -8,3 +8,4 @@
 export * from './EmulatedFleet.js';
 export * from './EmulatedHost.js';
 export * from './EmulatedStore.js';
+export * from './NodeCluster.js';
--- a/src/node/Node.property.test.ts
+++ b/src/node/Node.property.test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from 'node:test';
 import fc from 'fast-check';
 import type { OrderFault } from '../emulator/mod.js';
-import { NodeCluster } from '../testing/NodeCluster.js';
+import { NodeCluster } from '../emulator/NodeCluster.js';
 import { readSeed } from '../testing/readSeed.js';
 import { waitFor } from '../testing/waitFor.js';
 
--- a/src/node/Node.test.ts
+++ b/src/node/Node.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { NodeCluster } from '../testing/NodeCluster.js';
+import { NodeCluster } from '../emulator/NodeCluster.js';
 import { waitFor } from '../testing/waitFor.js';
 
 const STEPS = [
@@ -57,12 +57,7 @@
     withCluster({ script: () => ({ runMs: 600, outcome: 'done' }) }, async (cluster) => {
       await cluster.submit('node-0', 'a', STEPS);
       await waitFor('started tasks', () => cluster.fleet.started.length >= 3);
-      const owner = cluster.store
-        .listNewest('work')
-        .find(({ key }) => key === 'owner')
-        ?.value?.toString('utf8');
-      const { node } = JSON.parse(owner ?? '{}') as { node: string };
-      cluster.kill(node);
+      cluster.kill(cluster.findOwner() ?? '');
       const other = cluster.names[0] ?? '';
       await waitFor('a completed job', isCompleted(cluster, other, 'a'), 10_000);
       assert.equal(cluster.fleet.started.length, 5);
@@ -112,8 +107,7 @@
     withCluster({ script: () => ({ runMs: 300, outcome: 'done' }) }, async (cluster) => {
       await cluster.submit('node-0', 'a', STEPS);
       await waitFor('started tasks', () => cluster.fleet.started.length >= 3);
-      const record = cluster.store.listNewest('work').find(({ key }) => key === 'owner');
-      const { node } = JSON.parse(record?.value?.toString('utf8') ?? '{}') as { node: string };
+      const node = cluster.findOwner() ?? '';
       cluster.store.setMode('silent', node);
       const other = cluster.names.find((name) => name !== node) ?? '';
       await cluster.submit(other, 'b', STEPS);
@@ -121,6 +115,15 @@
       await waitFor('a completed job', isCompleted(cluster, other, 'a'), 10_000);
     }));
 
+  it('maintains every host of a wave once and says so', () =>
+    withCluster({}, async (cluster) => {
+      const machines = cluster.fleet.listMachines().map(({ name }) => name);
+      cluster.orderWave({ wave: 1, machines, durationMs: 6_000, cap: 1 });
+      await waitFor('the wave', () => cluster.store.findWaveState(1) === 'completed');
+      const lives = cluster.fleet.listMachines().map(({ hostId }) => hostId);
+      assert.ok(lives.every((id) => !['host-1', 'host-2', 'host-3'].includes(id ?? '')));
+    }));
+
   it('reads on when the store has forgotten its history', () =>
     withCluster({}, async (cluster) => {
       await cluster.submit('node-0', 'a', STEPS);
