--- a/src/demo/_JobsScenario.ts
+++ b/src/demo/_JobsScenario.ts
@@ -49,9 +49,10 @@
     const owner = cluster.findOwner();
     cluster.kill(owner ?? '');
     const left = cluster.names[0] ?? '';
-    await stage.waitFor('the job is completed', async () => {
-      return (await cluster.findState(left, JOB)) === 'completed';
-    });
+    await stage.waitFor(
+      'the job is completed',
+      async () => (await cluster.findState(left, JOB)) === 'completed',
+    );
     cluster.fleet.started.forEach(({ task, run, host, outcome }) =>
       print(`   ${task} run ${run} on ${host}: ${outcome ?? 'runs'}`),
     );
