--- a/src/emulator/NodeCluster.ts
+++ b/src/emulator/NodeCluster.ts
@@ -5,6 +5,7 @@
 import { EmulatedFleet, type EmulatedFleetOptions } from './EmulatedFleet.js';
 import type { StartedRun } from './EmulatedHost.js';
 import { EmulatedStore } from './EmulatedStore.js';
+import { listOverlaps, listRepeats } from './listOverlaps.js';
 import { createLogger } from '../logging/mod.js';
 import { Metrics } from '../metrics/mod.js';
 import { DecisionLog, Node, NodeSettings, type CallAnswer } from '../node/mod.js';
@@ -163,31 +164,13 @@
   /** Lists pairs of runs of one task that were present at the same time. */
   listOverlaps(): [StartedRun, StartedRun][] {
     this.fleet.settle();
-    const byTask = new Map<string, StartedRun[]>();
-    this.fleet.started.forEach((run) =>
-      byTask.set(run.task, [...(byTask.get(run.task) ?? []), run]),
-    );
-    return [...byTask.values()].flatMap((runs) =>
-      runs.flatMap((run, index) =>
-        runs
-          .slice(index + 1)
-          .filter((later) => later.startedAt < (run.endedAt ?? Infinity))
-          .map((later): [StartedRun, StartedRun] => [run, later]),
-      ),
-    );
+    return listOverlaps(this.fleet.started);
   }
 
   /** Lists starts of tasks after a run of theirs was done. */
   listRepeats(): StartedRun[] {
     this.fleet.settle();
-    const done = new Map<string, number>();
-    this.fleet.started.forEach(({ task, outcome, endedAt }) => {
-      if (outcome === 'done' && endedAt !== undefined) done.set(task, endedAt);
-    });
-    return this.fleet.started.filter(({ task, startedAt }) => {
-      const doneAt = done.get(task);
-      return doneAt !== undefined && startedAt > doneAt;
-    });
+    return listRepeats(this.fleet.started);
   }
 
   close(): void {
--- /dev/null
+++ b/src/testing/sampleFaults.ts
@@ -0,0 +1,44 @@
+import fc from 'fast-check';
+
+/** How many of everything a soak has. */
+export interface SoakSize {
+  /** Faults to draw. */
+  count: number;
+  nodes: number;
+  machines: number;
+}
+
+function buildFault({ nodes, machines }: SoakSize) {
+  const node = fc.nat(nodes - 1).map((index) => `node-${index}`);
+  const machine = fc.nat(machines - 1).map((index) => `m-${index}`);
+  return fc.oneof(
+    fc.record({ type: fc.constant('kill' as const), node }),
+    fc.record({ type: fc.constant('start' as const), node }),
+    fc.record({ type: fc.constant('stop' as const), node }),
+    fc.record({ type: fc.constant('freeze' as const), node }),
+    fc.record({ type: fc.constant('wake' as const), node }),
+    fc.record({
+      type: fc.constant('store' as const),
+      node: fc.option(node, { nil: undefined }),
+      mode: fc.constantFrom('well' as const, 'refusing' as const, 'silent' as const),
+    }),
+    fc.record({ type: fc.constant('cut' as const), machine, isCut: fc.boolean() }),
+    fc.record({ type: fc.constant('expire' as const) }),
+    fc.record({ type: fc.constant('wait' as const), ms: fc.nat(1_500) }),
+  );
+}
+
+/** A fault that comes or goes, or a pause. */
+export type SoakFault = ReturnType<typeof buildFault> extends fc.Arbitrary<infer T> ? T : never;
+
+/**
+ * Draws faults of a soak; the same seed draws the same faults.
+ *
+ * @example
+ * ```ts
+ * sampleFaults(42, { count: 1, nodes: 3, machines: 4 }); // [{ type: 'kill', node: 'node-1' }]
+ * ```
+ */
+export function sampleFaults(seed: number, size: SoakSize): SoakFault[] {
+  return fc.sample(fc.noBias(buildFault(size)), { seed, numRuns: size.count });
+}
