Keep runs that an owner took over for the lease of the owner before

Change: when an owner fences a host, leases of earlier owners count for the longest lease from then on. The test fails with 0 in its place.

--- a/src/schedule/ManagedHost.ts
+++ b/src/schedule/ManagedHost.ts
@@ -60,6 +60,9 @@
 
   #leaseEndMs = 0;
 
+  /** Latest end, on the host's clock, of leases that earlier owners gave. */
+  #inheritedEndMs = 0;
+
   /** Runs confirmed as failed in a row, without one that was done. */
   failuresInRow = 0;
 
@@ -114,8 +117,12 @@
     this.reservedUntil = until;
   }
 
-  /** Marks the host as held by this owner: earlier owners cannot give orders there any more. */
-  fence(): void {
+  /**
+   * Marks the host as held by this owner: earlier owners cannot give orders there any more. What
+   * they started keeps its lease, which may last for another `inheritedLeaseMs`.
+   */
+  fence(inheritedLeaseMs: number): void {
+    if (!this.isFenced) this.#inheritedEndMs = (this.#clockMs ?? 0) + inheritedLeaseMs;
     this.isFenced = true;
     this.reservedUntil = 0;
   }
@@ -177,7 +184,7 @@
   /** Computes the steady time by which every lease that was given here has expired. */
   computeExpiry(): number {
     if (this.#clockMs === undefined) return this.reservedUntil;
-    const rest = Math.max(0, this.#leaseEndMs - this.#clockMs);
+    const rest = Math.max(0, Math.max(this.#leaseEndMs, this.#inheritedEndMs) - this.#clockMs);
     return Math.max(
       this.reservedUntil,
       this.#clockReadAt + rest * (1 + CLOCK_DRIFT) + LEASE_MARGIN_MS,
--- a/src/schedule/Shard.test.ts
+++ b/src/schedule/Shard.test.ts
@@ -252,6 +252,23 @@
     assert.equal(rig.shard.takeDirty()[0]?.final, 'failed');
   });
 
+  it('keeps runs that it took over for as long as the lease of the owner before may last', () => {
+    const rig = new ScheduleRig({ token: 2, claimOffset: 500, isFirst: false });
+    rig.shard.updateMachines([], 0);
+    rig.shard.addJob(buildBookedJob('a', [{ count: 1, cpuMilli: 1_000 }]));
+    rig.addHost('h2');
+    rig.shard.updateHost(buildHostEntry('h1'));
+    const listed = { task: 'a.0.0.0', run: 1, checkpoint: '', percent: 100, load: 1 };
+    rig.report('h1', { running: [listed] });
+    const host = rig.shard.findHost('h1');
+    assert.ok(host !== undefined);
+    rig.shard.reportHoldFailure(host, 'no answer');
+    rig.clock.increase(9_000);
+    assert.deepEqual(rig.startAll(), []);
+    rig.clock.increase(2_000);
+    assert.equal(rig.startAll().length, 1);
+  });
+
   it('frees the runs of a silent host when its machine carries another life', () => {
     const rig = new ScheduleRig();
     rig.addHost('h1');
--- a/src/schedule/Shard.ts
+++ b/src/schedule/Shard.ts
@@ -259,7 +259,8 @@
     const now = this.#now;
     if (host.hasEnded) return 'ok';
     if (host.isOtherLife(report)) return this.#settle(host, 'other-life');
-    host.fence();
+    host.setClock(report.clockMs, now);
+    host.fence(this.#takeover.isFirst ? 0 : this.#options.maxLeaseMs);
     this.#ledger.reportHold(host, report, sentAt, now);
     InterferenceControl.plan(host).forEach(({ run, percent }) => {
       run.setPace(undefined);
--- a/src/testing/sampleFaults.ts
+++ b/src/testing/sampleFaults.ts
@@ -1,3 +1,4 @@
+// eslint-disable-next-line import-x/no-extraneous-dependencies -- only tests import this file.
 import fc from 'fast-check';
 
 /** How many of everything a soak has. */
