--- a/scripts/runTests.ts
+++ b/scripts/runTests.ts
@@ -14,7 +14,7 @@
 const ROOT = path.resolve(import.meta.dirname, '..', '..');
 const KNOWN_RED_FILE = path.join(ROOT, 'KNOWN-RED.txt');
 /** Test files run side by side; process tests need cores of their own. */
-const CONCURRENT_FILES = 4;
+const CONCURRENT_FILES = 2;
 const FILE_TIMEOUT_MS = 400_000;
 
 /** Reads the names of known failing tests: lines of the form `test: NAME`. */
