Remove what the scheduling classes keep and nobody reads

Cause: read of the whole change: records put back that are never put back, reports of runs that no decision uses, a backlog in the owner's record without a reader, two copies of the clock's drift. Change: removed; the drift stands in ManagedHost. Decisions are the same.

--- a/src/book/BookRecord.ts
+++ b/src/book/BookRecord.ts
@@ -56,8 +56,6 @@
   session: z.string(),
   /** The owner has handed the shard over. */
   isReleased: z.boolean().default(false),
-  /** Time in ms that the hosts of each pool need for the work that waits. */
-  backlogMs: z.record(z.string(), z.number()).default({}),
 });
 export type OwnerRecord = z.infer<typeof OwnerRecord>;
 
--- a/src/node/ShardOwner.ts
+++ b/src/node/ShardOwner.ts
@@ -507,7 +507,6 @@
         node: this.#parts.settings.name,
         session: this.#parts.session,
         isReleased,
-        backlogMs: this.#shard.computeBacklogs(),
       }),
     };
   }
--- a/src/schedule/JobTable.ts
+++ b/src/schedule/JobTable.ts
@@ -136,11 +136,6 @@
     return this.#dirty.size > 0;
   }
 
-  /** Puts jobs back whose progress could not be recorded. */
-  restoreDirty(jobs: readonly ScheduledJob[]): void {
-    jobs.forEach((job) => this.#dirty.add(job));
-  }
-
   #openDue(job: ScheduledJob, nowWallMs: number): void {
     job
       .openOccurrences(nowWallMs + OPEN_AHEAD_MS)
--- a/src/schedule/MachinePlanner.ts
+++ b/src/schedule/MachinePlanner.ts
@@ -163,9 +163,8 @@
     if (host === undefined) return undefined;
     if (hasLeft && host.isLeaving) return host;
     // Without an answer the machine may still go; its host gets no work until the list tells.
-    if (answer.type !== 'unanswered') host.isLeaving = false;
-    else host.suspendedUntil = now + this.#options.moveMs;
-    if (answer.type === 'unanswered') host.isLeaving = false;
+    if (answer.type === 'unanswered') host.suspendedUntil = now + this.#options.moveMs;
+    host.isLeaving = false;
     return undefined;
   }
 
--- a/src/schedule/ManagedHost.ts
+++ b/src/schedule/ManagedHost.ts
@@ -2,7 +2,7 @@
 import type { Run } from './Run.js';
 
 /** The host's clock may run this much slower than the owner's. */
-const CLOCK_DRIFT = 0.02;
+export const CLOCK_DRIFT = 0.02;
 /** Added to the computed end of a lease for the granularity of timers on both sides, in ms. */
 const LEASE_MARGIN_MS = 150;
 
--- a/src/schedule/Run.ts
+++ b/src/schedule/Run.ts
@@ -39,15 +39,9 @@
   /** Share of its work speed, 0 to 100. */
   percent = 0;
 
-  /** When the percent was last below 100; `orderedAt` before the first report. */
-  lastImpairedAt: number;
-
   /** Tail latency in ms, or thousandths of a core in use. */
   load = 0;
 
-  /** Reports in a row in which an unfinished run used no processor time. */
-  idleReports = 0;
-
   /** Share of the processor that it was last ordered to get, 0 to 100. */
   pace = 100;
 
@@ -64,7 +58,6 @@
   ) {
     this.orderedAt = now;
     this.seenAt = now;
-    this.lastImpairedAt = now;
   }
 
   /** Marks the run as confirmed by its host. */
@@ -95,9 +88,6 @@
     this.checkpoint = checkpoint;
     this.percent = percent;
     this.load = load;
-    if (percent < 100) this.lastImpairedAt = now;
-    const isIdle = load === 0 && this.unit.spec.latencyTargetMs === undefined;
-    this.idleReports = isIdle ? this.idleReports + 1 : 0;
   }
 
   /** Counts a report that does not list the run; returns how many there were in a row. */
--- a/src/schedule/Shard.ts
+++ b/src/schedule/Shard.ts
@@ -19,7 +19,7 @@
 import type { JobOrder } from './JobOrder.js';
 import { JobTable } from './JobTable.js';
 import { LeastWorkFirst } from './LeastWorkFirst.js';
-import type { ManagedHost } from './ManagedHost.js';
+import { CLOCK_DRIFT, type ManagedHost } from './ManagedHost.js';
 import { MachinePlanner } from './MachinePlanner.js';
 import { PackingPlacement } from './PackingPlacement.js';
 import type { PlacementPolicy } from './PlacementPolicy.js';
@@ -37,8 +37,6 @@
 const RUNS_PER_TOKEN = 1_000;
 /** Unanswered calls in a row after which a host's life is checked against the list of machines. */
 const SILENT_CALLS = 2;
-/** A new owner waits this long for hosts that have not answered before it asks again, in ms. */
-const CLOCK_DRIFT = 0.02;
 
 /** How a shard came to its owner. */
 export interface Takeover {
@@ -339,17 +337,6 @@
     return this.#machines.takeDirtyWaves();
   }
 
-  /** Puts back what could not be recorded. */
-  restoreDirty(jobs: readonly ScheduledJob[], waves: readonly number[]): void {
-    this.#jobs.restoreDirty(jobs);
-    waves.forEach((wave) => this.#machines.dirtyWaves.add(wave));
-  }
-
-  /** Computes for each pool how long its hosts need for the work that waits, in ms. */
-  computeBacklogs(): Record<string, number> {
-    return this.#load.computeBacklogs(this.#now, this.#pools);
-  }
-
   get #now(): number {
     return this.#clock.readMonotonic();
   }
