--- a/src/controller/Controller.test.ts
+++ b/src/controller/Controller.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { after, describe, it } from 'node:test';
 import { request } from 'undici';
+import { z } from 'zod';
 import { fetchObservation, ProcessTimeline } from '../observation/mod.js';
 import { Pool } from '../pool/mod.js';
 import { buildInventory, ProcessGroup, waitFor, type Started } from '../testing/mod.js';
@@ -37,6 +38,10 @@
   }
 }
 
+/** Entries of the log, as the platform returns them. */
+const FleetEntries = z.object({ entries: z.array(z.object({ value: z.string() })) });
+const Writer = z.object({ writer: z.string() });
+
 function put(address: string, index: number, baseRevision: number) {
   const operations = [SITE, HOSTS[index]].filter((one) => one !== undefined);
   // The data centre goes in with the first host only, so that later hosts do not conflict on it.
@@ -223,8 +228,13 @@
     };
     const values = [JSON.stringify({ writer: 'operator', sequence: 1, body })];
     const url = `http://${deployment.platform}/streams/fleet/entries`;
+    // Set before the change, which the first answers with its proposal within milliseconds, and for
+    // all that the first appends, so that neither a repeated proposal nor other records evade it.
+    const entries = await request(`${url}?from=0`);
+    const [own] = FleetEntries.parse(await entries.body.json()).entries;
+    const { writer } = Writer.parse(JSON.parse(own?.value ?? '{}'));
+    await deployment.inject({ lateAppends: 1_000, lateMs: 6_000, lateText: `"writer":"${writer}"` });
     await request(url, { method: 'POST', body: JSON.stringify({ values }) });
-    await deployment.inject({ lateAppends: 1, lateMs: 3_000 });
     await waitFor('the proposal of the first', async () =>
       (await readEvents(first.address)).some((one) => one.type === 'host-assign.proposed'),
     );
--- a/src/standin/PlatformStandin.ts
+++ b/src/standin/PlatformStandin.ts
@@ -17,6 +17,8 @@
   /** This many appends are answered with status 503 and take effect `lateMs` later. */
   lateAppends: z.number().int().nonnegative().default(0),
   lateMs: z.number().nonnegative().default(1_000),
+  /** Only appends that contain this text are late; any append where it is empty. */
+  lateText: z.string().default(''),
   /** Only appends are answered with status 503. */
   refuseAppends: z.boolean().default(false),
   /** Changes of the host list become visible this much later. */
@@ -165,7 +167,9 @@
     reply: (status: number, body: unknown) => void,
   ): Promise<void> {
     const { values } = AppendCall.parse(await readBody(request));
-    if (this.#faults.lateAppends > 0) {
+    const { lateText } = this.#faults;
+    const isLate = values.some((value) => value.includes(lateText));
+    if (this.#faults.lateAppends > 0 && isLate) {
       this.#faults.lateAppends -= 1;
       const append = (): number => this.#openStream(stream).append(values, Date.now());
       setTimeout(append, this.#faults.lateMs).unref();
