Close the demo without the notice to a balancer

Cause: a scenario took 17.5 s of its 20 s although it was done after 7.5 s: each gateway, closed one after the other, waited 5 s for a balancer to take it out of rotation. The demo has no balancer.

--- a/src/demo/DemoFleet.ts
+++ b/src/demo/DemoFleet.ts
@@ -10,6 +10,8 @@
 import type { FleetEvent } from '../timeline/mod.js';
 
 const FREE_PORT = '127.0.0.1:0';
+/** No balancer watches the gateways of the demo, so there is nobody to give notice to. */
+const STOP_NOTICE_MS = 0;
 const DATA_CENTRES = ['rennes-1', 'brest-1'] as const;
 const HOSTS_PER_DATA_CENTRE = 4;
 const HOSTS_PER_RACK = 2;
@@ -150,7 +152,12 @@
     );
     this.#opened.push(controllerDaemon);
     const controller = await controllerDaemon.open();
-    const gatewaySettings = { role: 'gateway', dataCentre, address: FREE_PORT };
+    const gatewaySettings = {
+      role: 'gateway',
+      dataCentre,
+      address: FREE_PORT,
+      stopNoticeMs: STOP_NOTICE_MS,
+    };
     const gatewayDaemon = new Gateway(
       GatewaySettings.parse({
         ...gatewaySettings,
