Leave machines alone that are under maintenance or were just refused

A machine of the standby pool carries no host, so nothing told the pool sizing that its maintenance had been ordered; each plan moved it again, was told 'busy', and tried again some ms later. The moves counted as hosts on their way, so other machines were not brought. Change: machines with an ordered maintenance are not movable; one that the provider refused rests for 1 s.

--- a/src/controller/Controller.test.ts
+++ b/src/controller/Controller.test.ts
@@ -233,7 +233,11 @@
     const entries = await request(`${url}?from=0`);
     const [own] = FleetEntries.parse(await entries.body.json()).entries;
     const { writer } = Writer.parse(JSON.parse(own?.value ?? '{}'));
-    await deployment.inject({ lateAppends: 1_000, lateMs: 6_000, lateText: `"writer":"${writer}"` });
+    await deployment.inject({
+      lateAppends: 1_000,
+      lateMs: 6_000,
+      lateText: `"writer":"${writer}"`,
+    });
     await request(url, { method: 'POST', body: JSON.stringify({ values }) });
     await waitFor('the proposal of the first', async () =>
       (await readEvents(first.address)).some((one) => one.type === 'host-assign.proposed'),
--- /dev/null
+++ b/src/schedule/MachinePlanner.test.ts
@@ -0,0 +1,64 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import type { Machine } from '../port/mod.js';
+import { buildBookedJob, ScheduleRig } from '../testing/ScheduleRig.js';
+import type { ShardCommand } from './mod.js';
+
+/** More work than the one host of the pool has room for, so that the pool is pressed. */
+const PRESSING = [{ count: 40, cpuMilli: 8_000, estimateMs: 1_000 }];
+
+function buildStandby(name: string, fields: Partial<Machine> = {}): Machine {
+  return {
+    name,
+    pool: 'spare',
+    state: 'up',
+    dataCentre: 'dc-1',
+    hostId: undefined,
+    ...fields,
+  };
+}
+
+function listMoved(commands: readonly ShardCommand[]): string[] {
+  return commands.flatMap((command) => (command.type === 'move' ? [command.machine] : []));
+}
+
+/** A rig whose pool is pressed, with two machines in the standby pool. */
+function openPressed(...takeover: ConstructorParameters<typeof ScheduleRig>): ScheduleRig {
+  const rig = new ScheduleRig(...takeover);
+  rig.addHost('h1');
+  const serving = buildStandby('machine-of-h1', { pool: 'studio', hostId: 'h1' });
+  rig.shard.updateMachines([serving, buildStandby('s1'), buildStandby('s2')], 1);
+  rig.clock.increase(10);
+  rig.shard.addJob(buildBookedJob('a', PRESSING, { acceptedOffset: 1_000 }));
+  return rig;
+}
+
+describe('MachinePlanner', () => {
+  it('moves standby machines to a pool that is pressed', () => {
+    assert.deepEqual(listMoved(openPressed().plan()), ['s1', 's2']);
+  });
+
+  // Guards against a call every few ms about a machine that cannot go yet.
+  it('leaves a machine alone for a while after the provider found it busy', () => {
+    const rig = openPressed();
+    rig.plan();
+    rig.shard.reportMachine({ machine: 's1' }, { type: 'busy' });
+    rig.clock.increase(50);
+    assert.deepEqual(listMoved(rig.plan()), []);
+    rig.clock.increase(1_000);
+    assert.deepEqual(listMoved(rig.plan()), ['s1']);
+  });
+
+  // Guards against moves of machines that have just been sent to maintenance: a standby machine
+  // carries no host that would show it.
+  it('does not move a machine whose maintenance has begun', () => {
+    const rig = openPressed();
+    rig.shard.setWave({ wave: 1, machines: ['s1'], durationMs: 20_000, cap: 1 }, undefined);
+    const commands = rig.plan();
+    assert.ok(commands.some(({ type }) => type === 'maintain'));
+    assert.deepEqual(listMoved(commands), ['s2']);
+    rig.shard.reportMachine({ machine: 's1', wave: 1 }, { type: 'done' });
+    rig.clock.increase(50);
+    assert.deepEqual(listMoved(rig.plan()), []);
+  });
+});
--- a/src/schedule/MachinePlanner.ts
+++ b/src/schedule/MachinePlanner.ts
@@ -16,6 +16,9 @@
 /** Checkpointing tasks that still run on a host to be maintained are stopped after this, in ms. */
 const EMPTY_AFTER_MS = 2_500;
 
+/** A machine that the provider refused to move is left alone for this time, in ms. */
+const REFUSED_PAUSE_MS = 1_000;
+
 /** Collaborators of a machine planner. */
 export interface MachinePlannerParts {
   hosts: HostTable;
@@ -53,6 +56,9 @@
 
   readonly #moves = new Map<string, Move>();
 
+  /** Steady time until which a machine is not moved, since the provider refused it. */
+  readonly #refusedUntil = new Map<string, number>();
+
   readonly #emptyingSince = new Map<string, number>();
 
   readonly dirtyWaves = new Set<number>();
@@ -153,7 +159,10 @@
     } else {
       const move = this.#moves.get(machine);
       if (move !== undefined && hasLeft) move.isAnswered = true;
-      if (!hasLeft) this.#moves.delete(machine);
+      if (!hasLeft) {
+        this.#moves.delete(machine);
+        this.#refusedUntil.set(machine, now + REFUSED_PAUSE_MS);
+      }
     }
     this.#output.record({
       decision: wave === undefined ? 'machine-move' : 'machine-maintenance',
@@ -207,14 +216,20 @@
         waitingHosts: waiting.get(name)?.hosts ?? 0,
         risingHosts: isStandby ? 0 : this.#load.measureRise(name, now),
         backlogMs: backlogs[name] ?? 0,
-        idle: idle.filter(
-          ({ machine }) =>
-            !this.#moves.has(machine) && this.#hosts.machines.get(machine)?.state === 'up',
-        ),
+        idle: idle.filter(({ machine }) => this.#isMovable(machine, now)),
       };
     });
   }
 
+  #isMovable(machine: string, now: number): boolean {
+    return (
+      !this.#moves.has(machine) &&
+      !this.#upkeep.isUnderway(machine) &&
+      (this.#refusedUntil.get(machine) ?? 0) <= now &&
+      this.#hosts.machines.get(machine)?.state === 'up'
+    );
+  }
+
   /** Machines of a standby pool carry no host that takes work, so they come from the list. */
   #listStandby(pool: string): { machine: string; idleMs: number }[] {
     return [...this.#hosts.machines.values()]
--- a/src/schedule/UpkeepPlanner.ts
+++ b/src/schedule/UpkeepPlanner.ts
@@ -81,14 +81,9 @@
     return { seenAtMs: wave.seenAtMs, begun: [...wave.begun], isCompleted: wave.isCompleted };
   }
 
-  /** Checks whether a machine still waits for its maintenance or is under it. */
-  isInvolved(machine: string): boolean {
-    return [...this.#waves.values()].some(
-      ({ order, begun, turns, isCompleted }) =>
-        !isCompleted &&
-        order.machines.includes(machine) &&
-        (!begun.has(machine) || turns.has(machine)),
-    );
+  /** Checks whether the maintenance of a machine has been ordered and is not over. */
+  isUnderway(machine: string): boolean {
+    return [...this.#waves.values()].some(({ turns }) => turns.has(machine));
   }
 
   /** Records the answer to an order: begun, or to be tried again. */
