Record orders about machines before they are given, so that a successor waits for those machines only

Cause: a new owner gave no order about any machine for the pause between two holders (3 s). Change: the owner appends the machines it is about to order ('machine-orders') and orders them when that is stored. A successor leaves alone just these, and hands them on to its own successor while they matter. Ruled out: reading it from the list of machines, which does not tell when a machine was ordered.

--- a/src/book/BookRecord.ts
+++ b/src/book/BookRecord.ts
@@ -78,9 +78,14 @@
 });
 export type WaveRecord = z.infer<typeof WaveRecord>;
 
+/** The machines about which the owner has given orders a short while ago, under `machine-orders`. */
+export const MachineOrders = z.object({ machines: z.array(z.string()) });
+export type MachineOrders = z.infer<typeof MachineOrders>;
+
 /** Keys of the work log. */
 export const BookKey = {
   owner: 'owner',
+  machineOrders: 'machine-orders',
   job: (id: string): string => `job/${id}`,
   cancel: (id: string): string => `cancel/${id}`,
   progress: (id: string): string => `progress/${id}`,
--- a/src/book/JobBook.ts
+++ b/src/book/JobBook.ts
@@ -6,6 +6,7 @@
   BookKey,
   Cancellation,
   JobProgress,
+  MachineOrders,
   NodeRecord,
   OwnerRecord,
   WaveRecord,
@@ -27,6 +28,7 @@
     }
   | { type: 'node'; name: string; node: NodeRecord | undefined }
   | { type: 'wave'; wave: number }
+  | { type: 'machine-orders' }
   /** A record that cannot be read; every reader skips it in the same way. */
   | { type: 'unreadable'; key: string; reason: string };
 
@@ -61,6 +63,8 @@
 
   #owner: OwnerRecord | undefined;
 
+  #orderedMachines: readonly string[] = [];
+
   get owner(): OwnerRecord | undefined {
     return this.#owner;
   }
@@ -73,6 +77,11 @@
     return this.#waves;
   }
 
+  /** Machines about which the owner may have given orders a short while ago. */
+  get orderedMachines(): readonly string[] {
+    return this.#orderedMachines;
+  }
+
   get jobs(): IterableIterator<BookedJob> {
     return this.#jobs.values();
   }
@@ -111,6 +120,8 @@
         return this.#applyNode(name, record);
       case 'wave':
         return this.#applyWave(Number(name), record);
+      case BookKey.machineOrders:
+        return this.#applyMachineOrders(record);
       default:
         return { type: 'unreadable', key: record.key, reason: 'unknown kind of record' };
     }
@@ -197,6 +208,13 @@
     return { type: 'wave', wave };
   }
 
+  #applyMachineOrders(record: StoreRecord): BookChange {
+    const decoded = JobBook.#decode(MachineOrders, record);
+    if ('reason' in decoded) return decoded;
+    this.#orderedMachines = decoded.value.machines;
+    return { type: 'machine-orders' };
+  }
+
   /** Changes the count of waiting jobs by one that waits; others change nothing. */
   #changeWaiting(job: BookedJob | undefined, by: 1 | -1): void {
     if (job === undefined || job.spec.repeat !== undefined) return;
--- a/src/emulator/EmulatedFleet.ts
+++ b/src/emulator/EmulatedFleet.ts
@@ -56,6 +56,8 @@
   script: TaskScript;
   /** Draws the fault of an order; undefined for none. */
   drawFault?: () => { fault: OrderFault; delayMs: number } | undefined;
+  /** Is called with each order about a machine before it is carried out. */
+  onMachineOrder?: (order: MachineOrder) => void;
   /** Address of a machine, where it differs from its name. */
   toAddress?: (machine: string) => string;
 }
@@ -180,6 +182,7 @@
 
   /** Carries out an order about a machine; its host ends and another life comes up. */
   change(order: MachineOrder, pool: string | undefined, wave: number | undefined): MachineAnswer {
+    this.#options.onMachineOrder?.(order);
     const machine = this.#machines.get(order.machine);
     if (machine === undefined) return { type: 'invalid', reason: 'no such machine' };
     if (order.token < machine.token) return { type: 'fenced' };
--- a/src/emulator/NodeCluster.ts
+++ b/src/emulator/NodeCluster.ts
@@ -1,5 +1,5 @@
 import { ActorScope } from '../actor/mod.js';
-import { OwnerRecord } from '../book/mod.js';
+import { BookKey, MachineOrders, OwnerRecord } from '../book/mod.js';
 import { SystemClock } from '../clock/mod.js';
 import { EmulatedDecoder } from './EmulatedDecoder.js';
 import { EmulatedFleet, type EmulatedFleetOptions } from './EmulatedFleet.js';
@@ -20,7 +20,10 @@
 }
 
 /** Options of a cluster. */
-export interface NodeClusterOptions extends Pick<EmulatedFleetOptions, 'script' | 'drawFault'> {
+export interface NodeClusterOptions extends Pick<
+  EmulatedFleetOptions,
+  'script' | 'drawFault' | 'onMachineOrder'
+> {
   nodes: number;
   machines: number;
 }
@@ -156,6 +159,13 @@
     return OwnerRecord.parse(JSON.parse(record.value.toString('utf8'))).node;
   }
 
+  /** Lists the machines that a new owner would leave alone for a while. */
+  listOrderedMachines(): readonly string[] {
+    const records = this.store.listNewest('work');
+    const value = records.find(({ key }) => key === BookKey.machineOrders)?.value;
+    return value === undefined ? [] : MachineOrders.parse(JSON.parse(String(value))).machines;
+  }
+
   /** Asks for a wave as the operator does. */
   orderWave(order: WaveOrder): void {
     this.store.write('operator', `wave/${order.wave}`, JSON.stringify({ type: 'wave', order }));
--- a/src/node/Candidate.ts
+++ b/src/node/Candidate.ts
@@ -176,6 +176,7 @@
         isFirst: before === undefined,
         isHandover: before?.isReleased ?? false,
         sequence: this.#sequence,
+        orderedMachines: book.orderedMachines,
       },
       jobs: [...book.jobs],
       waves: book.waves,
--- a/src/node/Node.test.ts
+++ b/src/node/Node.test.ts
@@ -124,6 +124,25 @@
       assert.ok(lives.every((id) => !['host-1', 'host-2', 'host-3'].includes(id ?? '')));
     }));
 
+  // Guards against a successor that gives orders about a machine right after the owner before.
+  it('records which machines it orders away before it does so', async () => {
+    const unrecorded: string[] = [];
+    let ordered = 0;
+    let cluster: NodeCluster | undefined;
+    const onMachineOrder = ({ machine }: { machine: string }): void => {
+      ordered += 1;
+      if (cluster?.listOrderedMachines().includes(machine) !== true) unrecorded.push(machine);
+    };
+    await withCluster({ onMachineOrder }, async (opened) => {
+      cluster = opened;
+      const machines = opened.fleet.listMachines().map(({ name }) => name);
+      opened.orderWave({ wave: 1, machines, durationMs: 6_000, cap: 2 });
+      await waitFor('the wave', () => opened.store.findWaveState(1) === 'completed');
+    });
+    assert.ok(ordered >= 3);
+    assert.deepEqual(unrecorded, []);
+  });
+
   it('reads on when the store has forgotten its history', () =>
     withCluster({}, async (cluster) => {
       await cluster.submit('node-0', 'a', STEPS);
--- a/src/node/ShardOwner.ts
+++ b/src/node/ShardOwner.ts
@@ -48,8 +48,13 @@
   /** Ends that each host had reported when the append was made. */
   ends: [ManagedHost, number][];
   isRelease: boolean;
+  /** Orders about machines that the append has recorded; they are sent now. */
+  machineOrders: MachineCommand[];
 }
 
+/** An order about a machine. */
+type MachineCommand = Extract<ShardCommand, { type: 'move' | 'maintain' }>;
+
 /** What an owner starts with. */
 export interface ShardOwnerOptions {
   takeover: Takeover;
@@ -94,6 +99,9 @@
 
   #isFlushing = false;
 
+  /** Orders about machines that are not yet recorded, and so not yet sent. */
+  #unrecorded: MachineCommand[] = [];
+
   #isReadingMachines = false;
 
   #machinesReadAt = -Infinity;
@@ -217,8 +225,12 @@
     this.#scheduleFlush();
   }
 
+  get #hasUnwritten(): boolean {
+    return this.#shard.hasDirty || this.#unrecorded.length > 0;
+  }
+
   #scheduleFlush(): void {
-    if (this.#isFlushing || !this.#shard.hasDirty || this.isClosed) return;
+    if (this.#isFlushing || !this.#hasUnwritten || this.isClosed) return;
     this.#isFlushing = true;
     setTimeout(() => this.send({ type: 'flush' }), FLUSH_DELAY_MS);
   }
@@ -255,14 +267,9 @@
         break;
       }
       case 'move':
-        this.#orderMachine({ machine: command.machine }, (order) =>
-          this.#parts.machines.moveMachine(order, command.pool),
-        );
-        break;
       case 'maintain':
-        this.#orderMachine(command.order, (order) =>
-          this.#parts.machines.maintainMachine(order, command.order.wave),
-        );
+        // A successor has to know of the order before the machine does.
+        this.#unrecorded.push(command);
         break;
       case 'publish-wave':
         this.#publishWave(command.wave, command.state);
@@ -302,6 +309,18 @@
     });
   }
 
+  #sendMachineCommand(command: MachineCommand): void {
+    if (command.type === 'move') {
+      this.#orderMachine({ machine: command.machine }, (order) =>
+        this.#parts.machines.moveMachine(order, command.pool),
+      );
+      return;
+    }
+    this.#orderMachine(command.order, (order) =>
+      this.#parts.machines.maintainMachine(order, command.order.wave),
+    );
+  }
+
   #orderMachine(
     subject: { machine: string; wave?: number },
     send: (order: { machine: string; holder: string; token: number }) => Promise<MachineAnswer>,
@@ -311,6 +330,7 @@
       holder: this.#parts.settings.name,
       token: this.token,
     };
+    this.#shard.reportMachineOrder(subject.machine);
     send(order).then(
       (answer) => this.#sendSettle((shard) => shard.reportMachine(subject, answer)),
       (error: unknown) => {
@@ -472,9 +492,10 @@
     const now = this.#parts.clock.readMonotonic();
     const isRelease = this.#release !== undefined;
     const isBeatDue = now - this.#writtenAt >= this.#parts.settings.ownerBeatMs;
-    if (!this.#shard.hasDirty && !isBeatDue && !isRelease) return;
+    if (!this.#hasUnwritten && !isBeatDue && !isRelease) return;
     const jobs = this.#shard.takeDirty();
     const waves = this.#shard.takeDirtyWaves();
+    const machineOrders = this.#unrecorded.splice(0);
     const ends = [...this.#watches.keys()]
       .filter((host) => host.processedEnd > host.acknowledgedEnd)
       .map((host): [ManagedHost, number] => [host, host.processedEnd]);
@@ -487,6 +508,7 @@
         key: BookKey.wave(wave),
         value: JSON.stringify(record),
       })),
+      ...(machineOrders.length === 0 ? [] : [this.#describeMachineOrders()]),
       ...this.#collectRemovals(),
     ];
     if (isBeatDue || isRelease || records.length === 0)
@@ -495,10 +517,19 @@
     this.#writer
       .append(records)
       .then((result) =>
-        this.send({ type: 'written', result, batch: { jobs, waves, ends, isRelease } }),
+        this.send({
+          type: 'written',
+          result,
+          batch: { jobs, waves, ends, isRelease, machineOrders },
+        }),
       );
   }
 
+  #describeMachineOrders(): KeyedValue {
+    const machines = this.#shard.listOrderedMachines();
+    return { key: BookKey.machineOrders, value: JSON.stringify({ machines }) };
+  }
+
   #describeOwner(isReleased: boolean): KeyedValue {
     return {
       key: BookKey.owner,
@@ -528,6 +559,7 @@
       return;
     }
     this.#writtenAt = this.#parts.clock.readMonotonic();
+    if (!batch.isRelease) batch.machineOrders.forEach((one) => this.#sendMachineCommand(one));
     batch.jobs.forEach(({ id, endedAtMs }) => {
       if (endedAtMs !== undefined) this.#finished.push({ id, endedAtMs });
     });
--- a/src/schedule/MachinePlanner.test.ts
+++ b/src/schedule/MachinePlanner.test.ts
@@ -61,4 +61,21 @@
     rig.clock.increase(50);
     assert.deepEqual(listMoved(rig.plan()), []);
   });
+
+  // Guards against a new owner that brings no hosts for seconds, while every queue has a turn of few.
+  it('leaves alone only the machines that the owner before may have ordered', () => {
+    const rig = openPressed({
+      token: 2,
+      claimOffset: 500,
+      isFirst: false,
+      orderedMachines: ['s1'],
+    });
+    assert.deepEqual(listMoved(rig.plan()), ['s2']);
+    rig.clock.increase(2_900);
+    rig.report('h1');
+    assert.deepEqual(listMoved(rig.plan()), []);
+    rig.clock.increase(200);
+    rig.report('h1');
+    assert.deepEqual(listMoved(rig.plan()), ['s1']);
+  });
 });
--- a/src/schedule/MachinePlanner.ts
+++ b/src/schedule/MachinePlanner.ts
@@ -6,6 +6,7 @@
 import type { ManagedHost } from './ManagedHost.js';
 import type { PoolLoad } from './PoolLoad.js';
 import type { PoolSizing, PoolView } from './PoolSizing.js';
+import type { RecentOrders } from './RecentOrders.js';
 import type { RunLedger } from './RunLedger.js';
 import type { ShardOptions } from './ShardOptions.js';
 import type { ShardOutput } from './ShardCommand.js';
@@ -25,8 +26,7 @@
   ledger: RunLedger;
   load: PoolLoad;
   output: ShardOutput;
-  /** Steady time from which the owner may give orders about machines. */
-  ordersFrom: number;
+  orders: RecentOrders;
   sizing?: PoolSizing;
 }
 
@@ -48,7 +48,7 @@
 
   readonly #output: ShardOutput;
 
-  readonly #ordersFrom: number;
+  readonly #orders: RecentOrders;
 
   readonly #sizing: PoolSizing;
 
@@ -71,7 +71,7 @@
     this.#ledger = parts.ledger;
     this.#load = parts.load;
     this.#output = parts.output;
-    this.#ordersFrom = parts.ordersFrom;
+    this.#orders = parts.orders;
     this.#sizing = parts.sizing ?? new IdleHostLending(options);
   }
 
@@ -105,7 +105,7 @@
 
   /** Plans the maintenance of all waves. */
   planUpkeep(now: number, nowWallMs: number, pools: ReadonlyMap<string, PoolRule>): void {
-    if (now < this.#ordersFrom || this.#openWaves.size === 0) return;
+    if (this.#openWaves.size === 0) return;
     if (this.#hosts.machinesReadAt === -Infinity) return;
     const backlogs = this.#load.computeBacklogs(now, pools);
     const hosts = this.#hosts.collectByMachine();
@@ -113,7 +113,7 @@
       now,
       nowWallMs,
       machines: this.#hosts.machines,
-      isMoving: (machine) => this.#moves.has(machine),
+      isMoving: (machine) => this.#moves.has(machine) || !this.#orders.isFree(machine, now),
       machinesReadAt: this.#hosts.machinesReadAt,
       hosts,
       isStandby: (pool) => pools.get(pool)?.isStandby ?? false,
@@ -123,6 +123,7 @@
     plan.orders.forEach((order) => {
       const host = hosts.get(order.machine);
       if (host !== undefined) host.isLeaving = true;
+      this.#orders.report(order.machine, now);
       this.#output.send({ type: 'maintain', order });
     });
     plan.completed.forEach((wave) => {
@@ -134,13 +135,14 @@
 
   /** Plans moves between pools. */
   planMoves(now: number, pools: ReadonlyMap<string, PoolRule>): void {
-    if (now < this.#ordersFrom || this.#hosts.machinesReadAt === -Infinity) return;
+    if (this.#hosts.machinesReadAt === -Infinity) return;
     this.#closeMoves(now);
     const hosts = this.#hosts.collectByMachine();
     this.#sizing.plan(this.#describePools(now, pools, hosts)).forEach(({ machine, to }) => {
       const host = hosts.get(machine);
       if (host !== undefined) host.isLeaving = true;
       this.#moves.set(machine, { pool: to, orderedAt: now, isAnswered: false });
+      this.#orders.report(machine, now);
       this.#output.send({ type: 'move', machine, pool: to });
     });
   }
@@ -224,6 +226,7 @@
   #isMovable(machine: string, now: number): boolean {
     return (
       !this.#moves.has(machine) &&
+      this.#orders.isFree(machine, now) &&
       !this.#upkeep.isUnderway(machine) &&
       (this.#refusedUntil.get(machine) ?? 0) <= now &&
       this.#hosts.machines.get(machine)?.state === 'up'
--- a/src/schedule/Shard.ts
+++ b/src/schedule/Shard.ts
@@ -24,6 +24,7 @@
 import { PackingPlacement } from './PackingPlacement.js';
 import type { PlacementPolicy } from './PlacementPolicy.js';
 import { PoolLoad } from './PoolLoad.js';
+import { RecentOrders } from './RecentOrders.js';
 import type { Run } from './Run.js';
 import { RunLedger, type LedgerResult, type OrderOutcome } from './RunLedger.js';
 import { RunTimeEstimator } from './RunTimeEstimator.js';
@@ -49,6 +50,8 @@
   isHandover: boolean;
   /** Sequence number of the claim in the store; the owner's appends follow it. */
   sequence: number;
+  /** Machines about which earlier owners may have given orders a short while ago. */
+  orderedMachines: readonly string[];
 }
 
 /** Parts of a shard that tests replace. */
@@ -95,6 +98,8 @@
 
   readonly #machines: MachinePlanner;
 
+  readonly #orders: RecentOrders;
+
   readonly #load: PoolLoad;
 
   #isDetached = false;
@@ -120,12 +125,17 @@
       clock: this.#clock,
     });
     this.#load = new PoolLoad(this.#jobs, this.#hosts, this.#estimator);
+    this.#orders = new RecentOrders({
+      leaseMs: options.machineLeaseMs,
+      inherited: takeover.orderedMachines,
+      startedAt: this.#startedAt,
+    });
     this.#machines = new MachinePlanner(options, {
       hosts: this.#hosts,
       ledger: this.#ledger,
       load: this.#load,
       output: this.#output,
-      ordersFrom: takeover.isFirst ? this.#startedAt : this.#startedAt + options.machineLeaseMs,
+      orders: this.#orders,
     });
   }
 
@@ -337,6 +347,16 @@
     return this.#machines.takeDirtyWaves();
   }
 
+  /** Records that an order about a machine has just been sent. */
+  reportMachineOrder(machine: string): void {
+    this.#orders.report(machine, this.#now);
+  }
+
+  /** Lists the machines that a successor has to leave alone for a while. */
+  listOrderedMachines(): string[] {
+    return this.#orders.list(this.#now);
+  }
+
   get #now(): number {
     return this.#clock.readMonotonic();
   }
