--- a/src/schedule/MachinePlanner.ts
+++ b/src/schedule/MachinePlanner.ts
@@ -20,6 +20,11 @@
 /** A machine that the provider refused to move is left alone for this time, in ms. */
 const REFUSED_PAUSE_MS = 1_000;
 
+/** A pool under pressure is logged at most once in this time, in ms. */
+const PRESSURE_LOG_MS = 1_000;
+/** Backlog of a pool in ms from which its state is logged. */
+const LOGGED_BACKLOG_MS = 500;
+
 /** Collaborators of a machine planner. */
 export interface MachinePlannerParts {
   hosts: HostTable;
@@ -59,6 +64,8 @@
   /** Steady time until which a machine is not moved, since the provider refused it. */
   readonly #refusedUntil = new Map<string, number>();
 
+  readonly #pressureLoggedAt = new Map<string, number>();
+
   readonly #emptyingSince = new Map<string, number>();
 
   readonly dirtyWaves = new Set<number>();
@@ -138,7 +145,9 @@
     if (this.#hosts.machinesReadAt === -Infinity) return;
     this.#closeMoves(now);
     const hosts = this.#hosts.collectByMachine();
-    this.#sizing.plan(this.#describePools(now, pools, hosts)).forEach(({ machine, to }) => {
+    const views = this.#describePools(now, pools, hosts);
+    views.forEach((view) => this.#logPressure(view, now));
+    this.#sizing.plan(views).forEach(({ machine, to }) => {
       const host = hosts.get(machine);
       if (host !== undefined) host.isLeaving = true;
       this.#moves.set(machine, { pool: to, orderedAt: now, isAnswered: false });
@@ -223,6 +232,18 @@
     });
   }
 
+  /** Logs the state of a pool whose work waits, for the question why a job was late. */
+  #logPressure({ name, backlogMs, idle, ...inputs }: PoolView, now: number): void {
+    if (backlogMs < LOGGED_BACKLOG_MS) return;
+    if (now - (this.#pressureLoggedAt.get(name) ?? -Infinity) < PRESSURE_LOG_MS) return;
+    this.#pressureLoggedAt.set(name, now);
+    this.#output.record({
+      decision: 'pool-pressed',
+      subject: name,
+      inputs: { ...inputs, backlogMs, idle: idle.length },
+    });
+  }
+
   #isMovable(machine: string, now: number): boolean {
     return (
       !this.#moves.has(machine) &&
