--- a/src/book/BookRecord.ts
+++ b/src/book/BookRecord.ts
@@ -79,7 +79,9 @@
 export type WaveRecord = z.infer<typeof WaveRecord>;
 
 /** The machines about which the owner has given orders a short while ago, under `machine-orders`. */
-export const MachineOrders = z.object({ machines: z.array(z.string()) });
+export const MachineOrders = z.object({
+  orders: z.array(z.object({ machine: z.string(), ageMs: z.number().nonnegative() })),
+});
 export type MachineOrders = z.infer<typeof MachineOrders>;
 
 /** Keys of the work log. */
--- a/src/book/JobBook.ts
+++ b/src/book/JobBook.ts
@@ -63,7 +63,7 @@
 
   #owner: OwnerRecord | undefined;
 
-  #orderedMachines: readonly string[] = [];
+  #machineOrders: MachineOrders['orders'] = [];
 
   get owner(): OwnerRecord | undefined {
     return this.#owner;
@@ -77,9 +77,9 @@
     return this.#waves;
   }
 
-  /** Machines about which the owner may have given orders a short while ago. */
-  get orderedMachines(): readonly string[] {
-    return this.#orderedMachines;
+  /** Orders about machines that the owner may have given; their ages are those of the record. */
+  get machineOrders(): MachineOrders['orders'] {
+    return this.#machineOrders;
   }
 
   get jobs(): IterableIterator<BookedJob> {
@@ -211,7 +211,7 @@
   #applyMachineOrders(record: StoreRecord): BookChange {
     const decoded = JobBook.#decode(MachineOrders, record);
     if ('reason' in decoded) return decoded;
-    this.#orderedMachines = decoded.value.machines;
+    this.#machineOrders = decoded.value.orders;
     return { type: 'machine-orders' };
   }
 
--- a/src/emulator/NodeCluster.ts
+++ b/src/emulator/NodeCluster.ts
@@ -163,7 +163,8 @@
   listOrderedMachines(): readonly string[] {
     const records = this.store.listNewest('work');
     const value = records.find(({ key }) => key === BookKey.machineOrders)?.value;
-    return value === undefined ? [] : MachineOrders.parse(JSON.parse(String(value))).machines;
+    if (value === undefined) return [];
+    return MachineOrders.parse(JSON.parse(String(value))).orders.map(({ machine }) => machine);
   }
 
   /** Asks for a wave as the operator does. */
--- a/src/node/Candidate.ts
+++ b/src/node/Candidate.ts
@@ -176,7 +176,7 @@
         isFirst: before === undefined,
         isHandover: before?.isReleased ?? false,
         sequence: this.#sequence,
-        orderedMachines: book.orderedMachines,
+        machineOrders: book.machineOrders,
       },
       jobs: [...book.jobs],
       waves: book.waves,
--- a/src/node/ShardOwner.ts
+++ b/src/node/ShardOwner.ts
@@ -28,6 +28,9 @@
 /** Pause in ms between reads of the list of machines while it is needed. */
 const MACHINES_PAUSE_MS = 600;
 
+/** The ages of orders about machines are recorded anew after this time in ms. */
+const ORDERS_REFRESH_MS = 500;
+
 /** Messages of the owner of a shard. */
 export type ShardOwnerMessage =
   | { type: 'tick' }
@@ -102,6 +105,11 @@
   /** Orders about machines that are not yet recorded, and so not yet sent. */
   #unrecorded: MachineCommand[] = [];
 
+  /** When the orders about machines were last recorded, and whether there were any. */
+  #ordersDescribedAt = -Infinity;
+
+  #hasDescribedOrders = true;
+
   #isReadingMachines = false;
 
   #machinesReadAt = -Infinity;
@@ -508,26 +516,29 @@
         key: BookKey.wave(wave),
         value: JSON.stringify(record),
       })),
-      ...(machineOrders.length === 0 ? [] : [this.#describeMachineOrders()]),
+      ...this.#describeMachineOrders(now, machineOrders.length > 0),
       ...this.#collectRemovals(),
     ];
     if (isBeatDue || isRelease || records.length === 0)
       records.push(this.#describeOwner(isRelease));
     this.#isWriting = true;
-    this.#writer
-      .append(records)
-      .then((result) =>
-        this.send({
-          type: 'written',
-          result,
-          batch: { jobs, waves, ends, isRelease, machineOrders },
-        }),
-      );
+    this.#writer.append(records).then((result) =>
+      this.send({
+        type: 'written',
+        result,
+        batch: { jobs, waves, ends, isRelease, machineOrders },
+      }),
+    );
   }
 
-  #describeMachineOrders(): KeyedValue {
-    const machines = this.#shard.listOrderedMachines();
-    return { key: BookKey.machineOrders, value: JSON.stringify({ machines }) };
+  /** Describes the orders about machines anew when there are more, or when their ages are old. */
+  #describeMachineOrders(now: number, hasNew: boolean): KeyedValue[] {
+    const isOld = now - this.#ordersDescribedAt >= ORDERS_REFRESH_MS;
+    if (!hasNew && (!isOld || !this.#hasDescribedOrders)) return [];
+    const orders = this.#shard.listMachineOrders();
+    this.#ordersDescribedAt = now;
+    this.#hasDescribedOrders = orders.length > 0;
+    return [{ key: BookKey.machineOrders, value: JSON.stringify({ orders }) }];
   }
 
   #describeOwner(isReleased: boolean): KeyedValue {
--- a/src/schedule/RecentOrders.ts
+++ b/src/schedule/RecentOrders.ts
@@ -1,64 +1,68 @@
-/**
- * Orders are remembered this much longer than the pause between holders, in ms: the longest time in
- * which a call about a machine is answered.
- */
-const ORDER_TIMEOUT_MS = 2_000;
+/** An order about a machine that a successor has to know of. */
+export interface RecentOrder {
+  machine: string;
+  /** Time in ms since the order was given, at least. */
+  ageMs: number;
+}
 
 /** Orders that earlier owners may have given, and the pause that has to follow them. */
 export interface RecentOrdersOptions {
   /** Pause between orders of two holders about one machine, in ms. */
   leaseMs: number;
-  /** Machines that earlier owners may have given orders about. */
-  inherited: readonly string[];
+  /** Orders that earlier owners may have given. */
+  inherited: readonly RecentOrder[];
   /** Steady time of the takeover in ms. */
   startedAt: number;
 }
 
 /**
- * The machines about which orders were given a short while ago, by this owner or by earlier ones.
+ * The orders about machines of a short while ago, of this owner and of earlier ones.
  *
- * The owner records them before it sends an order, so that a successor has to leave alone only these
- * machines, and not all of them, until the pause between two holders has passed.
+ * The owner records them before it gives an order, so that a successor has to leave alone only these
+ * machines, and not all of them, until the pause between two holders has passed. Ages are recorded
+ * in place of times, since the clocks of two nodes may differ.
  *
  * @example
  * ```ts
- * const orders = new RecentOrders({ leaseMs: 3_000, inherited: ['m-1'], startedAt: 0 });
- * orders.isFree('m-1', 1_000); // false
- * orders.isFree('m-2', 1_000); // true
+ * const inherited = [{ machine: 'm-1', ageMs: 500 }];
+ * const orders = new RecentOrders({ leaseMs: 3_000, inherited, startedAt: 0 });
+ * orders.isFree('m-1', 2_000); // false
+ * orders.isFree('m-1', 2_500); // true
  * ```
  */
 export class RecentOrders {
-  readonly #options: RecentOrdersOptions;
+  readonly #leaseMs: number;
 
-  readonly #inherited: ReadonlySet<string>;
+  /** Steady time in ms until which a machine belongs to an earlier owner. */
+  readonly #inheritedUntil = new Map<string, number>();
 
-  /** Steady time of the last order of this owner, by machine. */
-  readonly #own = new Map<string, number>();
+  /** Steady time in ms of the last order about a machine, of this owner or an earlier one. */
+  readonly #orderedAt = new Map<string, number>();
 
-  constructor(options: RecentOrdersOptions) {
-    this.#options = options;
-    this.#inherited = new Set(options.inherited);
+  constructor({ leaseMs, inherited, startedAt }: RecentOrdersOptions) {
+    this.#leaseMs = leaseMs;
+    inherited.forEach(({ machine, ageMs }) => {
+      this.#inheritedUntil.set(machine, startedAt - ageMs + leaseMs);
+      this.#orderedAt.set(machine, startedAt - ageMs);
+    });
   }
 
   /** Checks whether this owner may give orders about a machine. */
   isFree(machine: string, now: number): boolean {
-    const { startedAt, leaseMs } = this.#options;
-    return !this.#inherited.has(machine) || now >= startedAt + leaseMs;
+    return now >= (this.#inheritedUntil.get(machine) ?? -Infinity);
   }
 
-  /** Records that an order is about to be given, or has just been sent. */
+  /** Records that an order is about to be given, was sent, or was not answered. */
   report(machine: string, now: number): void {
-    this.#own.set(machine, now);
+    this.#orderedAt.set(machine, now);
   }
 
-  /** Lists the machines that a successor has to leave alone for a while. */
-  list(now: number): string[] {
-    const { startedAt, leaseMs } = this.#options;
-    const since = now - leaseMs - ORDER_TIMEOUT_MS;
-    this.#own.forEach((orderedAt, machine) => {
-      if (orderedAt < since) this.#own.delete(machine);
-    });
-    const inherited = startedAt < since ? [] : this.#inherited;
-    return [...new Set([...inherited, ...this.#own.keys()])];
+  /** Lists the orders that a successor has to know of. */
+  list(now: number): RecentOrder[] {
+    const orders = [...this.#orderedAt].map(([machine, at]) => ({ machine, ageMs: now - at }));
+    orders
+      .filter(({ ageMs }) => ageMs >= this.#leaseMs)
+      .forEach(({ machine }) => this.#orderedAt.delete(machine));
+    return orders.filter(({ ageMs }) => ageMs < this.#leaseMs);
   }
 }
--- a/src/schedule/Shard.ts
+++ b/src/schedule/Shard.ts
@@ -24,7 +24,7 @@
 import { PackingPlacement } from './PackingPlacement.js';
 import type { PlacementPolicy } from './PlacementPolicy.js';
 import { PoolLoad } from './PoolLoad.js';
-import { RecentOrders } from './RecentOrders.js';
+import { RecentOrders, type RecentOrder } from './RecentOrders.js';
 import type { Run } from './Run.js';
 import { RunLedger, type LedgerResult, type OrderOutcome } from './RunLedger.js';
 import { RunTimeEstimator } from './RunTimeEstimator.js';
@@ -50,8 +50,8 @@
   isHandover: boolean;
   /** Sequence number of the claim in the store; the owner's appends follow it. */
   sequence: number;
-  /** Machines about which earlier owners may have given orders a short while ago. */
-  orderedMachines: readonly string[];
+  /** Orders about machines that earlier owners may have given a short while ago. */
+  machineOrders: readonly RecentOrder[];
 }
 
 /** Parts of a shard that tests replace. */
@@ -127,7 +127,7 @@
     this.#load = new PoolLoad(this.#jobs, this.#hosts, this.#estimator);
     this.#orders = new RecentOrders({
       leaseMs: options.machineLeaseMs,
-      inherited: takeover.orderedMachines,
+      inherited: takeover.machineOrders,
       startedAt: this.#startedAt,
     });
     this.#machines = new MachinePlanner(options, {
@@ -290,6 +290,8 @@
     order: { machine: string; wave?: number },
     answer: MachineAnswer | { type: 'unanswered' },
   ): LedgerResult {
+    // Without an answer the order may be carried out now.
+    if (answer.type === 'unanswered') this.reportMachineOrder(order.machine);
     const ended = this.#machines.reportAnswer(order, answer, this.#now);
     if (ended !== undefined) this.#endLife(ended, 'machine-ordered', this.#now);
     return answer.type === 'fenced' ? 'fenced' : 'ok';
@@ -347,13 +349,13 @@
     return this.#machines.takeDirtyWaves();
   }
 
-  /** Records that an order about a machine has just been sent. */
+  /** Records that an order about a machine was sent just now. */
   reportMachineOrder(machine: string): void {
     this.#orders.report(machine, this.#now);
   }
 
-  /** Lists the machines that a successor has to leave alone for a while. */
-  listOrderedMachines(): string[] {
+  /** Lists the orders about machines that a successor has to know of. */
+  listMachineOrders(): RecentOrder[] {
     return this.#orders.list(this.#now);
   }
 
--- a/src/testing/ScheduleRig.ts
+++ b/src/testing/ScheduleRig.ts
@@ -65,7 +65,7 @@
   isFirst: true,
   isHandover: false,
   sequence: 0,
-  orderedMachines: [],
+  machineOrders: [],
 };
 
 /** A shard with a clock that the test moves, and hosts that do what the test says. */
