Let late jobs hold no hosts that a pool with work in time needs

Cause: a pool lent hosts only when nothing waited in it. Change: waiting work is split into what can be in time and what cannot (Punctuality, also used by the order of work). Pools without timely work lend idle hosts; while a pool with timely work is short of hosts, late jobs elsewhere start only on hosts that are not moved anyway (lasting tasks run there, or they are kept). Tests: IdleHostLending 'lets a pool with late jobs only release hosts', MachinePlanner 'lets late jobs take only hosts that stay' (fails with the restriction taken out).

--- a/src/schedule/IdleHostLending.test.ts
+++ b/src/schedule/IdleHostLending.test.ts
@@ -12,6 +12,8 @@
     size: 3,
     incoming: 0,
     waitingHosts: 0,
+    // Waiting work is in time unless a test says otherwise.
+    timelyHosts: fields.waitingHosts ?? 0,
     risingHosts: 0,
     backlogMs: 0,
     idle: [],
@@ -21,7 +23,7 @@
 
 describe('IdleHostLending', () => {
   it('brings standby hosts first and idle hosts of other pools next to a pressed pool', () => {
-    const moves = LENDING.plan([
+    const { moves } = LENDING.plan([
       buildPool('pressed', { waitingHosts: 2.5, backlogMs: 1_000 }),
       buildPool('quiet', {
         idle: [
@@ -39,7 +41,7 @@
   });
 
   it('counts hosts that are on their way, and leaves each lender the hosts to keep', () => {
-    const moves = LENDING.plan([
+    const { moves } = LENDING.plan([
       buildPool('pressed', { waitingHosts: 2, incoming: 1, backlogMs: 1_000 }),
       buildPool('quiet', { size: 1, idle: [{ machine: 'q1', idleMs: 200 }] }),
     ]);
@@ -47,7 +49,7 @@
   });
 
   it('moves nothing for work that is done before a move is', () => {
-    const moves = LENDING.plan([
+    const { moves } = LENDING.plan([
       buildPool('brief', { waitingHosts: 1, backlogMs: 100 }),
       buildPool('quiet', { idle: [{ machine: 'q1', idleMs: 200 }] }),
     ]);
@@ -55,7 +57,7 @@
   });
 
   it('moves hosts for arriving work before a backlog has built up', () => {
-    const moves = LENDING.plan([
+    const { moves } = LENDING.plan([
       buildPool('rising', { risingHosts: 1.2 }),
       buildPool('spare', {
         isStandby: true,
@@ -69,7 +71,7 @@
   });
 
   it('parks hosts that stay idle where they cost nothing', () => {
-    const moves = LENDING.plan([
+    const { moves } = LENDING.plan([
       buildPool('quiet', {
         size: 2,
         idle: [
@@ -81,4 +83,21 @@
     ]);
     assert.deepEqual(moves, [{ machine: 'q2', to: 'spare' }]);
   });
+
+  // Guards against late jobs of one queue that keep all hosts while the turn of another begins.
+  it('lets a pool with late jobs only release hosts to one whose jobs can be in time', () => {
+    const late = buildPool('late', {
+      waitingHosts: 9,
+      timelyHosts: 0,
+      backlogMs: 3_000,
+      idle: [{ machine: 'l1', idleMs: 1 }],
+    });
+    const timely = buildPool('timely', { waitingHosts: 3, backlogMs: 800 });
+    const { moves, releasing } = LENDING.plan([late, timely]);
+    assert.deepEqual(moves, [{ machine: 'l1', to: 'timely' }]);
+    assert.deepEqual(releasing, ['late']);
+    // Among pools with late jobs only, none takes hosts from another.
+    const other = { ...timely, timelyHosts: 0 };
+    assert.deepEqual(LENDING.plan([late, other]), { moves: [], releasing: [] });
+  });
 });
--- a/src/schedule/IdleHostLending.ts
+++ b/src/schedule/IdleHostLending.ts
@@ -1,4 +1,10 @@
-import { PoolSizing, type MovableHost, type PoolMove, type PoolView } from './PoolSizing.js';
+import {
+  PoolSizing,
+  type MovableHost,
+  type PoolMove,
+  type PoolView,
+  type SizingPlan,
+} from './PoolSizing.js';
 
 /** A rise below this many hosts is left to the backlog rule, since arrivals vary by chance. */
 const MIN_RISE_HOSTS = 0.5;
@@ -19,7 +25,9 @@
  *
  * It answers queues that rise by turns to several times the capacity of their pool for some
  * seconds: the hosts follow the load. A standby host goes first, then hosts of pools without
- * waiting work, the longest idle first.
+ * waiting work that can be in time, the longest idle first. Where these are too few, pools in which
+ * only late jobs wait release hosts: a job that is late already loses little by waiting on, while
+ * one that can be in time loses nearly all.
  */
 export class IdleHostLending extends PoolSizing {
   readonly #options: IdleHostLendingOptions;
@@ -29,13 +37,17 @@
     this.#options = options;
   }
 
-  override plan(pools: readonly PoolView[]): PoolMove[] {
+  override plan(pools: readonly PoolView[]): SizingPlan {
     const moves: PoolMove[] = [];
+    const short = new Set<string>();
     const taken = new Set<string>();
     const standby = pools.filter(({ isStandby }) => isStandby);
     const serving = pools.filter(({ isStandby }) => !isStandby);
-    [...serving]
-      .filter((pool) => this.#isPressed(pool))
+    const pressed = serving.filter((pool) => this.#isPressed(pool));
+    const isTimelyPressed = pressed.some((pool) => IdleHostLending.#hasTimely(pool));
+    pressed
+      // Late jobs borrow no hosts while jobs that can be in time need them.
+      .filter((pool) => !isTimelyPressed || IdleHostLending.#hasTimely(pool))
       .sort((one, other) => other.backlogMs - one.backlogMs)
       .forEach((pool) => {
         const waiting = pool.backlogMs > this.#options.borrowAboveMs ? pool.waitingHosts : 0;
@@ -47,10 +59,19 @@
           taken.add(machine);
           moves.push({ machine, to: pool.name });
         });
+        if (donors.length < needed && IdleHostLending.#hasTimely(pool)) short.add(pool.name);
       });
+    const releasing = serving.filter(
+      (pool) => short.size > 0 && !short.has(pool.name) && !IdleHostLending.#hasTimely(pool),
+    );
     const [park] = standby;
     if (park !== undefined) moves.push(...this.#planParking(serving, park.name, taken));
-    return moves;
+    return { moves, releasing: releasing.map(({ name }) => name) };
+  }
+
+  /** Checks whether a pool has, or is about to get, work that can be in time. */
+  static #hasTimely({ timelyHosts, risingHosts }: PoolView): boolean {
+    return timelyHosts > 0 || risingHosts > 0;
   }
 
   #isPressed({ backlogMs, risingHosts }: PoolView): boolean {
@@ -62,9 +83,11 @@
     standby: readonly PoolView[],
     serving: readonly PoolView[],
   ): string[] {
-    const lenders = serving.filter(
-      (one) => one !== pool && one.waitingHosts === 0 && one.risingHosts === 0,
-    );
+    const isTimely = IdleHostLending.#hasTimely(pool);
+    const lenders = serving.filter((one) => {
+      if (one === pool || IdleHostLending.#hasTimely(one)) return false;
+      return isTimely || one.waitingHosts === 0;
+    });
     const lent = lenders.flatMap((lender) =>
       IdleHostLending.#sortIdle(lender).slice(
         0,
--- a/src/schedule/LeastWorkFirst.ts
+++ b/src/schedule/LeastWorkFirst.ts
@@ -1,4 +1,5 @@
 import { JobOrder, type OrderedStep } from './JobOrder.js';
+import { Punctuality } from './Punctuality.js';
 import type { RunTimeEstimator } from './RunTimeEstimator.js';
 import type { ScheduledStep } from './ScheduledStep.js';
 
@@ -21,9 +22,12 @@
 export class LeastWorkFirst extends JobOrder {
   readonly #estimator: RunTimeEstimator;
 
+  readonly #punctuality: Punctuality;
+
   constructor(estimator: RunTimeEstimator) {
     super();
     this.#estimator = estimator;
+    this.#punctuality = new Punctuality(estimator);
   }
 
   override sort(steps: readonly ScheduledStep[], nowWallMs: number): ScheduledStep[] {
@@ -37,15 +41,10 @@
     const { occurrence } = step;
     const { job } = occurrence;
     const { queue } = job;
-    const from = Math.max(job.booked.submittedAtMs, occurrence.dueWallMs);
-    const due =
-      from + queue.stretch * this.#estimator.estimateWholeChain(job) + queue.latencyTargetMs;
-    const chain = this.#estimator.estimateChain(queue.name, occurrence.steps);
-    const isLate = nowWallMs + chain > due;
     return [
       queue.priority,
       step.spec.isLasting ? 0 : 1,
-      isLate ? 1 : 0,
+      this.#punctuality.isLate(occurrence, nowWallMs) ? 1 : 0,
       job.failures > 0 ? 1 : 0,
       this.#estimator.estimateWork(queue.name, occurrence.steps),
       job.booked.submittedAtMs,
--- a/src/schedule/MachinePlanner.test.ts
+++ b/src/schedule/MachinePlanner.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import type { Machine } from '../port/mod.js';
-import { buildBookedJob, ScheduleRig } from '../testing/ScheduleRig.js';
+import { buildBookedJob, buildQueueRule, ScheduleRig } from '../testing/ScheduleRig.js';
 import type { ShardCommand } from './mod.js';
 
 /** More work than the one host of the pool has room for, so that the pool is pressed. */
@@ -78,4 +78,37 @@
     rig.report('h1');
     assert.deepEqual(listMoved(rig.plan()), ['s1']);
   });
+
+  // Plays the end of one queue's turn and the begin of another's: late jobs wait in the first pool,
+  // jobs that can be in time in the second.
+  it('lets late jobs take only hosts that stay while another pool needs hosts', () => {
+    const other = buildQueueRule({ name: 'scores', pool: 'scores', pathPrefix: '/scores/' });
+    const rig = new ScheduleRig({}, [buildQueueRule(), other]);
+    const hosts = ['h1', 'h2', 'h3', 'h4'];
+    hosts.forEach((id) => rig.addHost(id));
+    rig.addHost('s1', { pool: 'scores' });
+    const machines = [...hosts, 's1'].map((id) =>
+      buildStandby(`machine-of-${id}`, { pool: id === 's1' ? 'scores' : 'studio', hostId: id }),
+    );
+    rig.shard.updateMachines(machines, 1);
+    rig.clock.increase(60_000);
+    [...hosts, 's1'].forEach((id) => rig.report(id));
+    const work = [{ count: 16, cpuMilli: 8_000, estimateMs: 1_000 }];
+    const spread = [{ count: 4, cpuMilli: 1_000, estimateMs: 1_000, maxPerHost: 1 }];
+    // Not an arrival: its turn is over.
+    const lateFields = { submittedAtMs: -100_000, acceptedOffset: 0 };
+    rig.shard.addJob(buildBookedJob('first', spread, lateFields));
+    const first = rig.startAll();
+    assert.equal(new Set(first.map(({ host }) => host.id)).size, 4);
+    const timely = buildBookedJob('timely', work, { queue: 'scores', pool: 'scores' });
+    rig.shard.addJob({ ...timely, submittedAtMs: rig.clock.readWall() });
+    rig.plan();
+    rig.shard.addJob(buildBookedJob('late', work, lateFields));
+    rig.clock.increase(5);
+    const late = rig.startAll().filter(({ task }) => task.startsWith('late.'));
+    const kept = new Set(late.map(({ host }) => host.id));
+    assert.equal(kept.size, 2);
+    first.filter(({ host }) => !kept.has(host.id)).forEach((run) => rig.end(run, 'done'));
+    assert.equal(listMoved(rig.plan()).length, 2);
+  });
 });
--- a/src/schedule/MachinePlanner.ts
+++ b/src/schedule/MachinePlanner.ts
@@ -4,7 +4,7 @@
 import type { HostTable } from './HostTable.js';
 import { IdleHostLending } from './IdleHostLending.js';
 import type { ManagedHost } from './ManagedHost.js';
-import type { PoolLoad } from './PoolLoad.js';
+import type { PoolLoad, WaitingWork } from './PoolLoad.js';
 import type { PoolSizing, PoolView } from './PoolSizing.js';
 import type { RecentOrders } from './RecentOrders.js';
 import type { RunLedger } from './RunLedger.js';
@@ -35,6 +35,14 @@
   sizing?: PoolSizing;
 }
 
+/** What the sizing of pools reads besides the pools. */
+interface MachineView {
+  /** Host that each machine carries. */
+  hosts: ReadonlyMap<string, ManagedHost>;
+  /** Work that waits, by pool. */
+  waiting: ReadonlyMap<string, WaitingWork>;
+}
+
 interface Move {
   pool: string;
   orderedAt: number;
@@ -64,6 +72,9 @@
   /** Steady time until which a machine is not moved, since the provider refused it. */
   readonly #refusedUntil = new Map<string, number>();
 
+  /** Pools that are to release hosts. */
+  #releasing: ReadonlySet<string> = new Set();
+
   readonly #pressureLoggedAt = new Map<string, number>();
 
   readonly #emptyingSince = new Map<string, number>();
@@ -114,7 +125,8 @@
   planUpkeep(now: number, nowWallMs: number, pools: ReadonlyMap<string, PoolRule>): void {
     if (this.#openWaves.size === 0) return;
     if (this.#hosts.machinesReadAt === -Infinity) return;
-    const backlogs = this.#load.computeBacklogs(now, pools);
+    const waiting = this.#load.measureWaiting(nowWallMs);
+    const backlogs = this.#load.computeBacklogs(now, pools, waiting);
     const hosts = this.#hosts.collectByMachine();
     const plan = this.#upkeep.plan({
       now,
@@ -141,13 +153,16 @@
   }
 
   /** Plans moves between pools. */
-  planMoves(now: number, pools: ReadonlyMap<string, PoolRule>): void {
+  planMoves(now: number, nowWallMs: number, pools: ReadonlyMap<string, PoolRule>): void {
     if (this.#hosts.machinesReadAt === -Infinity) return;
     this.#closeMoves(now);
     const hosts = this.#hosts.collectByMachine();
-    const views = this.#describePools(now, pools, hosts);
+    const waiting = this.#load.measureWaiting(nowWallMs);
+    const views = this.#describePools(now, pools, { hosts, waiting });
     views.forEach((view) => this.#logPressure(view, now));
-    this.#sizing.plan(views).forEach(({ machine, to }) => {
+    const { moves, releasing } = this.#sizing.plan(views);
+    this.#releasing = new Set(releasing);
+    moves.forEach(({ machine, to }) => {
       const host = hosts.get(machine);
       if (host !== undefined) host.isLeaving = true;
       this.#moves.set(machine, { pool: to, orderedAt: now, isAnswered: false });
@@ -156,6 +171,20 @@
     });
   }
 
+  /**
+   * Selects the hosts of a pool that late jobs may take: all of them, or while the pool is to release
+   * hosts only those that are not moved anyway.
+   */
+  selectForLate(pool: string, hosts: readonly ManagedHost[]): readonly ManagedHost[] {
+    if (!this.#releasing.has(pool)) return hosts;
+    const isBound = (host: ManagedHost): boolean =>
+      [...host.runs.values()].some(({ unit }) => unit.spec.isLasting);
+    const free = hosts.filter((host) => !isBound(host));
+    const kept = Math.max(0, this.#options.keepHosts - (hosts.length - free.length));
+    const fullest = free.sort((one, other) => other.used.cpuMilli - one.used.cpuMilli);
+    return [...hosts.filter(isBound), ...fullest.slice(0, kept)];
+  }
+
   /** Records an answer; returns the host whose life it ended. */
   reportAnswer(
     { machine, wave }: { machine: string; wave?: number },
@@ -208,10 +237,9 @@
   #describePools(
     now: number,
     pools: ReadonlyMap<string, PoolRule>,
-    hosts: ReadonlyMap<string, ManagedHost>,
+    { hosts, waiting }: MachineView,
   ): PoolView[] {
-    const waiting = this.#load.measureWaiting();
-    const backlogs = this.#load.computeBacklogs(now, pools);
+    const backlogs = this.#load.computeBacklogs(now, pools, waiting);
     return [...pools.values()].map(({ name, isStandby }) => {
       const members = this.#hosts.listPool(name).filter((host) => host.isAvailable(now));
       const idle = isStandby
@@ -225,6 +253,7 @@
         size: members.length,
         incoming: [...this.#moves.values()].filter(({ pool }) => pool === name).length,
         waitingHosts: waiting.get(name)?.hosts ?? 0,
+        timelyHosts: waiting.get(name)?.timelyHosts ?? 0,
         risingHosts: isStandby ? 0 : this.#load.measureRise(name, now),
         backlogMs: backlogs[name] ?? 0,
         idle: idle.filter(({ machine }) => this.#isMovable(machine, now)),
--- a/src/schedule/PoolLoad.ts
+++ b/src/schedule/PoolLoad.ts
@@ -3,6 +3,7 @@
 import { computeRoom } from './computeRoom.js';
 import type { HostTable } from './HostTable.js';
 import type { JobTable } from './JobTable.js';
+import { Punctuality } from './Punctuality.js';
 import type { RunTimeEstimator } from './RunTimeEstimator.js';
 import type { ScheduledJob } from './ScheduledJob.js';
 
@@ -10,11 +11,13 @@
 export interface WaitingWork {
   /** Hosts' worth of room that the waiting tasks would take at once. */
   hosts: number;
+  /** The part of it that belongs to jobs which can still be in time. */
+  timelyHosts: number;
   /** Processor work in thousandths of a core times ms. */
   work: number;
 }
 
-const NOTHING: WaitingWork = { hosts: 0, work: 0 };
+const NOTHING: WaitingWork = { hosts: 0, timelyHosts: 0, work: 0 };
 
 /** Measures how pressed each pool is. */
 export class PoolLoad {
@@ -26,10 +29,13 @@
 
   readonly #arrivals = new ArrivalMeter();
 
+  readonly #punctuality: Punctuality;
+
   constructor(jobs: JobTable, hosts: HostTable, estimator: RunTimeEstimator) {
     this.#jobs = jobs;
     this.#hosts = hosts;
     this.#estimator = estimator;
+    this.#punctuality = new Punctuality(estimator);
   }
 
   /** Records a job that has just been accepted. */
@@ -51,11 +57,12 @@
   }
 
   /** Measures the work that waits in each pool. */
-  measureWaiting(): Map<string, WaitingWork> {
+  measureWaiting(nowWallMs: number): Map<string, WaitingWork> {
     const result = new Map<string, WaitingWork>();
     const size = this.#findLargestHost();
     this.#jobs.listWaiting().forEach((steps, pool) => {
       let hosts = 0;
+      let timelyHosts = 0;
       let work = 0;
       steps.forEach((step) => {
         const tasks = step.units.reduce(
@@ -69,17 +76,21 @@
           size.accelerators > 0 ? room.accelerators / size.accelerators : 0,
         );
         hosts += tasks * share;
+        if (!this.#punctuality.isLate(step.occurrence, nowWallMs)) timelyHosts += tasks * share;
         const { queue } = step.occurrence.job;
         work += tasks * room.cpuMilli * this.#estimator.estimate(queue.name, step.spec);
       });
-      result.set(pool, { hosts, work });
+      result.set(pool, { hosts, timelyHosts, work });
     });
     return result;
   }
 
   /** Computes for each pool how long its hosts need for the work that waits, in ms. */
-  computeBacklogs(now: number, pools: ReadonlyMap<string, PoolRule>): Record<string, number> {
-    const waiting = this.measureWaiting();
+  computeBacklogs(
+    now: number,
+    pools: ReadonlyMap<string, PoolRule>,
+    waiting: ReadonlyMap<string, WaitingWork>,
+  ): Record<string, number> {
     const backlogs: Record<string, number> = {};
     pools.forEach((_, pool) => {
       const { work } = waiting.get(pool) ?? NOTHING;
--- a/src/schedule/PoolSizing.ts
+++ b/src/schedule/PoolSizing.ts
@@ -15,6 +15,8 @@
   incoming: number;
   /** Hosts' worth of room that waiting tasks would take. */
   waitingHosts: number;
+  /** The part of it that belongs to jobs which can still be in time. */
+  timelyHosts: number;
   /** Hosts more than the pool has that the arriving work would keep busy. */
   risingHosts: number;
   /** Time in ms in which the hosts of the pool would finish the work that waits. */
@@ -29,7 +31,14 @@
   to: string;
 }
 
+/** What a sizing decided. */
+export interface SizingPlan {
+  moves: PoolMove[];
+  /** Pools that are to release hosts: late jobs take no host there that could be moved. */
+  releasing: string[];
+}
+
 /** Decides which machines change their pool. */
 export abstract class PoolSizing {
-  abstract plan(pools: readonly PoolView[]): PoolMove[];
+  abstract plan(pools: readonly PoolView[]): SizingPlan;
 }
--- a/src/schedule/Shard.ts
+++ b/src/schedule/Shard.ts
@@ -24,6 +24,7 @@
 import { PackingPlacement } from './PackingPlacement.js';
 import type { PlacementPolicy } from './PlacementPolicy.js';
 import { PoolLoad } from './PoolLoad.js';
+import { Punctuality } from './Punctuality.js';
 import { RecentOrders, type RecentOrder } from './RecentOrders.js';
 import type { Run } from './Run.js';
 import { RunLedger, type LedgerResult, type OrderOutcome } from './RunLedger.js';
@@ -88,6 +89,8 @@
 
   readonly #estimator = new RunTimeEstimator();
 
+  readonly #punctuality = new Punctuality(this.#estimator);
+
   readonly #blame = new HostBlame();
 
   readonly #order: JobOrder;
@@ -332,7 +335,9 @@
     }
     const waiting = this.#jobs.listWaiting();
     waiting.forEach((steps, pool) => this.#planPool(pool, steps, now));
-    if (!this.#isDetached) this.#machines.planMoves(now, this.#pools);
+    if (!this.#isDetached) {
+      this.#machines.planMoves(now, this.#clock.readWall(), this.#pools);
+    }
   }
 
   /** Takes the jobs whose progress has to be recorded. */
@@ -425,12 +430,15 @@
   #planPool(pool: string, steps: readonly ScheduledStep[], now: number): void {
     if (this.#pools.get(pool)?.isStandby === true) return;
     const hosts = this.#hosts.listPool(pool).filter((host) => host.isAvailable(now));
-    const sorted = this.#order.sort(steps, this.#clock.readWall());
+    const nowWallMs = this.#clock.readWall();
+    const hostsForLate = this.#machines.selectForLate(pool, hosts);
+    const sorted = this.#order.sort(steps, nowWallMs);
     sorted.forEach((step) => {
       if (step.occurrence.job.booked.acceptedOffset < this.#takeover.claimOffset) {
         if (this.#isInDoubt(pool)) return;
       }
-      this.#planStep(step, hosts, now);
+      const isLate = this.#punctuality.isLate(step.occurrence, nowWallMs);
+      this.#planStep(step, isLate ? hostsForLate : hosts, now);
     });
   }
 
