--- a/src/schedule/MachinePlanner.ts
+++ b/src/schedule/MachinePlanner.ts
@@ -172,10 +172,10 @@
   }
 
   /**
-   * Selects the hosts of a pool that late jobs may take: all of them, or while the pool is to release
+   * Chooses the hosts of a pool that late jobs may take: all of them, or while the pool is to release
    * hosts only those that are not moved anyway.
    */
-  selectForLate(pool: string, hosts: readonly ManagedHost[]): readonly ManagedHost[] {
+  chooseForLate(pool: string, hosts: readonly ManagedHost[]): readonly ManagedHost[] {
     if (!this.#releasing.has(pool)) return hosts;
     const isBound = (host: ManagedHost): boolean =>
       [...host.runs.values()].some(({ unit }) => unit.spec.isLasting);
--- a/src/schedule/Shard.ts
+++ b/src/schedule/Shard.ts
@@ -431,7 +431,7 @@
     if (this.#pools.get(pool)?.isStandby === true) return;
     const hosts = this.#hosts.listPool(pool).filter((host) => host.isAvailable(now));
     const nowWallMs = this.#clock.readWall();
-    const hostsForLate = this.#machines.selectForLate(pool, hosts);
+    const hostsForLate = this.#machines.chooseForLate(pool, hosts);
     const sorted = this.#order.sort(steps, nowWallMs);
     sorted.forEach((step) => {
       if (step.occurrence.job.booked.acceptedOffset < this.#takeover.claimOffset) {
