--- a/src/node/Candidate.ts
+++ b/src/node/Candidate.ts
@@ -1,5 +1,6 @@
 import { Actor } from '../actor/mod.js';
 import { BookKey, type BookChange, type JobBook } from '../book/mod.js';
+import type { RecentOrder } from '../schedule/mod.js';
 import type { FollowState } from './TopicFollower.js';
 import type { NodeParts } from './NodeParts.js';
 import { OwnerWriter } from './OwnerWriter.js';
@@ -59,6 +60,9 @@
   /** Sequence number of the last claim. */
   #sequence = 0;
 
+  /** Steady time in ms at which the recorded orders about machines were read. */
+  #machineOrdersReadAt = 0;
+
   #isStopping = false;
 
   constructor(parts: NodeParts, options: CandidateOptions) {
@@ -84,6 +88,9 @@
       if (change.type === 'progress' && change.job.progress?.token === book.owner?.token) {
         this.#ownerSeenAt = now;
       }
+      // Only the owner writes these, and an append may carry nothing else.
+      if (change.type === 'wave' || change.type === 'machine-orders') this.#ownerSeenAt = now;
+      if (change.type === 'machine-orders') this.#machineOrdersReadAt = now;
     });
     if (this.#owner !== undefined) this.#owner.send({ type: 'book', changes });
     this.#consider(book, state, now);
@@ -176,7 +183,7 @@
         isFirst: before === undefined,
         isHandover: before?.isReleased ?? false,
         sequence: this.#sequence,
-        machineOrders: book.machineOrders,
+        machineOrders: this.#computeMachineOrders(book),
       },
       jobs: [...book.jobs],
       waves: book.waves,
@@ -186,6 +193,12 @@
     this.#options.onOwning(true);
   }
 
+  /** Computes how old the recorded orders about machines are by now, at least. */
+  #computeMachineOrders(book: JobBook): RecentOrder[] {
+    const sinceRead = this.#parts.clock.readMonotonic() - this.#machineOrdersReadAt;
+    return book.machineOrders.map(({ machine, ageMs }) => ({ machine, ageMs: ageMs + sinceRead }));
+  }
+
   async #releaseShard(): Promise<void> {
     const owner = this.#owner;
     if (owner === undefined) return;
--- a/src/schedule/mod.ts
+++ b/src/schedule/mod.ts
@@ -13,6 +13,7 @@
 export * from './PackingPlacement.js';
 export * from './PlacementPolicy.js';
 export * from './PoolSizing.js';
+export * from './RecentOrders.js';
 export * from './Run.js';
 export * from './RunLedger.js';
 export * from './RunTimeEstimator.js';
