Record starts before they are ordered, so that a successor doubts only what may run where it cannot look

Change: progress records name the runs that are about to start and their hosts; a start is ordered when its record is stored. A successor holds back only tasks that are recorded at a host which has not answered, and jobs that may run without a record. An owner out of contact starts only jobs accepted in its own data centre; while all other nodes confirm that the store is away from them too, it starts all, and they remember that. Ruled out: recording starts afterwards (those of the last moments before the cut stay unknown); a shorter reserve (an owner in the cut data centre goes on for the time of a store outage).

--- a/src/book/BookRecord.ts
+++ b/src/book/BookRecord.ts
@@ -14,6 +14,8 @@
   }),
   /** Wall-clock time of the submission at the accepting node, ms since 1970. */
   submittedAtMs: z.number(),
+  /** Data centre of the accepting node. */
+  dataCentre: z.string().default(''),
   spec: JobSpec,
 });
 export type AcceptedJob = z.infer<typeof AcceptedJob>;
@@ -28,6 +30,8 @@
   done: z.array(z.number().int().nonnegative()),
   /** Task index and the numbers of its failed runs. */
   failed: z.array(z.tuple([z.number(), z.array(z.number())])),
+  /** Task index, number and host of the runs that were started, or were about to be. */
+  started: z.array(z.tuple([z.number(), z.number(), z.string()])).default([]),
 });
 export type StepProgress = z.infer<typeof StepProgress>;
 
@@ -47,6 +51,9 @@
 });
 export type JobProgress = z.infer<typeof JobProgress>;
 
+/** Stands for every data centre, in lists of them. */
+export const ANY_DATA_CENTRE = '*';
+
 /** Who owns the shard, under the key `owner`. */
 export const OwnerRecord = z.object({
   /** Rises by one with each claim; fences all orders of earlier owners. */
@@ -54,6 +61,10 @@
   node: z.string(),
   /** One run of the node's process. */
   session: z.string(),
+  /** Data centre of the owner. */
+  dataCentre: z.string().default(ANY_DATA_CENTRE),
+  /** Data centres of whose jobs earlier owners may have started tasks without a record. */
+  unrecorded: z.array(z.string()).default([ANY_DATA_CENTRE]),
   /** The owner has handed the shard over. */
   isReleased: z.boolean().default(false),
 });
--- a/src/emulator/NodeCluster.ts
+++ b/src/emulator/NodeCluster.ts
@@ -89,7 +89,8 @@
       metrics,
       settings: NodeSettings.parse({
         name,
-        dataCentre: 'dc-1',
+        // Each node stands in a data centre of its own.
+        dataCentre: `dc-of-${name}`,
         stopGraceMs: 2_000,
         retentionMs: 60_000,
         ownerSilenceMs: 500,
@@ -100,6 +101,7 @@
           moveMs: 300,
           machineLeaseMs: 300,
           detachedLimitMs: 2_000,
+          dataCentre: `dc-of-${name}`,
         },
       }),
       store: this.store.connect(name),
--- a/src/node/CallerDesk.ts
+++ b/src/node/CallerDesk.ts
@@ -35,6 +35,8 @@
   keeper: BookKeeper;
   writer: WorkWriter;
   relay: RelayClient;
+  /** See `RelayApi.readContact`. */
+  readContact: (token: number) => boolean;
 }
 
 /** Answers the calls of callers: submit, ask, cancel and count. */
@@ -47,12 +49,15 @@
 
   readonly #relay: RelayClient;
 
+  readonly #readContact: (token: number) => boolean;
+
   #operator: OperatorState | undefined;
 
   #table: QueueTable | undefined;
 
-  constructor(parts: NodeParts, { keeper, writer, relay }: CallerDeskParts) {
+  constructor(parts: NodeParts, { keeper, writer, relay, readContact }: CallerDeskParts) {
     super();
+    this.#readContact = readContact;
     this.#relay = relay;
     this.#parts = parts;
     this.#keeper = keeper;
@@ -102,6 +107,7 @@
         latencyTargetMs: queue.latencyTargetMs,
       },
       submittedAtMs: this.#parts.clock.readWall(),
+      dataCentre: this.#parts.settings.dataCentre,
       spec,
     });
     const outcome = await this.#writeAnyhow(BookKey.job(id), value, patienceMs);
@@ -194,6 +200,11 @@
     );
   }
 
+  /** Tells the owner of a token whether this node is in contact with the store. */
+  override readContact(token: number): boolean {
+    return this.#readContact(token);
+  }
+
   /** Tells another node the state of a job, if the state here is current. */
   override async findState(
     id: string,
--- a/src/node/Candidate.ts
+++ b/src/node/Candidate.ts
@@ -1,5 +1,5 @@
 import { Actor } from '../actor/mod.js';
-import { BookKey, type BookChange, type JobBook } from '../book/mod.js';
+import { ANY_DATA_CENTRE, BookKey, type BookChange, type JobBook } from '../book/mod.js';
 import type { RecentOrder } from '../schedule/mod.js';
 import type { FollowState } from './TopicFollower.js';
 import type { NodeParts } from './NodeParts.js';
@@ -29,6 +29,8 @@
   /** Asks the follower of the work log to read at once, and more often while owning. */
   onOwning: (isOwner: boolean) => void;
   onHurry: () => void;
+  /** Checks whether every other node answers and none is in contact with the store. */
+  isStoreAway: (token: number) => Promise<boolean>;
 }
 
 /**
@@ -60,6 +62,14 @@
   /** Sequence number of the last claim. */
   #sequence = 0;
 
+  /** Token of the owner whose claim this process has read as it came. */
+  #witnessed: number | undefined;
+
+  /** Tokens of owners that may have started tasks without a record, as this node has told them. */
+  readonly #unrecordedTokens = new Set<number>();
+
+  #isInContact = false;
+
   /** Steady time in ms at which the recorded orders about machines were read. */
   #machineOrdersReadAt = 0;
 
@@ -80,9 +90,11 @@
   /** Passes on what was folded. Called in the order of the log. */
   applyBook(changes: readonly BookChange[], book: JobBook, state: FollowState): void {
     const now = this.#parts.clock.readMonotonic();
+    this.#isInContact = state.isInContact;
     changes.forEach((change) => {
       if (change.type === 'owner') {
         this.#ownerSeenAt = now;
+        if (change.isClaim && state.isCurrent) this.#witnessed = change.owner.token;
         if (change.isClaim) this.#handleClaim(change, book);
       }
       if (change.type === 'progress' && change.job.progress?.token === book.owner?.token) {
@@ -96,6 +108,12 @@
     this.#consider(book, state, now);
   }
 
+  /** See `RelayApi.readContact`. */
+  readContact(token: number): boolean {
+    if (!this.#isInContact) this.#unrecordedTokens.add(token);
+    return this.#isInContact;
+  }
+
   /** Passes on what the operator asks for. */
   applyOperator(state: OperatorState): void {
     this.#operator = state;
@@ -150,6 +168,8 @@
         token,
         node: this.#parts.settings.name,
         session: this.#parts.session,
+        dataCentre: this.#parts.settings.dataCentre,
+        unrecorded: this.#computeUnrecorded(book),
       }),
     };
     OwnerWriter.claim(this.#parts, { record, token, sequence: this.#sequence }).then((result) =>
@@ -184,15 +204,28 @@
         isHandover: before?.isReleased ?? false,
         sequence: this.#sequence,
         machineOrders: this.#computeMachineOrders(book),
+        unrecorded: owner.unrecorded,
       },
       jobs: [...book.jobs],
       waves: book.waves,
       operator: this.#operator,
       onLost: () => this.send({ type: 'lost' }),
+      isStoreAway: () => this.#options.isStoreAway(owner.token),
+      onUnrecorded: () => this.#unrecordedTokens.add(owner.token),
     });
     this.#options.onOwning(true);
   }
 
+  /** Computes of which data centres' jobs tasks may have been started without a record. */
+  #computeUnrecorded({ owner }: JobBook): string[] {
+    if (owner === undefined) return [];
+    // An owner that handed the shard over had recorded everything.
+    if (owner.isReleased) return owner.unrecorded;
+    const isKnown = this.#witnessed === owner.token && !this.#unrecordedTokens.has(owner.token);
+    if (!isKnown) return [ANY_DATA_CENTRE];
+    return [...new Set([...owner.unrecorded, owner.dataCentre])];
+  }
+
   /** Computes how old the recorded orders about machines are by now, at least. */
   #computeMachineOrders(book: JobBook): RecentOrder[] {
     const sinceRead = this.#parts.clock.readMonotonic() - this.#machineOrdersReadAt;
--- a/src/node/Node.test.ts
+++ b/src/node/Node.test.ts
@@ -124,6 +124,21 @@
       assert.ok(lives.every((id) => !['host-1', 'host-2', 'host-3'].includes(id ?? '')));
     }));
 
+  // Guards against a successor that starts nothing for as long as a host may be cut off.
+  it('starts accepted jobs after a change of the owner while a host is cut off', () =>
+    withCluster({ script: () => ({ runMs: 300, outcome: 'done' }) }, async (cluster) => {
+      const owner = cluster.findOwner() ?? '';
+      const other = cluster.names.find((name) => name !== owner) ?? '';
+      cluster.fleet.cut('m-0', true);
+      cluster.kill(owner);
+      await cluster.submit(other, 'a', STEPS);
+      const killedAt = performance.now();
+      await waitFor('a completed job', isCompleted(cluster, other, 'a'), 10_000);
+      // The orders of an earlier owner may reach the host for 2 s, and their leases last 1.5 s more.
+      assert.ok(performance.now() - killedAt < 3_000);
+      cluster.fleet.cut('m-0', false);
+    }));
+
   // Guards against a successor that gives orders about a machine right after the owner before.
   it('records which machines it orders away before it does so', async () => {
     const unrecorded: string[] = [];
--- a/src/node/Node.ts
+++ b/src/node/Node.ts
@@ -60,6 +60,7 @@
       random: Math.random,
       onOwning: (isOwner) => this.#keeper.send({ type: 'owning', isOwner }),
       onHurry: () => this.#keeper.send({ type: 'read-now' }),
+      isStoreAway: (token) => this.#relay.isStoreAway(token),
     });
     this.#keeper = new BookKeeper(parts, [
       (changes, book, state) => {
@@ -75,6 +76,7 @@
       keeper: this.#keeper,
       writer: this.#writer,
       relay: this.#relay,
+      readContact: (token) => this.#candidate.readContact(token),
     });
     this.#relayServer = new RelayServer(this.#desk);
     this.#operator = new OperatorFollower(parts, (state) => {
--- a/src/node/RelayClient.ts
+++ b/src/node/RelayClient.ts
@@ -11,6 +11,8 @@
 /** Time in ms for which a peer that did not help is asked last. */
 const AVOID_MS = 1_000;
 const FIND_TIMEOUT_MS = 400;
+/** Longest wait for the answer whether a peer is in contact with the store, in ms. */
+const CONTACT_TIMEOUT_MS = 250;
 /** Errors that mean that the call did not leave this process. */
 const UNSENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
 
@@ -78,6 +80,18 @@
     return outcome;
   }
 
+  /** Checks whether every peer answers and none of them is in contact with the store. */
+  async isStoreAway(token: number): Promise<boolean> {
+    if (this.#peers.size === 0) return false;
+    const answers = [...this.#peers.values()].map(async ({ client }) => {
+      const signal = AbortSignal.timeout(CONTACT_TIMEOUT_MS);
+      const isInContact = await client.contact.query({ token }, { signal });
+      return !isInContact;
+    });
+    const settled = await Promise.allSettled(answers);
+    return settled.every((answer) => answer.status === 'fulfilled' && answer.value);
+  }
+
   /** Asks peers for the state of a job; undefined where none of them has a current state. */
   async findState(id: string): Promise<{ state: string | null; queue: string | null } | undefined> {
     for (const peer of this.#choosePeers()) {
--- a/src/node/RelayRouter.ts
+++ b/src/node/RelayRouter.ts
@@ -7,6 +7,12 @@
   /** Appends a record to the work log; gives up after the given time in ms. */
   abstract write(key: string, value: string, timeoutMs: number): Promise<WriteOutcome>;
 
+  /**
+   * Tells whether this node is in contact with the store. A node that says no to the owner of a
+   * token knows that this owner may start tasks without a record from then on.
+   */
+  abstract readContact(token: number): boolean;
+
   /** Tells the state of a job from a state that is current; undefined where it is not. */
   abstract findState(
     id: string,
@@ -20,6 +26,9 @@
   write: t.procedure
     .input(z.object({ key: z.string(), value: z.string(), timeoutMs: z.number() }))
     .mutation(({ ctx, input }) => ctx.api.write(input.key, input.value, input.timeoutMs)),
+  contact: t.procedure
+    .input(z.object({ token: z.number() }))
+    .query(({ ctx, input }) => ctx.api.readContact(input.token)),
   find: t.procedure.input(z.object({ id: z.string() })).query(async ({ ctx, input }) => {
     const found = await ctx.api.findState(input.id);
     return found ?? null;
--- a/src/node/ShardOwner.ts
+++ b/src/node/ShardOwner.ts
@@ -16,6 +16,7 @@
 import { OwnerOutput } from './_OwnerOutput.js';
 import type { NodeParts } from './NodeParts.js';
 import type { OperatorState } from './OperatorFollower.js';
+import { StartGate, type StartPermit } from './StartGate.js';
 import { OwnerWriter, type OwnerWriteResult } from './OwnerWriter.js';
 import { formatRemoval } from './formatRemoval.js';
 
@@ -55,6 +56,9 @@
   machineOrders: MachineCommand[];
 }
 
+/** An order to start a run. */
+type StartCommand = Extract<ShardCommand, { type: 'start' }>;
+
 /** An order about a machine. */
 type MachineCommand = Extract<ShardCommand, { type: 'move' | 'maintain' }>;
 
@@ -66,6 +70,10 @@
   operator: OperatorState | undefined;
   /** Called once when the ownership has ended. */
   onLost: (reason: string) => void;
+  /** Checks whether every other node answers and none is in contact with the store. */
+  isStoreAway: () => Promise<boolean>;
+  /** Is called when tasks may be started without a record. */
+  onUnrecorded: () => void;
 }
 
 /** Owns a shard: feeds its decisions with events and carries out their commands. */
@@ -102,6 +110,16 @@
 
   #isFlushing = false;
 
+  readonly #gate: StartGate;
+
+  #permit: StartPermit = { isRecorded: true, rule: 'all' };
+
+  /** Starts that are not yet recorded, and so not yet ordered. */
+  #unrecordedStarts: StartCommand[] = [];
+
+  /** Starts that the append under way records. */
+  #startsInAppend: StartCommand[] = [];
+
   /** Orders about machines that are not yet recorded, and so not yet sent. */
   #unrecorded: MachineCommand[] = [];
 
@@ -130,6 +148,11 @@
     });
     this.#writer = new OwnerWriter(parts, takeover);
     this.#writtenAt = parts.clock.readMonotonic();
+    this.#gate = new StartGate({
+      readClock: () => parts.clock.readMonotonic(),
+      isStoreAway: options.isStoreAway,
+      onAway: options.onUnrecorded,
+    });
     this.#pauses = new PauseDetector(parts.clock.readWall());
     this.#waveRecords = new Map(options.waves);
     if (operator !== undefined) this.#applyOperator(operator);
@@ -226,15 +249,32 @@
   #plan(): void {
     if (this.#release !== undefined) return;
     const startedAt = this.#parts.clock.readMonotonic();
-    this.#shard.setDetached(startedAt - this.#writtenAt > this.#parts.settings.ownerSilenceMs);
+    const silentMs = startedAt - this.#writtenAt;
+    this.#shard.setDetached(silentMs > this.#parts.settings.ownerSilenceMs);
+    this.#setPermit(this.#gate.choosePermit(silentMs));
     this.#shard.plan();
     this.#parts.metrics.recordLatency('plan', this.#parts.clock.readMonotonic() - startedAt);
     this.#runCommands();
     this.#scheduleFlush();
   }
 
+  #setPermit(permit: StartPermit): void {
+    if (permit.isRecorded !== this.#permit.isRecorded || permit.rule !== this.#permit.rule) {
+      this.#parts.log.record('start-permit', String(this.token), { ...permit });
+    }
+    this.#permit = permit;
+    this.#shard.setStartRule(permit.rule);
+    if (permit.isRecorded) return;
+    // What waits for its record goes without one, or waits on where that is not allowed.
+    const starts = [...this.#startsInAppend.splice(0), ...this.#unrecordedStarts.splice(0)];
+    starts.forEach((start) => {
+      if (start.run.state === 'starting') this.#runCommand(start);
+      else this.#shard.cancelStart(start.run);
+    });
+  }
+
   get #hasUnwritten(): boolean {
-    return this.#shard.hasDirty || this.#unrecorded.length > 0;
+    return this.#shard.hasDirty || this.#unrecorded.length > 0 || this.#unrecordedStarts.length > 0;
   }
 
   #scheduleFlush(): void {
@@ -251,7 +291,8 @@
   #runCommand(command: ShardCommand): void {
     switch (command.type) {
       case 'start':
-        this.#startRun(command);
+        if (this.#canStartUnrecorded(command)) this.#startRun(command);
+        else this.#unrecordedStarts.push(command);
         break;
       case 'stop': {
         const { host, task, number } = command;
@@ -287,7 +328,20 @@
     }
   }
 
-  #startRun({ run, leaseEndMs, checkpoint, ticket }: ShardCommand & { type: 'start' }): void {
+  #canStartUnrecorded({ run }: StartCommand): boolean {
+    const { isRecorded, rule } = this.#permit;
+    if (isRecorded) return false;
+    const { dataCentre } = run.unit.step.occurrence.job.booked;
+    return rule === 'all' || dataCentre === this.#parts.settings.dataCentre;
+  }
+
+  /** Orders a start that has been recorded, unless its run was given up meanwhile. */
+  #startRecorded(command: StartCommand): void {
+    if (command.run.state === 'starting') this.#startRun(command);
+    else this.#shard.cancelStart(command.run);
+  }
+
+  #startRun({ run, leaseEndMs, checkpoint, ticket }: StartCommand): void {
     const order = {
       task: run.task,
       run: run.number,
@@ -504,6 +558,7 @@
     const jobs = this.#shard.takeDirty();
     const waves = this.#shard.takeDirtyWaves();
     const machineOrders = this.#unrecorded.splice(0);
+    this.#startsInAppend = this.#unrecordedStarts.splice(0);
     const ends = [...this.#watches.keys()]
       .filter((host) => host.processedEnd > host.acknowledgedEnd)
       .map((host): [ManagedHost, number] => [host, host.processedEnd]);
@@ -548,6 +603,8 @@
         token: this.token,
         node: this.#parts.settings.name,
         session: this.#parts.session,
+        dataCentre: this.#parts.settings.dataCentre,
+        unrecorded: this.#shard.listUnrecorded(),
         isReleased,
       }),
     };
@@ -570,6 +627,8 @@
       return;
     }
     this.#writtenAt = this.#parts.clock.readMonotonic();
+    const starts = this.#startsInAppend.splice(0);
+    if (!batch.isRelease) starts.forEach((start) => this.#startRecorded(start));
     if (!batch.isRelease) batch.machineOrders.forEach((one) => this.#sendMachineCommand(one));
     batch.jobs.forEach(({ id, endedAtMs }) => {
       if (endedAtMs !== undefined) this.#finished.push({ id, endedAtMs });
--- a/src/schedule/JobTable.ts
+++ b/src/schedule/JobTable.ts
@@ -89,6 +89,12 @@
     this.#dirty.add(occurrence.job);
   }
 
+  /** Marks a run of a unit as started, so that the start is recorded. */
+  markStarted(unit: WorkUnit): void {
+    this.markBegun(unit);
+    this.#dirty.add(unit.step.occurrence.job);
+  }
+
   /** Marks a unit as done, and its step, occurrence and job where it was the last one. */
   finishUnit(unit: WorkUnit, nowWallMs: number): void {
     // A run of a job that is over may still report its end; the job must not go on from there.
--- a/src/schedule/RunLedger.ts
+++ b/src/schedule/RunLedger.ts
@@ -70,7 +70,7 @@
     const run = new Run(unit, index, unit.step.formatTask(index), number, host, now);
     unit.runs.add(run);
     host.addRun(run, computeRoom(unit.spec));
-    this.#jobs.markBegun(unit);
+    this.#jobs.markStarted(unit);
     return run;
   }
 
@@ -97,6 +97,11 @@
     return RunLedger.#handleRefusal(run, outcome.reason, now);
   }
 
+  /** Gives up a run whose start was never ordered. */
+  static cancelStart(run: Run, now: number): void {
+    if (run.host.runs.has(`${run.task}#${run.number}`)) RunLedger.#release(run, now, 0);
+  }
+
   /** Orders the stop of a run; its end is still to be listed. */
   stop(run: Run, now: number, reason: string): void {
     const sinceMs = run.stopOrderedAt === undefined ? Infinity : now - run.stopOrderedAt;
--- a/src/schedule/ScheduledJob.ts
+++ b/src/schedule/ScheduledJob.ts
@@ -3,6 +3,8 @@
 import { Occurrence } from './Occurrence.js';
 import type { Run } from './Run.js';
 
+type StartedRun = JobProgress['occurrences'][number]['steps'][number]['started'][number];
+
 /** Final state of a job. */
 export type FinalState = 'completed' | 'failed' | 'cancelled';
 
@@ -124,6 +126,12 @@
         failed: step.units
           .filter((unit) => unit.failures > 0 && !unit.isDone)
           .map((unit) => [unit.indexes[0] ?? 0, [...unit.failedRuns]]),
+        started: step.units
+          .filter((unit) => !unit.isDone)
+          .flatMap((unit) => [
+            ...unit.inherited.map((one): StartedRun => [one.index, one.number, one.host]),
+            ...[...unit.runs].map((run): StartedRun => [run.index, run.number, run.host.id]),
+          ]),
       })),
     };
   }
@@ -143,7 +151,7 @@
     progress.occurrences.forEach(({ number, steps }) => {
       const occurrence = this.#open(number);
       occurrence.hasBegun = true;
-      steps.forEach(({ done, failed }, index) => {
+      steps.forEach(({ done, failed, started }, index) => {
         const step = occurrence.steps[index];
         if (step === undefined) return;
         done.forEach((task) => {
@@ -156,6 +164,12 @@
           const unit = step.findUnit(task);
           runs.forEach((run) => unit?.recordFailure(run));
         });
+        started.forEach(([task, run, host]) => {
+          const unit = step.findUnit(task);
+          if (unit === undefined || unit.isDone) return;
+          unit.inherited.push({ index: task, number: run, host });
+          unit.lastRun = Math.max(unit.lastRun, run);
+        });
       });
     });
   }
--- a/src/schedule/Shard.test.ts
+++ b/src/schedule/Shard.test.ts
@@ -101,7 +101,10 @@
       finishedBelow: 0,
       finished: [],
       occurrences: [
-        { number: 0, steps: [{ done: [], failed: [[0, [6, 7]] as [number, number[]]] }] },
+        {
+          number: 0,
+          steps: [{ done: [], started: [], failed: [[0, [6, 7]] as [number, number[]]] }],
+        },
       ],
     };
     rig.shard.addJob(buildBookedJob('a', [{ count: 1, cpuMilli: 1_000 }], { progress }));
@@ -154,6 +157,74 @@
     );
   });
 
+  // Guards against a successor that starts nothing while a cut-off data centre does not answer.
+  it('starts what no earlier owner has recorded or may have started without a record', () => {
+    const rig = new ScheduleRig({
+      token: 2,
+      claimOffset: 500,
+      isFirst: false,
+      unrecorded: ['dc-2'],
+    });
+    rig.addHost('h1');
+    rig.shard.updateHost(buildHostEntry('h2'));
+    const hosts = ['h1', 'h2'].map((id) => ({
+      name: `machine-of-${id}`,
+      pool: 'studio',
+      state: 'up' as const,
+      dataCentre: 'dc-1',
+      hostId: id,
+    }));
+    rig.shard.updateMachines(hosts, 1);
+    const steps = [{ count: 2, cpuMilli: 1_000 }];
+    const progress = {
+      token: 1,
+      state: 'active' as const,
+      finishedBelow: 0,
+      finished: [],
+      occurrences: [
+        {
+          number: 0,
+          steps: [{ done: [], failed: [], started: [[0, 7, 'h2'] as [number, number, string]] }],
+        },
+      ],
+    };
+    rig.shard.addJob(buildBookedJob('recorded', steps, { progress }));
+    rig.shard.addJob(buildBookedJob('other', steps, { dataCentre: 'dc-2' }));
+    const [run, ...others] = rig.startAll();
+    assert.equal(run?.task, 'recorded.0.0.1');
+    assert.deepEqual(others, []);
+    // What this owner records names the run that may exist, for its own successor.
+    const [, recorded] = rig.shard.takeDirty().map((job) => job.describeProgress(2));
+    assert.equal(recorded, undefined);
+    const job = rig.shard.findHost('h1')?.runs.values().next().value?.unit.step.occurrence.job;
+    const started = job?.describeProgress(2).occurrences[0]?.steps[0]?.started;
+    assert.deepEqual(started?.slice(0, 1), [[0, 7, 'h2']]);
+    // The host answers, and runs nothing: both wait no longer.
+    rig.report('h2');
+    assert.deepEqual(
+      rig.startAll().map(({ task }) => task),
+      ['recorded.0.0.0', 'other.0.0.0', 'other.0.0.1'],
+    );
+  });
+
+  it('starts only jobs of its own data centre while a later owner may exist', () => {
+    const rig = new ScheduleRig();
+    rig.addHost('h1');
+    const steps = [{ count: 1, cpuMilli: 1_000 }];
+    rig.shard.addJob(buildBookedJob('own', steps));
+    rig.shard.addJob(buildBookedJob('foreign', steps, { dataCentre: 'dc-2' }));
+    rig.shard.setStartRule('own-data-centre');
+    assert.deepEqual(
+      rig.startAll().map(({ task }) => task),
+      ['own.0.0.0'],
+    );
+    rig.shard.setStartRule('all');
+    assert.deepEqual(
+      rig.startAll().map(({ task }) => task),
+      ['foreign.0.0.0'],
+    );
+  });
+
   it('finds a host whose machine was listed before its own entry was read', () => {
     const rig = new ScheduleRig({ token: 2, claimOffset: 500, isFirst: false });
     const machine = { name: 'machine-of-h1', pool: 'studio', dataCentre: 'dc-1', hostId: 'h1' };
--- a/src/schedule/Shard.ts
+++ b/src/schedule/Shard.ts
@@ -1,4 +1,4 @@
-import type { BookedJob, WaveRecord } from '../book/mod.js';
+import { ANY_DATA_CENTRE, type BookedJob, type WaveRecord } from '../book/mod.js';
 import type { Clock } from '../clock/mod.js';
 import type {
   Advice,
@@ -51,10 +51,15 @@
   isHandover: boolean;
   /** Sequence number of the claim in the store; the owner's appends follow it. */
   sequence: number;
+  /** Data centres of whose jobs earlier owners may have started tasks without a record. */
+  unrecorded: readonly string[];
   /** Orders about machines that earlier owners may have given a short while ago. */
   machineOrders: readonly RecentOrder[];
 }
 
+/** Which jobs' tasks an owner may start: all, or those accepted in its own data centre. */
+export type StartRule = 'all' | 'own-data-centre';
+
 /** Parts of a shard that tests replace. */
 export interface ShardParts {
   clock: Clock;
@@ -107,6 +112,8 @@
 
   #isDetached = false;
 
+  #startRule: StartRule = 'all';
+
   #pools = new Map<string, PoolRule>();
 
   #queues = new Map<string, QueueRule>();
@@ -157,6 +164,16 @@
     this.#isDetached = isDetached;
   }
 
+  /** Sets the jobs whose tasks may be started now. */
+  setStartRule(rule: StartRule): void {
+    this.#startRule = rule;
+  }
+
+  /** Gives up a run whose start was never ordered. */
+  cancelStart(run: Run): void {
+    RunLedger.cancelStart(run, this.#now);
+  }
+
   /** Applies the newest configuration. */
   applyConfiguration({ queues, pools }: Configuration): void {
     this.#queues = new Map(queues.map((queue) => [queue.name, queue]));
@@ -354,6 +371,11 @@
     return this.#machines.takeDirtyWaves();
   }
 
+  /** Lists the data centres of whose jobs earlier owners may still run tasks without a record. */
+  listUnrecorded(): readonly string[] {
+    return this.#computeReserve() < this.#now ? [] : this.#takeover.unrecorded;
+  }
+
   /** Records that an order about a machine was sent just now. */
   reportMachineOrder(machine: string): void {
     this.#orders.report(machine, this.#now);
@@ -434,14 +456,42 @@
     const hostsForLate = this.#machines.chooseForLate(pool, hosts);
     const sorted = this.#order.sort(steps, nowWallMs);
     sorted.forEach((step) => {
-      if (step.occurrence.job.booked.acceptedOffset < this.#takeover.claimOffset) {
-        if (this.#isInDoubt(pool)) return;
-      }
+      const { booked } = step.occurrence.job;
+      if (!this.#canStart(booked)) return;
+      if (this.#isUnrecorded(booked) && this.#isInDoubt(pool)) return;
       const isLate = this.#punctuality.isLate(step.occurrence, nowWallMs);
       this.#planStep(step, isLate ? hostsForLate : hosts, now);
     });
   }
 
+  #canStart({ dataCentre }: BookedJob): boolean {
+    return this.#startRule === 'all' || dataCentre === this.#options.dataCentre;
+  }
+
+  /** Checks whether earlier owners may have started tasks of a job without a record. */
+  #isUnrecorded({ acceptedOffset, dataCentre }: BookedJob): boolean {
+    const { claimOffset, unrecorded } = this.#takeover;
+    if (acceptedOffset >= claimOffset) return false;
+    return unrecorded.includes(ANY_DATA_CENTRE) || unrecorded.includes(dataCentre);
+  }
+
+  /** Checks whether a recorded run of an earlier owner may exist on a host that has not answered. */
+  #isInherited(unit: WorkUnit): boolean {
+    if (unit.inherited.length === 0) return false;
+    // eslint-disable-next-line no-param-reassign -- the unit is owned by the shard
+    unit.inherited = unit.inherited.filter(({ host }) => !this.#isSettled(host));
+    return unit.inherited.length > 0;
+  }
+
+  /** Checks whether a host can run nothing of earlier owners that this owner does not know of. */
+  #isSettled(id: string): boolean {
+    if (this.#computeReserve() < this.#now) return true;
+    const host = this.#hosts.get(id);
+    if (host !== undefined) return host.isFenced;
+    // A life that no machine carries has ended.
+    return this.#hosts.machinesReadAt !== -Infinity;
+  }
+
   /** Checks whether runs of an earlier owner may exist on hosts of a pool that have not answered. */
   #isInDoubt(pool: string): boolean {
     if (this.#takeover.isFirst) return false;
@@ -455,7 +505,7 @@
   #planStep(step: ScheduledStep, hosts: readonly ManagedHost[], now: number): void {
     const needsAdvice = step.occurrence.job.queue.advice !== undefined;
     for (const unit of step.units) {
-      if (!unit.isWaiting || unit.notBefore > now) continue;
+      if (!unit.isWaiting || unit.notBefore > now || this.#isInherited(unit)) continue;
       const allowed = needsAdvice ? this.#advice.collectAllowed(step, now) : undefined;
       const placements = this.#placement.choose(unit, hosts, { now, allowed });
       if (placements === undefined) {
--- a/src/schedule/ShardOptions.ts
+++ b/src/schedule/ShardOptions.ts
@@ -2,6 +2,8 @@
 
 /** Figures that the deployment sets, and settings of the decisions. Times in ms. */
 export const ShardOptions = z.object({
+  /** Data centre of the owner. */
+  dataCentre: z.string().default(''),
   /** Longest lease that a host grants. */
   maxLeaseMs: z.number().positive(),
   /** Lease that the owner asks for; a host that is cut off keeps its runs for this long. */
--- a/src/schedule/WorkUnit.ts
+++ b/src/schedule/WorkUnit.ts
@@ -2,11 +2,21 @@
 import type { Run } from './Run.js';
 import type { ScheduledStep } from './ScheduledStep.js';
 
+/** A run that an earlier owner recorded before it ordered its start. */
+export interface InheritedRun {
+  index: number;
+  number: number;
+  host: string;
+}
+
 /** What is started together: one task, or all tasks of a gang. */
 export class WorkUnit {
   /** Runs that hold room, on any host. */
   readonly runs = new Set<Run>();
 
+  /** Runs that earlier owners recorded and whose hosts have not answered this owner yet. */
+  inherited: InheritedRun[] = [];
+
   /** Numbers of the failed runs; a host may list an end to two owners, and hosts in any order. */
   readonly failedRuns = new Set<number>();
 
--- a/src/testing/ScheduleRig.ts
+++ b/src/testing/ScheduleRig.ts
@@ -34,6 +34,7 @@
     pool: 'studio',
     rule: { priority: 0, maxAttempts: 3, stretch: 2, latencyTargetMs: 600 },
     submittedAtMs: 0,
+    dataCentre: 'dc-1',
     acceptedOffset: 100,
     spec: JobSpec.parse({ payload: id, steps }),
     ...fields,
@@ -66,6 +67,7 @@
   isHandover: false,
   sequence: 0,
   machineOrders: [],
+  unrecorded: ['*'],
 };
 
 /** A shard with a clock that the test moves, and hosts that do what the test says. */
@@ -90,6 +92,7 @@
         borrowAboveMs: 400,
         parkAfterMs: 1_500,
         keepHosts: 2,
+        dataCentre: 'dc-1',
       },
       { clock: this.clock, output: this.output },
     );
