--- a/src/node/ShardOwner.ts
+++ b/src/node/ShardOwner.ts
@@ -255,7 +255,9 @@
     this.#shard.plan();
     this.#parts.metrics.recordLatency('plan', this.#parts.clock.readMonotonic() - startedAt);
     this.#runCommands();
-    this.#scheduleFlush();
+    // A start waits for its record, an end does not; the plan has gathered what came together.
+    if (this.#unrecordedStarts.length > 0) this.#flush();
+    else this.#scheduleFlush();
   }
 
   #setPermit(permit: StartPermit): void {
