Replace a silent owner after 1.0 s instead of 1.5 s

Owners beat every 250 ms; with the store answering 55 times slower, two records of an owner are still under 0.8 s apart.

--- a/src/node/NodeSettings.ts
+++ b/src/node/NodeSettings.ts
@@ -16,9 +16,9 @@
   /** How long a finished job can be asked for. */
   retentionMs: z.number().positive(),
   /** The shard's owner counts as silent after this time without a record of it. */
-  ownerSilenceMs: z.number().positive().default(1_500),
+  ownerSilenceMs: z.number().positive().default(1_000),
   /** Pause between records of an owner that has nothing else to record. */
-  ownerBeatMs: z.number().positive().default(400),
+  ownerBeatMs: z.number().positive().default(250),
   shard: ShardOptions,
 });
 export type NodeSettings = z.infer<typeof NodeSettings>;
--- a/src/node/StartGate.ts
+++ b/src/node/StartGate.ts
@@ -1,7 +1,7 @@
 import type { StartRule } from '../schedule/mod.js';
 
 /** Without an append that was answered for this time in ms, starts are not recorded any more. */
-const UNRECORDED_AFTER_MS = 1_000;
+const UNRECORDED_AFTER_MS = 600;
 /** Pause in ms between questions to the other nodes. */
 const ASK_PAUSE_MS = 250;
 /**
