Let the nodes of an emulated cluster reach each other

Cause: 'goes on with accepted jobs while the store is silent' failed or passed by which node owned the shard: nodes of the emulated cluster had no addresses, so no owner could learn that the store was away from all of them, and it started only jobs of its own data centre. Nodes now take a free port and register it.

--- a/src/emulator/NodeCluster.ts
+++ b/src/emulator/NodeCluster.ts
@@ -89,6 +89,7 @@
       metrics,
       settings: NodeSettings.parse({
         name,
+        peerAddress: '127.0.0.1:0',
         // Each node stands in a data centre of its own.
         dataCentre: `dc-of-${name}`,
         stopGraceMs: 2_000,
--- a/src/node/Node.ts
+++ b/src/node/Node.ts
@@ -106,10 +106,11 @@
   /** Makes the node known to the others. */
   async open(): Promise<WriteOutcome> {
     const { settings, session } = this.#parts;
-    if (settings.peerAddress !== undefined) await this.#relayServer.open(settings.peerAddress);
+    const address =
+      settings.peerAddress === undefined ? '' : await this.#relayServer.open(settings.peerAddress);
     const value = JSON.stringify({
       session,
-      address: settings.peerAddress ?? '',
+      address,
       dataCentre: settings.dataCentre,
     });
     return this.#writer.ask<WriteOutcome>((reply) => ({
--- a/src/node/NodeSettings.ts
+++ b/src/node/NodeSettings.ts
@@ -9,7 +9,7 @@
   logLevel: LogLevel.default('info'),
   /** Address of the node's metrics page, `IP:port`. */
   metricsAddress: z.string().optional(),
-  /** Address at which other nodes reach this one. */
+  /** Address at which other nodes reach this one; port 0 takes a free one. */
   peerAddress: z.string().optional(),
   /** From a planned stop to the forced end of the process. */
   stopGraceMs: z.number().positive(),
