--- a/src/schedule/IdleHostLending.test.ts
+++ b/src/schedule/IdleHostLending.test.ts
@@ -93,12 +93,11 @@
       idle: [{ machine: 'l1', idleMs: 1 }],
     });
     const timely = buildPool('timely', { waitingHosts: 3, backlogMs: 800 });
-    const { moves, releasing, shortage } = LENDING.plan([late, timely]);
+    const { moves, releasing } = LENDING.plan([late, timely]);
     assert.deepEqual(moves, [{ machine: 'l1', to: 'timely' }]);
     assert.deepEqual(releasing, ['late']);
-    assert.equal(shortage, 2);
     // Among pools with late jobs only, none takes hosts from another.
     const other = { ...timely, timelyHosts: 0 };
-    assert.deepEqual(LENDING.plan([late, other]), { moves: [], releasing: [], shortage: 0 });
+    assert.deepEqual(LENDING.plan([late, other]), { moves: [], releasing: [] });
   });
 });
--- a/src/schedule/IdleHostLending.ts
+++ b/src/schedule/IdleHostLending.ts
@@ -40,7 +40,6 @@
   override plan(pools: readonly PoolView[]): SizingPlan {
     const moves: PoolMove[] = [];
     const short = new Set<string>();
-    let shortage = 0;
     const taken = new Set<string>();
     const standby = pools.filter(({ isStandby }) => isStandby);
     const serving = pools.filter(({ isStandby }) => !isStandby);
@@ -60,17 +59,14 @@
           taken.add(machine);
           moves.push({ machine, to: pool.name });
         });
-        if (donors.length < needed && IdleHostLending.#hasTimely(pool)) {
-          short.add(pool.name);
-          shortage += needed - donors.length;
-        }
+        if (donors.length < needed && IdleHostLending.#hasTimely(pool)) short.add(pool.name);
       });
     const releasing = serving.filter(
       (pool) => short.size > 0 && !short.has(pool.name) && !IdleHostLending.#hasTimely(pool),
     );
     const [park] = standby;
     if (park !== undefined) moves.push(...this.#planParking(serving, park.name, taken));
-    return { moves, releasing: releasing.map(({ name }) => name), shortage };
+    return { moves, releasing: releasing.map(({ name }) => name) };
   }
 
   /** Checks whether a pool has, or is about to get, work that can be in time. */
--- a/src/schedule/MachinePlanner.test.ts
+++ b/src/schedule/MachinePlanner.test.ts
@@ -111,30 +111,4 @@
     first.filter(({ host }) => !kept.has(host.id)).forEach((run) => rig.end(run, 'done'));
     assert.equal(listMoved(rig.plan()).length, 2);
   });
-
-  // Plays the same, with late tasks of which some can resume.
-  it('stops late tasks that can resume, and lets others end, to release their hosts', () => {
-    const other = buildQueueRule({ name: 'scores', pool: 'scores', pathPrefix: '/scores/' });
-    const rig = new ScheduleRig({}, [buildQueueRule(), other]);
-    const ids = ['h1', 'h2', 'h3', 'h4', 'h5'];
-    ids.forEach((id) => rig.addHost(id));
-    rig.addHost('s1', { pool: 'scores' });
-    const machines = [...ids, 's1'].map((id) =>
-      buildStandby(`machine-of-${id}`, { pool: id === 's1' ? 'scores' : 'studio', hostId: id }),
-    );
-    rig.shard.updateMachines(machines, 1);
-    rig.clock.increase(60_000);
-    [...ids, 's1'].forEach((id) => rig.report(id));
-    const late = { submittedAtMs: -100_000, acceptedOffset: 0 };
-    const task = { count: 4, cpuMilli: 16_000, estimateMs: 1_000 };
-    rig.shard.addJob(buildBookedJob('saves', [{ ...task, checkpoints: true }], late));
-    rig.shard.addJob(buildBookedJob('loses', [{ ...task, count: 1 }], late));
-    assert.equal(rig.startAll().length, 5);
-    const work = [{ count: 16, cpuMilli: 8_000, estimateMs: 1_000 }];
-    const timely = buildBookedJob('timely', work, { queue: 'scores', pool: 'scores' });
-    rig.shard.addJob({ ...timely, submittedAtMs: rig.clock.readWall() });
-    const stops = rig.plan().flatMap((one) => (one.type === 'stop' ? [one.task] : []));
-    assert.ok(stops.length >= 2 && stops.length <= 3);
-    assert.ok(stops.every((stopped) => stopped.startsWith('saves.')));
-  });
 });
--- a/src/schedule/MachinePlanner.ts
+++ b/src/schedule/MachinePlanner.ts
@@ -7,7 +7,6 @@
 import type { PoolLoad, WaitingWork } from './PoolLoad.js';
 import type { PoolSizing, PoolView } from './PoolSizing.js';
 import type { RecentOrders } from './RecentOrders.js';
-import type { Run } from './Run.js';
 import type { RunLedger } from './RunLedger.js';
 import type { ShardOptions } from './ShardOptions.js';
 import type { ShardOutput } from './ShardCommand.js';
@@ -161,9 +160,8 @@
     const waiting = this.#load.measureWaiting(nowWallMs);
     const views = this.#describePools(now, pools, { hosts, waiting });
     views.forEach((view) => this.#logPressure(view, now));
-    const { moves, releasing, shortage } = this.#sizing.plan(views);
+    const { moves, releasing } = this.#sizing.plan(views);
     this.#releasing = new Set(releasing);
-    releasing.forEach((pool) => this.#evacuateLate(pool, shortage, { now, nowWallMs }));
     moves.forEach(({ machine, to }) => {
       const host = hosts.get(machine);
       if (host !== undefined) host.isLeaving = true;
@@ -275,31 +273,6 @@
     });
   }
 
-  /**
-   * Stops late tasks that can resume from a checkpoint, so that their hosts can be moved. A host on
-   * which anything else runs is left to finish it.
-   */
-  #evacuateLate(
-    pool: string,
-    shortage: number,
-    { now, nowWallMs }: { now: number; nowWallMs: number },
-  ): void {
-    const hosts = this.#hosts.listPool(pool).filter((host) => host.isAvailable(now));
-    const kept = new Set(this.chooseForLate(pool, hosts));
-    const canResume = ({ unit }: Run): boolean =>
-      unit.spec.checkpoints && this.#load.isLate(unit.step.occurrence, nowWallMs);
-    hosts
-      .filter((host) => !kept.has(host) && host.runs.size > 0)
-      .filter((host) => [...host.runs.values()].every(canResume))
-      .sort((one, other) => one.used.cpuMilli - other.used.cpuMilli)
-      .slice(0, shortage)
-      .forEach((host) => {
-        host.runs.forEach((run) => {
-          if (run.state === 'running') this.#ledger.stop(run, now, 'pool-released');
-        });
-      });
-  }
-
   #isMovable(machine: string, now: number): boolean {
     return (
       !this.#moves.has(machine) &&
--- a/src/schedule/PoolLoad.ts
+++ b/src/schedule/PoolLoad.ts
@@ -3,7 +3,6 @@
 import { computeRoom } from './computeRoom.js';
 import type { HostTable } from './HostTable.js';
 import type { JobTable } from './JobTable.js';
-import type { Occurrence } from './Occurrence.js';
 import { Punctuality } from './Punctuality.js';
 import type { RunTimeEstimator } from './RunTimeEstimator.js';
 import type { ScheduledJob } from './ScheduledJob.js';
@@ -49,11 +48,6 @@
     this.#arrivals.report(queue.pool, work, now);
   }
 
-  /** Checks whether an occurrence cannot be in time any more. */
-  isLate(occurrence: Occurrence, nowWallMs: number): boolean {
-    return this.#punctuality.isLate(occurrence, nowWallMs);
-  }
-
   /** Measures how many hosts more the arriving work would keep busy than a pool has. */
   measureRise(pool: string, now: number): number {
     const rate = this.#arrivals.measureRate(pool, now);
--- a/src/schedule/PoolSizing.ts
+++ b/src/schedule/PoolSizing.ts
@@ -36,8 +36,6 @@
   moves: PoolMove[];
   /** Pools that are to release hosts: late jobs take no host there that could be moved. */
   releasing: string[];
-  /** Hosts that pools with work in time lack. */
-  shortage: number;
 }
 
 /** Decides which machines change their pool. */
