Take no lasting task away before the stops of the owner before must be over

The owner stopped task 4 of a lasting step at 3.162 s for maintenance and was replaced at 3.59; the host still listed the run at full work, since a stop takes up to stopGraceMs, so the successor took it for at work and stopped task 5 at 3.721. Test: MachinePlanner 'takes no lasting task away before the stops of the owner before must be over' (failed first).

--- a/src/schedule/MachinePlanner.test.ts
+++ b/src/schedule/MachinePlanner.test.ts
@@ -1,7 +1,12 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import type { Machine } from '../port/mod.js';
-import { buildBookedJob, buildQueueRule, ScheduleRig } from '../testing/ScheduleRig.js';
+import {
+  buildBookedJob,
+  buildHostEntry,
+  buildQueueRule,
+  ScheduleRig,
+} from '../testing/ScheduleRig.js';
 import type { ShardCommand } from './mod.js';
 
 /** More work than the one host of the pool has room for, so that the pool is pressed. */
@@ -111,4 +116,40 @@
     first.filter(({ host }) => !kept.has(host.id)).forEach((run) => rig.end(run, 'done'));
     assert.equal(listMoved(rig.plan()).length, 2);
   });
+
+  // Guards against a second task that is taken away while the owner before has the first one stopped:
+  // a host lists a run at full work until its stop is over.
+  it('takes no lasting task away before the stops of the owner before must be over', () => {
+    const rig = new ScheduleRig({ token: 2, claimOffset: 500, isFirst: false });
+    const steps = [{ count: 2, cpuMilli: 1_000, isLasting: true, mayMiss: 1, maxPerHost: 1 }];
+    rig.shard.addJob(buildBookedJob('a', steps));
+    ['h1', 'h2', 'h3'].forEach((id) => rig.shard.updateHost(buildHostEntry(id)));
+    const machines = ['h1', 'h2', 'h3'].map((id) =>
+      buildStandby(`machine-of-${id}`, { pool: 'studio', hostId: id }),
+    );
+    rig.shard.updateMachines(machines, 1);
+    const report = (id: string, task: string | undefined): void => {
+      const run = { run: 1, checkpoint: '', percent: 100, load: 1 };
+      rig.report(id, { running: task === undefined ? [] : [{ task, ...run }] });
+    };
+    const reportAll = (): void => {
+      report('h1', 'a.0.0.0');
+      report('h2', 'a.0.0.1');
+      report('h3', undefined);
+    };
+    rig.shard.setWave(
+      { wave: 1, machines: ['machine-of-h1'], durationMs: 20_000, cap: 1 },
+      undefined,
+    );
+    const listStops = (): string[] =>
+      rig.plan().flatMap((command) => (command.type === 'stop' ? [command.task] : []));
+    reportAll();
+    assert.deepEqual(listStops(), []);
+    rig.clock.increase(900);
+    reportAll();
+    assert.deepEqual(listStops(), []);
+    rig.clock.increase(200);
+    reportAll();
+    assert.deepEqual(listStops(), ['a.0.0.0']);
+  });
 });
--- a/src/schedule/Run.ts
+++ b/src/schedule/Run.ts
@@ -48,6 +48,9 @@
   /** The pace has been ordered and not yet answered. */
   isPacing = false;
 
+  /** Steady time in ms from which the reported share of work holds. */
+  #settlesAt = 0;
+
   constructor(
     readonly unit: WorkUnit,
     readonly index: number,
@@ -60,6 +63,14 @@
     this.seenAt = now;
   }
 
+  /**
+   * Marks the run as one of an earlier owner. That owner may have ordered its stop: until the stop
+   * must be over, a report at full work says nothing.
+   */
+  adopt(settlesAt: number): void {
+    this.#settlesAt = settlesAt;
+  }
+
   /** Marks the run as confirmed by its host. */
   confirm(now: number): void {
     // A stop that was ordered while the start was in doubt stays in force.
@@ -86,7 +97,7 @@
   update({ checkpoint, percent, load }: ListedRun, now: number): void {
     this.confirm(now);
     this.checkpoint = checkpoint;
-    this.percent = percent;
+    this.percent = now >= this.#settlesAt ? percent : 0;
     this.load = load;
   }
 
--- a/src/schedule/RunLedger.ts
+++ b/src/schedule/RunLedger.ts
@@ -29,6 +29,8 @@
   blame: HostBlame;
   output: ShardOutput;
   clock: Clock;
+  /** Longest time that a stop takes, in ms. */
+  stopMs: number;
 }
 
 /** What happened to an order, as far as it is known. */
@@ -54,11 +56,14 @@
 
   readonly #clock: Clock;
 
+  readonly #stopMs: number;
+
   /** Runs that hosts list and the owner does not want, with the time of the last stop. */
   readonly #unwanted = new Map<string, number>();
 
-  constructor({ jobs, estimator, blame, output, clock }: RunLedgerParts) {
+  constructor({ jobs, estimator, blame, output, clock, stopMs }: RunLedgerParts) {
     this.#clock = clock;
+    this.#stopMs = stopMs;
     this.#jobs = jobs;
     this.#estimator = estimator;
     this.#blame = blame;
@@ -201,6 +206,7 @@
     }
     unit.lastRun = Math.max(unit.lastRun, listed.run);
     const run = this.open(unit, id.index, host, listed.run, now);
+    run.adopt(now + this.#stopMs);
     run.confirm(now);
     this.#output.record({
       decision: 'run-adopted',
--- a/src/schedule/Shard.ts
+++ b/src/schedule/Shard.ts
@@ -133,6 +133,7 @@
       blame: this.#blame,
       output: this.#output,
       clock: this.#clock,
+      stopMs: options.stopMs,
     });
     this.#load = new PoolLoad(this.#jobs, this.#hosts, this.#estimator);
     this.#orders = new RecentOrders({
--- a/src/schedule/ShardOptions.ts
+++ b/src/schedule/ShardOptions.ts
@@ -8,6 +8,8 @@
   maxLeaseMs: z.number().positive(),
   /** Lease that the owner asks for; a host that is cut off keeps its runs for this long. */
   leaseMs: z.number().positive(),
+  /** Longest time that a host takes to stop a run. */
+  stopMs: z.number().nonnegative().default(1_000),
   /** Time that a host takes to come up in another pool. */
   moveMs: z.number().positive(),
   /** Pause between orders of two holders about one machine. */
--- a/src/testing/ScheduleRig.ts
+++ b/src/testing/ScheduleRig.ts
@@ -86,6 +86,7 @@
       {
         maxLeaseMs: 10_000,
         leaseMs: 5_000,
+        stopMs: 1_000,
         moveMs: 1_500,
         machineLeaseMs: 3_000,
         detachedLimitMs: 20_000,
