Split the execution of commands from the owner of a shard

CommandRunner carries out starts, stops, paces, orders about machines, questions for advice and publications of waves; the owner keeps messages, plans and records.

--- a/src/node/ShardOwner.ts
+++ b/src/node/ShardOwner.ts
@@ -1,6 +1,6 @@
 import { Actor } from '../actor/mod.js';
 import { BookKey, type BookChange, type BookedJob, type WaveRecord } from '../book/mod.js';
-import type { HostRecord, KeyedValue, MachineAnswer } from '../port/mod.js';
+import type { HostRecord, KeyedValue } from '../port/mod.js';
 import {
   Shard,
   type LedgerResult,
@@ -10,6 +10,7 @@
 } from '../schedule/mod.js';
 import { PauseDetector } from '../session/PauseDetector.js';
 import type { ScheduledJob } from '../schedule/ScheduledJob.js';
+import { CommandRunner, type MachineCommand, type StartCommand } from './_CommandRunner.js';
 import { HostFollower } from './HostFollower.js';
 import { HostLink, type HoldOutcome } from './HostLink.js';
 import { HostWatch } from './HostWatch.js';
@@ -56,12 +57,6 @@
   machineOrders: MachineCommand[];
 }
 
-/** An order to start a run. */
-type StartCommand = Extract<ShardCommand, { type: 'start' }>;
-
-/** An order about a machine. */
-type MachineCommand = Extract<ShardCommand, { type: 'move' | 'maintain' }>;
-
 /** What an owner starts with. */
 export interface ShardOwnerOptions {
   takeover: Takeover;
@@ -88,15 +83,14 @@
 
   readonly #writer: OwnerWriter;
 
+  readonly #runner: CommandRunner;
+
   readonly #follower: HostFollower;
 
   readonly #watches = new Map<ManagedHost, HostWatch>();
 
   readonly #waveRecords: Map<number, WaveRecord>;
 
-  /** State of each wave that was published last. */
-  readonly #waveStates = new Map<number, 'running' | 'completed'>();
-
   readonly #pauses: PauseDetector;
 
   readonly #ticker: NodeJS.Timeout;
@@ -148,6 +142,11 @@
     });
     this.#writer = new OwnerWriter(parts, takeover);
     this.#writtenAt = parts.clock.readMonotonic();
+    this.#runner = new CommandRunner(parts, {
+      token: takeover.token,
+      findLink: (host) => this.#watches.get(host)?.link,
+      settle: (settle) => this.send({ type: 'settle', settle }),
+    });
     this.#gate = new StartGate({
       readClock: () => parts.clock.readMonotonic(),
       isStoreAway: options.isStoreAway,
@@ -209,6 +208,7 @@
 
   override close(): void {
     clearInterval(this.#ticker);
+    this.#runner.close();
     this.#writer.close();
     this.#follower.close();
     this.#watches.forEach((watch) => watch.close());
@@ -291,43 +291,12 @@
   }
 
   #runCommand(command: ShardCommand): void {
-    switch (command.type) {
-      case 'start':
-        if (this.#canStartUnrecorded(command)) this.#startRun(command);
-        else this.#unrecordedStarts.push(command);
-        break;
-      case 'stop': {
-        const { host, task, number } = command;
-        const order = { task, run: number, token: this.token };
-        this.#watches.get(host)?.link.send({
-          type: 'order',
-          send: (target) => this.#parts.hosts.stopRun(target, order),
-          reply: (outcome) =>
-            this.#sendSettle((shard) => shard.reportStop(host, { task, number }, outcome)),
-        });
-        break;
-      }
-      case 'pace': {
-        const { run, percent } = command;
-        const order = { task: run.task, run: run.number, token: this.token, percent };
-        this.#watches.get(run.host)?.link.send({
-          type: 'order',
-          send: (target) => this.#parts.hosts.paceRun(target, order),
-          reply: (outcome) => this.#sendSettle((shard) => shard.reportPace(run, percent, outcome)),
-        });
-        break;
-      }
-      case 'move':
-      case 'maintain':
-        // A successor has to know of the order before the machine does.
-        this.#unrecorded.push(command);
-        break;
-      case 'publish-wave':
-        this.#publishWave(command.wave, command.state);
-        break;
-      default:
-        this.#askAdvice(command.step, command.hostIds);
-    }
+    if (command.type === 'start' && !this.#canStartUnrecorded(command)) {
+      this.#unrecordedStarts.push(command);
+    } else if (command.type === 'move' || command.type === 'maintain') {
+      // A successor has to know of the order before the machine does.
+      this.#unrecorded.push(command);
+    } else this.#runner.run(command);
   }
 
   #canStartUnrecorded({ run }: StartCommand): boolean {
@@ -339,114 +308,10 @@
 
   /** Orders a start that has been recorded, unless its run was given up meanwhile. */
   #startRecorded(command: StartCommand): void {
-    if (command.run.state === 'starting') this.#startRun(command);
+    if (command.run.state === 'starting') this.#runner.run(command);
     else this.#shard.cancelStart(command.run);
   }
 
-  #startRun({ run, leaseEndMs, checkpoint, ticket }: StartCommand): void {
-    const order = {
-      task: run.task,
-      run: run.number,
-      payload: run.unit.step.occurrence.job.booked.spec.payload,
-      leaseEndMs,
-      token: this.token,
-      checkpoint,
-      ...(ticket === undefined ? {} : { ticket }),
-    };
-    this.#parts.log.record('start', run.task, {
-      run: run.number,
-      host: run.host.id,
-      token: this.token,
-      waitedMs: Math.round(run.orderedAt - run.unit.readySince),
-      hostAgeMs: Math.round(run.orderedAt - run.host.answeredAt),
-    });
-    this.#watches.get(run.host)?.link.send({
-      type: 'order',
-      send: (target) => this.#parts.hosts.startRun(target, order),
-      reply: (outcome) => {
-        this.#parts.metrics.recordLatency(
-          'start',
-          this.#parts.clock.readMonotonic() - run.orderedAt,
-        );
-        this.#sendSettle((shard) => shard.reportStart(run, outcome));
-      },
-    });
-  }
-
-  #sendMachineCommand(command: MachineCommand): void {
-    if (command.type === 'move') {
-      this.#orderMachine({ machine: command.machine }, (order) =>
-        this.#parts.machines.moveMachine(order, command.pool),
-      );
-      return;
-    }
-    this.#orderMachine(command.order, (order) =>
-      this.#parts.machines.maintainMachine(order, command.order.wave),
-    );
-  }
-
-  #orderMachine(
-    subject: { machine: string; wave?: number },
-    send: (order: { machine: string; holder: string; token: number }) => Promise<MachineAnswer>,
-  ): void {
-    const order = {
-      machine: subject.machine,
-      holder: this.#parts.settings.name,
-      token: this.token,
-    };
-    this.#shard.reportMachineOrder(subject.machine);
-    send(order).then(
-      (answer) => this.#sendSettle((shard) => shard.reportMachine(subject, answer)),
-      (error: unknown) => {
-        this.#parts.log.record('machine-unanswered', subject.machine, { error: String(error) });
-        this.#sendSettle((shard) => shard.reportMachine(subject, { type: 'unanswered' }));
-      },
-    );
-  }
-
-  #askAdvice(step: string, hostIds: string[]): void {
-    this.#parts.advice.askAdvice(step, hostIds).then(
-      (advice) =>
-        this.#sendSettle((shard) => {
-          shard.reportAdvice(step, advice);
-          return 'ok';
-        }),
-      (error: unknown) => {
-        this.#parts.log.record('advice-failed', step, { error: String(error) });
-        this.#sendSettle((shard) => {
-          shard.reportAdvice(step, undefined);
-          return 'ok';
-        });
-      },
-    );
-  }
-
-  #publishWave(wave: number, state: 'running' | 'completed'): void {
-    this.#waveStates.set(wave, state);
-    this.#parts.store.publishWave(wave, state).then(
-      (answer) => {
-        this.#parts.log.record('wave-published', String(wave), { state, answer: answer.type });
-        if (answer.type !== 'appended') this.#retryPublish(wave, state);
-      },
-      (error: unknown) => {
-        this.#parts.log.record('wave-published', String(wave), { state, error: String(error) });
-        this.#retryPublish(wave, state);
-      },
-    );
-  }
-
-  #retryPublish(wave: number, state: 'running' | 'completed'): void {
-    setTimeout(() => {
-      // A newer state must not be followed by the repetition of an older one.
-      const isNewest = this.#waveStates.get(wave) === state;
-      if (!this.isClosed && isNewest) this.#publishWave(wave, state);
-    }, MACHINES_PAUSE_MS);
-  }
-
-  #sendSettle(settle: (shard: Shard) => LedgerResult): void {
-    this.send({ type: 'settle', settle });
-  }
-
   #settle(result: LedgerResult): void {
     if (result === 'fenced') this.#endOwnership('a later owner has given orders');
     this.#closeEnded();
@@ -539,10 +404,13 @@
     this.#machinesReadAt = now;
     this.#parts.machines.listMachines().then(
       (machines) =>
-        this.#sendSettle((shard) => {
-          this.#isReadingMachines = false;
-          shard.updateMachines(machines, now);
-          return 'ok';
+        this.send({
+          type: 'settle',
+          settle: (shard) => {
+            this.#isReadingMachines = false;
+            shard.updateMachines(machines, now);
+            return 'ok';
+          },
         }),
       (error: unknown) => {
         this.#isReadingMachines = false;
@@ -631,7 +499,7 @@
     this.#writtenAt = this.#parts.clock.readMonotonic();
     const starts = this.#startsInAppend.splice(0);
     if (!batch.isRelease) starts.forEach((start) => this.#startRecorded(start));
-    if (!batch.isRelease) batch.machineOrders.forEach((one) => this.#sendMachineCommand(one));
+    if (!batch.isRelease) batch.machineOrders.forEach((one) => this.#runner.run(one));
     batch.jobs.forEach(({ id, endedAtMs }) => {
       if (endedAtMs !== undefined) this.#finished.push({ id, endedAtMs });
     });
--- /dev/null
+++ b/src/node/_CommandRunner.ts
@@ -0,0 +1,187 @@
+import type { MachineAnswer } from '../port/mod.js';
+import type { LedgerResult, ManagedHost, Shard, ShardCommand } from '../schedule/mod.js';
+import type { HostLink } from './HostLink.js';
+import type { NodeParts } from './NodeParts.js';
+
+/** The state of a wave that was not published is published again after this time in ms. */
+const PUBLISH_RETRY_MS = 600;
+
+/** An order to start a run. */
+export type StartCommand = Extract<ShardCommand, { type: 'start' }>;
+
+/** An order about a machine. */
+export type MachineCommand = Extract<ShardCommand, { type: 'move' | 'maintain' }>;
+
+/** What a runner needs of the owner. */
+export interface CommandRunnerOptions {
+  token: number;
+  /** Finds the link to a host; undefined when its life is over. */
+  findLink: (host: ManagedHost) => HostLink | undefined;
+  /** Passes the outcome of a command to the shard, in the order of the owner's messages. */
+  settle: (settle: (shard: Shard) => LedgerResult) => void;
+}
+
+/** Carries out the commands of a shard and reports their outcomes. */
+export class CommandRunner {
+  readonly #parts: NodeParts;
+
+  readonly #options: CommandRunnerOptions;
+
+  /** State of each wave that was published last. */
+  readonly #waveStates = new Map<number, 'running' | 'completed'>();
+
+  #isClosed = false;
+
+  constructor(parts: NodeParts, options: CommandRunnerOptions) {
+    this.#parts = parts;
+    this.#options = options;
+  }
+
+  /** Carries out a command. */
+  run(command: ShardCommand): void {
+    switch (command.type) {
+      case 'start':
+        this.#startRun(command);
+        break;
+      case 'stop': {
+        const { host, task, number } = command;
+        const order = { task, run: number, token: this.#options.token };
+        this.#options.findLink(host)?.send({
+          type: 'order',
+          send: (target) => this.#parts.hosts.stopRun(target, order),
+          reply: (outcome) =>
+            this.#options.settle((shard) => shard.reportStop(host, { task, number }, outcome)),
+        });
+        break;
+      }
+      case 'pace': {
+        const { run, percent } = command;
+        const order = { task: run.task, run: run.number, token: this.#options.token, percent };
+        this.#options.findLink(run.host)?.send({
+          type: 'order',
+          send: (target) => this.#parts.hosts.paceRun(target, order),
+          reply: (outcome) =>
+            this.#options.settle((shard) => shard.reportPace(run, percent, outcome)),
+        });
+        break;
+      }
+      case 'move':
+      case 'maintain':
+        this.#sendMachineCommand(command);
+        break;
+      case 'publish-wave':
+        this.#publishWave(command.wave, command.state);
+        break;
+      default:
+        this.#askAdvice(command.step, command.hostIds);
+    }
+  }
+
+  /** Repeats nothing any more. */
+  close(): void {
+    this.#isClosed = true;
+  }
+
+  #startRun({ run, leaseEndMs, checkpoint, ticket }: StartCommand): void {
+    const order = {
+      task: run.task,
+      run: run.number,
+      payload: run.unit.step.occurrence.job.booked.spec.payload,
+      leaseEndMs,
+      token: this.#options.token,
+      checkpoint,
+      ...(ticket === undefined ? {} : { ticket }),
+    };
+    this.#parts.log.record('start', run.task, {
+      run: run.number,
+      host: run.host.id,
+      token: this.#options.token,
+      waitedMs: Math.round(run.orderedAt - run.unit.readySince),
+      hostAgeMs: Math.round(run.orderedAt - run.host.answeredAt),
+    });
+    this.#options.findLink(run.host)?.send({
+      type: 'order',
+      send: (target) => this.#parts.hosts.startRun(target, order),
+      reply: (outcome) => {
+        this.#parts.metrics.recordLatency(
+          'start',
+          this.#parts.clock.readMonotonic() - run.orderedAt,
+        );
+        this.#options.settle((shard) => shard.reportStart(run, outcome));
+      },
+    });
+  }
+
+  #sendMachineCommand(command: MachineCommand): void {
+    if (command.type === 'move') {
+      this.#orderMachine({ machine: command.machine }, (order) =>
+        this.#parts.machines.moveMachine(order, command.pool),
+      );
+      return;
+    }
+    this.#orderMachine(command.order, (order) =>
+      this.#parts.machines.maintainMachine(order, command.order.wave),
+    );
+  }
+
+  #orderMachine(
+    subject: { machine: string; wave?: number },
+    send: (order: { machine: string; holder: string; token: number }) => Promise<MachineAnswer>,
+  ): void {
+    const order = {
+      machine: subject.machine,
+      holder: this.#parts.settings.name,
+      token: this.#options.token,
+    };
+    this.#options.settle((shard) => {
+      shard.reportMachineOrder(subject.machine);
+      return 'ok';
+    });
+    send(order).then(
+      (answer) => this.#options.settle((shard) => shard.reportMachine(subject, answer)),
+      (error: unknown) => {
+        this.#parts.log.record('machine-unanswered', subject.machine, { error: String(error) });
+        this.#options.settle((shard) => shard.reportMachine(subject, { type: 'unanswered' }));
+      },
+    );
+  }
+
+  #askAdvice(step: string, hostIds: string[]): void {
+    this.#parts.advice.askAdvice(step, hostIds).then(
+      (advice) =>
+        this.#options.settle((shard) => {
+          shard.reportAdvice(step, advice);
+          return 'ok';
+        }),
+      (error: unknown) => {
+        this.#parts.log.record('advice-failed', step, { error: String(error) });
+        this.#options.settle((shard) => {
+          shard.reportAdvice(step, undefined);
+          return 'ok';
+        });
+      },
+    );
+  }
+
+  #publishWave(wave: number, state: 'running' | 'completed'): void {
+    this.#waveStates.set(wave, state);
+    this.#parts.store.publishWave(wave, state).then(
+      (answer) => {
+        this.#parts.log.record('wave-published', String(wave), { state, answer: answer.type });
+        if (answer.type !== 'appended') this.#retryPublish(wave, state);
+      },
+      (error: unknown) => {
+        this.#parts.log.record('wave-published', String(wave), { state, error: String(error) });
+        this.#retryPublish(wave, state);
+      },
+    );
+  }
+
+  #retryPublish(wave: number, state: 'running' | 'completed'): void {
+    setTimeout(() => {
+      // A newer state must not be followed by the repetition of an older one.
+      const isNewest = this.#waveStates.get(wave) === state;
+      if (!this.#isClosed && isNewest) this.#publishWave(wave, state);
+    }, PUBLISH_RETRY_MS);
+  }
+}
