Go on emptying a host for maintenance, and bring a host for a lasting task without room

While another machine of the wave went down, the plan had no place for a host that was being emptied: it took work again, and the lasting task that had just been moved away came back to it. Later another task of that step found no room in its pool for 9.5 s, which counts as no backlog, and kept the step from missing one more. Change: emptying goes on whatever the places; a lasting task that waits for more than 300 ms makes its pool borrow one host. Tests: UpkeepPlanner 'goes on emptying a host' and IdleHostLending 'brings a host for a lasting task' (both fail without the change).

--- a/src/schedule/IdleHostLending.test.ts
+++ b/src/schedule/IdleHostLending.test.ts
@@ -14,6 +14,7 @@
     waitingHosts: 0,
     // Waiting work is in time unless a test says otherwise.
     timelyHosts: fields.waitingHosts ?? 0,
+    lastingHosts: 0,
     risingHosts: 0,
     backlogMs: 0,
     idle: [],
@@ -100,4 +101,20 @@
     const other = { ...timely, timelyHosts: 0 };
     assert.deepEqual(LENDING.plan([late, other]), { moves: [], releasing: [] });
   });
+
+  // Guards against a lasting task that finds no room for seconds, since it is no backlog to speak of.
+  it('brings a host for a lasting task that finds no room, and one at a time', () => {
+    const waiting = { waitingHosts: 0.2, lastingHosts: 0.2, backlogMs: 10 };
+    const spare = buildPool('spare', {
+      isStandby: true,
+      idle: [
+        { machine: 's1', idleMs: Infinity },
+        { machine: 's2', idleMs: Infinity },
+      ],
+    });
+    const { moves } = LENDING.plan([buildPool('pool', waiting), spare]);
+    assert.deepEqual(moves, [{ machine: 's1', to: 'pool' }]);
+    const later = LENDING.plan([buildPool('pool', { ...waiting, incoming: 1 }), spare]);
+    assert.deepEqual(later.moves, []);
+  });
 });
--- a/src/schedule/IdleHostLending.ts
+++ b/src/schedule/IdleHostLending.ts
@@ -51,7 +51,8 @@
       .sort((one, other) => other.backlogMs - one.backlogMs)
       .forEach((pool) => {
         const waiting = pool.backlogMs > this.#options.borrowAboveMs ? pool.waitingHosts : 0;
-        const needed = Math.ceil(Math.max(waiting, pool.risingHosts)) - pool.incoming;
+        const wanted = Math.max(waiting, pool.risingHosts, pool.lastingHosts);
+        const needed = Math.ceil(wanted) - pool.incoming;
         const donors = this.#collectDonors(pool, standby, serving).filter(
           (machine) => !taken.has(machine),
         );
@@ -74,7 +75,8 @@
     return timelyHosts > 0 || risingHosts > 0;
   }
 
-  #isPressed({ backlogMs, risingHosts }: PoolView): boolean {
+  #isPressed({ backlogMs, risingHosts, lastingHosts }: PoolView): boolean {
+    if (lastingHosts > 0) return true;
     return backlogMs > this.#options.borrowAboveMs || risingHosts > MIN_RISE_HOSTS;
   }
 
--- a/src/schedule/MachinePlanner.ts
+++ b/src/schedule/MachinePlanner.ts
@@ -125,7 +125,7 @@
   planUpkeep(now: number, nowWallMs: number, pools: ReadonlyMap<string, PoolRule>): void {
     if (this.#openWaves.size === 0) return;
     if (this.#hosts.machinesReadAt === -Infinity) return;
-    const waiting = this.#load.measureWaiting(nowWallMs);
+    const waiting = this.#load.measureWaiting(now, nowWallMs);
     const backlogs = this.#load.computeBacklogs(now, pools, waiting);
     const hosts = this.#hosts.collectByMachine();
     const plan = this.#upkeep.plan({
@@ -157,7 +157,7 @@
     if (this.#hosts.machinesReadAt === -Infinity) return;
     this.#closeMoves(now);
     const hosts = this.#hosts.collectByMachine();
-    const waiting = this.#load.measureWaiting(nowWallMs);
+    const waiting = this.#load.measureWaiting(now, nowWallMs);
     const views = this.#describePools(now, pools, { hosts, waiting });
     views.forEach((view) => this.#logPressure(view, now));
     const { moves, releasing } = this.#sizing.plan(views);
@@ -254,6 +254,7 @@
         incoming: [...this.#moves.values()].filter(({ pool }) => pool === name).length,
         waitingHosts: waiting.get(name)?.hosts ?? 0,
         timelyHosts: waiting.get(name)?.timelyHosts ?? 0,
+        lastingHosts: waiting.get(name)?.lastingHosts ?? 0,
         risingHosts: isStandby ? 0 : this.#load.measureRise(name, now),
         backlogMs: backlogs[name] ?? 0,
         idle: idle.filter(({ machine }) => this.#isMovable(machine, now)),
--- a/src/schedule/PoolLoad.ts
+++ b/src/schedule/PoolLoad.ts
@@ -5,19 +5,25 @@
 import type { JobTable } from './JobTable.js';
 import { Punctuality } from './Punctuality.js';
 import type { RunTimeEstimator } from './RunTimeEstimator.js';
+import type { ScheduledStep } from './ScheduledStep.js';
 import type { ScheduledJob } from './ScheduledJob.js';
 
+/** A lasting task that waits for longer has found no room: a restart elsewhere takes some 50 ms. */
+const LASTING_WAIT_MS = 300;
+
 /** Work that waits in a pool. */
 export interface WaitingWork {
   /** Hosts' worth of room that the waiting tasks would take at once. */
   hosts: number;
   /** The part of it that belongs to jobs which can still be in time. */
   timelyHosts: number;
+  /** The part of it that belongs to lasting tasks which have found no room for a while. */
+  lastingHosts: number;
   /** Processor work in thousandths of a core times ms. */
   work: number;
 }
 
-const NOTHING: WaitingWork = { hosts: 0, timelyHosts: 0, work: 0 };
+const NOTHING: WaitingWork = { hosts: 0, timelyHosts: 0, lastingHosts: 0, work: 0 };
 
 /** Measures how pressed each pool is. */
 export class PoolLoad {
@@ -57,12 +63,13 @@
   }
 
   /** Measures the work that waits in each pool. */
-  measureWaiting(nowWallMs: number): Map<string, WaitingWork> {
+  measureWaiting(now: number, nowWallMs: number): Map<string, WaitingWork> {
     const result = new Map<string, WaitingWork>();
     const size = this.#findLargestHost();
     this.#jobs.listWaiting().forEach((steps, pool) => {
       let hosts = 0;
       let timelyHosts = 0;
+      let lastingHosts = 0;
       let work = 0;
       steps.forEach((step) => {
         const tasks = step.units.reduce(
@@ -77,10 +84,11 @@
         );
         hosts += tasks * share;
         if (!this.#punctuality.isLate(step.occurrence, nowWallMs)) timelyHosts += tasks * share;
+        if (step.spec.isLasting) lastingHosts += PoolLoad.#countOverdue(step, now) * share;
         const { queue } = step.occurrence.job;
         work += tasks * room.cpuMilli * this.#estimator.estimate(queue.name, step.spec);
       });
-      result.set(pool, { hosts, timelyHosts, work });
+      result.set(pool, { hosts, timelyHosts, lastingHosts, work });
     });
     return result;
   }
@@ -107,6 +115,11 @@
       .reduce((sum, host) => sum + host.capacity.cpuMilli, 0);
   }
 
+  /** Counts the tasks of a step that have waited for longer than a restart takes. */
+  static #countOverdue({ units }: ScheduledStep, now: number): number {
+    return units.filter((unit) => unit.isWaiting && now - unit.readySince > LASTING_WAIT_MS).length;
+  }
+
   /** Measures the processor room that lasting tasks take in a pool. */
   #measureLasting(pool: string): number {
     return this.#hosts.listPool(pool).reduce((sum, { runs }) => {
--- a/src/schedule/PoolSizing.ts
+++ b/src/schedule/PoolSizing.ts
@@ -17,6 +17,8 @@
   waitingHosts: number;
   /** The part of it that belongs to jobs which can still be in time. */
   timelyHosts: number;
+  /** The part of it that belongs to lasting tasks which have found no room for a while. */
+  lastingHosts: number;
   /** Hosts more than the pool has that the arriving work would keep busy. */
   risingHosts: number;
   /** Time in ms in which the hosts of the pool would finish the work that waits. */
--- a/src/schedule/UpkeepPlanner.test.ts
+++ b/src/schedule/UpkeepPlanner.test.ts
@@ -26,8 +26,8 @@
 
   #lives = 0;
 
-  constructor() {
-    for (let index = 0; index < MACHINES; index += 1) this.#raise(`m-${index}`);
+  constructor(machines = MACHINES) {
+    for (let index = 0; index < machines; index += 1) this.#raise(`m-${index}`);
     this.planner.setOrder(
       { wave: 1, machines: [...this.machines.keys()], durationMs: DURATION_MS, cap: CAP },
       0,
@@ -159,4 +159,17 @@
       rig.clock.increase(200);
     }
   });
+
+  // Guards against a host that is emptied, given up while another one goes, and filled again.
+  it('goes on emptying a host while the places are taken by others', () => {
+    // Two of five hosts are emptied; when one of them goes, the plan has no place for a second.
+    const wave = new WaveSimulation(5);
+    const run = { unit: { spec: { isLasting: false } } } as never;
+    wave.hosts.forEach((host) => host.runs.set('busy', run));
+    const [first = '', second = ''] = wave.run(0).emptying;
+    wave.hosts.get(second)?.runs.clear();
+    wave.run(0);
+    assert.equal(wave.down, 1);
+    assert.ok(wave.run(0).emptying.has(first));
+  });
 });
--- a/src/schedule/UpkeepPlanner.ts
+++ b/src/schedule/UpkeepPlanner.ts
@@ -132,7 +132,8 @@
     const sorted = present
       .map((machine) => ({ machine, cost: UpkeepPlanner.#computeCost(wave, machine, view) }))
       .sort((one, other) => one.cost - other.cost)
-      .slice(0, places);
+      // What has begun to be emptied comes first, and goes on though others take the places.
+      .slice(0, Math.max(places, present.filter((one) => wave.emptyingSince.has(one)).length));
     sorted.forEach(({ machine }) => {
       const host = view.hosts.get(machine);
       const since = wave.emptyingSince.get(machine) ?? view.now;
