Check in one place whether a start is still wanted, and name the orders that wait for their record

Found on a last read of the change: two places of ShardOwner asked whether a run had been given up before its start was ordered, each in its own way, and '#unrecorded' held orders about machines beside '#unrecordedStarts'. Behaviour is unchanged.

--- a/src/node/ShardOwner.ts
+++ b/src/node/ShardOwner.ts
@@ -115,7 +115,7 @@
   #startsInAppend: StartCommand[] = [];
 
   /** Orders about machines that are not yet recorded, and so not yet sent. */
-  #unrecorded: MachineCommand[] = [];
+  #unrecordedMachineOrders: MachineCommand[] = [];
 
   /** When the orders about machines were last recorded, and whether there were any. */
   #ordersDescribedAt = -Infinity;
@@ -269,14 +269,15 @@
     if (permit.isRecorded) return;
     // What waits for its record goes without one, or waits on where that is not allowed.
     const starts = [...this.#startsInAppend.splice(0), ...this.#unrecordedStarts.splice(0)];
-    starts.forEach((start) => {
-      if (start.run.state === 'starting') this.#runCommand(start);
-      else this.#shard.cancelStart(start.run);
-    });
+    this.#takeWanted(starts).forEach((start) => this.#runCommand(start));
   }
 
   get #hasUnwritten(): boolean {
-    return this.#shard.hasDirty || this.#unrecorded.length > 0 || this.#unrecordedStarts.length > 0;
+    return (
+      this.#shard.hasDirty ||
+      this.#unrecordedMachineOrders.length > 0 ||
+      this.#unrecordedStarts.length > 0
+    );
   }
 
   #scheduleFlush(): void {
@@ -295,7 +296,7 @@
       this.#unrecordedStarts.push(command);
     } else if (command.type === 'move' || command.type === 'maintain') {
       // A successor has to know of the order before the machine does.
-      this.#unrecorded.push(command);
+      this.#unrecordedMachineOrders.push(command);
     } else this.#runner.run(command);
   }
 
@@ -306,10 +307,13 @@
     return rule === 'all' || dataCentre === this.#parts.settings.dataCentre;
   }
 
-  /** Orders a start that has been recorded, unless its run was given up meanwhile. */
-  #startRecorded(command: StartCommand): void {
-    if (command.run.state === 'starting') this.#runner.run(command);
-    else this.#shard.cancelStart(command.run);
+  /** Takes the starts whose runs are still wanted, and cancels those that were given up meanwhile. */
+  #takeWanted(starts: readonly StartCommand[]): StartCommand[] {
+    return starts.filter(({ run }) => {
+      const isWanted = run.state === 'starting';
+      if (!isWanted) this.#shard.cancelStart(run);
+      return isWanted;
+    });
   }
 
   #settle(result: LedgerResult): void {
@@ -427,7 +431,7 @@
     if (!this.#hasUnwritten && !isBeatDue && !isRelease) return;
     const jobs = this.#shard.takeDirty();
     const waves = this.#shard.takeDirtyWaves();
-    const machineOrders = this.#unrecorded.splice(0);
+    const machineOrders = this.#unrecordedMachineOrders.splice(0);
     this.#startsInAppend = this.#unrecordedStarts.splice(0);
     const ends = [...this.#watches.keys()]
       .filter((host) => host.processedEnd > host.acknowledgedEnd)
@@ -498,7 +502,7 @@
     }
     this.#writtenAt = this.#parts.clock.readMonotonic();
     const starts = this.#startsInAppend.splice(0);
-    if (!batch.isRelease) starts.forEach((start) => this.#startRecorded(start));
+    if (!batch.isRelease) this.#takeWanted(starts).forEach((start) => this.#runner.run(start));
     if (!batch.isRelease) batch.machineOrders.forEach((one) => this.#runner.run(one));
     batch.jobs.forEach(({ id, endedAtMs }) => {
       if (endedAtMs !== undefined) this.#finished.push({ id, endedAtMs });
