Hold what a killed controller appended until the next one has proposed

Cause: the test 'decides once when rank 0 is killed' let the appends of the first controller take effect after 6 s. Change: the stand-in holds such appends until the faults are set again, and the test does so once the proposal of the second is in the fold. Conclusion: the order is now given by the test and not by the load.

--- a/src/controller/Controller.test.ts
+++ b/src/controller/Controller.test.ts
@@ -233,24 +233,23 @@
     const entries = await request(`${url}?from=0`);
     const [own] = FleetEntries.parse(await entries.body.json()).entries;
     const { writer } = Writer.parse(JSON.parse(own?.value ?? '{}'));
-    await deployment.inject({
-      lateAppends: 1_000,
-      lateMs: 6_000,
-      lateText: `"writer":"${writer}"`,
-    });
+    await deployment.inject({ heldText: `"writer":"${writer}"` });
     await request(url, { method: 'POST', body: JSON.stringify({ values }) });
     await waitFor('the proposal of the first', async () =>
       (await readEvents(first.address)).some((one) => one.type === 'host-assign.proposed'),
     );
     first.child.kill('SIGKILL');
-    const listAssigned = async (): Promise<FleetEvent[]> => {
-      const events = await readEvents(second.address);
-      return events.filter((one) => /^host-assign\.(accepted|rejected)/.test(one.type));
-    };
-    const assigned = await waitFor('both proposals in the fold', async () => {
-      const events = await listAssigned();
-      return events.length === 2 ? events : undefined;
-    });
+    const waitForAssigned = async (count: number): Promise<FleetEvent[]> =>
+      waitFor(`${count} proposals in the fold`, async () => {
+        const events = await readEvents(second.address);
+        const ofHosts = events.filter((one) => /^host-assign\.(accepted|rejected)/.test(one.type));
+        return ofHosts.length === count ? ofHosts : undefined;
+      });
+    // What the first appended takes effect only now: by a fixed delay it came first on a busy
+    // machine, where the second plans later, and then the second had nothing left to propose.
+    await waitForAssigned(1);
+    await deployment.inject({});
+    const assigned = await waitForAssigned(2);
     assert.deepEqual(assigned.map((one) => one.type).sort(), [
       'host-assign.accepted',
       'host-assign.rejected',
--- a/src/standin/PlatformStandin.ts
+++ b/src/standin/PlatformStandin.ts
@@ -17,8 +17,11 @@
   /** This many appends are answered with status 503 and take effect `lateMs` later. */
   lateAppends: z.number().int().nonnegative().default(0),
   lateMs: z.number().nonnegative().default(1_000),
-  /** Only appends that contain this text are late; any append where it is empty. */
-  lateText: z.string().default(''),
+  /**
+   * Appends that contain this text are answered with status 503 and take effect when the faults
+   * are set again; none where it is empty.
+   */
+  heldText: z.string().default(''),
   /** Only appends are answered with status 503. */
   refuseAppends: z.boolean().default(false),
   /** Changes of the host list become visible this much later. */
@@ -57,6 +60,9 @@
 
   #faults = PlatformFaults.parse({});
 
+  /** Appends that take effect when the faults are set again. */
+  #heldAppends: (() => number)[] = [];
+
   /** Timers of the hosts that reboot; a lost host has none. */
   readonly #rebooting = new Map<string, NodeJS.Timeout | undefined>();
 
@@ -80,6 +86,7 @@
   /** Sets the faults. */
   setFaults(faults: Partial<PlatformFaults>): void {
     this.#faults = PlatformFaults.parse(faults);
+    this.#heldAppends.splice(0).forEach((append) => append());
   }
 
   /** Sets the list of hosts. */
@@ -167,11 +174,15 @@
     reply: (status: number, body: unknown) => void,
   ): Promise<void> {
     const { values } = AppendCall.parse(await readBody(request));
-    const { lateText } = this.#faults;
-    const isLate = values.some((value) => value.includes(lateText));
-    if (this.#faults.lateAppends > 0 && isLate) {
+    const append = (): number => this.#openStream(stream).append(values, Date.now());
+    const { heldText } = this.#faults;
+    if (heldText !== '' && values.some((value) => value.includes(heldText))) {
+      this.#heldAppends.push(append);
+      reply(503, { error: 'held' });
+      return;
+    }
+    if (this.#faults.lateAppends > 0) {
       this.#faults.lateAppends -= 1;
-      const append = (): number => this.#openStream(stream).append(values, Date.now());
       setTimeout(append, this.#faults.lateMs).unref();
       reply(503, { error: 'late' });
       return;
@@ -180,7 +191,7 @@
       reply(503, { error: 'no appends' });
       return;
     }
-    const firstOffset = this.#openStream(stream).append(values, Date.now());
+    const firstOffset = append();
     if (this.#faults.loseAnswers > 0) {
       this.#faults.loseAnswers -= 1;
       response.destroy();
