Read the list of machines again when a host has come up, and park none before work has come

Cause: the owner reads the list of machines once when it starts, while most machines are still starting, and again only for moves and waves. Change: a host that was found after the list was read has it read again. So that hosts are not parked ten seconds before the first job, idleness counts from the first arrival on (a successor: from its start). Before: two new tests of MachinePlanner fail. After: 52 tests of the decisions pass.

--- a/src/schedule/MachinePlanner.test.ts
+++ b/src/schedule/MachinePlanner.test.ts
@@ -54,6 +54,43 @@
     assert.deepEqual(listMoved(rig.plan()), ['s1']);
   });
 
+  // Guards against machines that are never moved on a day without a wave: the list was read while
+  // they were still starting, and nothing else asks for it again.
+  it('has the list read again when a host has come up since', () => {
+    const rig = new ScheduleRig();
+    const starting = buildStandby('machine-of-h1', { pool: 'studio', state: 'down' });
+    rig.shard.updateMachines([starting, buildStandby('s1')], rig.clock.readMonotonic());
+    assert.ok(!rig.shard.needsMachines);
+    rig.clock.increase(2_000);
+    rig.addHost('h1');
+    assert.ok(rig.shard.needsMachines);
+    const up = buildStandby('machine-of-h1', { pool: 'studio', hostId: 'h1' });
+    rig.shard.updateMachines([up, buildStandby('s1')], rig.clock.readMonotonic());
+    assert.ok(!rig.shard.needsMachines);
+  });
+
+  // Guards against hosts that are taken from the pools that the operator gave them to before any
+  // work has come that shows where they are needed.
+  it('parks no host before the first job has arrived', () => {
+    const rig = new ScheduleRig();
+    const hosts = ['h1', 'h2', 'h3'];
+    hosts.forEach((id) => rig.addHost(id));
+    const machines = hosts.map((id) =>
+      buildStandby(`machine-of-${id}`, { pool: 'studio', hostId: id }),
+    );
+    rig.shard.updateMachines(machines, rig.clock.readMonotonic());
+    rig.clock.increase(10_000);
+    hosts.forEach((id) => rig.report(id));
+    assert.deepEqual(listMoved(rig.plan()), []);
+    const small = [{ count: 1, cpuMilli: 100, estimateMs: 100 }];
+    rig.shard.addJob(buildBookedJob('a', small, { acceptedOffset: 1_000 }));
+    rig.startAll().forEach((run) => rig.end(run, 'done'));
+    assert.deepEqual(listMoved(rig.plan()), []);
+    rig.clock.increase(1_500);
+    hosts.forEach((id) => rig.report(id));
+    assert.equal(listMoved(rig.plan()).length, 1);
+  });
+
   // Guards against moves of machines that have just been sent to maintenance: a standby machine
   // carries no host that would show it.
   it('does not move a machine whose maintenance has begun', () => {
--- a/src/schedule/MachinePlanner.ts
+++ b/src/schedule/MachinePlanner.ts
@@ -246,7 +246,7 @@
         ? this.#listStandby(name)
         : members
             .filter((host) => host.runs.size === 0 && hosts.get(host.machine) === host)
-            .map((host) => ({ machine: host.machine, idleMs: now - host.idleSince }));
+            .map((host) => ({ machine: host.machine, idleMs: this.#load.measureIdle(host, now) }));
       return {
         name,
         isStandby,
--- a/src/schedule/ManagedHost.ts
+++ b/src/schedule/ManagedHost.ts
@@ -42,6 +42,9 @@
   /** Steady time of the last answer. */
   answeredAt = 0;
 
+  /** Steady time at which the owner learned of the host. */
+  readonly foundAt: number;
+
   /** Steady time since which nothing runs here. */
   idleSince: number;
 
@@ -71,6 +74,7 @@
 
   constructor(entry: HostEntry, now: number) {
     this.entry = entry;
+    this.foundAt = now;
     this.idleSince = now;
     if (entry.clockMs !== undefined) this.setClock(entry.clockMs, now);
   }
--- a/src/schedule/PoolLoad.ts
+++ b/src/schedule/PoolLoad.ts
@@ -3,6 +3,7 @@
 import { computeRoom } from './computeRoom.js';
 import type { HostTable } from './HostTable.js';
 import type { JobTable } from './JobTable.js';
+import type { ManagedHost } from './ManagedHost.js';
 import { Punctuality } from './Punctuality.js';
 import type { RunTimeEstimator } from './RunTimeEstimator.js';
 import type { ScheduledStep } from './ScheduledStep.js';
@@ -37,6 +38,8 @@
 
   readonly #punctuality: Punctuality;
 
+  #demandSince: number | undefined;
+
   constructor(jobs: JobTable, hosts: HostTable, estimator: RunTimeEstimator) {
     this.#jobs = jobs;
     this.#hosts = hosts;
@@ -47,6 +50,7 @@
   /** Records a job that has just been accepted. */
   reportArrival({ queue, booked, isLasting }: ScheduledJob, now: number): void {
     if (isLasting) return;
+    this.beginDemand(now);
     const work = booked.spec.steps.reduce(
       (sum, step) => sum + step.count * step.cpuMilli * this.#estimator.estimate(queue.name, step),
       0,
@@ -54,6 +58,16 @@
     this.#arrivals.report(queue.pool, work, now);
   }
 
+  /** Records that work has come, or may have come to an earlier owner, since a steady time. */
+  beginDemand(now: number): void {
+    this.#demandSince ??= now;
+  }
+
+  /** Measures for how long a host has been idle while there was demand that it could have served. */
+  measureIdle({ idleSince }: ManagedHost, now: number): number {
+    return now - Math.max(idleSince, this.#demandSince ?? now);
+  }
+
   /** Measures how many hosts more the arriving work would keep busy than a pool has. */
   measureRise(pool: string, now: number): number {
     const rate = this.#arrivals.measureRate(pool, now);
--- a/src/schedule/Shard.ts
+++ b/src/schedule/Shard.ts
@@ -136,6 +136,7 @@
       stopMs: options.stopMs,
     });
     this.#load = new PoolLoad(this.#jobs, this.#hosts, this.#estimator);
+    if (!takeover.isFirst) this.#load.beginDemand(this.#startedAt);
     this.#orders = new RecentOrders({
       leaseMs: options.machineLeaseMs,
       inherited: takeover.machineOrders,
@@ -336,11 +337,12 @@
   get needsMachines(): boolean {
     if (this.#hosts.machinesReadAt === -Infinity) return true;
     if (this.#machines.needsList) return true;
-    return [...this.#hosts.hosts].some(
-      (host) =>
-        (host.silentCalls >= SILENT_CALLS || !host.isListed) &&
-        (host.runs.size > 0 || host.reservedUntil > 0),
-    );
+    return [...this.#hosts.hosts].some((host) => {
+      const isSilent = host.silentCalls >= SILENT_CALLS || !host.isListed;
+      if (isSilent) return host.runs.size > 0 || host.reservedUntil > 0;
+      // The list was read before the host had come up, so its machine does not count as movable.
+      return host.foundAt > this.#hosts.machinesReadAt;
+    });
   }
 
   /** Plans what to do now and sends the commands. */
