Take a state as the newest only when a read has reached the end of the log

Each read counted as fresh from the moment it was sent, although it had brought only a part; a peer that was asked for the job 3.1 s after it had been accepted answered from such a state that there was none, and the caller got 410. In the same way the newest records counted as fresh from the last page on, not from the first. Change: a read moves the time of freshness only when it reached the end, and pages count from when the first one was asked for. Before: both new tests of TopicFollower fail.

--- /dev/null
+++ b/src/node/TopicFollower.test.ts
@@ -0,0 +1,103 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { ActorScope } from '../actor/mod.js';
+import { ManualClock } from '../clock/mod.js';
+import type { NewestPage, ReadAnswer, StoreRecord } from '../port/mod.js';
+import { waitFor } from '../testing/mod.js';
+import type { NodeParts } from './NodeParts.js';
+import { TopicFollower, type FollowState } from './TopicFollower.js';
+
+function buildRecord(offset: number): StoreRecord {
+  return { offset, key: `key-${offset}`, value: Buffer.from('{}') };
+}
+
+/** A log whose reads the test answers one by one. */
+class ScriptedStore {
+  readonly #reads: ((answer: ReadAnswer) => void)[] = [];
+
+  readonly #pages: ((page: NewestPage) => void)[] = [];
+
+  readNewest(): Promise<NewestPage> {
+    return new Promise((resolve) => {
+      this.#pages.push(resolve);
+    });
+  }
+
+  read(): Promise<ReadAnswer> {
+    return new Promise((resolve) => {
+      this.#reads.push(resolve);
+    });
+  }
+
+  async answerPage(page: NewestPage): Promise<void> {
+    (await waitFor('a read of the newest records', () => this.#pages.shift()))(page);
+  }
+
+  async answerRead(answer: ReadAnswer): Promise<void> {
+    (await waitFor('a read', () => this.#reads.shift()))(answer);
+  }
+}
+
+class CountingFollower extends TopicFollower<never> {
+  applied = 0;
+
+  lastState: FollowState | undefined;
+
+  protected override applyRecords(records: readonly StoreRecord[]): void {
+    this.applied += records.length;
+    this.lastState = this.state;
+  }
+
+  protected override handle(): void {
+    throw new Error(`${this.name} has no messages of its own`);
+  }
+}
+
+function openFollower(): { clock: ManualClock; store: ScriptedStore; follower: CountingFollower } {
+  const clock = new ManualClock();
+  const store = new ScriptedStore();
+  const scope = new ActorScope('follower', (_, error) => assert.fail(error));
+  const parts = { scope, clock, store, log: { record: () => undefined } };
+  const follower = new CountingFollower(parts as unknown as NodeParts, 'work', 0);
+  return { clock, store, follower };
+}
+
+describe('TopicFollower', () => {
+  // Guards against a node that comes out of a cut thousands of records behind and denies jobs that
+  // other nodes have accepted meanwhile: each read told it only a part of what it had missed.
+  it('is as fresh as its last read only once it has reached the end of the log', async () => {
+    const { clock, store, follower } = openFollower();
+    await store.answerPage({ records: [buildRecord(0)], next: undefined, end: 1 });
+    await waitFor('the page', () => follower.applied === 1);
+    clock.increase(100);
+    await store.answerRead({ type: 'records', end: 2, records: [buildRecord(1)] });
+    await waitFor('the second record', () => follower.applied === 2);
+    const { freshAt } = follower.lastState ?? assert.fail('no state');
+    clock.increase(5_000);
+    await store.answerRead({ type: 'records', end: 9, records: [buildRecord(2)] });
+    await waitFor('the first record of the gap', () => follower.applied === 3);
+    clock.increase(10);
+    await store.answerRead({ type: 'records', end: 9, records: [buildRecord(3)] });
+    await waitFor('the next record of the gap', () => follower.applied === 4);
+    assert.equal(follower.lastState?.isInContact, true);
+    assert.ok((follower.lastState?.freshAt ?? 0) <= freshAt + 5_000);
+    await store.answerRead({ type: 'records', end: 5, records: [buildRecord(4)] });
+    await waitFor('the end of the log', () => follower.applied === 5);
+    assert.ok((follower.lastState?.freshAt ?? 0) > freshAt + 5_000);
+    follower.close();
+  });
+
+  // Guards against the time that reading many pages takes: records came while they were read.
+  it('is no fresher after pages than when it asked for the first one', async () => {
+    const { clock, store, follower } = openFollower();
+    const before = clock.readMonotonic();
+    await waitFor('the first page to be asked for', () => follower.applied === 0);
+    const answered = store.answerPage({ records: [buildRecord(0)], next: 'key-0', end: 1 });
+    await answered;
+    clock.increase(3_000);
+    await store.answerPage({ records: [buildRecord(4)], next: undefined, end: 5 });
+    await waitFor('the pages', () => follower.applied === 2);
+    assert.ok((follower.lastState?.freshAt ?? Infinity) <= before);
+    follower.close();
+  });
+});
--- a/src/node/TopicFollower.ts
+++ b/src/node/TopicFollower.ts
@@ -10,7 +10,7 @@
 /** Messages of every follower. */
 export type FollowerMessage =
   | { type: 'read' }
-  | { type: 'pages'; records: StoreRecord[]; end: number }
+  | { type: 'pages'; records: StoreRecord[]; end: number; sentAt: number }
   | { type: 'answered'; answer: ReadAnswer; sentAt: number }
   | { type: 'failed'; error: Error };
 
@@ -20,7 +20,10 @@
   end: number;
   /** It has read to the end of the log at least once. */
   isCurrent: boolean;
-  /** Steady time at which the state was the newest for certain. */
+  /**
+   * Steady time at which the state was the newest for certain. A read that did not reach the end of
+   * the log does not move it.
+   */
   freshAt: number;
   /** The last read was answered. */
   isInContact: boolean;
@@ -91,7 +94,8 @@
       case 'pages':
         this.#next = known.end;
         this.#isReading = false;
-        this.#markContact(this.#parts.clock.readMonotonic());
+        this.#markContact();
+        this.#freshAt = known.sentAt;
         this.applyRecords(known.records, true);
         this.#schedule(0);
         return undefined;
@@ -132,6 +136,7 @@
   }
 
   async #readPages(): Promise<FollowerMessage> {
+    const sentAt = this.#parts.clock.readMonotonic();
     const first = await this.#parts.store.readNewest(this.#topic);
     const records = [...first.records];
     let { next } = first;
@@ -140,7 +145,7 @@
       records.push(...page.records);
       next = page.next;
     }
-    return { type: 'pages', records, end: first.end };
+    return { type: 'pages', records, end: first.end, sentAt };
   }
 
   async #readNext(from: number): Promise<FollowerMessage> {
@@ -150,10 +155,7 @@
   }
 
   #handleAnswer(answer: ReadAnswer, sentAt: number): void {
-    // A read that waited in vain tells that nothing came until the end of its wait.
-    const isEmpty = answer.type === 'records' && answer.records.length === 0;
-    const now = this.#parts.clock.readMonotonic();
-    this.#markContact(isEmpty ? Math.min(now, sentAt + READ_WAIT_MS) : sentAt);
+    this.#markContact();
     if (answer.type === 'expired') {
       this.#parts.log.record('log-expired', this.#topic, { next: this.#next, first: answer.first });
       this.#next = undefined;
@@ -162,10 +164,16 @@
     }
     const last = answer.records.at(-1);
     this.#next = last === undefined ? this.#next : last.offset + 1;
-    this.#isCurrent = this.#isCurrent || (this.#next ?? 0) >= answer.end;
+    const isEmpty = last === undefined;
+    const isBehind = !isEmpty && (this.#next ?? 0) < answer.end;
+    if (!isBehind) {
+      this.#isCurrent = true;
+      // A read that waited in vain tells that nothing came until the end of its wait.
+      const waitedUntil = Math.min(this.#parts.clock.readMonotonic(), sentAt + READ_WAIT_MS);
+      this.#freshAt = isEmpty ? waitedUntil : sentAt;
+    }
     this.applyRecords(answer.records, false);
-    const isBehind = (this.#next ?? 0) < answer.end;
-    this.#schedule(isBehind || answer.records.length === 0 ? 0 : this.gatherMs);
+    this.#schedule(isBehind || isEmpty ? 0 : this.gatherMs);
   }
 
   #handleFailure(error: Error): void {
@@ -177,8 +185,7 @@
     this.applyRecords([], false);
   }
 
-  #markContact(sentAt: number): void {
-    this.#freshAt = sentAt;
+  #markContact(): void {
     if (this.#isInContact) return;
     this.#isInContact = true;
     this.#contactSince = this.#parts.clock.readMonotonic();
