Give a record to another node only when that node has just said that it can append

Cause: while the whole store is away, or a data centre is cut off, a node passed a record that had been refused here to two peers; one behind the cut does not answer, and the outcome became unknown: the caller got 504 and could not try again, though its job was certainly not stored. Change: peers of every data centre are asked first whether they can append (150 ms, shared for 100 ms); the record goes to the first that says yes. Before: with that question answered yes by itself the new test of RelayClient gives 'unknown' (and with the code before). After: 'not-stored' within 150 ms. Not measured yet.

--- a/src/node/CallerDesk.ts
+++ b/src/node/CallerDesk.ts
@@ -201,6 +201,13 @@
     return this.#keeper.ask<JobAnswer>((reply) => ({ type: 'find', id, reply }));
   }
 
+  /** Tells another node whether records reach the store from here. */
+  override async canWrite(): Promise<boolean> {
+    const canWrite = await this.#writer.ask<boolean>((reply) => ({ type: 'can-write', reply }));
+    const { follow } = await this.#find('');
+    return canWrite && follow.isInContact;
+  }
+
   /** Appends a record for another node, without asking further nodes. */
   override write(key: string, value: string, timeoutMs: number): Promise<WriteOutcome> {
     const giveUpAt = this.#parts.clock.readMonotonic() + timeoutMs;
--- /dev/null
+++ b/src/node/RelayClient.test.ts
@@ -0,0 +1,85 @@
+import assert from 'node:assert/strict';
+import { createServer, type Server } from 'node:http';
+import { after, describe, it } from 'node:test';
+import { closeServer, openServer } from '../net/mod.js';
+import { RelayClient } from './RelayClient.js';
+import { RelayApi } from './RelayRouter.js';
+import { RelayServer } from './RelayServer.js';
+import type { WriteOutcome } from './WorkWriter.js';
+
+class ScriptedNode extends RelayApi {
+  readonly #isReady: boolean;
+
+  written: string[] = [];
+
+  constructor(isReady: boolean) {
+    super();
+    this.#isReady = isReady;
+  }
+
+  override canWrite(): Promise<boolean> {
+    return Promise.resolve(this.#isReady);
+  }
+
+  override write(key: string): Promise<WriteOutcome> {
+    this.written.push(key);
+    return Promise.resolve(this.#isReady ? 'stored' : 'not-stored');
+  }
+
+  override readContact(): boolean {
+    return true;
+  }
+
+  override findState(): Promise<undefined> {
+    return Promise.resolve(undefined);
+  }
+}
+
+describe('RelayClient', () => {
+  const servers: (Server | RelayServer)[] = [];
+  after(() =>
+    Promise.all(
+      servers.map((one) => (one instanceof RelayServer ? one.close() : closeServer(one))),
+    ),
+  );
+
+  async function openPeer(node: RelayApi): Promise<string> {
+    const server = new RelayServer(node);
+    servers.push(server);
+    return server.open('127.0.0.1:0');
+  }
+
+  /** A peer that answers nothing. */
+  async function openSilent(): Promise<string> {
+    const server = createServer(() => undefined);
+    servers.push(server);
+    return openServer(server, '127.0.0.1:0');
+  }
+
+  function openClient(addresses: string[]): RelayClient {
+    const options = { name: 'own', dataCentre: 'dc-1', readClock: () => performance.now() };
+    const client = new RelayClient(options);
+    addresses.forEach((address, index) => {
+      client.setPeer(`peer-${index}`, { session: `s-${index}`, address, dataCentre: 'dc-1' });
+    });
+    return client;
+  }
+
+  // Guards against callers that cannot try again: a peer behind a cut made the outcome unknown,
+  // although the record had been refused here and the peer had nothing to append it with.
+  it('leaves the outcome known when no peer says that it can append', async () => {
+    const busy = new ScriptedNode(false);
+    const client = openClient([await openSilent(), await openPeer(busy)]);
+    const startedAt = performance.now();
+    assert.equal(await client.write('job/a', '{}', 700), 'not-stored');
+    assert.ok(performance.now() - startedAt < 700);
+    assert.deepEqual(busy.written, []);
+  });
+
+  it('gives the record to a peer that can append, past one that does not answer', async () => {
+    const ready = new ScriptedNode(true);
+    const client = openClient([await openSilent(), await openPeer(ready)]);
+    assert.equal(await client.write('job/a', '{}', 700), 'stored');
+    assert.deepEqual(ready.written, ['job/a']);
+  });
+});
--- a/src/node/RelayClient.ts
+++ b/src/node/RelayClient.ts
@@ -4,8 +4,14 @@
 import type { RelayRouter } from './RelayRouter.js';
 import type { WriteOutcome } from './WorkWriter.js';
 
-/** Peers that are asked for one record at most: an outage of the whole store meets all of them. */
+/** Peers that are asked to append one record, or for one job, at most. */
 const MAX_PEERS = 2;
+/** Peers of the own and of each other data centre that are asked whether they can append. */
+const READY_PEERS = 2;
+/** Longest wait for the answer whether a peer can append, in ms; a round trip takes some 5 ms. */
+const READY_TIMEOUT_MS = 150;
+/** The answer whether a peer can append is used for this time in ms. */
+const READY_VALID_MS = 100;
 /** Longest wait for a peer in ms, beside the time that it may take to append. */
 const PEER_MARGIN_MS = 300;
 /** Time in ms for which a peer that did not help is asked last. */
@@ -28,6 +34,8 @@
   address: string;
   dataCentre: string;
   avoidedUntil: number;
+  /** Whether the peer can append records, and when it was asked. */
+  ready: { askedAt: number; answer: Promise<boolean> } | undefined;
 }
 
 function isUnsent(error: unknown): boolean {
@@ -60,13 +68,21 @@
       address: node.address,
       dataCentre: node.dataCentre,
       avoidedUntil: 0,
+      ready: undefined,
     });
   }
 
-  /** Lets a peer append a record. */
+  /**
+   * Lets a peer append a record. Only a peer that has just said that it can is given the record: one
+   * that does not answer would leave the outcome unknown, and the caller could not try again.
+   */
   async write(key: string, value: string, timeoutMs: number): Promise<WriteOutcome> {
     let outcome: WriteOutcome = 'not-stored';
-    for (const peer of this.#choosePeers()) {
+    const untried = new Set(this.#choosePeersByDataCentre());
+    for (let count = 0; count < MAX_PEERS; count += 1) {
+      const peer = await this.#findReady([...untried]);
+      if (peer === undefined) return outcome;
+      untried.delete(peer);
       const signal = AbortSignal.timeout(timeoutMs + PEER_MARGIN_MS);
       try {
         const result = await peer.client.write.mutate({ key, value, timeoutMs }, { signal });
@@ -107,13 +123,48 @@
     return undefined;
   }
 
-  /** Chooses peers that have not failed lately, those of the own data centre first. */
+  /** Chooses some peers of each data centre, since one that is cut off cannot help. */
+  #choosePeersByDataCentre(): Peer[] {
+    const chosen = new Map<string, Peer[]>();
+    this.#sortPeers().forEach((peer) => {
+      const peers = chosen.get(peer.dataCentre) ?? [];
+      if (peers.length < READY_PEERS) chosen.set(peer.dataCentre, [...peers, peer]);
+    });
+    return [...chosen.values()].flat();
+  }
+
+  /** Finds the first of the peers to say that it can append; undefined when none does. */
+  #findReady(peers: readonly Peer[]): Promise<Peer | undefined> {
+    return new Promise((resolve) => {
+      const answers = peers.map(async (peer) => {
+        if (await this.#askReady(peer)) resolve(peer);
+      });
+      Promise.allSettled(answers).then(() => resolve(undefined));
+    });
+  }
+
+  #askReady(peer: Peer): Promise<boolean> {
+    const now = this.#options.readClock();
+    if (peer.ready !== undefined && now - peer.ready.askedAt < READY_VALID_MS) {
+      return peer.ready.answer;
+    }
+    const signal = AbortSignal.timeout(READY_TIMEOUT_MS);
+    // A peer that does not answer cannot help; the caller gets the outcome that is known here.
+    const answer = peer.client.ready.query(undefined, { signal }).catch(() => false);
+    // eslint-disable-next-line no-param-reassign -- the peer is owned by the client
+    peer.ready = { askedAt: now, answer };
+    return answer;
+  }
+
   #choosePeers(): Peer[] {
+    return this.#sortPeers().slice(0, MAX_PEERS);
+  }
+
+  /** Sorts peers: those that have not failed lately first, then those of the own data centre. */
+  #sortPeers(): Peer[] {
     const now = this.#options.readClock();
     const rank = ({ avoidedUntil, dataCentre }: Peer): number =>
       (avoidedUntil > now ? 2 : 0) + (dataCentre === this.#options.dataCentre ? 0 : 1);
-    return [...this.#peers.values()]
-      .sort((one, other) => rank(one) - rank(other))
-      .slice(0, MAX_PEERS);
+    return [...this.#peers.values()].sort((one, other) => rank(one) - rank(other));
   }
 }
--- a/src/node/RelayRouter.ts
+++ b/src/node/RelayRouter.ts
@@ -4,6 +4,9 @@
 
 /** What a node does for another one that cannot reach the store. */
 export abstract class RelayApi {
+  /** Checks whether this node appends records to the work log now, as far as it knows. */
+  abstract canWrite(): Promise<boolean>;
+
   /** Appends a record to the work log; gives up after the given time in ms. */
   abstract write(key: string, value: string, timeoutMs: number): Promise<WriteOutcome>;
 
@@ -23,6 +26,7 @@
 
 /** The tRPC procedures that a node serves to the others. */
 export const relayRouter = t.router({
+  ready: t.procedure.query(({ ctx }) => ctx.api.canWrite()),
   write: t.procedure
     .input(z.object({ key: z.string(), value: z.string(), timeoutMs: z.number() }))
     .mutation(({ ctx, input }) => ctx.api.write(input.key, input.value, input.timeoutMs)),
--- a/src/node/WorkWriter.ts
+++ b/src/node/WorkWriter.ts
@@ -10,6 +10,8 @@
 const APPEND_TIMEOUT_MS = 700;
 /** Refused appends after which a record is reported as not stored. */
 const MAX_REFUSED = 3;
+/** A failed append tells for this time in ms that the next one will fail. */
+const DOUBT_MS = 500;
 /** Pause after a refused or unanswered append, in ms. */
 const RETRY_MS = 60;
 
@@ -30,6 +32,7 @@
       giveUpAt: number;
       reply: (outcome: WriteOutcome) => void;
     }
+  | { type: 'can-write'; reply: (canWrite: boolean) => void }
   | { type: 'answered'; outcome: 'stored' | 'refused' | 'unanswered'; reason: string }
   | { type: 'send' };
 
@@ -57,6 +60,8 @@
 
   #isFailing = false;
 
+  #failedAt = -Infinity;
+
   #timer: NodeJS.Timeout | undefined;
 
   constructor(parts: NodeParts) {
@@ -82,6 +87,9 @@
       case 'send':
         this.#flush();
         break;
+      case 'can-write':
+        message.reply(this.#canWrite());
+        break;
       default:
         this.#handleAnswer(message.outcome, message.reason);
     }
@@ -121,6 +129,7 @@
     this.#sent = [];
     if (outcome === 'stored') {
       this.#isFailing = false;
+      this.#failedAt = -Infinity;
       writes.forEach(({ reply }) => reply('stored'));
       this.#flush();
       return;
@@ -128,6 +137,7 @@
     this.#parts.log.record('append-failed', 'work', { outcome, reason, records: writes.length });
     if (outcome === 'unanswered') this.#isFailing = true;
     const now = this.#parts.clock.readMonotonic();
+    this.#failedAt = now;
     const again = writes.filter((write) => !WorkWriter.#giveUp(write, outcome, now));
     // Records whose outcome is unknown go on being appended; the others wait for the next turn.
     this.#queue = [...again, ...this.#queue];
@@ -136,6 +146,10 @@
     this.#timer = setTimeout(() => this.send({ type: 'send' }), RETRY_MS);
   }
 
+  #canWrite(): boolean {
+    return !this.#isFailing && this.#parts.clock.readMonotonic() - this.#failedAt > DOUBT_MS;
+  }
+
   /** Counts a failed append; answers the caller and returns true after too many. */
   static #giveUp(write: PendingWrite, outcome: 'refused' | 'unanswered', now: number): boolean {
     const { failures } = write;
