Bring hosts to the pool whose turn comes next before its demand rises

Cause: a rise shows in the arrivals of half a second, and a move takes 1.5 s more, which is longer than the first jobs of a turn may wait. Change: TurnForecast learns from the times at which the jobs of the book were submitted; where turns have begun at regular times it expects the next one in the pool whose turn was longest ago. Half of a turn's highest rate is brought, after what work that is there needs, and is neither parked nor lent. Also: a host that is lent counts against those that may be parked. Before: the tests of TurnForecast and two of IdleHostLending fail or do not compile. After: 59 tests of the decisions and 12 of the node pass.

--- a/src/node/ShardOwner.ts
+++ b/src/node/ShardOwner.ts
@@ -397,6 +397,7 @@
     if (progress !== undefined && progress.state !== 'active') {
       const endedAtMs = progress.endedAtMs ?? this.#parts.clock.readWall();
       this.#finished.push({ id: job.id, endedAtMs });
+      this.#shard.reportSubmission(job);
     } else this.#shard.addJob(job);
   }
 
--- a/src/schedule/IdleHostLending.test.ts
+++ b/src/schedule/IdleHostLending.test.ts
@@ -16,6 +16,7 @@
     timelyHosts: fields.waitingHosts ?? 0,
     lastingHosts: 0,
     risingHosts: 0,
+    expectedHosts: 0,
     backlogMs: 0,
     idle: [],
     ...fields,
@@ -49,6 +50,32 @@
     assert.deepEqual(moves, []);
   });
 
+  it('brings the hosts for an expected turn, after those for work that is there', () => {
+    const { moves } = LENDING.plan([
+      buildPool('next', { size: 1, expectedHosts: 2.5 }),
+      buildPool('pressed', { waitingHosts: 1, backlogMs: 1_000 }),
+      buildPool('spare', {
+        isStandby: true,
+        idle: ['s1', 's2', 's3', 's4'].map((machine) => ({ machine, idleMs: Infinity })),
+      }),
+    ]);
+    assert.deepEqual(moves, [
+      { machine: 's1', to: 'pressed' },
+      { machine: 's2', to: 'next' },
+      { machine: 's3', to: 'next' },
+    ]);
+  });
+
+  it('neither parks nor lends the hosts of an expected turn', () => {
+    const idle = ['n1', 'n2', 'n3'].map((machine) => ({ machine, idleMs: 5_000 }));
+    const { moves } = LENDING.plan([
+      buildPool('next', { expectedHosts: 1.5, idle }),
+      buildPool('pressed', { waitingHosts: 3, backlogMs: 1_000 }),
+      buildPool('spare', { isStandby: true }),
+    ]);
+    assert.deepEqual(moves, [{ machine: 'n1', to: 'pressed' }]);
+  });
+
   it('moves nothing for work that is done before a move is', () => {
     const { moves } = LENDING.plan([
       buildPool('brief', { waitingHosts: 1, backlogMs: 100 }),
--- a/src/schedule/IdleHostLending.ts
+++ b/src/schedule/IdleHostLending.ts
@@ -46,12 +46,12 @@
     const pressed = serving.filter((pool) => this.#isPressed(pool));
     const isTimelyPressed = pressed.some((pool) => IdleHostLending.#hasTimely(pool));
     pressed
-      // Late jobs borrow no hosts while jobs that can be in time need them.
-      .filter((pool) => !isTimelyPressed || IdleHostLending.#hasTimely(pool))
       .sort((one, other) => other.backlogMs - one.backlogMs)
       .forEach((pool) => {
-        const waiting = pool.backlogMs > this.#options.borrowAboveMs ? pool.waitingHosts : 0;
-        const wanted = Math.max(waiting, pool.risingHosts, pool.lastingHosts);
+        // Late jobs borrow no hosts while jobs that can be in time need them.
+        const mayBorrow = !isTimelyPressed || IdleHostLending.#hasTimely(pool);
+        const present = mayBorrow ? this.#computeNeeded(pool) : 0;
+        const wanted = Math.max(present, pool.expectedHosts - pool.size);
         const needed = Math.ceil(wanted) - pool.incoming;
         const donors = this.#collectDonors(pool, standby, serving).filter(
           (machine) => !taken.has(machine),
@@ -75,11 +75,17 @@
     return timelyHosts > 0 || risingHosts > 0;
   }
 
-  #isPressed({ backlogMs, risingHosts, lastingHosts }: PoolView): boolean {
-    if (lastingHosts > 0) return true;
+  #isPressed({ backlogMs, risingHosts, lastingHosts, expectedHosts, size }: PoolView): boolean {
+    if (lastingHosts > 0 || expectedHosts > size) return true;
     return backlogMs > this.#options.borrowAboveMs || risingHosts > MIN_RISE_HOSTS;
   }
 
+  /** Computes how many hosts more the work of a pool needs that waits or arrives now. */
+  #computeNeeded({ backlogMs, waitingHosts, risingHosts, lastingHosts }: PoolView): number {
+    const waiting = backlogMs > this.#options.borrowAboveMs ? waitingHosts : 0;
+    return Math.max(waiting, risingHosts, lastingHosts);
+  }
+
   #collectDonors(
     pool: PoolView,
     standby: readonly PoolView[],
@@ -93,20 +99,25 @@
     const lent = lenders.flatMap((lender) =>
       IdleHostLending.#sortIdle(lender).slice(
         0,
-        Math.max(0, lender.size - this.#options.keepHosts),
+        Math.max(0, lender.size - this.#countKept(lender)),
       ),
     );
     lent.sort((one, other) => other.idleMs - one.idleMs);
     return [...standby.flatMap(({ idle }) => idle), ...lent].map(({ machine }) => machine);
   }
 
+  #countKept({ expectedHosts }: PoolView): number {
+    return Math.max(this.#options.keepHosts, Math.ceil(expectedHosts));
+  }
+
   #planParking(serving: readonly PoolView[], park: string, taken: ReadonlySet<string>): PoolMove[] {
     return serving.flatMap((pool) => {
       if (pool.waitingHosts > 0 || pool.risingHosts > 0) return [];
-      const stay = pool.size - this.#options.keepHosts;
+      const lent = pool.idle.filter(({ machine }) => taken.has(machine)).length;
+      const spare = pool.size - lent - this.#countKept(pool);
       return IdleHostLending.#sortIdle(pool)
         .filter(({ machine, idleMs }) => idleMs >= this.#options.parkAfterMs && !taken.has(machine))
-        .slice(0, Math.max(0, stay))
+        .slice(0, Math.max(0, spare))
         .map(({ machine }) => ({ machine, to: park }));
     });
   }
--- a/src/schedule/MachinePlanner.ts
+++ b/src/schedule/MachinePlanner.ts
@@ -256,6 +256,7 @@
         timelyHosts: waiting.get(name)?.timelyHosts ?? 0,
         lastingHosts: waiting.get(name)?.lastingHosts ?? 0,
         risingHosts: isStandby ? 0 : this.#load.measureRise(name, now),
+        expectedHosts: isStandby ? 0 : this.#load.measureExpected(name, now),
         backlogMs: backlogs[name] ?? 0,
         idle: idle.filter(({ machine }) => this.#isMovable(machine, now)),
       };
--- a/src/schedule/PoolLoad.ts
+++ b/src/schedule/PoolLoad.ts
@@ -1,3 +1,4 @@
+import type { BookedJob } from '../book/mod.js';
 import type { PoolRule } from '../port/mod.js';
 import { ArrivalMeter } from './ArrivalMeter.js';
 import { computeRoom } from './computeRoom.js';
@@ -8,10 +9,17 @@
 import type { RunTimeEstimator } from './RunTimeEstimator.js';
 import type { ScheduledStep } from './ScheduledStep.js';
 import type { ScheduledJob } from './ScheduledJob.js';
+import { TurnForecast } from './TurnForecast.js';
 
 /** A lasting task that waits for longer has found no room: a restart elsewhere takes some 50 ms. */
 const LASTING_WAIT_MS = 300;
 
+/**
+ * The begin of a turn shows in the forecast this much later in ms: rates are averaged over 2 s, and
+ * a turn counts from a part of its highest rate on.
+ */
+const BEGIN_SEEN_MS = 2_500;
+
 /** Work that waits in a pool. */
 export interface WaitingWork {
   /** Hosts' worth of room that the waiting tasks would take at once. */
@@ -40,7 +48,10 @@
 
   #demandSince: number | undefined;
 
-  constructor(jobs: JobTable, hosts: HostTable, estimator: RunTimeEstimator) {
+  readonly #forecast: TurnForecast;
+
+  constructor(jobs: JobTable, hosts: HostTable, estimator: RunTimeEstimator, moveMs: number) {
+    this.#forecast = new TurnForecast(moveMs + BEGIN_SEEN_MS);
     this.#jobs = jobs;
     this.#hosts = hosts;
     this.#estimator = estimator;
@@ -51,11 +62,19 @@
   reportArrival({ queue, booked, isLasting }: ScheduledJob, now: number): void {
     if (isLasting) return;
     this.reportDemand(now);
-    const work = booked.spec.steps.reduce(
-      (sum, step) => sum + step.count * step.cpuMilli * this.#estimator.estimate(queue.name, step),
-      0,
-    );
-    this.#arrivals.report(queue.pool, work, now);
+    this.#arrivals.report(queue.pool, this.#computeWork(booked), now);
+  }
+
+  /** Records when a job was submitted, as a steady time, also of one that is over. */
+  reportSubmission(booked: BookedJob, at: number): void {
+    if (booked.spec.steps.some(({ isLasting }) => isLasting)) return;
+    this.#forecast.report(booked.pool, this.#computeWork(booked), at);
+  }
+
+  /** Measures how many hosts a pool should have for the turn that is expected next. */
+  measureExpected(pool: string, now: number): number {
+    const expected = this.#forecast.findNext(now);
+    return expected?.pool === pool ? expected.rate / this.#findLargestHost().cpuMilli : 0;
   }
 
   /** Records that work has come, or may have come to an earlier owner, since a steady time. */
@@ -145,6 +164,13 @@
     }, 0);
   }
 
+  #computeWork({ queue, spec }: BookedJob): number {
+    return spec.steps.reduce(
+      (sum, step) => sum + step.count * step.cpuMilli * this.#estimator.estimate(queue, step),
+      0,
+    );
+  }
+
   #findLargestHost(): { cpuMilli: number; memoryMb: number; accelerators: number } {
     const size = { cpuMilli: 1, memoryMb: 1, accelerators: 0 };
     [...this.#hosts.hosts].forEach(({ capacity }) => {
--- a/src/schedule/PoolSizing.ts
+++ b/src/schedule/PoolSizing.ts
@@ -21,6 +21,8 @@
   lastingHosts: number;
   /** Hosts more than the pool has that the arriving work would keep busy. */
   risingHosts: number;
+  /** Hosts that the pool should have for the turn that is expected next. */
+  expectedHosts: number;
   /** Time in ms in which the hosts of the pool would finish the work that waits. */
   backlogMs: number;
   /** Hosts on which nothing runs. */
--- a/src/schedule/Shard.ts
+++ b/src/schedule/Shard.ts
@@ -135,7 +135,7 @@
       clock: this.#clock,
       stopMs: options.stopMs,
     });
-    this.#load = new PoolLoad(this.#jobs, this.#hosts, this.#estimator);
+    this.#load = new PoolLoad(this.#jobs, this.#hosts, this.#estimator, options.moveMs);
     if (!takeover.isFirst) this.#load.reportDemand(this.#startedAt);
     this.#orders = new RecentOrders({
       leaseMs: options.machineLeaseMs,
@@ -183,11 +183,18 @@
     this.#jobs.updateQueues((name) => this.#queues.get(name));
   }
 
+  /** Records when a job of the book was submitted, also of one that is over. */
+  reportSubmission(booked: BookedJob): void {
+    const ageMs = this.#clock.readWall() - booked.submittedAtMs;
+    this.#load.reportSubmission(booked, this.#now - ageMs);
+  }
+
   /** Adds an accepted job. */
   addJob(booked: BookedJob): void {
     const queue = this.#queues.get(booked.queue) ?? Shard.#restoreQueue(booked);
     const job = this.#jobs.add(booked, queue, this.#clock.readWall());
     if (job === undefined) return;
+    this.reportSubmission(booked);
     if (booked.cancelledAtMs !== undefined) this.cancelJob(booked.id);
     else if (booked.acceptedOffset > this.#takeover.claimOffset) {
       this.#load.reportArrival(job, this.#now);
