Empty all machines that are left in the last part of a wave, and move none of them

And a machine that had come up idle was moved to another pool 1.9 s before the end of its wave instead of being maintained (m-6f9b6: begun 1.4 s late). Change: when the planned time is over, the cap alone counts; machines that are due then are not moved. Before: both new tests fail. After: 61 tests of the decisions pass.

--- a/src/schedule/MachinePlanner.ts
+++ b/src/schedule/MachinePlanner.ts
@@ -41,6 +41,7 @@
   hosts: ReadonlyMap<string, ManagedHost>;
   /** Work that waits, by pool. */
   waiting: ReadonlyMap<string, WaitingWork>;
+  nowWallMs: number;
 }
 
 interface Move {
@@ -158,7 +159,7 @@
     this.#closeMoves(now);
     const hosts = this.#hosts.collectByMachine();
     const waiting = this.#load.measureWaiting(now, nowWallMs);
-    const views = this.#describePools(now, pools, { hosts, waiting });
+    const views = this.#describePools(now, pools, { hosts, waiting, nowWallMs });
     views.forEach((view) => this.#logPressure(view, now));
     const { moves, releasing } = this.#sizing.plan(views);
     this.#releasing = new Set(releasing);
@@ -237,7 +238,7 @@
   #describePools(
     now: number,
     pools: ReadonlyMap<string, PoolRule>,
-    { hosts, waiting }: MachineView,
+    { hosts, waiting, nowWallMs }: MachineView,
   ): PoolView[] {
     const backlogs = this.#load.computeBacklogs(now, pools, waiting);
     return [...pools.values()].map(({ name, isStandby }) => {
@@ -258,7 +259,9 @@
         risingHosts: isStandby ? 0 : this.#load.measureRise(name, now),
         expectedHosts: isStandby ? 0 : this.#load.measureExpected(name, now),
         backlogMs: backlogs[name] ?? 0,
-        idle: idle.filter(({ machine }) => this.#isMovable(machine, now)),
+        idle: idle.filter(
+          ({ machine }) => this.#isMovable(machine, now) && !this.#upkeep.isDue(machine, nowWallMs),
+        ),
       };
     });
   }
--- a/src/schedule/UpkeepPlanner.test.ts
+++ b/src/schedule/UpkeepPlanner.test.ts
@@ -160,6 +160,31 @@
     }
   });
 
+  // Guards against the last machines of a wave that wait for each other: those that are away were
+  // counted against the few that were left, although the cap has room for all.
+  it('takes all that are left when the planned time is over', () => {
+    const wave = new WaveSimulation(2);
+    const late = wave.machines.get('m-1') ?? assert.fail('no machine');
+    wave.machines.set('m-1', { ...late, state: 'down' });
+    wave.run(0.9 * DURATION_MS);
+    assert.deepEqual(wave.begun, ['m-0']);
+    wave.machines.set('m-1', late);
+    wave.run(100);
+    assert.deepEqual(wave.begun, ['m-0', 'm-1']);
+  });
+
+  // Guards against a machine that is moved when its wave is nearly over: it is away for the time of
+  // the move, and its maintenance comes too late.
+  it('tells which machines are to stay where they are until they are maintained', () => {
+    const wave = new WaveSimulation(2);
+    wave.run(0);
+    const other = [...wave.machines.keys()].find((name) => !wave.begun.includes(name)) ?? '';
+    assert.ok(!wave.planner.isDue(other, wave.now));
+    assert.ok(wave.planner.isDue(other, 0.75 * DURATION_MS));
+    assert.ok(!wave.planner.isDue(wave.begun[0] ?? '', 0.75 * DURATION_MS));
+    assert.ok(!wave.planner.isDue('m-9', 0.75 * DURATION_MS));
+  });
+
   // Guards against a host that is emptied, given up while another one goes, and filled again.
   it('goes on emptying a host while the places are taken by others', () => {
     // Two of five hosts are emptied; when one of them goes, the plan has no place for a second.
--- a/src/schedule/UpkeepPlanner.ts
+++ b/src/schedule/UpkeepPlanner.ts
@@ -86,6 +86,20 @@
     return [...this.#waves.values()].some(({ turns }) => turns.has(machine));
   }
 
+  /**
+   * Checks whether a machine is to be maintained in the last part of its wave, so that it should not
+   * be moved any more.
+   */
+  isDue(machine: string, nowWallMs: number): boolean {
+    return [...this.#waves.values()].some(
+      (wave) =>
+        !wave.isCompleted &&
+        UpkeepPlanner.#measurePlannedMs(wave, nowWallMs) <= TURN_MS &&
+        !wave.begun.has(machine) &&
+        wave.hasMachine(machine),
+    );
+  }
+
   /** Records the answer to an order: begun, or to be tried again. */
   reportAnswer({ machine, wave: number }: UpkeepOrder, hasBegun: boolean, now: number): void {
     const wave = this.#waves.get(number);
@@ -179,12 +193,17 @@
     return UpkeepPlanner.#countDown(wave, view) < wave.order.cap;
   }
 
+  /** Measures the time in ms in which all maintenance of a wave should have begun. */
+  static #measurePlannedMs({ order, seenAtMs }: UpkeepWave, nowWallMs: number): number {
+    return seenAtMs + order.durationMs * PLANNED_SHARE - nowWallMs;
+  }
+
   /** Computes how many machines to empty or to maintain at once, so that the wave is in time. */
   static #countPlaces(wave: UpkeepWave, view: UpkeepView, open: number): number {
-    const { order, seenAtMs } = wave;
-    const plannedMs = seenAtMs + order.durationMs * PLANNED_SHARE - view.nowWallMs;
-    const atOnce = Math.ceil((open * TURN_MS) / Math.max(TURN_MS, plannedMs));
+    const { order } = wave;
+    const plannedMs = UpkeepPlanner.#measurePlannedMs(wave, view.nowWallMs);
     const down = UpkeepPlanner.#countDown(wave, view);
+    const atOnce = plannedMs <= TURN_MS ? Infinity : Math.ceil((open * TURN_MS) / plannedMs);
     // One machine above the cap is emptied early, so that the cap is used without a pause.
     return Math.max(0, Math.min(order.cap + 1, atOnce) - down);
   }
--- a/src/schedule/_UpkeepWave.ts
+++ b/src/schedule/_UpkeepWave.ts
@@ -20,10 +20,31 @@
 
   isCompleted = false;
 
-  constructor(
-    public order: WaveOrder,
-    readonly seenAtMs: number,
-  ) {}
+  readonly seenAtMs: number;
+
+  #order: WaveOrder;
+
+  #machines: ReadonlySet<string>;
+
+  constructor(order: WaveOrder, seenAtMs: number) {
+    this.#order = order;
+    this.#machines = new Set(order.machines);
+    this.seenAtMs = seenAtMs;
+  }
+
+  get order(): WaveOrder {
+    return this.#order;
+  }
+
+  set order(order: WaveOrder) {
+    this.#order = order;
+    this.#machines = new Set(order.machines);
+  }
+
+  /** Checks whether the wave includes a machine. */
+  hasMachine(machine: string): boolean {
+    return this.#machines.has(machine);
+  }
 
   /** Marks every machine as done. */
   finish(): void {
