Let an owner say how far it has read, so that nodes started later need not doubt all jobs

Cause: a node that was started after its owner's claim doubted every accepted job when it took over from an owner that was out of contact, since it had not read the claim as it came. Change: the owner's record tells up to which offset it had read the work log; it asks every node that registered before that. UnrecordedStarts decides by it. This also closes a hole: a node that read a claim before its own registration had reached the owner took itself for one that would be asked. Before: the tests do not compile; by the code before, the first gives '*'. After: 35 tests of node, book and processes pass.

--- a/src/book/BookRecord.ts
+++ b/src/book/BookRecord.ts
@@ -65,6 +65,8 @@
   dataCentre: z.string().default(ANY_DATA_CENTRE),
   /** Data centres of whose jobs earlier owners may have started tasks without a record. */
   unrecorded: z.array(z.string()).default([ANY_DATA_CENTRE]),
+  /** Offset up to which the owner had read the work log: it knows of the nodes before it. */
+  readTo: z.number().int().nonnegative().default(0),
   /** The owner has handed the shard over. */
   isReleased: z.boolean().default(false),
 });
--- a/src/book/JobBook.ts
+++ b/src/book/JobBook.ts
@@ -26,7 +26,7 @@
       isClaim: boolean;
       offset: number;
     }
-  | { type: 'node'; name: string; node: NodeRecord | undefined }
+  | { type: 'node'; name: string; node: NodeRecord | undefined; offset: number }
   | { type: 'wave'; wave: number }
   | { type: 'machine-orders' }
   /** A record that cannot be read; every reader skips it in the same way. */
@@ -193,12 +193,12 @@
   #applyNode(name: string, record: StoreRecord): BookChange | undefined {
     if (record.value === undefined) {
       this.#nodes.delete(name);
-      return { type: 'node', name, node: undefined };
+      return { type: 'node', name, node: undefined, offset: record.offset };
     }
     const node = JobBook.#decode(NodeRecord, record);
     if ('reason' in node) return node;
     this.#nodes.set(name, node.value);
-    return { type: 'node', name, node: node.value };
+    return { type: 'node', name, node: node.value, offset: record.offset };
   }
 
   #applyWave(wave: number, record: StoreRecord): BookChange | undefined {
--- a/src/node/Candidate.ts
+++ b/src/node/Candidate.ts
@@ -1,11 +1,12 @@
 import { Actor } from '../actor/mod.js';
-import { ANY_DATA_CENTRE, BookKey, type BookChange, type JobBook } from '../book/mod.js';
+import { BookKey, type BookChange, type JobBook } from '../book/mod.js';
 import type { RecentOrder } from '../schedule/mod.js';
 import type { FollowState } from './TopicFollower.js';
 import type { NodeParts } from './NodeParts.js';
 import { OwnerWriter } from './OwnerWriter.js';
 import type { OperatorState } from './OperatorFollower.js';
 import { ShardOwner } from './ShardOwner.js';
+import { UnrecordedStarts } from './UnrecordedStarts.js';
 
 /** Longest random delay in ms before a claim, so that not all nodes claim at once. */
 const CLAIM_SPREAD_MS = 250;
@@ -62,11 +63,7 @@
   /** Sequence number of the last claim. */
   #sequence = 0;
 
-  /** Token of the owner whose claim this process has read as it came. */
-  #witnessed: number | undefined;
-
-  /** Tokens of owners that may have started tasks without a record, as this node has told them. */
-  readonly #unrecordedTokens = new Set<number>();
+  readonly #unrecorded: UnrecordedStarts;
 
   #isInContact = false;
 
@@ -81,6 +78,7 @@
     this.#options = options;
     this.#ownerSeenAt = parts.clock.readMonotonic();
     this.#spreadMs = options.random() * CLAIM_SPREAD_MS;
+    this.#unrecorded = new UnrecordedStarts(parts.session);
   }
 
   get isOwner(): boolean {
@@ -92,9 +90,9 @@
     const now = this.#parts.clock.readMonotonic();
     this.#isInContact = state.isInContact;
     changes.forEach((change) => {
+      this.#unrecorded.applyChange(change);
       if (change.type === 'owner') {
         this.#ownerSeenAt = now;
-        if (change.isClaim && state.isCurrent) this.#witnessed = change.owner.token;
         if (change.isClaim) this.#handleClaim(change, book);
       }
       if (change.type === 'progress' && change.job.progress?.token === book.owner?.token) {
@@ -104,13 +102,13 @@
       if (change.type === 'wave' || change.type === 'machine-orders') this.#ownerSeenAt = now;
       if (change.type === 'machine-orders') this.#machineOrdersReadAt = now;
     });
-    if (this.#owner !== undefined) this.#owner.send({ type: 'book', changes });
+    if (this.#owner !== undefined) this.#owner.send({ type: 'book', changes, end: state.end });
     this.#consider(book, state, now);
   }
 
   /** See `RelayApi.readContact`. */
   readContact(token: number): boolean {
-    if (!this.#isInContact) this.#unrecordedTokens.add(token);
+    if (!this.#isInContact) this.#unrecorded.confirm(token);
     return this.#isInContact;
   }
 
@@ -169,7 +167,8 @@
         node: this.#parts.settings.name,
         session: this.#parts.session,
         dataCentre: this.#parts.settings.dataCentre,
-        unrecorded: this.#computeUnrecorded(book),
+        unrecorded: owner === undefined ? [] : this.#unrecorded.list(owner),
+        readTo: state.end,
       }),
     };
     OwnerWriter.claim(this.#parts, { record, token, sequence: this.#sequence }).then((result) =>
@@ -211,21 +210,11 @@
       operator: this.#operator,
       onLost: () => this.send({ type: 'lost' }),
       isStoreAway: () => this.#options.isStoreAway(owner.token),
-      onUnrecorded: () => this.#unrecordedTokens.add(owner.token),
+      onUnrecorded: () => this.#unrecorded.confirm(owner.token),
     });
     this.#options.onOwning(true);
   }
 
-  /** Computes of which data centres' jobs tasks may have been started without a record. */
-  #computeUnrecorded({ owner }: JobBook): string[] {
-    if (owner === undefined) return [];
-    // An owner that handed the shard over had recorded everything.
-    if (owner.isReleased) return owner.unrecorded;
-    const isKnown = this.#witnessed === owner.token && !this.#unrecordedTokens.has(owner.token);
-    if (!isKnown) return [ANY_DATA_CENTRE];
-    return [...new Set([...owner.unrecorded, owner.dataCentre])];
-  }
-
   /** Computes how old the recorded orders about machines are by now, at least. */
   #computeMachineOrders(book: JobBook): RecentOrder[] {
     const sinceRead = this.#parts.clock.readMonotonic() - this.#machineOrdersReadAt;
--- a/src/node/ShardOwner.ts
+++ b/src/node/ShardOwner.ts
@@ -38,7 +38,8 @@
   | { type: 'tick' }
   | { type: 'plan' }
   | { type: 'flush' }
-  | { type: 'book'; changes: readonly BookChange[] }
+  /** `end` is the offset up to which the work log has been read. */
+  | { type: 'book'; changes: readonly BookChange[]; end: number }
   | { type: 'operator'; state: OperatorState }
   | { type: 'hosts'; records: HostRecord[] }
   | { type: 'held'; host: ManagedHost; outcome: HoldOutcome; sentAt: number }
@@ -128,6 +129,9 @@
 
   #writtenAt: number;
 
+  /** Offset up to which the work log has been read. */
+  #readTo: number;
+
   #release: ((isDone: boolean) => void) | undefined;
 
   constructor(parts: NodeParts, options: ShardOwnerOptions) {
@@ -140,6 +144,7 @@
       clock: parts.clock,
       output: this.#output,
     });
+    this.#readTo = takeover.claimOffset;
     this.#writer = new OwnerWriter(parts, takeover);
     this.#writtenAt = parts.clock.readMonotonic();
     this.#runner = new CommandRunner(parts, {
@@ -182,6 +187,7 @@
         this.#flush();
         return;
       case 'book':
+        this.#readTo = message.end;
         message.changes.forEach((change) => this.#applyChange(change));
         break;
       case 'operator':
@@ -480,6 +486,7 @@
         session: this.#parts.session,
         dataCentre: this.#parts.settings.dataCentre,
         unrecorded: this.#shard.listUnrecorded(),
+        readTo: this.#readTo,
         isReleased,
       }),
     };
