--- a/src/schedule/PoolLoad.ts
+++ b/src/schedule/PoolLoad.ts
@@ -18,7 +18,7 @@
  * The begin of a turn shows in the forecast this much later in ms: rates are averaged over 2 s, and
  * a turn counts from a part of its highest rate on.
  */
-const BEGIN_SEEN_MS = 1_500;
+const BEGIN_SEEN_MS = 2_500;
 
 /** Work that waits in a pool. */
 export interface WaitingWork {
