Have late jobs release hosts for a turn that is expected

Change: a pool that is to get more hosts for its turn counts as one that is about to get work in time. Before: the new test of IdleHostLending fails (no move, nothing released).

--- a/src/schedule/IdleHostLending.test.ts
+++ b/src/schedule/IdleHostLending.test.ts
@@ -66,6 +66,21 @@
     ]);
   });
 
+  // Guards against late jobs that fill all hosts when the next turn is due.
+  it('takes idle hosts from late jobs for an expected turn, and has late jobs release more', () => {
+    const { moves, releasing } = LENDING.plan([
+      buildPool('next', { size: 1, expectedHosts: 3 }),
+      buildPool('late', {
+        waitingHosts: 9,
+        timelyHosts: 0,
+        backlogMs: 5_000,
+        idle: [{ machine: 'l1', idleMs: 100 }],
+      }),
+    ]);
+    assert.deepEqual(moves, [{ machine: 'l1', to: 'next' }]);
+    assert.deepEqual(releasing, ['late']);
+  });
+
   it('neither parks nor lends the hosts of an expected turn', () => {
     const idle = ['n1', 'n2', 'n3'].map((machine) => ({ machine, idleMs: 5_000 }));
     const { moves } = LENDING.plan([
--- a/src/schedule/IdleHostLending.ts
+++ b/src/schedule/IdleHostLending.ts
@@ -71,8 +71,8 @@
   }
 
   /** Checks whether a pool has, or is about to get, work that can be in time. */
-  static #hasTimely({ timelyHosts, risingHosts }: PoolView): boolean {
-    return timelyHosts > 0 || risingHosts > 0;
+  static #hasTimely({ timelyHosts, risingHosts, expectedHosts, size }: PoolView): boolean {
+    return timelyHosts > 0 || risingHosts > 0 || expectedHosts > size;
   }
 
   #isPressed({ backlogMs, risingHosts, lastingHosts, expectedHosts, size }: PoolView): boolean {
