Ask the book for its contact by a message of its own, and bound ages of jobs by zero

Read as a newcomer: canWrite looked up a job without a name to learn whether the book is in contact, and BookKeeper had a message that nobody sent.

--- a/src/node/BookKeeper.ts
+++ b/src/node/BookKeeper.ts
@@ -19,10 +19,10 @@
 /** Messages of the book keeper beside those of every follower. */
 export type BookKeeperMessage =
   | { type: 'find'; id: string; reply: (answer: JobAnswer) => void }
+  | { type: 'tell-state'; reply: (state: FollowState) => void }
   | { type: 'count-waiting'; queue: string; reply: (count: number) => void }
   | { type: 'owning'; isOwner: boolean }
-  | { type: 'read-now' }
-  | { type: 'use'; use: (book: JobBook, state: FollowState) => void };
+  | { type: 'read-now' };
 
 /** Receives what was folded; called in the order of the log. */
 export type BookListener = (
@@ -66,17 +66,17 @@
         });
         break;
       }
+      case 'tell-state':
+        message.reply(this.state);
+        break;
       case 'count-waiting':
         message.reply(this.#book.countWaiting(message.queue));
         break;
       case 'owning':
         this.gatherMs = message.isOwner ? OWNER_GATHER_MS : FOLLOWER_GATHER_MS;
         break;
-      case 'read-now':
-        this.readNow();
-        break;
       default:
-        message.use(this.#book, this.state);
+        this.readNow();
     }
   }
 }
--- a/src/node/CallerDesk.ts
+++ b/src/node/CallerDesk.ts
@@ -8,6 +8,7 @@
 import { QueueTable, type QueueMatch } from './QueueTable.js';
 import type { RelayClient } from './RelayClient.js';
 import { RelayApi } from './RelayRouter.js';
+import type { FollowState } from './TopicFollower.js';
 import type { WorkWriter, WriteOutcome } from './WorkWriter.js';
 
 /** A node whose last answer of the store is older than this does not answer from its state, in ms. */
@@ -204,8 +205,11 @@
   /** Tells another node whether records reach the store from here. */
   override async canWrite(): Promise<boolean> {
     const canWrite = await this.#writer.ask<boolean>((reply) => ({ type: 'can-write', reply }));
-    const { follow } = await this.#find('');
-    return canWrite && follow.isInContact;
+    const { isInContact } = await this.#keeper.ask<FollowState>((reply) => ({
+      type: 'tell-state',
+      reply,
+    }));
+    return canWrite && isInContact;
   }
 
   /** Appends a record for another node, without asking further nodes. */
--- a/src/schedule/PoolLoad.ts
+++ b/src/schedule/PoolLoad.ts
@@ -46,15 +46,17 @@
 
   readonly #punctuality: Punctuality;
 
-  #demandSince: number | undefined;
-
   readonly #forecast: TurnForecast;
 
+  /** Steady time in ms since which work has come; hosts that idled before had nothing to do. */
+  #demandSince: number | undefined;
+
+  /** `moveMs` is the time that a host takes to come up in another pool. */
   constructor(jobs: JobTable, hosts: HostTable, estimator: RunTimeEstimator, moveMs: number) {
-    this.#forecast = new TurnForecast(moveMs + BEGIN_SEEN_MS);
     this.#jobs = jobs;
     this.#hosts = hosts;
     this.#estimator = estimator;
+    this.#forecast = new TurnForecast(moveMs + BEGIN_SEEN_MS);
     this.#punctuality = new Punctuality(estimator);
   }
 
--- a/src/schedule/Shard.ts
+++ b/src/schedule/Shard.ts
@@ -185,7 +185,8 @@
 
   /** Records when a job of the book was submitted, also of one that is over. */
   reportSubmission(booked: BookedJob): void {
-    const ageMs = this.#clock.readWall() - booked.submittedAtMs;
+    // The clock of the node that took the job may be ahead.
+    const ageMs = Math.max(0, this.#clock.readWall() - booked.submittedAtMs);
     this.#load.reportSubmission(booked, this.#now - ageMs);
   }
 
