Measure the rates of a forecast once, and lateness only where it decides

TurnForecast computed the range and the smoothed rates of each pool twice, in two loops of the same shape, for its peak and for its turns; one list of rates serves both. PoolLoad had the work of a whole job beside the estimator's work of unfinished tasks; it is RunTimeEstimator.estimateWholeWork now. Shard computed the lateness of every waiting step on each plan, also where late steps get the same hosts as all others; it does so only while a pool is to release hosts.

--- a/src/schedule/PoolLoad.ts
+++ b/src/schedule/PoolLoad.ts
@@ -64,13 +64,13 @@
   reportArrival({ queue, booked, isLasting }: ScheduledJob, now: number): void {
     if (isLasting) return;
     this.reportDemand(now);
-    this.#arrivals.report(queue.pool, this.#computeWork(booked), now);
+    this.#arrivals.report(queue.pool, this.#estimator.estimateWholeWork(booked), now);
   }
 
   /** Records when a job was submitted, as a steady time, also of one that is over. */
   reportSubmission(booked: BookedJob, at: number): void {
     if (booked.spec.steps.some(({ isLasting }) => isLasting)) return;
-    this.#forecast.report(booked.pool, this.#computeWork(booked), at);
+    this.#forecast.report(booked.pool, this.#estimator.estimateWholeWork(booked), at);
   }
 
   /** Measures how many hosts a pool should have for the turn that is expected next. */
@@ -166,13 +166,6 @@
     }, 0);
   }
 
-  #computeWork({ queue, spec }: BookedJob): number {
-    return spec.steps.reduce(
-      (sum, step) => sum + step.count * step.cpuMilli * this.#estimator.estimate(queue, step),
-      0,
-    );
-  }
-
   #findLargestHost(): { cpuMilli: number; memoryMb: number; accelerators: number } {
     const size = { cpuMilli: 1, memoryMb: 1, accelerators: 0 };
     [...this.#hosts.hosts].forEach(({ capacity }) => {
--- a/src/schedule/RunTimeEstimator.ts
+++ b/src/schedule/RunTimeEstimator.ts
@@ -1,3 +1,4 @@
+import type { BookedJob } from '../book/mod.js';
 import type { StepSpec } from '../task/mod.js';
 import type { ScheduledJob } from './ScheduledJob.js';
 import type { ScheduledStep } from './ScheduledStep.js';
@@ -82,6 +83,14 @@
     );
   }
 
+  /** Estimates the processor work of a whole job, in thousandths of a core times ms. */
+  estimateWholeWork({ queue, spec }: BookedJob): number {
+    return spec.steps.reduce(
+      (sum, step) => sum + step.count * step.cpuMilli * this.estimate(queue, step),
+      0,
+    );
+  }
+
   /** Estimates the longest chain of a whole job in ms, finished steps included. */
   estimateWholeChain(job: ScheduledJob): number {
     const ends: number[] = [];
--- a/src/schedule/Shard.ts
+++ b/src/schedule/Shard.ts
@@ -470,8 +470,10 @@
       const { booked } = step.occurrence.job;
       if (!this.#canStart(booked)) return;
       if (this.#isUnrecorded(booked) && this.#isInDoubt(pool)) return;
-      const isLate = this.#punctuality.isLate(step.occurrence, nowWallMs);
-      this.#planStep(step, isLate ? hostsForLate : hosts, now);
+      // Lateness matters only while the pool is to release hosts.
+      const isHeldBack =
+        hostsForLate !== hosts && this.#punctuality.isLate(step.occurrence, nowWallMs);
+      this.#planStep(step, isHeldBack ? hostsForLate : hosts, now);
     });
   }
 
--- a/src/schedule/TurnForecast.ts
+++ b/src/schedule/TurnForecast.ts
@@ -28,6 +28,25 @@
   begunAt: number;
 }
 
+/** The rate of a pool's work up to the step at a steady time, in thousandths of a core. */
+interface StepRate {
+  at: number;
+  rate: number;
+}
+
+/** Lists the smoothed rate at each step between the first and the last one with work. */
+function listRates(steps: ReadonlyMap<number, number>): StepRate[] {
+  const first = Math.min(...steps.keys());
+  const last = Math.max(...steps.keys());
+  const rates: StepRate[] = [];
+  for (let step = first; step <= last; step += 1) {
+    let sum = 0;
+    for (let index = 0; index < SMOOTH_STEPS; index += 1) sum += steps.get(step - index) ?? 0;
+    rates.push({ at: step * STEP_MS, rate: sum / (SMOOTH_STEPS * STEP_MS) });
+  }
+  return rates;
+}
+
 /** A turn that is about to begin. */
 export interface ExpectedTurn {
   pool: string;
@@ -59,7 +78,7 @@
 
   #predicted: ExpectedTurn | undefined;
 
-  /** `leadMs` is how long before its begin a turn is told; a begin is noticed when it is over. */
+  /** `leadMs` is how long before the time at which its begin would be noticed a turn is told. */
   constructor(leadMs: number) {
     this.#leadMs = leadMs;
   }
@@ -82,14 +101,16 @@
   }
 
   #compute(now: number): ExpectedTurn | undefined {
+    const rates = new Map([...this.#work].map(([pool, steps]) => [pool, listRates(steps)]));
     const peaks = new Map(
-      [...this.#work].map(([pool, steps]) => [pool, TurnForecast.#findPeak(steps)]),
+      [...rates].map(([pool, list]) => [pool, Math.max(0, ...list.map(({ rate }) => rate))]),
     );
     const floor = FLOOR_SHARE * Math.max(0, ...peaks.values());
-    const turns = [...this.#work]
-      .flatMap(([pool, steps]) =>
-        TurnForecast.#findTurns(pool, steps, Math.max(floor, TURN_SHARE * (peaks.get(pool) ?? 0))),
-      )
+    const turns = [...rates]
+      .flatMap(([pool, list]) => {
+        const least = Math.max(floor, TURN_SHARE * (peaks.get(pool) ?? 0));
+        return TurnForecast.#findTurns(pool, list, least);
+      })
       .sort((one, other) => one.begunAt - other.begunAt);
     const last = turns.at(-1);
     const intervalMs = TurnForecast.#findInterval(turns);
@@ -129,41 +150,18 @@
     return sorted[Math.floor((sorted.length - 1) / 2)] ?? 0;
   }
 
-  static #findTurns(pool: string, steps: ReadonlyMap<number, number>, least: number): Turn[] {
+  static #findTurns(pool: string, rates: readonly StepRate[], least: number): Turn[] {
     const turns: Turn[] = [];
-    const [first, last] = TurnForecast.#findRange(steps);
     let endedAt = -Infinity;
-    for (let step = first; step <= last; step += 1) {
-      if (TurnForecast.#measureRate(steps, step) >= least) {
-        const at = step * STEP_MS;
+    rates
+      .filter(({ rate }) => rate >= least)
+      .forEach(({ at }) => {
         if (at - endedAt > MERGE_MS) turns.push({ pool, begunAt: at });
         endedAt = at;
-      }
-    }
+      });
     return turns;
   }
 
-  static #findPeak(steps: ReadonlyMap<number, number>): number {
-    const [first, last] = TurnForecast.#findRange(steps);
-    let peak = 0;
-    for (let step = first; step <= last; step += 1) {
-      peak = Math.max(peak, TurnForecast.#measureRate(steps, step));
-    }
-    return peak;
-  }
-
-  /** Measures the rate over the steps up to one, in thousandths of a core. */
-  static #measureRate(steps: ReadonlyMap<number, number>, step: number): number {
-    let sum = 0;
-    for (let index = 0; index < SMOOTH_STEPS; index += 1) sum += steps.get(step - index) ?? 0;
-    return sum / (SMOOTH_STEPS * STEP_MS);
-  }
-
-  static #findRange(steps: ReadonlyMap<number, number>): [number, number] {
-    const keys = [...steps.keys()];
-    return [Math.min(...keys), Math.max(...keys)];
-  }
-
   #forget(now: number): void {
     const oldest = Math.floor((now - MEMORY_MS) / STEP_MS);
     this.#work.forEach((steps, pool) => {
