--- a/src/demo/_JobsScenario.ts
+++ b/src/demo/_JobsScenario.ts
@@ -56,8 +56,8 @@
     cluster.fleet.started.forEach(({ task, run, host, outcome }) =>
       print(`   ${task} run ${run} on ${host}: ${outcome ?? 'runs'}`),
     );
-    stage.check('no task ran twice at once', cluster.listOverlaps().length === 0);
-    stage.check('nothing ran again after it was done', cluster.listRepeats().length === 0);
+    stage.check('no task ran twice at once', cluster.fleet.listOverlaps().length === 0);
+    stage.check('nothing ran again after it was done', cluster.fleet.listRepeats().length === 0);
     print('\n4. A wave of maintenance, one machine at a time.');
     cluster.fleet.restore(machine?.name ?? '');
     const machines = cluster.fleet.listMachines().map(({ name }) => name);
--- a/src/emulator/EmulatedFleet.ts
+++ b/src/emulator/EmulatedFleet.ts
@@ -22,6 +22,7 @@
 import type { EmulatedStore } from './EmulatedStore.js';
 import { HostConnection } from './_HostConnection.js';
 import { MachineConnection } from './_MachineConnection.js';
+import { listOverlaps, listRepeats } from './_listOverlaps.js';
 
 /** Time that a machine is away for a move or for maintenance, in ms. */
 const AWAY_MS = 300;
@@ -100,6 +101,18 @@
     this.#raise(machine);
   }
 
+  /** Lists pairs of runs of one task that were present at the same time. */
+  listOverlaps(): [StartedRun, StartedRun][] {
+    this.settle();
+    return listOverlaps(this.started);
+  }
+
+  /** Lists starts of tasks after a run of theirs was done. */
+  listRepeats(): StartedRun[] {
+    this.settle();
+    return listRepeats(this.started);
+  }
+
   /** Ends the life of the host on a machine; the machine stays down until `raise`. */
   crash(name: string): void {
     const machine = this.#require(name);
--- a/src/emulator/NodeCluster.ts
+++ b/src/emulator/NodeCluster.ts
@@ -1,11 +1,10 @@
 import { ActorScope } from '../actor/mod.js';
-import { BookKey, MachineOrders, OwnerRecord } from '../book/mod.js';
+import { BookKey, MachineOrders } from '../book/mod.js';
 import { SystemClock } from '../clock/mod.js';
 import { EmulatedDecoder } from './EmulatedDecoder.js';
 import { EmulatedFleet, type EmulatedFleetOptions } from './EmulatedFleet.js';
-import type { StartedRun } from './EmulatedHost.js';
 import { EmulatedStore } from './EmulatedStore.js';
-import { listOverlaps, listRepeats } from './listOverlaps.js';
+import { findOwner } from './findOwner.js';
 import { createLogger } from '../logging/mod.js';
 import { Metrics } from '../metrics/mod.js';
 import { DecisionLog, Node, NodeSettings, type CallAnswer } from '../node/mod.js';
@@ -157,9 +156,7 @@
 
   /** Reads which node owns the shard. */
   findOwner(): string | undefined {
-    const record = this.store.listNewest('work').find(({ key }) => key === 'owner');
-    if (record?.value === undefined) return undefined;
-    return OwnerRecord.parse(JSON.parse(record.value.toString('utf8'))).node;
+    return findOwner(this.store);
   }
 
   /** Lists the machines that a new owner would leave alone for a while. */
@@ -175,18 +172,6 @@
     this.store.write('operator', `wave/${order.wave}`, JSON.stringify({ type: 'wave', order }));
   }
 
-  /** Lists pairs of runs of one task that were present at the same time. */
-  listOverlaps(): [StartedRun, StartedRun][] {
-    this.fleet.settle();
-    return listOverlaps(this.fleet.started);
-  }
-
-  /** Lists starts of tasks after a run of theirs was done. */
-  listRepeats(): StartedRun[] {
-    this.fleet.settle();
-    return listRepeats(this.fleet.started);
-  }
-
   close(): void {
     this.names.forEach((name) => this.kill(name));
   }
--- a/src/emulator/mod.ts
+++ b/src/emulator/mod.ts
@@ -9,4 +9,4 @@
 export * from './EmulatedHost.js';
 export * from './EmulatedStore.js';
 export * from './NodeCluster.js';
-export * from './listOverlaps.js';
+export * from './findOwner.js';
--- a/src/node/Node.property.test.ts
+++ b/src/node/Node.property.test.ts
@@ -117,8 +117,8 @@
         SETTLE_MS,
       );
     }
-    assert.deepEqual(cluster.listOverlaps(), [], 'two runs of one task at once');
-    assert.deepEqual(cluster.listRepeats(), [], 'a start after a run that was done');
+    assert.deepEqual(cluster.fleet.listOverlaps(), [], 'two runs of one task at once');
+    assert.deepEqual(cluster.fleet.listRepeats(), [], 'a start after a run that was done');
     const ran = new Set(cluster.fleet.started.map(({ task }) => task.split('.', 1)[0] ?? ''));
     const lied = [...this.#refused].filter((id) => ran.has(id));
     assert.deepEqual(lied, [], 'a job ran although it was refused');
--- a/src/node/Node.test.ts
+++ b/src/node/Node.test.ts
@@ -27,8 +27,8 @@
       cluster.names.every((name) => cluster.get(name)?.isReady === true),
     );
     await use(cluster);
-    assert.deepEqual(cluster.listOverlaps(), [], 'two runs of one task at once');
-    assert.deepEqual(cluster.listRepeats(), [], 'a start after a run that was done');
+    assert.deepEqual(cluster.fleet.listOverlaps(), [], 'two runs of one task at once');
+    assert.deepEqual(cluster.fleet.listRepeats(), [], 'a start after a run that was done');
   } finally {
     cluster.close();
   }
