--- a/src/schedule/PoolLoad.ts
+++ b/src/schedule/PoolLoad.ts
@@ -84,9 +84,14 @@
     this.#demandSince ??= now;
   }
 
-  /** Measures for how long a host has been idle while there was demand that it could have served. */
+  /**
+   * Measures for how long a host has been idle while it was known which pools the demand was for, in
+   * ms. In the first seconds of demand that is not known: a turn shows only `BEGIN_SEEN_MS` after its
+   * begin, and hosts that are parked just before it come back too late for its first jobs.
+   */
   measureIdle({ idleSince }: ManagedHost, now: number): number {
-    return now - Math.max(idleSince, this.#demandSince ?? now);
+    const knownSince = (this.#demandSince ?? now) + BEGIN_SEEN_MS;
+    return Math.max(0, now - Math.max(idleSince, knownSince));
   }
 
   /** Measures how many hosts more the arriving work would keep busy than a pool has. */
