--- a/src/port/HostOrders.ts
+++ b/src/port/HostOrders.ts
@@ -21,7 +21,10 @@
   run: number;
   /** Saved progress; empty for none. */
   checkpoint: string;
-  /** How much of its work speed the run has, 0 to 100. */
+  /**
+   * Of a lasting task how much of its work speed it has, of another how much of its work is done,
+   * 0 to 100.
+   */
   percent: number;
   /** Tail latency in ms for a task with a latency target, else thousandths of a core in use. */
   load: number;
--- a/src/schedule/Run.ts
+++ b/src/schedule/Run.ts
@@ -36,7 +36,10 @@
 
   checkpoint = '';
 
-  /** Share of its work speed, 0 to 100. */
+  /**
+   * Of a lasting task the share of its work speed, of another the share of its work that was done
+   * when the host last listed it, 0 to 100.
+   */
   percent = 0;
 
   /** Tail latency in ms, or thousandths of a core in use. */
