Tell hosts that turn slow or stand still by the progress of their runs

The percentage that hosts list of each run is the work done, so a host that gets on several times slower than before shows it within two reports. `SlownessControl` keeps new work away for 2 s from a host on which at least two runs, and all that are known, are slow, and starts elsewhere what would take over twice a whole run. Found on the way: the end of a run that an earlier owner started counted as its whole run time, which made estimates too short after each takeover; it is left out now.

--- a/src/schedule/Run.ts
+++ b/src/schedule/Run.ts
@@ -1,5 +1,6 @@
 import type { ListedRun } from '../port/mod.js';
 import type { ManagedHost } from './ManagedHost.js';
+import { RunProgress } from './RunProgress.js';
 import type { WorkUnit } from './WorkUnit.js';
 
 /** State of a run as the owner believes it. */
@@ -42,6 +43,9 @@
    */
   percent = 0;
 
+  /** How fast the work of a task that ends gets done. */
+  readonly progress = new RunProgress();
+
   /** Tail latency in ms, or thousandths of a core in use. */
   load = 0;
 
@@ -54,6 +58,8 @@
   /** Steady time in ms from which the reported share of work holds. */
   #settlesAt = 0;
 
+  #isAdopted = false;
+
   constructor(
     readonly unit: WorkUnit,
     readonly index: number,
@@ -72,6 +78,13 @@
    */
   adopt(settlesAt: number): void {
     this.#settlesAt = settlesAt;
+    this.#isAdopted = true;
+  }
+
+  /** Computes for how long the run has lasted, in ms; undefined when an earlier owner started it. */
+  computeAge(now: number): number | undefined {
+    if (this.#isAdopted || this.startedAt === undefined) return undefined;
+    return now - this.startedAt;
   }
 
   /** Marks the run as confirmed by its host. */
--- a/src/schedule/RunLedger.ts
+++ b/src/schedule/RunLedger.ts
@@ -147,7 +147,7 @@
     report.ended.forEach((end) => this.#handleEnd(host, end, now));
     const listed = new Set<Run>();
     report.running.forEach((one) => {
-      const run = this.#handleListed(host, one, now);
+      const run = this.#handleListed(host, one, report.clockMs, now);
       if (run !== undefined) listed.add(run);
     });
     [...host.runs.values()].forEach((run) => {
@@ -188,10 +188,20 @@
     return reason === 'other-life' ? 'other-life' : 'ok';
   }
 
-  #handleListed(host: ManagedHost, listed: ListedRun, now: number): Run | undefined {
+  #handleListed(
+    host: ManagedHost,
+    listed: ListedRun,
+    clockMs: number,
+    now: number,
+  ): Run | undefined {
     const run = host.findRun(listed.task, listed.run) ?? this.#adopt(host, listed, now);
     if (run === undefined) return undefined;
     run.update(listed, now);
+    const { spec, step } = run.unit;
+    if (!spec.isLasting) {
+      const estimateMs = this.#estimator.estimate(step.occurrence.job.queue.name, spec);
+      run.progress.record(listed.percent, clockMs, { typicalMs: step.findTypicalMs(), estimateMs });
+    }
     return run;
   }
 
@@ -277,8 +287,10 @@
     this.#blame.reportSuccess(host);
     if (unit.spec.isLasting || unit.isDone) return;
     const { queue } = unit.step.occurrence.job;
-    if (run?.startedAt !== undefined && unit.checkpoint === '') {
-      this.#estimator.report(queue.name, unit.spec, now - run.startedAt);
+    const runMs = run?.computeAge(now);
+    if (runMs !== undefined && unit.checkpoint === '') {
+      this.#estimator.report(queue.name, unit.spec, runMs);
+      unit.step.recordRunTime(runMs);
     }
     this.#jobs.finishUnit(unit, this.#clock.readWall());
     unit.runs.forEach((other) => {
--- a/src/schedule/ScheduledStep.ts
+++ b/src/schedule/ScheduledStep.ts
@@ -9,6 +9,9 @@
   /** Units that are not done. */
   remaining: number;
 
+  /** Run times in ms of the tasks that are done, without those that resumed from a checkpoint. */
+  readonly #runTimes: number[] = [];
+
   constructor(
     readonly occurrence: Occurrence,
     readonly index: number,
@@ -30,6 +33,17 @@
     return `${this.occurrence.job.id}.${this.occurrence.number}.${this.index}`;
   }
 
+  /** Records the run time of a task that is done, in ms. */
+  recordRunTime(runMs: number): void {
+    this.#runTimes.push(runMs);
+  }
+
+  /** Finds the median run time in ms of the tasks that are done; undefined before the first. */
+  findTypicalMs(): number | undefined {
+    const sorted = [...this.#runTimes].sort((one, other) => one - other);
+    return sorted[Math.floor((sorted.length - 1) / 2)];
+  }
+
   /** Finds the unit that holds a task. */
   findUnit(task: number): WorkUnit | undefined {
     return this.spec.gang ? this.units[0] : this.units[task];
--- a/src/schedule/Shard.ts
+++ b/src/schedule/Shard.ts
@@ -33,6 +33,7 @@
 import type { ScheduledStep } from './ScheduledStep.js';
 import type { ShardOptions } from './ShardOptions.js';
 import type { ShardOutput } from './ShardCommand.js';
+import { SlownessControl } from './SlownessControl.js';
 import type { WorkUnit } from './WorkUnit.js';
 
 /** Run numbers of a later owner begin this far above those of the one before. */
@@ -300,6 +301,7 @@
     host.setClock(report.clockMs, now);
     host.fence(this.#takeover.isFirst ? 0 : this.#options.maxLeaseMs);
     this.#ledger.reportHold(host, report, sentAt, now);
+    this.#suspendSlow(host, now);
     InterferenceControl.plan(host).forEach(({ run, percent }) => {
       run.setPace(undefined);
       this.#output.send({ type: 'pace', run, percent });
@@ -451,6 +453,24 @@
     });
   }
 
+  /** Keeps new work away from a host that has turned slow, and starts elsewhere what hangs there. */
+  #suspendSlow(host: ManagedHost, now: number): void {
+    const plan = SlownessControl.plan(host, now);
+    if (plan === undefined) return;
+    if (host.suspendedUntil <= now) {
+      this.#output.record({
+        decision: 'host-slow',
+        subject: host.id,
+        inputs: { machine: host.machine, runs: host.runs.size, restarts: plan.restarts.length },
+      });
+    }
+    host.suspend(plan.pausedUntil);
+    plan.restarts.forEach((run) => {
+      run.unit.avoided.add(host.machine);
+      this.#ledger.stop(run, now, 'host-slow');
+    });
+  }
+
   /** Moves lasting tasks away from a host that leaves. */
   #evacuate(host: ManagedHost, now: number): void {
     host.runs.forEach((run) => {
--- /dev/null
+++ b/src/schedule/SlownessControl.test.ts
@@ -0,0 +1,133 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { buildBookedJob, ScheduleRig } from '../testing/ScheduleRig.js';
+import type { ShardCommand } from './mod.js';
+import type { Run } from './Run.js';
+
+/** Tasks of 2 s, each of which takes half a host. */
+const STEP = { count: 4, cpuMilli: 8_000, estimateMs: 2_000 };
+
+/** A shard with two hosts that run two tasks each. */
+function openRunning(): { rig: ScheduleRig; runs: Run[] } {
+  const rig = new ScheduleRig();
+  rig.addHost('h1');
+  rig.addHost('h2');
+  rig.shard.addJob(buildBookedJob('a', [STEP]));
+  return { rig, runs: rig.startAll() };
+}
+
+/** Reports the progress of the runs of a host, in the order in which they were started. */
+function reportProgress(rig: ScheduleRig, id: string, percents: readonly number[]): void {
+  const runs = [...(rig.shard.findHost(id)?.runs.values() ?? [])];
+  rig.report(id, {
+    running: runs.map(({ task, number }, index) => ({
+      task,
+      run: number,
+      checkpoint: '',
+      percent: percents[index] ?? 0,
+      load: 1_000,
+    })),
+  });
+}
+
+function listStopped(commands: readonly ShardCommand[]): string[] {
+  return commands.flatMap((command) => (command.type === 'stop' ? [command.host.id] : []));
+}
+
+describe('SlownessControl', () => {
+  // Guards against tasks that wait for a host that hangs until it goes on, and against new tasks
+  // that are sent there meanwhile.
+  it('starts elsewhere what stands still on a host, and sends nothing new there', () => {
+    const { rig } = openRunning();
+    rig.output.commands.length = 0;
+    [0, 1, 2, 3].forEach((second) => {
+      reportProgress(rig, 'h1', [10, 12]);
+      reportProgress(rig, 'h2', [second * 30 + 5, second * 30 + 5]);
+      rig.clock.increase(600);
+    });
+    assert.deepEqual(listStopped(rig.output.commands), ['h1', 'h1']);
+    rig.shard.findHost('h1')?.runs.forEach((run) => {
+      rig.shard.reportStop(run.host, run, { type: 'done', clockMs: undefined });
+      rig.end(run, 'stopped');
+    });
+    rig.shard.addJob(buildBookedJob('b', [{ ...STEP, count: 1 }]));
+    assert.ok(rig.startAll().every(({ host }) => host.id === 'h2'));
+  });
+
+  it('notices a host that has become several times slower', () => {
+    const { rig } = openRunning();
+    rig.output.commands.length = 0;
+    [5, 35, 65, 70].forEach((percent) => {
+      reportProgress(rig, 'h1', [percent, percent]);
+      rig.clock.increase(600);
+    });
+    assert.ok((rig.shard.findHost('h1')?.suspendedUntil ?? 0) > rig.clock.readMonotonic());
+  });
+
+  // Guards against the blame of a host for one task that takes long or hangs by itself.
+  it('leaves a host alone on which another task gets on', () => {
+    const { rig } = openRunning();
+    rig.output.commands.length = 0;
+    [0, 1, 2, 3].forEach((second) => {
+      reportProgress(rig, 'h1', [10, second * 30]);
+      rig.clock.increase(600);
+    });
+    assert.deepEqual(listStopped(rig.output.commands), []);
+    assert.equal(rig.shard.findHost('h1')?.suspendedUntil, 0);
+  });
+
+  // Guards against sound hosts that get no work since a submitter's estimate was short by many times.
+  it('does not call a run slow for its estimate, as long as it gets on', () => {
+    const { rig } = openRunning();
+    [1, 2, 3, 4, 5].forEach((percent) => {
+      reportProgress(rig, 'h1', [percent, percent]);
+      rig.clock.increase(1_000);
+    });
+    assert.equal(rig.shard.findHost('h1')?.suspendedUntil, 0);
+  });
+
+  // Guards against a report that was late on its way: the next one follows it at once.
+  it('measures speed by the clock of the host', () => {
+    const { rig } = openRunning();
+    const list = (clockMs: number, percent: number): void => {
+      const runs = [...(rig.shard.findHost('h1')?.runs.values() ?? [])];
+      const running = runs.map(({ task, number: run }) => ({
+        ...{ task, run, percent, checkpoint: '', load: 1_000 },
+      }));
+      rig.report('h1', { clockMs, running });
+    };
+    list(0, 0);
+    list(600, 30);
+    rig.clock.increase(3_000);
+    list(610, 31);
+    assert.equal(rig.shard.findHost('h1')?.suspendedUntil, 0);
+  });
+
+  // Guards against sound hosts that count as slow after a takeover: of a run that an earlier owner
+  // started only its end is seen, which makes it look short.
+  it('takes no run time from the runs of an earlier owner', () => {
+    const rig = new ScheduleRig({ token: 2, claimOffset: 500, isFirst: false, unrecorded: [] });
+    rig.addHost('h1');
+    rig.shard.addJob(buildBookedJob('a', [STEP]));
+    const list = (indexes: readonly number[], percent: number): void => {
+      const running = indexes.map((index) => ({
+        ...{ task: `a.0.0.${index}`, run: 1, percent, checkpoint: '', load: 1_000 },
+      }));
+      const done = [0, 1].filter((index) => !indexes.includes(index));
+      const ended = done.map((index) => ({
+        ...{ number: index + 1, task: `a.0.0.${index}`, run: 1, outcome: 'done' as const },
+        checkpoint: '',
+      }));
+      rig.report('h1', { running, ended });
+    };
+    list([0, 1, 2, 3], 5);
+    rig.clock.increase(50);
+    list([2, 3], 8);
+    [38, 68].forEach((percent) => {
+      rig.clock.increase(600);
+      list([2, 3], percent);
+    });
+    assert.equal(rig.shard.findHost('h1')?.runs.size, 2);
+    assert.equal(rig.shard.findHost('h1')?.suspendedUntil, 0);
+  });
+});
