--- a/src/emulator/EmulatedFleet.ts
+++ b/src/emulator/EmulatedFleet.ts
@@ -125,6 +125,11 @@
     this.#raise(this.#require(name));
   }
 
+  /** Sets what the host on a machine says of its health, true or not. */
+  setHealth(name: string, isWell: boolean): void {
+    this.#require(name).host?.setHealth(isWell);
+  }
+
   /** Cuts a host off from the nodes; it runs on. */
   cut(name: string, isCut: boolean): void {
     if (isCut) this.#cut.add(name);
@@ -193,6 +198,13 @@
     return host.hold(order);
   }
 
+  /** Asks a host for its health; another life answers as if it were ill. */
+  async checkHealth({ id, address }: HostTarget): Promise<boolean> {
+    await wait(1);
+    const host = await this.#reach(id, address);
+    return host?.isWell ?? false;
+  }
+
   /** Carries out an order about a machine; its host ends and another life comes up. */
   change(order: MachineOrder, pool: string | undefined, wave: number | undefined): MachineAnswer {
     this.#options.onMachineOrder?.(order);
--- a/src/emulator/EmulatedHost.ts
+++ b/src/emulator/EmulatedHost.ts
@@ -68,12 +68,24 @@
 
   #isAlive = true;
 
+  #isWell = true;
+
   constructor(entry: HostEntry, options: EmulatedHostOptions) {
     this.entry = entry;
     this.#options = options;
     this.#bornAt = options.clock.readMonotonic();
   }
 
+  /** What the host says of its health. */
+  get isWell(): boolean {
+    return this.#isWell;
+  }
+
+  /** Sets what the host says of its health, true or not. */
+  setHealth(isWell: boolean): void {
+    this.#isWell = isWell;
+  }
+
   get isAlive(): boolean {
     return this.#isAlive;
   }
@@ -143,11 +155,11 @@
     if (refused?.type === 'refused') return { type: 'refused', reason: refused.reason };
     if (leaseEndMs !== undefined) this.#leaseEndMs = Math.max(this.#leaseEndMs, leaseEndMs);
     this.#ends = this.#ends.filter(({ number }) => number > acknowledged);
-    const running = [...this.#runs.values()].map(({ order }): ListedRun => ({
+    const running = [...this.#runs.values()].map(({ order, started, endsAt }): ListedRun => ({
       task: order.task,
       run: order.run,
       checkpoint: '',
-      percent: 100,
+      percent: this.#computeProgress(started.startedAt, endsAt),
       load: 1,
     }));
     return {
@@ -176,6 +188,11 @@
     return this.#options.clock.readMonotonic();
   }
 
+  /** Computes how much of its work a task has done, in whole percents. */
+  #computeProgress(startedAt: number, endsAt: number): number {
+    return Math.floor((100 * (this.#now - startedAt)) / Math.max(1, endsAt - startedAt));
+  }
+
   #checkToken(token: number): (OrderAnswer & { type: 'refused' }) | undefined {
     if (token < this.#token) return this.#refuse('fenced');
     this.#token = token;
--- a/src/emulator/_HostConnection.ts
+++ b/src/emulator/_HostConnection.ts
@@ -34,6 +34,10 @@
     return this.#fleet.hold(target, order);
   }
 
+  override checkHealth(target: HostTarget): Promise<boolean> {
+    return this.#fleet.checkHealth(target);
+  }
+
   override forget(): void {
     // An emulated host has no connections to close.
   }
--- a/src/node/HostLink.ts
+++ b/src/node/HostLink.ts
@@ -13,8 +13,12 @@
 /** What became of a hold. */
 export type HoldOutcome = HoldAnswer | { type: 'failed'; error: Error };
 
+/** What a host said of its health; undefined without an answer. */
+export type HealthOutcome = boolean | undefined;
+
 /** Messages of a host link. */
 export type HostLinkMessage =
+  | { type: 'check-health'; path: string; reply: (isWell: HealthOutcome) => void }
   | { type: 'hold'; order: HoldOrder; reply: (outcome: HoldOutcome) => void }
   | {
       type: 'order';
@@ -37,6 +41,7 @@
   protected override receive(message: HostLinkMessage): void {
     // The mailbox does not wait for answers: an order must not wait for a hold.
     if (message.type === 'hold') this.#hold(message.order).then(message.reply);
+    else if (message.type === 'check-health') this.#checkHealth(message.path).then(message.reply);
     else HostLink.#order(message.send(this.#target)).then(message.reply);
   }
 
@@ -53,6 +58,17 @@
     }
   }
 
+  async #checkHealth(path: string): Promise<HealthOutcome> {
+    try {
+      return await this.#parts.hosts.checkHealth(this.#target, path);
+    } catch (error) {
+      if (error instanceof OrderUnsentError || error instanceof OrderUnansweredError) {
+        return undefined;
+      }
+      throw error;
+    }
+  }
+
   static async #order(answer: Promise<OrderAnswer>): Promise<OrderOutcome> {
     try {
       return await answer;
--- a/src/node/_CommandRunner.ts
+++ b/src/node/_CommandRunner.ts
@@ -65,6 +65,19 @@
         });
         break;
       }
+      case 'check-health': {
+        const { host, path } = command;
+        this.#options.findLink(host)?.send({
+          type: 'check-health',
+          path,
+          reply: (isWell) =>
+            this.#options.settle((shard) => {
+              shard.reportHealth(host, isWell);
+              return 'ok';
+            }),
+        });
+        break;
+      }
       case 'move':
       case 'maintain':
         this.#sendMachineCommand(command);
--- a/src/port/Configuration.ts
+++ b/src/port/Configuration.ts
@@ -29,6 +29,8 @@
   refusesOverload: z.boolean().default(false),
   /** Hosts of the pool are off, cost nothing and run nothing. */
   isStandby: z.boolean().default(false),
+  /** Path at which a host of the pool tells whether it considers itself healthy. */
+  healthPath: z.string().optional(),
   /** Most connections to one host. */
   maxConnections: z.number().int().positive().default(64),
 });
--- a/src/port/HostOrders.ts
+++ b/src/port/HostOrders.ts
@@ -130,6 +130,13 @@
 
   abstract hold(host: HostTarget, order: HoldOrder): Promise<HoldAnswer>;
 
+  /**
+   * Asks a host whether it considers itself healthy; the answer may be false either way.
+   *
+   * @throws `OrderUnansweredError` or `OrderUnsentError` when no answer came.
+   */
+  abstract checkHealth(host: HostTarget, path: string): Promise<boolean>;
+
   /** Closes the connections to a host that is not used any more. */
   abstract forget(host: HostTarget): void;
 
--- /dev/null
+++ b/src/schedule/HealthInquiry.test.ts
@@ -0,0 +1,71 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { buildBookedJob, ScheduleRig } from '../testing/ScheduleRig.js';
+import type { Run } from './Run.js';
+
+/** A shard whose pool has a health path, with one host that runs four tasks. */
+function openAsked(): { rig: ScheduleRig; runs: Run[] } {
+  const rig = new ScheduleRig({}, undefined, { healthPath: '/health' });
+  rig.addHost('h1');
+  rig.shard.addJob(buildBookedJob('a', [{ count: 4, cpuMilli: 1_000, estimateMs: 2_000 }]));
+  return { rig, runs: rig.startAll() };
+}
+
+function countQuestions({ output }: ScheduleRig): number {
+  return output.commands.filter(({ type }) => type === 'check-health').length;
+}
+
+/** Lets a run end and answers the question that follows, if there is one. */
+function endAndAnswer(
+  rig: ScheduleRig,
+  run: Run | undefined,
+  outcome: 'done' | 'failed',
+  isWell: boolean | undefined,
+): void {
+  assert.ok(run !== undefined);
+  rig.output.commands.splice(0);
+  rig.end(run, outcome);
+  if (countQuestions(rig) > 0) rig.shard.reportHealth(run.host, isWell);
+}
+
+describe('HealthInquiry', () => {
+  // Guards against health checks of sound hosts: each one is paid for.
+  it('asks no host on which nothing has failed', () => {
+    const { rig, runs } = openAsked();
+    endAndAnswer(rig, runs[0], 'done', undefined);
+    assert.equal(countQuestions(rig), 0);
+  });
+
+  // Guards against three failed runs of several jobs on a host that would have called itself ill.
+  it('sends nothing new to a host that calls itself ill after its first failure', () => {
+    const { rig, runs } = openAsked();
+    endAndAnswer(rig, runs[0], 'failed', false);
+    assert.equal(countQuestions(rig), 1);
+    assert.equal(rig.shard.findHost('h1')?.isAvailable(rig.clock.readMonotonic()), false);
+    rig.clock.increase(2_100);
+    assert.equal(rig.shard.findHost('h1')?.isAvailable(rig.clock.readMonotonic()), true);
+  });
+
+  // Guards against hosts that fail what they run and say that they are well, and the other way round.
+  it('believes no answer against the runs', () => {
+    const { rig, runs } = openAsked();
+    endAndAnswer(rig, runs[0], 'failed', true);
+    assert.equal(rig.shard.findHost('h1')?.failuresInRow, 1);
+    endAndAnswer(rig, runs[1], 'done', undefined);
+    const host = rig.shard.findHost('h1');
+    assert.ok(host !== undefined);
+    rig.shard.reportHealth(host, false);
+    assert.equal(host.suspendedUntil, 0);
+  });
+
+  it('asks a host once a second at most', () => {
+    const { rig, runs } = openAsked();
+    endAndAnswer(rig, runs[0], 'failed', undefined);
+    assert.equal(countQuestions(rig), 1);
+    endAndAnswer(rig, runs[1], 'failed', undefined);
+    assert.equal(countQuestions(rig), 0);
+    rig.clock.increase(1_000);
+    endAndAnswer(rig, runs[2], 'failed', undefined);
+    assert.equal(countQuestions(rig), 1);
+  });
+});
--- a/src/schedule/Shard.ts
+++ b/src/schedule/Shard.ts
@@ -14,6 +14,7 @@
 import { AdviceBook } from './AdviceBook.js';
 import { canInterrupt } from './canInterrupt.js';
 import { HostBlame } from './HostBlame.js';
+import { HealthInquiry } from './HealthInquiry.js';
 import { HostTable } from './HostTable.js';
 import { InterferenceControl } from './InterferenceControl.js';
 import type { JobOrder } from './JobOrder.js';
@@ -99,6 +100,8 @@
 
   readonly #blame = new HostBlame();
 
+  readonly #health = new HealthInquiry();
+
   readonly #order: JobOrder;
 
   readonly #placement: PlacementPolicy;
@@ -302,6 +305,7 @@
     host.fence(this.#takeover.isFirst ? 0 : this.#options.maxLeaseMs);
     this.#ledger.reportHold(host, report, sentAt, now);
     this.#suspendSlow(host, now);
+    this.#checkHealth(host, now);
     InterferenceControl.plan(host).forEach(({ run, percent }) => {
       run.setPace(undefined);
       this.#output.send({ type: 'pace', run, percent });
@@ -329,6 +333,18 @@
     return answer.type === 'fenced' ? 'fenced' : 'ok';
   }
 
+  /** Records what a host says of its health; undefined when it did not answer. */
+  reportHealth(host: ManagedHost, isWell: boolean | undefined): void {
+    const now = this.#now;
+    const pauseMs = HealthInquiry.computePause(host, isWell, now);
+    this.#output.record({
+      decision: 'host-health',
+      subject: host.id,
+      inputs: { isWell, failuresInRow: host.failuresInRow, pauseMs },
+    });
+    if (pauseMs > 0) host.suspend(now + pauseMs);
+  }
+
   /** Records an answer of the advice service; undefined when there was none. */
   reportAdvice(step: string, advice: Advice | undefined): void {
     this.#advice.report(step, advice, this.#now);
@@ -430,6 +446,7 @@
     });
     RunLedger.endHost(host, now);
     this.#blame.remove(host);
+    this.#health.remove(host);
     this.#hosts.remove(host);
   }
 
@@ -471,6 +488,13 @@
     });
   }
 
+  /** Asks a host that has given cause for suspicion whether it considers itself healthy. */
+  #checkHealth(host: ManagedHost, now: number): void {
+    const path = this.#pools.get(host.pool)?.healthPath;
+    if (path === undefined || !this.#health.takeQuestion(host, now)) return;
+    this.#output.send({ type: 'check-health', host, path });
+  }
+
   /** Moves lasting tasks away from a host that leaves. */
   #evacuate(host: ManagedHost, now: number): void {
     host.runs.forEach((run) => {
--- a/src/schedule/ShardCommand.ts
+++ b/src/schedule/ShardCommand.ts
@@ -10,6 +10,7 @@
   | { type: 'move'; machine: string; pool: string }
   | { type: 'maintain'; order: UpkeepOrder }
   | { type: 'publish-wave'; wave: number; state: 'running' | 'completed' }
+  | { type: 'check-health'; host: ManagedHost; path: string }
   | { type: 'ask-advice'; step: string; hostIds: string[] };
 
 /** A decision for the log: what was decided about what, and the inputs that decided it. */
--- a/src/testing/ScheduleRig.ts
+++ b/src/testing/ScheduleRig.ts
@@ -1,7 +1,14 @@
 import type { z } from 'zod';
 import type { BookedJob } from '../book/mod.js';
 import { ManualClock } from '../clock/mod.js';
-import type { HostEntry, HostReport, ListedEnd, QueueRule, RunOutcome } from '../port/mod.js';
+import type {
+  HostEntry,
+  HostReport,
+  ListedEnd,
+  PoolRule,
+  QueueRule,
+  RunOutcome,
+} from '../port/mod.js';
 import { Shard, type Run, type ShardCommand, type Takeover } from '../schedule/mod.js';
 import { JobSpec } from '../task/mod.js';
 import { CollectingOutput } from './CollectingOutput.js';
@@ -80,7 +87,11 @@
 
   readonly #ends = new Map<string, number>();
 
-  constructor(takeover: Partial<Takeover> = {}, queues: QueueRule[] = [buildQueueRule()]) {
+  constructor(
+    takeover: Partial<Takeover> = {},
+    queues: QueueRule[] = [buildQueueRule()],
+    poolFields: Partial<PoolRule> = {},
+  ) {
     this.shard = new Shard(
       { ...FIRST, ...takeover },
       {
@@ -107,6 +118,7 @@
           refusesOverload: true,
           isStandby: false,
           maxConnections: 64,
+          ...poolFields,
         })),
         { name: 'spare', refusesOverload: true, isStandby: true, maxConnections: 64 },
       ],
