Search no more for room that a pool has just been found not to have

Change: `PlacementRound` remembers within one round which room no host had, and passes over what is at least as large; whether there is a run of lower priority is looked up once a round. Hosts only fill up within a round. `HostSuspicion` takes the handling of slow and ill hosts out of `Shard` (moved, behaviour unchanged).

--- /dev/null
+++ b/src/schedule/HostSuspicion.ts
@@ -0,0 +1,62 @@
+import { HealthInquiry } from './HealthInquiry.js';
+import type { ManagedHost } from './ManagedHost.js';
+import type { RunLedger } from './RunLedger.js';
+import type { ShardOutput } from './ShardCommand.js';
+import { SlownessControl } from './SlownessControl.js';
+
+/**
+ * Acts on hosts that are slow or may be ill: keeps new work away from them, starts elsewhere what
+ * hangs there, and asks them for their health.
+ */
+export class HostSuspicion {
+  readonly #ledger: RunLedger;
+
+  readonly #output: ShardOutput;
+
+  readonly #health = new HealthInquiry();
+
+  constructor(ledger: RunLedger, output: ShardOutput) {
+    this.#ledger = ledger;
+    this.#output = output;
+  }
+
+  /** Acts on the last report of a host; `healthPath` is undefined where hosts cannot be asked. */
+  handleReport(host: ManagedHost, healthPath: string | undefined, now: number): void {
+    this.#suspendSlow(host, now);
+    if (healthPath === undefined || !this.#health.takeQuestion(host, now)) return;
+    this.#output.send({ type: 'check-health', host, path: healthPath });
+  }
+
+  /** Records what a host says of its health; undefined when it did not answer. */
+  reportHealth(host: ManagedHost, isWell: boolean | undefined, now: number): void {
+    const pauseMs = HealthInquiry.computePause(host, isWell, now);
+    this.#output.record({
+      decision: 'host-health',
+      subject: host.id,
+      inputs: { isWell, failuresInRow: host.failuresInRow, pauseMs },
+    });
+    if (pauseMs > 0) host.suspend(now + pauseMs);
+  }
+
+  /** Drops what is known of a host. */
+  remove(host: ManagedHost): void {
+    this.#health.remove(host);
+  }
+
+  #suspendSlow(host: ManagedHost, now: number): void {
+    const plan = SlownessControl.plan(host, now);
+    if (plan === undefined) return;
+    if (host.suspendedUntil <= now) {
+      this.#output.record({
+        decision: 'host-slow',
+        subject: host.id,
+        inputs: { machine: host.machine, runs: host.runs.size, restarts: plan.restarts.length },
+      });
+    }
+    host.suspend(plan.pausedUntil);
+    plan.restarts.forEach((run) => {
+      run.unit.avoided.add(host.machine);
+      this.#ledger.stop(run, now, 'host-slow');
+    });
+  }
+}
--- /dev/null
+++ b/src/schedule/PlacementRound.test.ts
@@ -0,0 +1,96 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import fc from 'fast-check';
+import { buildBookedJob, buildHostEntry, buildQueueRule } from '../testing/ScheduleRig.js';
+import { readSeed } from '../testing/readSeed.js';
+import { ManagedHost } from './ManagedHost.js';
+import { PackingPlacement } from './PackingPlacement.js';
+import { PlacementPolicy, type Placement } from './PlacementPolicy.js';
+import { PlacementRound } from './PlacementRound.js';
+import { computeRoom } from './computeRoom.js';
+import { Run } from './Run.js';
+import { ScheduledJob } from './ScheduledJob.js';
+import type { WorkUnit } from './WorkUnit.js';
+
+const NOW_MS = 1_000;
+
+const Steps = fc.array(
+  fc.record({
+    count: fc.integer({ min: 1, max: 3 }),
+    cpuMilli: fc.integer({ min: 0, max: 16 }).map((cores) => cores * 1_000),
+    memoryMb: fc.integer({ min: 0, max: 8 }).map((parts) => parts * 4_096),
+    maxPerHost: fc.option(fc.integer({ min: 1, max: 2 }), { nil: undefined }),
+    requiredLabel: fc.option(fc.constantFrom('r1', 'r2'), { nil: undefined }),
+    gang: fc.boolean(),
+  }),
+  { minLength: 1, maxLength: 40 },
+);
+
+/** Counts the searches that reach the policy. */
+class CountingPlacement extends PlacementPolicy {
+  searches = 0;
+
+  readonly #policy = new PackingPlacement();
+
+  override choose(...parameters: Parameters<PlacementPolicy['choose']>): Placement[] | undefined {
+    this.searches += 1;
+    return this.#policy.choose(...parameters);
+  }
+}
+
+function openHosts(): ManagedHost[] {
+  return ['r1', 'r1', 'r2'].map((rack, index) => {
+    const host = new ManagedHost(buildHostEntry(`h${index}`, { rack, labels: [rack] }), 0);
+    host.isFenced = true;
+    return host;
+  });
+}
+
+function listUnits(steps: Parameters<typeof buildBookedJob>[1]): WorkUnit[] {
+  const job = new ScheduledJob(buildBookedJob('a', steps), buildQueueRule());
+  return job.openOccurrences(NOW_MS).flatMap((one) => one.steps.flatMap(({ units }) => units));
+}
+
+/** Places units one after the other and lists their hosts. */
+function chooseAll(
+  units: readonly WorkUnit[],
+  choose: (unit: WorkUnit) => Placement[] | undefined,
+): string[] {
+  return units.map((unit) => {
+    const placements = choose(unit) ?? [];
+    placements.forEach(({ index, host }) => {
+      const run = new Run(unit, index, unit.step.formatTask(index), 1, host, NOW_MS);
+      unit.runs.add(run);
+      host.addRun(run, computeRoom(unit.spec));
+    });
+    return placements.map(({ host }) => host.id).join(' ');
+  });
+}
+
+describe('PlacementRound', () => {
+  // Guards against a task that is passed over although a host has room for it.
+  it('chooses what the policy alone would choose', () => {
+    fc.assert(
+      fc.property(Steps, (steps) => {
+        const policy = new PackingPlacement();
+        const alone = openHosts();
+        const together = openHosts();
+        const round = new PlacementRound(policy, together, NOW_MS);
+        assert.deepEqual(
+          chooseAll(listUnits(steps), (unit) => round.choose(unit, undefined)),
+          chooseAll(listUnits(steps), (unit) => policy.choose(unit, alone, { now: NOW_MS })),
+        );
+      }),
+      { seed: readSeed(), numRuns: 300 },
+    );
+  });
+
+  // Guards against a search over all hosts for each of hundreds of tasks that wait for a full pool.
+  it('searches no more for what is as large as a task that found no room', () => {
+    const policy = new CountingPlacement();
+    const round = new PlacementRound(policy, openHosts(), NOW_MS);
+    const units = listUnits([{ count: 200, cpuMilli: 8_000, estimateMs: 1_000 }]);
+    chooseAll(units, (unit) => round.choose(unit, undefined));
+    assert.equal(policy.searches, 7);
+  });
+});
--- a/src/schedule/Shard.ts
+++ b/src/schedule/Shard.ts
@@ -14,7 +14,7 @@
 import { AdviceBook } from './AdviceBook.js';
 import { canInterrupt } from './canInterrupt.js';
 import { HostBlame } from './HostBlame.js';
-import { HealthInquiry } from './HealthInquiry.js';
+import { HostSuspicion } from './HostSuspicion.js';
 import { HostTable } from './HostTable.js';
 import { InterferenceControl } from './InterferenceControl.js';
 import type { JobOrder } from './JobOrder.js';
@@ -24,6 +24,7 @@
 import { MachinePlanner } from './MachinePlanner.js';
 import { PackingPlacement } from './PackingPlacement.js';
 import type { PlacementPolicy } from './PlacementPolicy.js';
+import { PlacementRound } from './PlacementRound.js';
 import { PoolLoad } from './PoolLoad.js';
 import { Punctuality } from './Punctuality.js';
 import { RecentOrders, type RecentOrder } from './RecentOrders.js';
@@ -34,7 +35,6 @@
 import type { ScheduledStep } from './ScheduledStep.js';
 import type { ShardOptions } from './ShardOptions.js';
 import type { ShardOutput } from './ShardCommand.js';
-import { SlownessControl } from './SlownessControl.js';
 import type { WorkUnit } from './WorkUnit.js';
 
 /** Run numbers of a later owner begin this far above those of the one before. */
@@ -100,7 +100,7 @@
 
   readonly #blame = new HostBlame();
 
-  readonly #health = new HealthInquiry();
+  readonly #suspicion: HostSuspicion;
 
   readonly #order: JobOrder;
 
@@ -139,6 +139,7 @@
       clock: this.#clock,
       stopMs: options.stopMs,
     });
+    this.#suspicion = new HostSuspicion(this.#ledger, this.#output);
     this.#load = new PoolLoad(this.#jobs, this.#hosts, this.#estimator, options.moveMs);
     if (!takeover.isFirst) this.#load.reportDemand(this.#startedAt);
     this.#orders = new RecentOrders({
@@ -304,8 +305,7 @@
     host.setClock(report.clockMs, now);
     host.fence(this.#takeover.isFirst ? 0 : this.#options.maxLeaseMs);
     this.#ledger.reportHold(host, report, sentAt, now);
-    this.#suspendSlow(host, now);
-    this.#checkHealth(host, now);
+    this.#suspicion.handleReport(host, this.#pools.get(host.pool)?.healthPath, now);
     InterferenceControl.plan(host).forEach(({ run, percent }) => {
       run.setPace(undefined);
       this.#output.send({ type: 'pace', run, percent });
@@ -335,14 +335,7 @@
 
   /** Records what a host says of its health; undefined when it did not answer. */
   reportHealth(host: ManagedHost, isWell: boolean | undefined): void {
-    const now = this.#now;
-    const pauseMs = HealthInquiry.computePause(host, isWell, now);
-    this.#output.record({
-      decision: 'host-health',
-      subject: host.id,
-      inputs: { isWell, failuresInRow: host.failuresInRow, pauseMs },
-    });
-    if (pauseMs > 0) host.suspend(now + pauseMs);
+    this.#suspicion.reportHealth(host, isWell, this.#now);
   }
 
   /** Records an answer of the advice service; undefined when there was none. */
@@ -446,7 +439,7 @@
     });
     RunLedger.endHost(host, now);
     this.#blame.remove(host);
-    this.#health.remove(host);
+    this.#suspicion.remove(host);
     this.#hosts.remove(host);
   }
 
@@ -470,31 +463,6 @@
     });
   }
 
-  /** Keeps new work away from a host that has turned slow, and starts elsewhere what hangs there. */
-  #suspendSlow(host: ManagedHost, now: number): void {
-    const plan = SlownessControl.plan(host, now);
-    if (plan === undefined) return;
-    if (host.suspendedUntil <= now) {
-      this.#output.record({
-        decision: 'host-slow',
-        subject: host.id,
-        inputs: { machine: host.machine, runs: host.runs.size, restarts: plan.restarts.length },
-      });
-    }
-    host.suspend(plan.pausedUntil);
-    plan.restarts.forEach((run) => {
-      run.unit.avoided.add(host.machine);
-      this.#ledger.stop(run, now, 'host-slow');
-    });
-  }
-
-  /** Asks a host that has given cause for suspicion whether it considers itself healthy. */
-  #checkHealth(host: ManagedHost, now: number): void {
-    const path = this.#pools.get(host.pool)?.healthPath;
-    if (path === undefined || !this.#health.takeQuestion(host, now)) return;
-    this.#output.send({ type: 'check-health', host, path });
-  }
-
   /** Moves lasting tasks away from a host that leaves. */
   #evacuate(host: ManagedHost, now: number): void {
     host.runs.forEach((run) => {
@@ -509,15 +477,17 @@
     const hosts = this.#hosts.listPool(pool).filter((host) => host.isAvailable(now));
     const nowWallMs = this.#clock.readWall();
     const hostsForLate = this.#machines.chooseForLate(pool, hosts);
+    const round = new PlacementRound(this.#placement, hosts, now);
+    const isReleasing = hostsForLate !== hosts;
+    const lateRound = isReleasing ? new PlacementRound(this.#placement, hostsForLate, now) : round;
     const sorted = this.#order.sort(steps, nowWallMs);
     sorted.forEach((step) => {
       const { booked } = step.occurrence.job;
       if (!this.#canStart(booked)) return;
       if (this.#isUnrecorded(booked) && this.#isInDoubt(pool)) return;
       // Lateness matters only while the pool is to release hosts.
-      const isHeldBack =
-        hostsForLate !== hosts && this.#punctuality.isLate(step.occurrence, nowWallMs);
-      this.#planStep(step, isHeldBack ? hostsForLate : hosts, now);
+      const isLate = isReleasing && this.#punctuality.isLate(step.occurrence, nowWallMs);
+      this.#planStep(step, isLate ? lateRound : round, now);
     });
   }
 
@@ -559,15 +529,15 @@
     );
   }
 
-  #planStep(step: ScheduledStep, hosts: readonly ManagedHost[], now: number): void {
+  #planStep(step: ScheduledStep, round: PlacementRound, now: number): void {
     const needsAdvice = step.occurrence.job.queue.advice !== undefined;
     for (const unit of step.units) {
       if (!unit.isWaiting || unit.notBefore > now || this.#isInherited(unit)) continue;
       const allowed = needsAdvice ? this.#advice.collectAllowed(step, now) : undefined;
-      const placements = this.#placement.choose(unit, hosts, { now, allowed });
+      const placements = round.choose(unit, allowed);
       if (placements === undefined) {
-        if (needsAdvice) this.#askAdvice(step, hosts, now);
-        else this.#preempt(unit, hosts, now);
+        if (needsAdvice) this.#askAdvice(step, round.hosts, now);
+        else this.#preempt(unit, round, now);
         return;
       }
       const number = unit.increaseRun((this.token - 1) * RUNS_PER_TOKEN);
@@ -598,9 +568,10 @@
   }
 
   /** Stops runs of lower priority so that a unit of higher priority gets room. */
-  #preempt(unit: WorkUnit, hosts: readonly ManagedHost[], now: number): void {
+  #preempt(unit: WorkUnit, round: PlacementRound, now: number): void {
     const { priority } = unit.step.occurrence.job.queue;
-    const victims = hosts.flatMap((host) =>
+    if (!round.hasLower(priority)) return;
+    const victims = round.hosts.flatMap((host) =>
       [...host.runs.values()].filter(
         (run) =>
           run.unit.step.occurrence.job.queue.priority > priority &&
