Keep the run times of a step in order instead of sorting them at each report

Cause: read again as a newcomer: the median of a step's run times was sorted anew for each run in each report of a host, which for a step of thousands of tasks costs more than the report itself. Change: a run time is inserted where it belongs.

--- a/src/schedule/ScheduledStep.ts
+++ b/src/schedule/ScheduledStep.ts
@@ -9,7 +9,7 @@
   /** Units that are not done. */
   remaining: number;
 
-  /** Run times in ms of the tasks that are done, without those that resumed from a checkpoint. */
+  /** Run times in ms of tasks that are done, shortest first, without those that were resumed. */
   readonly #runTimes: number[] = [];
 
   constructor(
@@ -35,13 +35,13 @@
 
   /** Records the run time of a task that is done, in ms. */
   recordRunTime(runMs: number): void {
-    this.#runTimes.push(runMs);
+    const next = this.#runTimes.findIndex((other) => other > runMs);
+    this.#runTimes.splice(next < 0 ? this.#runTimes.length : next, 0, runMs);
   }
 
   /** Finds the median run time in ms of the tasks that are done; undefined before the first. */
   findTypicalMs(): number | undefined {
-    const sorted = [...this.#runTimes].sort((one, other) => one - other);
-    return sorted[Math.floor((sorted.length - 1) / 2)];
+    return this.#runTimes[Math.floor((this.#runTimes.length - 1) / 2)];
   }
 
   /** Finds the unit that holds a task. */
