Let the fault soak play hosts that stand still, and that fail with a true or false health answer

Change: emulated hosts can stand still and fail what they start, and list the progress of runs; the soak draws both faults, with a health answer that may be false.

--- a/src/emulator/EmulatedFleet.ts
+++ b/src/emulator/EmulatedFleet.ts
@@ -130,6 +130,16 @@
     this.#require(name).host?.setHealth(isWell);
   }
 
+  /** Makes the host on a machine fail what it is told to start. */
+  setFailing(name: string, isFailing: boolean): void {
+    this.#require(name).host?.setFailing(isFailing);
+  }
+
+  /** Makes the work on a machine stand still, or lets it go on. */
+  setStanding(name: string, isStanding: boolean): void {
+    this.#require(name).host?.setStanding(isStanding);
+  }
+
   /** Cuts a host off from the nodes; it runs on. */
   cut(name: string, isCut: boolean): void {
     if (isCut) this.#cut.add(name);
--- a/src/emulator/EmulatedHost.ts
+++ b/src/emulator/EmulatedHost.ts
@@ -12,6 +12,9 @@
   StopOrder,
 } from '../port/mod.js';
 
+/** Time in ms after which a run fails on a host that fails everything. */
+const FAILING_MS = 20;
+
 /** Decides how a task goes when it is started on a host. */
 export type TaskScript = (order: StartOrder) => { runMs: number; outcome: 'done' | 'failed' };
 
@@ -28,6 +31,8 @@
 interface HostRun {
   order: StartOrder;
   started: StartedRun;
+  /** Since when the task works, moved on by the time for which the host stood still. */
+  worksSince: number;
   endsAt: number;
   outcome: 'done' | 'failed';
 }
@@ -70,6 +75,11 @@
 
   #isWell = true;
 
+  #isFailing = false;
+
+  /** Steady time in ms since which no work gets done here. */
+  #standsSince: number | undefined;
+
   constructor(entry: HostEntry, options: EmulatedHostOptions) {
     this.entry = entry;
     this.#options = options;
@@ -86,6 +96,25 @@
     this.#isWell = isWell;
   }
 
+  /** Makes new runs fail soon after their start. */
+  setFailing(isFailing: boolean): void {
+    this.#isFailing = isFailing;
+  }
+
+  /** Makes all work stand still, or lets it go on; the host answers calls meanwhile. */
+  setStanding(isStanding: boolean): void {
+    this.settle();
+    if (isStanding) {
+      this.#standsSince ??= this.#now;
+      return;
+    }
+    const stoodMs = this.#now - (this.#standsSince ?? this.#now);
+    this.#standsSince = undefined;
+    this.#runs.forEach((run) => {
+      Object.assign(run, { worksSince: run.worksSince + stoodMs, endsAt: run.endsAt + stoodMs });
+    });
+  }
+
   get isAlive(): boolean {
     return this.#isAlive;
   }
@@ -103,7 +132,7 @@
   /** Carries out what time has brought: finished tasks, and the end of the lease. */
   settle(): void {
     if (!this.#isAlive) return;
-    const due = [...this.#runs.values()].filter(({ endsAt }) => endsAt <= this.#now);
+    const due = [...this.#runs.values()].filter(({ endsAt }) => endsAt <= this.#workTime);
     due.sort((one, other) => one.endsAt - other.endsAt);
     due
       .filter(({ endsAt }) => endsAt - this.#bornAt <= this.#leaseEndMs)
@@ -123,7 +152,9 @@
     if ((this.#over.get(order.task) ?? 0) >= order.run) return this.#refuse('superseded');
     if (order.leaseEndMs < this.clockMs) return this.#refuse('late');
     this.#leaseEndMs = Math.max(this.#leaseEndMs, order.leaseEndMs);
-    const { runMs, outcome } = this.#options.script(order);
+    const script = this.#options.script(order);
+    const runMs = this.#isFailing ? FAILING_MS : script.runMs;
+    const outcome = this.#isFailing ? 'failed' : script.outcome;
     const started: StartedRun = {
       host: this.entry.id,
       task: order.task,
@@ -132,7 +163,8 @@
       endedAt: undefined,
       outcome: undefined,
     };
-    this.#runs.set(key, { order, started, endsAt: this.#now + runMs, outcome });
+    const worksSince = this.#workTime;
+    this.#runs.set(key, { order, started, worksSince, endsAt: worksSince + runMs, outcome });
     this.#options.onStart(started);
     return this.#accept();
   }
@@ -155,11 +187,11 @@
     if (refused?.type === 'refused') return { type: 'refused', reason: refused.reason };
     if (leaseEndMs !== undefined) this.#leaseEndMs = Math.max(this.#leaseEndMs, leaseEndMs);
     this.#ends = this.#ends.filter(({ number }) => number > acknowledged);
-    const running = [...this.#runs.values()].map(({ order, started, endsAt }): ListedRun => ({
-      task: order.task,
-      run: order.run,
+    const running = [...this.#runs.values()].map((run): ListedRun => ({
+      task: run.order.task,
+      run: run.order.run,
       checkpoint: '',
-      percent: this.#computeProgress(started.startedAt, endsAt),
+      percent: this.#computeProgress(run),
       load: 1,
     }));
     return {
@@ -188,9 +220,14 @@
     return this.#options.clock.readMonotonic();
   }
 
+  /** Steady time in ms up to which work has been done here. */
+  get #workTime(): number {
+    return this.#standsSince ?? this.#now;
+  }
+
   /** Computes how much of its work a task has done, in whole percents. */
-  #computeProgress(startedAt: number, endsAt: number): number {
-    return Math.floor((100 * (this.#now - startedAt)) / Math.max(1, endsAt - startedAt));
+  #computeProgress({ worksSince, endsAt }: HostRun): number {
+    return Math.floor((100 * (this.#workTime - worksSince)) / Math.max(1, endsAt - worksSince));
   }
 
   #checkToken(token: number): (OrderAnswer & { type: 'refused' }) | undefined {
--- a/src/testing/sampleFaults.ts
+++ b/src/testing/sampleFaults.ts
@@ -24,6 +24,14 @@
       mode: fc.constantFrom('well' as const, 'refusing' as const, 'silent' as const),
     }),
     fc.record({ type: fc.constant('cut' as const), machine, isCut: fc.boolean() }),
+    fc.record({ type: fc.constant('stand' as const), machine, isStanding: fc.boolean() }),
+    fc.record({
+      type: fc.constant('fail' as const),
+      machine,
+      isFailing: fc.boolean(),
+      /** What the host says of its health, true or not. */
+      isWell: fc.boolean(),
+    }),
     fc.record({ type: fc.constant('expire' as const) }),
     fc.record({ type: fc.constant('wait' as const), ms: fc.nat(1_500) }),
   );
