Build the pool rules of tests in one place

The assertions stand as they were. `NodeCluster` keeps its literal: the emulator does not read from src/testing.

--- a/src/schedule/SlownessControl.test.ts
+++ b/src/schedule/SlownessControl.test.ts
@@ -17,9 +17,15 @@
 }
 
 /** Reports the progress of the runs of a host, in the order in which they were started. */
-function reportProgress(rig: ScheduleRig, id: string, percents: readonly number[]): void {
+function reportProgress(
+  rig: ScheduleRig,
+  id: string,
+  percents: readonly number[],
+  fields: { clockMs?: number } = {},
+): void {
   const runs = [...(rig.shard.findHost(id)?.runs.values() ?? [])];
   rig.report(id, {
+    ...fields,
     running: runs.map(({ task, number }, index) => ({
       task,
       run: number,
@@ -89,17 +95,10 @@
   // Guards against a report that was late on its way: the next one follows it at once.
   it('measures speed by the clock of the host', () => {
     const { rig } = openRunning();
-    const list = (clockMs: number, percent: number): void => {
-      const runs = [...(rig.shard.findHost('h1')?.runs.values() ?? [])];
-      const running = runs.map(({ task, number: run }) => ({
-        ...{ task, run, percent, checkpoint: '', load: 1_000 },
-      }));
-      rig.report('h1', { clockMs, running });
-    };
-    list(0, 0);
-    list(600, 30);
+    reportProgress(rig, 'h1', [0, 0], { clockMs: 0 });
+    reportProgress(rig, 'h1', [30, 30], { clockMs: 600 });
     rig.clock.increase(3_000);
-    list(610, 31);
+    reportProgress(rig, 'h1', [31, 31], { clockMs: 610 });
     assert.equal(rig.shard.findHost('h1')?.suspendedUntil, 0);
   });
 
--- a/src/testing/ScheduleRig.ts
+++ b/src/testing/ScheduleRig.ts
@@ -29,6 +29,17 @@
   };
 }
 
+/** Pool rule of tests, with the fields that a test cares about. */
+export function buildPoolRule(fields: Partial<PoolRule> = {}): PoolRule {
+  return {
+    name: 'studio',
+    refusesOverload: true,
+    isStandby: false,
+    maxConnections: 64,
+    ...fields,
+  };
+}
+
 /** A booked job with the given steps. */
 export function buildBookedJob(
   id: string,
@@ -113,14 +124,8 @@
       version: 1,
       queues,
       pools: [
-        ...pools.map((name) => ({
-          name,
-          refusesOverload: true,
-          isStandby: false,
-          maxConnections: 64,
-          ...poolFields,
-        })),
-        { name: 'spare', refusesOverload: true, isStandby: true, maxConnections: 64 },
+        ...pools.map((name) => buildPoolRule({ name, ...poolFields })),
+        buildPoolRule({ name: 'spare', isStandby: true }),
       ],
       limits: {
         maxHeaderBytes: 16_384,
