Take a host for ended only by the order that was sent for it

Cause: a machine that had just joined a pool still stood in its old pool in the machine list, so it was ordered to move again. The provider answers "done" to an order whose effect is there already, and the owner took that as the end of the new host and started its tasks on other hosts.

Change: an order names the incarnation that it was made for. It is dropped if that incarnation is gone when its record is stored, and its answer ends no other. A host that serves in the pool that a move names does not end. Whether maintenance ended a host is read from a later machine list. A machine is moved again only by a list that was requested after its last move.

--- a/src/emulator/NodeCluster.ts
+++ b/src/emulator/NodeCluster.ts
@@ -25,6 +25,8 @@
 > {
   nodes: number;
   machines: number;
+  /** Number of machines in the standby pool; 0 by default. */
+  standbyMachines?: number;
 }
 
 /** A cluster of nodes on an emulated platform, all in one process. */
@@ -53,7 +55,10 @@
     const configuration = {
       version: 1,
       queues: [this.queue],
-      pools: [{ name: 'studio', refusesOverload: true, isStandby: false, maxConnections: 64 }],
+      pools: [
+        { name: 'studio', refusesOverload: true, isStandby: false, maxConnections: 64 },
+        { name: 'reserve', refusesOverload: true, isStandby: true, maxConnections: 64 },
+      ],
       limits: {},
     };
     this.store.write(
@@ -64,6 +69,9 @@
     for (let index = 0; index < options.machines; index += 1) {
       this.fleet.addMachine(`m-${index}`, 'studio', `r${index % 2}`);
     }
+    for (let index = 0; index < (options.standbyMachines ?? 0); index += 1) {
+      this.fleet.addMachine(`s-${index}`, 'reserve', `r${index % 2}`);
+    }
     for (let index = 0; index < options.nodes; index += 1) this.start(`node-${index}`);
   }
 
--- a/src/node/Node.test.ts
+++ b/src/node/Node.test.ts
@@ -67,6 +67,23 @@
       assert.equal(cluster.fleet.started.length, 5);
     }));
 
+  // Guards against two runs of one task: a machine was ordered to move again when its new host was
+  // already serving, and the answer "done" was taken as the end of that host.
+  it('runs each task once while standby machines join an overloaded pool', () =>
+    withCluster(
+      {
+        machines: 2,
+        standbyMachines: 4,
+        script: () => ({ runMs: 700, outcome: 'done' }),
+      },
+      async (cluster) => {
+        const overload = [{ count: 60, cpuMilli: 4_000, estimateMs: 700 }];
+        for (const id of ['a', 'b', 'c']) await cluster.submit('node-0', id, overload);
+        for (const id of ['a', 'b', 'c'])
+          await waitFor('a completed job', isCompleted(cluster, 'node-1', id), 20_000);
+      },
+    ));
+
   it('finishes a job on other hosts when a host crashes', () =>
     withCluster({ script: () => ({ runMs: 400, outcome: 'done' }) }, async (cluster) => {
       await cluster.submit('node-0', 'a', STEPS);
--- a/src/node/ShardOwner.ts
+++ b/src/node/ShardOwner.ts
@@ -314,6 +314,15 @@
     } else this.#executor.run(command);
   }
 
+  /** Sends an order for a machine, unless the machine has changed while the order was recorded. */
+  #orderMachine(command: MachineCommand): void {
+    if (this.#shard.isMachineOrderWanted(command)) this.#executor.run(command);
+    else {
+      const answer = { type: 'refused', reason: 'the machine has changed' } as const;
+      this.#handleLedgerResult(this.#shard.reportMachineResponse(command, answer));
+    }
+  }
+
   #canStartUnrecorded({ run }: StartCommand): boolean {
     const { isRecorded, rule } = this.#permit;
     if (isRecorded) return false;
@@ -520,7 +529,7 @@
     const starts = this.#startsBeingRecorded.splice(0);
     if (!batch.isRelease)
       this.#takeWantedStarts(starts).forEach((start) => this.#executor.run(start));
-    if (!batch.isRelease) batch.machineOrders.forEach((one) => this.#executor.run(one));
+    if (!batch.isRelease) batch.machineOrders.forEach((one) => this.#orderMachine(one));
     batch.jobs.forEach(({ id, endedAtMs }) => {
       if (endedAtMs !== undefined) this.#finishedJobs.push({ id, endedAtMs });
     });
--- a/src/node/_CommandExecutor.ts
+++ b/src/node/_CommandExecutor.ts
@@ -1,5 +1,11 @@
-import type { MachineResponse } from '../port/mod.js';
-import type { ReportResult, ManagedHost, Shard, ShardCommand } from '../schedule/mod.js';
+import type {
+  MaintainCommand,
+  ManagedHost,
+  MoveCommand,
+  ReportResult,
+  Shard,
+  ShardCommand,
+} from '../schedule/mod.js';
 import type { HostLink } from './HostLink.js';
 import type { NodeContext } from './NodeContext.js';
 
@@ -10,7 +16,7 @@
 export type StartCommand = Extract<ShardCommand, { type: 'start' }>;
 
 /** Command for a machine. */
-export type MachineCommand = Extract<ShardCommand, { type: 'move' | 'maintain' }>;
+export type MachineCommand = MoveCommand | MaintainCommand;
 
 /** Options of a `CommandExecutor`. */
 export interface CommandExecutorOptions {
@@ -127,37 +133,24 @@
   }
 
   #sendMachineCommand(command: MachineCommand): void {
-    if (command.type === 'move') {
-      this.#orderMachine({ machine: command.machine }, (order) =>
-        this.#context.machines.moveMachine(order, command.pool),
-      );
-      return;
-    }
-    this.#orderMachine(command.order, (order) =>
-      this.#context.machines.maintainMachine(order, command.order.wave),
-    );
-  }
-
-  #orderMachine(
-    subject: { machine: string; wave?: number },
-    send: (order: { machine: string; holder: string; token: number }) => Promise<MachineResponse>,
-  ): void {
-    const order = {
-      machine: subject.machine,
-      holder: this.#context.settings.name,
-      token: this.#options.token,
-    };
+    const { machine } = command;
+    const order = { machine, holder: this.#context.settings.name, token: this.#options.token };
     this.#options.applyOutcome((shard) => {
-      shard.reportMachineOrder(subject.machine);
+      shard.reportMachineOrder(machine);
       return 'ok';
     });
-    send(order).then(
+    const { machines } = this.#context;
+    const answered =
+      command.type === 'move'
+        ? machines.moveMachine(order, command.pool)
+        : machines.maintainMachine(order, command.wave);
+    answered.then(
       (answer) =>
-        this.#options.applyOutcome((shard) => shard.reportMachineResponse(subject, answer)),
+        this.#options.applyOutcome((shard) => shard.reportMachineResponse(command, answer)),
       (error: unknown) => {
-        this.#context.log.record('machine-unanswered', subject.machine, { error: String(error) });
+        this.#context.log.record('machine-unanswered', machine, { error: String(error) });
         this.#options.applyOutcome((shard) =>
-          shard.reportMachineResponse(subject, { type: 'unanswered' }),
+          shard.reportMachineResponse(command, { type: 'unanswered' }),
         );
       },
     );
--- a/src/schedule/MachinePlanner.test.ts
+++ b/src/schedule/MachinePlanner.test.ts
@@ -107,6 +107,86 @@
     assert.deepEqual(listMovedMachines(rig.plan()), []);
   });
 
+  // Guards against a needless order: the list read before a move still shows the machine in the
+  // standby pool while its new host already serves.
+  it('does not move a machine again before the machine list shows its last move', () => {
+    const rig = createOverloadedRig();
+    assert.deepEqual(listMovedMachines(rig.plan()), ['s1', 's2']);
+    rig.shard.reportMachineResponse({ machine: 's1', pool: 'studio' }, { type: 'done' });
+    rig.clock.advance(300);
+    rig.addHost('s1-host', { machine: 's1' });
+    rig.report('h1');
+    assert.deepEqual(listMovedMachines(rig.plan()), []);
+    assert.ok(rig.shard.needsMachineList);
+  });
+
+  // Guards against two runs of one task: an order that is answered "done" because its effect was
+  // there already ends no host.
+  it('does not take a host for ended by an order that was not sent for it', () => {
+    const rig = createOverloadedRig();
+    const orders = rig.plan().flatMap((command) => (command.type === 'move' ? [command] : []));
+    const order = orders.find(({ machine }) => machine === 's1');
+    assert.ok(order !== undefined);
+    rig.clock.advance(300);
+    rig.addHost('s1-host', { machine: 's1' });
+    const host = rig.shard.findHost('s1-host');
+    assert.ok(host !== undefined);
+    host.isLeaving = true;
+    rig.shard.reportMachineResponse(order, { type: 'done' });
+    assert.equal(host.hasEnded, false);
+  });
+
+  // Guards against two runs of one task: the host already serves in the pool that the order names,
+  // so the answer "done" says nothing about it.
+  it('does not take a host for ended by an order to the pool that it serves in', () => {
+    const rig = createOverloadedRig();
+    const host = rig.shard.findHost('h1');
+    assert.ok(host !== undefined);
+    host.isLeaving = true;
+    rig.shard.reportMachineResponse(
+      { machine: 'machine-of-h1', pool: 'studio', host },
+      { type: 'done' },
+    );
+    assert.equal(host.hasEnded, false);
+    assert.equal(host.isLeaving, false);
+  });
+
+  // Guards against two runs of one task: a previous owner may have maintained the machine already,
+  // and the answer "done" to a second order for the wave then ends no host.
+  it('takes a maintained host for ended only when the machine list shows it', () => {
+    const rig = createOverloadedRig();
+    const host = rig.shard.findHost('h1');
+    assert.ok(host !== undefined);
+    const subject = { machine: 'machine-of-h1', wave: 1, host };
+    host.isLeaving = true;
+    rig.clock.advance(10);
+    rig.shard.reportMachineResponse(subject, { type: 'done' });
+    assert.equal(host.hasEnded, false);
+    assert.ok(rig.shard.needsMachineList);
+    rig.clock.advance(10);
+    const up = buildStandby('machine-of-h1', { pool: 'studio', hostId: 'h1' });
+    rig.shard.updateMachines([up], rig.clock.readMonotonic());
+    assert.equal(host.hasEnded, false);
+    assert.equal(host.isLeaving, false);
+    host.isLeaving = true;
+    rig.shard.reportMachineResponse(subject, { type: 'done' });
+    rig.clock.advance(10);
+    const down = { ...up, state: 'maintenance' as const, hostId: undefined };
+    rig.shard.updateMachines([down], rig.clock.readMonotonic());
+    assert.equal(host.hasEnded, true);
+  });
+
+  // Guards against an order that waits for its record while its effect is seen.
+  it('wants an order only for the incarnation that it was made for', () => {
+    const rig = createOverloadedRig();
+    const orders = rig.plan().flatMap((command) => (command.type === 'move' ? [command] : []));
+    const order = orders.find(({ machine }) => machine === 's1');
+    assert.ok(order !== undefined);
+    assert.ok(rig.shard.isMachineOrderWanted(order));
+    rig.addHost('s1-host', { machine: 's1' });
+    assert.ok(!rig.shard.isMachineOrderWanted(order));
+  });
+
   // Guards against a new owner that moves no hosts for seconds, although bursts last only seconds.
   it('waits only for machines for which the previous owner may have issued orders', () => {
     const rig = createOverloadedRig({
--- a/src/schedule/MachinePlanner.ts
+++ b/src/schedule/MachinePlanner.ts
@@ -9,7 +9,7 @@
 import type { RecentMachineOrders } from './RecentMachineOrders.js';
 import type { RunTracker } from './RunTracker.js';
 import type { ShardOptions } from './ShardOptions.js';
-import type { ShardOutput } from './ShardCommand.js';
+import type { MachineSubject, ShardOutput } from './ShardCommand.js';
 import { MaintenancePlanner } from './MaintenancePlanner.js';
 
 /** A move is abandoned if its host is not up after this multiple of the usual duration. */
@@ -73,6 +73,12 @@
   /** Monotonic time until which a machine is not moved because the provider refused a move. */
   readonly #refusedUntil = new Map<string, number>();
 
+  /**
+   * Monotonic time at which a move arrived, timed out or was not answered. Machine lists that were
+   * requested before do not show its outcome.
+   */
+  readonly #settledAt = new Map<string, number>();
+
   /** Pools that have to release hosts. */
   #releasing: ReadonlySet<string> = new Set();
 
@@ -96,7 +102,7 @@
 
   /** Checks whether the machine list is needed to follow moves or maintenance. */
   get needsMachineList(): boolean {
-    return this.#moves.size > 0 || this.#openWaves.size > 0;
+    return this.#moves.size > 0 || this.#openWaves.size > 0 || this.#settledAt.size > 0;
   }
 
   /** Adds or updates a wave requested by the operator. */
@@ -144,7 +150,7 @@
       const host = hosts.get(order.machine);
       if (host !== undefined) host.isLeaving = true;
       this.#orders.report(order.machine, now);
-      this.#output.send({ type: 'maintain', order });
+      this.#output.send({ type: 'maintain', ...order, host });
     });
     plan.completed.forEach((wave) => {
       this.#openWaves.delete(wave);
@@ -168,7 +174,7 @@
       if (host !== undefined) host.isLeaving = true;
       this.#moves.set(machine, { pool: to, orderedAt: now, isAccepted: false });
       this.#orders.report(machine, now);
-      this.#output.send({ type: 'move', machine, pool: to });
+      this.#output.send({ type: 'move', machine, pool: to, host });
     });
   }
 
@@ -186,13 +192,26 @@
     return [...hosts.filter(hasLastingRun), ...fullest.slice(0, kept)];
   }
 
-  /** Handles a response of the provider; returns the host whose incarnation it ended, if any. */
+  /**
+   * Checks whether an order may still be sent: the machine has the same incarnation of its host as
+   * when the order was planned.
+   */
+  isOrderWanted({ machine, host }: MachineSubject): boolean {
+    return this.#hosts.collectByMachine().get(machine) === host;
+  }
+
+  /**
+   * Handles a response of the provider; returns the host whose incarnation it ended, if any.
+   *
+   * The provider also answers "done" if the operation was done before. For a move, the incarnation
+   * that the order was sent for has ended in either case, unless it already serves in that pool.
+   * For maintenance, only the machine list tells which incarnation was ended.
+   */
   reportResponse(
-    { machine, wave }: { machine: string; wave?: number },
+    { machine, pool, wave, host }: MachineSubject,
     answer: MachineResponse | { type: 'unanswered' },
     now: number,
   ): ManagedHost | undefined {
-    const host = this.#hosts.collectByMachine().get(machine);
     const isDone = answer.type === 'done';
     if (wave !== undefined) {
       this.#maintenance.reportResponse({ machine, wave }, isDone, now);
@@ -202,20 +221,25 @@
       if (move !== undefined && isDone) move.isAccepted = true;
       if (!isDone) {
         this.#moves.delete(machine);
+        if (answer.type === 'unanswered') this.#settledAt.set(machine, now);
         this.#refusedUntil.set(machine, now + REFUSED_PAUSE_MS);
       }
     }
     this.#output.record({
       decision: wave === undefined ? 'machine-move' : 'machine-maintenance',
       subject: machine,
-      inputs: { wave, answer: answer.type, host: host?.id },
+      inputs: { pool, wave, answer: answer.type, host: host?.id },
     });
-    if (host === undefined) return undefined;
-    if (isDone && host.isLeaving) return host;
+    if (host === undefined || host.hasEnded) return undefined;
+    if (isDone && wave !== undefined) {
+      host.markEndClaimed(now);
+      return undefined;
+    }
+    if (isDone && host.pool !== pool) return host;
     // An unanswered order may still be executed: the host gets no work until the machine list can
     // show the outcome.
-    if (answer.type === 'unanswered') host.suspendedUntil = now + this.#options.moveMs;
-    host.isLeaving = false;
+    if (answer.type === 'unanswered') host.suspend(now + this.#options.moveMs);
+    host.setLeaving(false);
     return undefined;
   }
 
@@ -285,6 +309,7 @@
       !this.#moves.has(machine) &&
       this.#orders.canOrder(machine, now) &&
       !this.#maintenance.isInProgress(machine) &&
+      !this.#settledAt.has(machine) &&
       (this.#refusedUntil.get(machine) ?? 0) <= now &&
       this.#hosts.machines.get(machine)?.state === 'up'
     );
@@ -299,6 +324,9 @@
 
   /** Removes moves whose machine is up in its new pool, and moves that have timed out. */
   #removeFinishedMoves(now: number): void {
+    this.#settledAt.forEach((settledAt, machine) => {
+      if (this.#hosts.machinesReadAt > settledAt) this.#settledAt.delete(machine);
+    });
     const hosts = this.#hosts.collectByMachine();
     [...this.#moves].forEach(([machine, move]) => {
       const host = hosts.get(machine);
@@ -309,7 +337,9 @@
         (host?.pool === move.pool ||
           (isReadAfter && listed?.pool === move.pool && listed.state === 'up'));
       const isOverdue = now - move.orderedAt > MOVE_TIMEOUT_FACTOR * this.#options.moveMs;
-      if (hasArrived || isOverdue) this.#moves.delete(machine);
+      if (!hasArrived && !isOverdue) return;
+      this.#moves.delete(machine);
+      this.#settledAt.set(machine, now);
     });
   }
 }
--- a/src/schedule/MaintenancePlanner.test.ts
+++ b/src/schedule/MaintenancePlanner.test.ts
@@ -157,7 +157,7 @@
         (command) =>
           command.type === 'maintain' &&
           [...rig.shard.hosts].some(
-            (host) => host.machine === command.order.machine && host.runs.size > 0,
+            (host) => host.machine === command.machine && host.runs.size > 0,
           ),
       );
       assert.deepEqual(ended, [], 'a host is maintained while it runs a long-running task');
--- a/src/schedule/ManagedHost.ts
+++ b/src/schedule/ManagedHost.ts
@@ -30,6 +30,12 @@
   /** A move or the maintenance of the machine has been ordered. */
   isLeaving = false;
 
+  /**
+   * Monotonic time at which the provider accepted an order that may have ended the incarnation;
+   * undefined if there is none. A machine list that was requested later shows whether it did.
+   */
+  #endClaimedAt: number | undefined;
+
   /** Selected for maintenance: the host receives no new work and is evacuated. */
   isEvacuating = false;
 
@@ -111,6 +117,11 @@
     this.acknowledgedEnd = Math.max(this.acknowledgedEnd, number);
   }
 
+  /** Marks whether an order that ends the incarnation is under way. */
+  setLeaving(isLeaving: boolean): void {
+    this.isLeaving = isLeaving;
+  }
+
   /** Suspends the host until a monotonic time; a longer suspension remains in effect. */
   suspend(until: number): void {
     this.suspendedUntil = Math.max(this.suspendedUntil, until);
@@ -131,6 +142,21 @@
     this.reservedUntil = 0;
   }
 
+  get endClaimedAt(): number | undefined {
+    return this.#endClaimedAt;
+  }
+
+  /** Keeps the host without new work until a machine list shows whether it has ended. */
+  markEndClaimed(now: number): void {
+    this.#endClaimedAt = now;
+  }
+
+  /** Returns the host to service: the machine list shows that it has not ended. */
+  withdrawEndClaim(): void {
+    this.#endClaimedAt = undefined;
+    this.isLeaving = false;
+  }
+
   /** Marks the incarnation as ended. */
   markEnded(): void {
     this.hasEnded = true;
--- a/src/schedule/Shard.ts
+++ b/src/schedule/Shard.ts
@@ -34,7 +34,7 @@
 import type { ScheduledJob } from './ScheduledJob.js';
 import type { ScheduledStep } from './ScheduledStep.js';
 import type { ShardOptions } from './ShardOptions.js';
-import type { ShardOutput } from './ShardCommand.js';
+import type { MachineSubject, ShardOutput } from './ShardCommand.js';
 import type { WorkUnit } from './WorkUnit.js';
 
 /** Range of run numbers per token, so that later owners use higher numbers. */
@@ -260,6 +260,12 @@
       });
     }
     [...this.#hosts.hosts].forEach((host) => {
+      const { endClaimedAt } = host;
+      if (endClaimedAt !== undefined && endClaimedAt < readAt) {
+        if (this.#hosts.isProvenEnded(host)) this.#endIncarnation(host, 'machine-ordered', now);
+        else host.withdrawEndClaim();
+        return;
+      }
       const isSilent = host.silentCalls >= MAX_SILENT_CALLS || !host.isListed;
       const isOlder = host.answeredAt < readAt;
       if (isSilent && isOlder && this.#hosts.isProvenEnded(host)) {
@@ -324,7 +330,7 @@
 
   /** Handles the response to an order for a machine. */
   reportMachineResponse(
-    order: { machine: string; wave?: number },
+    order: MachineSubject,
     answer: MachineResponse | { type: 'unanswered' },
   ): ReportResult {
     // An unanswered order may be executed as late as now.
@@ -334,6 +340,11 @@
     return answer.type === 'fenced' ? 'fenced' : 'ok';
   }
 
+  /** Checks whether an order for a machine may still be sent. */
+  isMachineOrderWanted(order: MachineSubject): boolean {
+    return this.#machinePlanner.isOrderWanted(order);
+  }
+
   /** Handles the result of a health check; undefined if the host did not respond. */
   reportHealth(host: ManagedHost, isWell: boolean | undefined): void {
     this.#hostMonitor.reportHealth(host, isWell, this.#now);
@@ -358,6 +369,7 @@
     if (this.#hosts.machinesReadAt === -Infinity) return true;
     if (this.#machinePlanner.needsMachineList) return true;
     return [...this.#hosts.hosts].some((host) => {
+      if (host.endClaimedAt !== undefined) return true;
       const isSilent = host.silentCalls >= MAX_SILENT_CALLS || !host.isListed;
       if (isSilent) return host.runs.size > 0 || host.reservedUntil > 0;
       // The list is older than the host, so the host's machine does not count as movable yet.
--- a/src/schedule/ShardCommand.ts
+++ b/src/schedule/ShardCommand.ts
@@ -2,13 +2,40 @@
 import type { Run } from './Run.js';
 import type { MaintenanceOrder } from './MaintenancePlanner.js';
 
+/** Moves a machine to a pool. */
+export interface MoveCommand {
+  type: 'move';
+  machine: string;
+  pool: string;
+  /** Incarnation that the order ends; undefined if the machine has none. */
+  host: ManagedHost | undefined;
+}
+
+/** Starts the maintenance of a machine. */
+export interface MaintainCommand extends MaintenanceOrder {
+  type: 'maintain';
+  /** Incarnation that the order ends; undefined if the machine has none. */
+  host: ManagedHost | undefined;
+}
+
+/** Subject of an order for a machine: what its response refers to. */
+export interface MachineSubject {
+  machine: string;
+  /** Pool of a move. */
+  pool?: string;
+  /** Wave of a maintenance. */
+  wave?: number;
+  /** Incarnation that the order was sent for. */
+  host?: ManagedHost | undefined;
+}
+
 /** A command that the owner of a shard has to execute. */
 export type ShardCommand =
   | { type: 'start'; run: Run; leaseEndMs: number; checkpoint: string; ticket: string | undefined }
   | { type: 'stop'; host: ManagedHost; task: string; number: number }
   | { type: 'pace'; run: Run; percent: number }
-  | { type: 'move'; machine: string; pool: string }
-  | { type: 'maintain'; order: MaintenanceOrder }
+  | MoveCommand
+  | MaintainCommand
   | { type: 'publish-wave'; wave: number; state: 'running' | 'completed' }
   | { type: 'check-health'; host: ManagedHost; path: string }
   | { type: 'ask-advice'; step: string; hostIds: string[] };
