Skip odd records of other writers in every reader, whatever they hold

Cause: an entry with a port out of range was taken for a host, and each order to it threw outside any handler, which ends the process. A configuration with a value that only the second of two schemas rejected threw in the decoder; the follower had then advanced its offset and never read again.

Followers apply records one by one and schedule the next read in any case; the owner applies hosts and changes one by one. Every order gets an outcome, also if its call throws.

--- a/src/finding/mod.ts
+++ b/src/finding/mod.ts
@@ -5,5 +5,6 @@
  */
 export * from './Finding.js';
 export * from './FindingsError.js';
+export * from './describeIssues.js';
 export * from './formatFinding.js';
 export * from './formatPlace.js';
--- a/src/net/mod.ts
+++ b/src/net/mod.ts
@@ -5,4 +5,5 @@
  */
 export * from './fetchJson.js';
 export * from './openServer.js';
+export * from './isSocketAddress.js';
 export * from './parseAddress.js';
--- a/src/node/HostFollower.ts
+++ b/src/node/HostFollower.ts
@@ -22,10 +22,13 @@
   }
 
   protected override applyRecords(records: readonly StoreRecord[], isSnapshot: boolean): void {
-    const decoded = records.map((record) => this.context.decoder.decodeHost(record));
-    decoded.forEach((record) => {
-      if (record.type !== 'unknown') return;
-      this.context.log.record('record-skipped', record.id, { reason: record.reason });
+    const decoded: HostRecord[] = [];
+    this.applyEach(records, (record) => {
+      const host = this.context.decoder.decodeHost(record);
+      if (host.type === 'unknown') {
+        this.context.log.record('record-skipped', host.id, { reason: host.reason });
+      }
+      decoded.push(host);
     });
     if (isSnapshot) decoded.push(...this.#collectRemoved(decoded));
     decoded.forEach((record) => {
--- a/src/node/HostLink.ts
+++ b/src/node/HostLink.ts
@@ -42,7 +42,7 @@
     // Responses are not awaited here, since an order must not wait for a long-polling hold.
     if (message.type === 'hold') this.#hold(message.order).then(message.reply);
     else if (message.type === 'check-health') this.#checkHealth(message.path).then(message.reply);
-    else HostLink.#order(message.send(this.#target)).then(message.reply);
+    else this.#order(message.send).then(message.reply);
   }
 
   override close(): void {
@@ -62,20 +62,25 @@
     try {
       return await this.#context.hosts.checkHealth(this.#target, path);
     } catch (error) {
-      if (error instanceof OrderUnsentError || error instanceof OrderUnansweredError) {
-        return undefined;
-      }
-      throw error;
+      this.#reportUnexpected(error);
+      return undefined;
     }
   }
 
-  static async #order(answer: Promise<OrderResponse>): Promise<OrderOutcome> {
+  async #order(send: (target: HostTarget) => Promise<OrderResponse>): Promise<OrderOutcome> {
     try {
-      return await answer;
+      return await send(this.#target);
     } catch (error) {
       if (error instanceof OrderUnsentError) return { type: 'unsent' };
-      if (error instanceof OrderUnansweredError) return { type: 'unanswered' };
-      throw error;
+      // After an unexpected error it is not known whether the order was sent.
+      this.#reportUnexpected(error);
+      return { type: 'unanswered' };
     }
   }
+
+  /** Reports an error that does not tell whether a call was sent or answered. */
+  #reportUnexpected(error: unknown): void {
+    if (error instanceof OrderUnsentError || error instanceof OrderUnansweredError) return;
+    this.scope.reportError(this.name, error instanceof Error ? error : new Error(String(error)));
+  }
 }
--- a/src/node/OperatorFollower.ts
+++ b/src/node/OperatorFollower.ts
@@ -28,6 +28,9 @@
 
   readonly #waves = new Map<number, WaveOrder>();
 
+  /** Wave of each record key that has been read. */
+  readonly #waveKeys = new Map<string, number>();
+
   #configuration: Configuration | undefined;
 
   #configurationOffset = -1;
@@ -37,8 +40,9 @@
     this.#onChange = onChange;
   }
 
-  protected override applyRecords(records: readonly StoreRecord[]): void {
-    records.forEach((record) => this.#apply(record));
+  protected override applyRecords(records: readonly StoreRecord[], isSnapshot: boolean): void {
+    this.applyEach(records, (record) => this.#apply(record));
+    if (isSnapshot) this.#removeMissingWaves(records);
     const { freshAt, isCurrent } = this.state;
     this.#onChange({
       configuration: this.#configuration,
@@ -52,6 +56,16 @@
     // There are no additional messages.
   }
 
+  /** Removes the waves that a snapshot lacks: their removal has expired in the log. */
+  #removeMissingWaves(records: readonly StoreRecord[]): void {
+    const listed = new Set(records.map(({ key }) => key));
+    [...this.#waveKeys].forEach(([key, wave]) => {
+      if (listed.has(key)) return;
+      this.#waveKeys.delete(key);
+      this.#waves.delete(wave);
+    });
+  }
+
   #apply(record: StoreRecord): void {
     const decoded = this.context.decoder.decodeOperator(record);
     switch (decoded.type) {
@@ -68,6 +82,7 @@
         break;
       }
       case 'wave':
+        this.#waveKeys.set(record.key, decoded.order.wave);
         this.#waves.set(decoded.order.wave, decoded.order);
         this.context.log.record('wave', String(decoded.order.wave), {
           machines: decoded.order.machines.length,
@@ -76,6 +91,7 @@
         });
         break;
       case 'wave-removed':
+        this.#waveKeys.delete(record.key);
         this.#waves.delete(decoded.wave);
         break;
       default:
--- a/src/node/ShardOwner.ts
+++ b/src/node/ShardOwner.ts
@@ -165,7 +165,7 @@
     this.#pauseDetector = new PauseDetector(context.clock.readWall());
     this.#waveRecords = new Map(options.waves);
     if (operator !== undefined) this.#applyOperator(operator);
-    options.jobs.forEach((job) => this.#addJob(job));
+    this.#applyEach('jobs', options.jobs, (job) => this.#addJob(job));
     this.#hostFollower = new HostFollower(context, (records) =>
       this.send({ type: 'hosts', records }),
     );
@@ -195,7 +195,7 @@
         return;
       case 'work-log':
         this.#readTo = message.end;
-        message.changes.forEach((change) => this.#applyChange(change));
+        this.#applyEach('work-log', message.changes, (change) => this.#applyChange(change));
         break;
       case 'operator':
         this.#applyOperator(message.state);
@@ -360,6 +360,20 @@
     this.#handleLedgerResult(result);
   }
 
+  /** Applies items one by one; an error in one of them is reported and does not affect the others. */
+  #applyEach<T>(what: string, items: readonly T[], apply: (item: T) => void): void {
+    items.forEach((item) => {
+      try {
+        apply(item);
+      } catch (error) {
+        this.scope.reportError(
+          `${this.name}/${what}`,
+          error instanceof Error ? error : new Error(String(error)),
+        );
+      }
+    });
+  }
+
   /** Closes the links to hosts whose incarnation has ended. */
   #closeEndedHosts(): void {
     this.#holdSchedulers.forEach((scheduler, host) => {
@@ -370,7 +384,7 @@
   }
 
   #applyHosts(records: readonly HostRecord[]): void {
-    records.forEach((record) => {
+    this.#applyEach('hosts', records, (record) => {
       if (record.type === 'gone') this.#shard.removeHost(record.id);
       if (record.type !== 'entry') return;
       const { host, isNew } = this.#shard.updateHost(record.entry);
--- a/src/node/TopicFollower.test.ts
+++ b/src/node/TopicFollower.test.ts
@@ -54,6 +54,23 @@
   }
 }
 
+/** A follower that cannot apply some records, each on its own or with all others of its read. */
+class FailingFollower extends TopicFollower<never> {
+  readonly applied: string[] = [];
+
+  protected override applyRecords(records: readonly StoreRecord[]): void {
+    this.applyEach(records, ({ key }) => {
+      if (key === 'key-1') throw new RangeError('odd record');
+      this.applied.push(key);
+    });
+    if (records.some(({ key }) => key === 'key-3')) throw new RangeError('odd read');
+  }
+
+  protected override handle(): void {
+    throw new Error(`${this.name} has no additional messages`);
+  }
+}
+
 function openFollower(): { clock: ManualClock; store: ScriptedStore; follower: CountingFollower } {
   const clock = new ManualClock();
   const store = new ScriptedStore();
@@ -102,4 +119,25 @@
     assert.ok((follower.lastState?.freshAt ?? Infinity) <= before);
     follower.close();
   });
+
+  // Guards against followers that stop for ever, without a log line, after one odd record.
+  it('skips a record that it cannot apply and reads on after any error', async () => {
+    const store = new ScriptedStore();
+    const faults: string[] = [];
+    const scope = new ActorScope('follower', (_, error) => faults.push(error.message));
+    const skipped: string[] = [];
+    const log = { record: (kind: string, key: string) => skipped.push(`${kind} ${key}`) };
+    const context = { scope, clock: new ManualClock(), store, log };
+    const follower = new FailingFollower(context as unknown as NodeContext, 'work', 0);
+    await store.answerPage({ records: [buildRecord(0)], next: undefined, end: 1 });
+    const records = [buildRecord(1), buildRecord(2)];
+    await store.answerRead({ type: 'records', end: 3, records });
+    await store.answerRead({ type: 'records', end: 4, records: [buildRecord(3)] });
+    await store.answerRead({ type: 'records', end: 5, records: [buildRecord(4)] });
+    await waitFor('the last record', () => follower.applied.includes('key-4'));
+    assert.deepEqual(follower.applied, ['key-0', 'key-2', 'key-3', 'key-4']);
+    assert.ok(skipped.includes('record-skipped key-1'));
+    assert.deepEqual(faults, ['odd read']);
+    follower.close();
+  });
 });
--- a/src/node/TopicFollower.ts
+++ b/src/node/TopicFollower.ts
@@ -82,6 +82,20 @@
   /** Applies records. `isSnapshot` indicates that they are the newest records of all keys. */
   protected abstract applyRecords(records: readonly StoreRecord[], isSnapshot: boolean): void;
 
+  /**
+   * Applies records one by one. A record that cannot be applied costs one log line and does not
+   * affect the others.
+   */
+  protected applyEach(records: readonly StoreRecord[], apply: (record: StoreRecord) => void): void {
+    records.forEach((record) => {
+      try {
+        apply(record);
+      } catch (error) {
+        this.#context.log.record('record-skipped', record.key, { reason: String(error) });
+      }
+    });
+  }
+
   /** Handles the messages of the subclass. */
   protected abstract handle(message: Message): void | Promise<void>;
 
@@ -96,8 +110,7 @@
         this.#isReading = false;
         this.#recordContact();
         this.#freshAt = followerMessage.sentAt;
-        this.applyRecords(followerMessage.records, true);
-        this.#schedule(0);
+        this.#applyThenSchedule(followerMessage.records, { isSnapshot: true, delayMs: 0 });
         return undefined;
       case 'answered':
         this.#isReading = false;
@@ -176,8 +189,8 @@
       const waitedUntil = Math.min(this.#context.clock.readMonotonic(), sentAt + LONG_POLL_MS);
       this.#freshAt = isEmpty ? waitedUntil : sentAt;
     }
-    this.applyRecords(answer.records, false);
-    this.#schedule(isBehind || isEmpty ? 0 : this.readDelayMs);
+    const delayMs = isBehind || isEmpty ? 0 : this.readDelayMs;
+    this.#applyThenSchedule(answer.records, { isSnapshot: false, delayMs });
   }
 
   #handleFailure(error: Error): void {
@@ -185,8 +198,19 @@
       this.#context.log.record('store-lost', this.#topic, { error: error.message });
     }
     this.#isInContact = false;
-    this.#schedule(RETRY_DELAY_MS);
-    this.applyRecords([], false);
+    this.#applyThenSchedule([], { isSnapshot: false, delayMs: RETRY_DELAY_MS });
+  }
+
+  /** Applies records and schedules the next read, also if applying them throws. */
+  #applyThenSchedule(
+    records: readonly StoreRecord[],
+    { isSnapshot, delayMs }: { isSnapshot: boolean; delayMs: number },
+  ): void {
+    try {
+      this.applyRecords(records, isSnapshot);
+    } finally {
+      this.#schedule(delayMs);
+    }
   }
 
   #recordContact(): void {
--- a/src/node/WorkLogFollower.ts
+++ b/src/node/WorkLogFollower.ts
@@ -49,7 +49,7 @@
 
   protected override applyRecords(records: readonly StoreRecord[]): void {
     const changes: WorkLogChange[] = [];
-    records.forEach((record) => {
+    this.applyEach(records, (record) => {
       const change = this.#view.apply(record);
       if (change === undefined) return;
       if (change.type === 'unreadable') {
--- a/src/port/Configuration.ts
+++ b/src/port/Configuration.ts
@@ -18,7 +18,9 @@
   /** Time limit in ms for answering a request. */
   timeoutMs: z.number().positive().default(3_000),
   /** Set if an advice service decides which hosts may run a step; holds its response times. */
-  advice: z.object({ decisionMs: z.number(), perHostMs: z.number() }).optional(),
+  advice: z
+    .object({ decisionMs: z.number().nonnegative(), perHostMs: z.number().nonnegative() })
+    .optional(),
 });
 export type QueueConfig = z.infer<typeof QueueConfig>;
 
--- a/src/workLog/WorkLogView.ts
+++ b/src/workLog/WorkLogView.ts
@@ -1,4 +1,5 @@
 import type { z } from 'zod';
+import { describeIssues } from '../finding/mod.js';
 import type { StoreRecord } from '../port/mod.js';
 import type { TrackedJob } from './TrackedJob.js';
 import {
@@ -234,7 +235,7 @@
     try {
       const parsed = schema.safeParse(JSON.parse(value?.toString('utf8') ?? 'null'));
       if (parsed.success) return { value: parsed.data };
-      return { type: 'unreadable', key, reason: parsed.error.message };
+      return { type: 'unreadable', key, reason: describeIssues(parsed.error) };
     } catch (error) {
       return { type: 'unreadable', key, reason: String(error) };
     }
