Confirm the ownership after a delay instead of giving up the shard

Cause: an owner whose ticks were more than 1 s apart gave up the shard, also if its process was only slow or its clock was stepped, and each change of owner costs the next process the whole state. In the other direction, orders whose record was acknowledged while the process was suspended were sent before the first tick noticed it. A node that was suspended counted the silence of the owner up to now, although it had not read on, and claimed the shard.

Change: OwnershipCheck notices a gap of 0.5 s at any message. After a gap the owner plans and orders nothing until the store has accepted an append sent after it, which proves that nobody has claimed the shard. Silence counts only up to the time at which the state was current.

Result: a step of the wall clock by 5 s raised the fencing token on the old code and does not now (test on the emulator).

--- a/src/clock/mod.ts
+++ b/src/clock/mod.ts
@@ -5,5 +5,6 @@
  */
 export * from './Clock.js';
 export * from './ManualClock.js';
+export * from './OffsetClock.js';
 export * from './SystemClock.js';
 export * from './ConditionTimer.js';
--- a/src/emulator/NodeCluster.ts
+++ b/src/emulator/NodeCluster.ts
@@ -1,6 +1,6 @@
 import { ActorScope } from '../actor/mod.js';
-import { WorkLogKey, MachineOrders } from '../workLog/mod.js';
-import { SystemClock } from '../clock/mod.js';
+import { WorkLogKey, MachineOrders, OwnerRecord } from '../workLog/mod.js';
+import { OffsetClock } from '../clock/mod.js';
 import { EmulatedDecoder } from './EmulatedDecoder.js';
 import { EmulatedFleet, type EmulatedFleetOptions } from './EmulatedFleet.js';
 import { EmulatedStore } from './EmulatedStore.js';
@@ -31,7 +31,7 @@
 
 /** A cluster of nodes on an emulated platform, all in one process. */
 export class NodeCluster {
-  readonly clock = new SystemClock();
+  readonly clock = new OffsetClock();
 
   readonly store = new EmulatedStore(this.clock);
 
@@ -167,6 +167,12 @@
     return findOwner(this.store);
   }
 
+  /** Reads the fencing token of the last claim of the shard; undefined if there is none. */
+  readOwnerToken(): number | undefined {
+    const value = this.store.listNewest('work').find(({ key }) => key === WorkLogKey.owner)?.value;
+    return value === undefined ? undefined : OwnerRecord.parse(JSON.parse(String(value))).token;
+  }
+
   /** Lists the machines with recorded orders, which a new owner does not change for a while. */
   listOrderedMachines(): readonly string[] {
     const records = this.store.listNewest('work');
--- a/src/node/Node.test.ts
+++ b/src/node/Node.test.ts
@@ -84,6 +84,20 @@
       },
     ));
 
+  // Guards against changes of the owner without need: a process that was only slow, or whose clock
+  // was set, gave up the shard.
+  it('keeps the owner when the wall clock is stepped', () =>
+    withCluster({ script: () => ({ runMs: 300, outcome: 'done' }) }, async (cluster) => {
+      await waitFor('an owner', () => cluster.findOwner());
+      const token = cluster.readOwnerToken();
+      await cluster.submit('node-0', 'a', STEPS);
+      await waitFor('started tasks', () => cluster.fleet.started.length >= 3);
+      cluster.clock.stepWall(5_000);
+      await waitFor('a completed job', isCompleted(cluster, 'node-1', 'a'), 5_000);
+      assert.equal(cluster.readOwnerToken(), token);
+      assert.equal(cluster.fleet.started.length, 5);
+    }));
+
   it('finishes a job on other hosts when a host crashes', () =>
     withCluster({ script: () => ({ runMs: 400, outcome: 'done' }) }, async (cluster) => {
       await cluster.submit('node-0', 'a', STEPS);
--- a/src/node/ShardCandidate.ts
+++ b/src/node/ShardCandidate.ts
@@ -39,7 +39,8 @@
  * Decides when this node claims the shard, and runs a `ShardOwner` while the node owns it.
  *
  * The owner counts as silent if the node has read no record from it for a while although all its
- * reads succeeded: an outage of the store does not make the owner silent.
+ * reads succeeded and reached the end of the log: neither an outage of the store nor a delay of this
+ * process makes the owner silent.
  */
 export class ShardCandidate extends Actor<ShardCandidateMessage> {
   readonly #context: NodeContext;
@@ -190,7 +191,9 @@
     // The owner's node has registered a new session, so the process that owned the shard has ended.
     const node = view.nodes.get(owner.node);
     if (node !== undefined && node.session !== owner.session) return true;
-    const silentMs = now - Math.max(this.#ownerSeenAt, state.contactSince);
+    // Silence is only known up to the time at which the state was current: a node that was suspended
+    // has not read what the owner wrote meanwhile.
+    const silentMs = state.freshAt - Math.max(this.#ownerSeenAt, state.contactSince);
     return silentMs > this.#context.settings.ownerSilenceMs + this.#jitterMs;
   }
 
--- a/src/node/ShardOwner.ts
+++ b/src/node/ShardOwner.ts
@@ -13,13 +13,13 @@
   type ShardCommand,
   type Takeover,
 } from '../schedule/mod.js';
-import { PauseDetector } from '../session/PauseDetector.js';
 import type { ScheduledJob } from '../schedule/ScheduledJob.js';
 import { CommandExecutor, type MachineCommand, type StartCommand } from './_CommandExecutor.js';
 import { HostFollower } from './HostFollower.js';
 import { HostLink, type HoldOutcome } from './HostLink.js';
 import { HoldScheduler } from './HoldScheduler.js';
 import { OwnerOutput } from './_OwnerOutput.js';
+import { OwnershipCheck } from './OwnershipCheck.js';
 import type { NodeContext } from './NodeContext.js';
 import type { OperatorState } from './OperatorFollower.js';
 import { StartPolicy, type StartPermit } from './StartPolicy.js';
@@ -61,6 +61,8 @@
   isRelease: boolean;
   /** Machine orders that the append records and that are sent after it succeeded. */
   machineOrders: MachineCommand[];
+  /** Gaps in the activity of the owner before the append was sent. */
+  gaps: number;
 }
 
 /** Options of a `ShardOwner`: its initial state and callbacks. */
@@ -97,7 +99,7 @@
 
   readonly #waveRecords: Map<number, WaveRecord>;
 
-  readonly #pauseDetector: PauseDetector;
+  readonly #ownershipCheck: OwnershipCheck;
 
   readonly #tickTimer: NodeJS.Timeout;
 
@@ -162,7 +164,7 @@
       isStoreUnreachable: options.isStoreUnreachable,
       onStoreUnreachable: options.onUnrecordedStarts,
     });
-    this.#pauseDetector = new PauseDetector(context.clock.readWall());
+    this.#ownershipCheck = new OwnershipCheck(context.clock);
     this.#waveRecords = new Map(options.waves);
     if (operator !== undefined) this.#applyOperator(operator);
     this.#applyEach('jobs', options.jobs, (job) => this.#addJob(job));
@@ -181,6 +183,10 @@
       this.#endOwnership('no contact with the store');
       return;
     }
+    const gapMs = this.#ownershipCheck.recordActivity();
+    if (gapMs > 0) {
+      this.#context.log.record('owner-delayed', String(this.token), { gapMs: Math.round(gapMs) });
+    }
     switch (message.type) {
       case 'tick':
         this.#handleTick();
@@ -243,11 +249,6 @@
   }
 
   #handleTick(): void {
-    if (this.#pauseDetector.recordTick(this.#context.clock.readWall())) {
-      // Another node may have claimed the shard; the work log has to be read before the next order.
-      this.#endOwnership('the process was suspended');
-      return;
-    }
     this.#listMachines();
     this.#plan();
     this.#flush();
@@ -260,7 +261,7 @@
   }
 
   #plan(): void {
-    if (this.#replyToRelease !== undefined) return;
+    if (this.#replyToRelease !== undefined || !this.#ownershipCheck.isConfirmed) return;
     const startedAt = this.#context.clock.readMonotonic();
     const sinceAppendMs = startedAt - this.#lastAppendAt;
     this.#shard.setDetached(sinceAppendMs > this.#context.settings.ownerSilenceMs);
@@ -314,6 +315,18 @@
     } else this.#executor.run(command);
   }
 
+  /** Sends the recorded orders; they wait for the next append if a gap has followed their own. */
+  #orderRecorded(machineOrders: readonly MachineCommand[]): void {
+    const starts = this.#startsBeingRecorded.splice(0);
+    if (!this.#ownershipCheck.isConfirmed) {
+      this.#unrecordedStarts.unshift(...starts);
+      this.#unrecordedMachineOrders.unshift(...machineOrders);
+      return;
+    }
+    this.#takeWantedStarts(starts).forEach((start) => this.#executor.run(start));
+    machineOrders.forEach((one) => this.#orderMachine(one));
+  }
+
   /** Sends an order for a machine, unless the machine has changed while the order was recorded. */
   #orderMachine(command: MachineCommand): void {
     if (this.#shard.isMachineOrderWanted(command)) this.#executor.run(command);
@@ -465,7 +478,9 @@
     if (this.#isAppending || this.isClosed) return;
     const now = this.#context.clock.readMonotonic();
     const isRelease = this.#replyToRelease !== undefined;
-    const isHeartbeatDue = now - this.#lastAppendAt >= this.#context.settings.ownerBeatMs;
+    const isHeartbeatDue =
+      !this.#ownershipCheck.isConfirmed ||
+      now - this.#lastAppendAt >= this.#context.settings.ownerBeatMs;
     if (!this.#hasPendingRecords && !isHeartbeatDue && !isRelease) return;
     const jobs = this.#shard.takeDirtyJobs();
     const waves = this.#shard.takeDirtyWaves();
@@ -489,11 +504,12 @@
     if (isHeartbeatDue || isRelease || records.length === 0)
       records.push(this.#buildOwnerRecord(isRelease));
     this.#isAppending = true;
+    const { gaps } = this.#ownershipCheck;
     this.#writer.append(records).then((result) =>
       this.send({
         type: 'append-result',
         result,
-        batch: { jobs, waves, ends, isRelease, machineOrders },
+        batch: { jobs, waves, ends, isRelease, machineOrders, gaps },
       }),
     );
   }
@@ -540,10 +556,8 @@
       return;
     }
     this.#lastAppendAt = this.#context.clock.readMonotonic();
-    const starts = this.#startsBeingRecorded.splice(0);
-    if (!batch.isRelease)
-      this.#takeWantedStarts(starts).forEach((start) => this.#executor.run(start));
-    if (!batch.isRelease) batch.machineOrders.forEach((one) => this.#orderMachine(one));
+    this.#ownershipCheck.recordAppend(batch.gaps);
+    if (!batch.isRelease) this.#orderRecorded(batch.machineOrders);
     batch.jobs.forEach(({ id, endedAtMs }) => {
       if (endedAtMs !== undefined) this.#finishedJobs.push({ id, endedAtMs });
     });
