Start nothing on a host that still lists a run that no job needs

Cause: a run of a finished or repeated task that a host lists is stopped, but its resources were not counted until its end.

Change: such a host is not available until a report lists no such run; the owner keeps asking it.

Result: the test starts a task at once on the old code and only after the next report now.

--- a/src/node/HoldScheduler.ts
+++ b/src/node/HoldScheduler.ts
@@ -6,6 +6,8 @@
 const HOLD_WAIT_MS = 1_000;
 /** Delay in ms between holds while reported ends are not yet recorded in the store. */
 const UNACKNOWLEDGED_DELAY_MS = 250;
+/** Delay in ms between holds while the host lists a run that no job needs. */
+const UNWANTED_DELAY_MS = 100;
 /** Delay in ms after a failed hold. */
 const RETRY_DELAY_MS = 300;
 
@@ -73,6 +75,7 @@
       return;
     }
     if (this.#hasUnacknowledgedEnds()) this.#schedule(UNACKNOWLEDGED_DELAY_MS);
+    else if (this.#host.hasUnwantedRuns) this.#schedule(UNWANTED_DELAY_MS);
     else if (this.#isHoldNeeded()) this.#schedule(0);
   }
 
@@ -87,7 +90,8 @@
   }
 
   #isHoldNeeded(): boolean {
-    return this.#host.runs.size > 0 || !this.#host.isFenced || this.#hasUnacknowledgedEnds();
+    const { runs, isFenced, hasUnwantedRuns } = this.#host;
+    return runs.size > 0 || !isFenced || hasUnwantedRuns || this.#hasUnacknowledgedEnds();
   }
 
   #schedule(delayMs: number): void {
--- a/src/schedule/ManagedHost.ts
+++ b/src/schedule/ManagedHost.ts
@@ -42,6 +42,12 @@
   /** Monotonic time in ms until which the host receives no new work. */
   suspendedUntil = 0;
 
+  /**
+   * The last report listed a run that no job needs. Its resources are not known and it occupies them
+   * until its stop has finished, so the host receives no new work.
+   */
+  hasUnwantedRuns = false;
+
   /** Number of consecutive unanswered calls. */
   silentCalls = 0;
 
@@ -241,6 +247,7 @@
       !this.hasEnded &&
       !this.isLeaving &&
       !this.isEvacuating &&
+      !this.hasUnwantedRuns &&
       this.isFenced &&
       this.entry.state === 'ready' &&
       this.silentCalls === 0 &&
--- a/src/schedule/RunTracker.ts
+++ b/src/schedule/RunTracker.ts
@@ -147,9 +147,13 @@
     host.recordResponse(report.clockMs, now);
     report.ended.forEach((end) => this.#handleEnd(host, end, now));
     const listed = new Set<Run>();
+    // eslint-disable-next-line no-param-reassign -- the host is owned by the shard
+    host.hasUnwantedRuns = false;
     report.running.forEach((one) => {
       const run = this.#handleListed(host, one, report.clockMs, now);
       if (run !== undefined) listed.add(run);
+      // eslint-disable-next-line no-param-reassign -- the host is owned by the shard
+      else host.hasUnwantedRuns = true;
     });
     [...host.runs.values()].forEach((run) => {
       if (!listed.has(run)) this.#handleUnlisted(run, sentAt, now);
--- a/src/schedule/Shard.test.ts
+++ b/src/schedule/Shard.test.ts
@@ -63,6 +63,20 @@
     assert.equal(rig.plan().filter(({ type }) => type === 'start').length, 1);
   });
 
+  // Guards against hosts that do not guard their capacity and were brought over it: a run that no
+  // job needs occupies its resources until its stop has finished.
+  it('starts nothing on a host that still lists a run that no job needs', () => {
+    const rig = new ScheduleRig({}, undefined, { refusesOverload: false });
+    rig.addHost('h1');
+    const unwanted = { task: 'gone.0.0.0', run: 1, checkpoint: '', percent: 10, load: 1_000 };
+    rig.report('h1', { running: [unwanted] });
+    rig.shard.addJob(buildTrackedJob('a', [{ count: 1, cpuMilli: 16_000 }]));
+    const commands = rig.plan();
+    assert.equal(commands.filter(({ type }) => type === 'start').length, 0);
+    rig.report('h1', { running: [] });
+    assert.equal(rig.plan().filter(({ type }) => type === 'start').length, 1);
+  });
+
   it('keeps an unanswered start that the host lists as running', () => {
     const rig = new ScheduleRig();
     rig.addHost('h1');
