--- a/src/clock/OffsetClock.ts
+++ b/src/clock/OffsetClock.ts
@@ -7,7 +7,7 @@
  * @example
  * ```ts
  * const clock = new OffsetClock();
- * clock.stepWall(5_000); // the wall clock is now 5 s ahead
+ * clock.advanceWall(5_000); // the wall clock is now 5 s ahead
  * ```
  */
 export class OffsetClock extends SystemClock {
@@ -17,8 +17,8 @@
     return super.readWall() + this.#offsetMs;
   }
 
-  /** Steps the wall clock by a time in ms, which may be negative. */
-  stepWall(byMs: number): void {
+  /** Advances the wall clock by a time in ms, which may be negative. */
+  advanceWall(byMs: number): void {
     this.#offsetMs += byMs;
   }
 }
--- a/src/node/Node.test.ts
+++ b/src/node/Node.test.ts
@@ -92,7 +92,7 @@
       const token = cluster.readOwnerToken();
       await cluster.submit('node-0', 'a', STEPS);
       await waitFor('started tasks', () => cluster.fleet.started.length >= 3);
-      cluster.clock.stepWall(5_000);
+      cluster.clock.advanceWall(5_000);
       await waitFor('a completed job', isCompleted(cluster, 'node-1', 'a'), 5_000);
       assert.equal(cluster.readOwnerToken(), token);
       assert.equal(cluster.fleet.started.length, 5);
