Let faster nodes claim the shard, and cut the owner's and followers' work

Cause: on the large deployment one process plans for 542 hosts on whichever of 97 machines claims first, even one with a third of a core, while every node decodes each progress record although almost none of them is asked for.

Change: a claim waits by the node's processor share against that of the fastest registered node; an owner whose ticks are 100 ms late on average hands the shard over if a node with 1.5 times its share is registered, at most every 30 s. Progress records are decoded when a caller asks or the shard is taken over. Moves and maintenance are planned at the 50 ms tick only, starts at every event.

--- a/src/node/Node.ts
+++ b/src/node/Node.ts
@@ -112,6 +112,7 @@
       session,
       address,
       dataCentre: settings.dataCentre,
+      cores: settings.cores,
     });
     return this.#writer.ask<WriteOutcome>((reply) => ({
       type: 'write',
--- a/src/node/NodeSettings.ts
+++ b/src/node/NodeSettings.ts
@@ -6,6 +6,8 @@
 export const NodeSettings = z.object({
   name: z.string().min(1),
   dataCentre: z.string(),
+  /** Processor share of the node in cores; nodes with more of it claim the shard first. */
+  cores: z.number().positive().default(1),
   logLevel: LogLevel.default('info'),
   /** Address of the metrics server, `IP:port`. */
   metricsAddress: z.string().optional(),
--- a/src/node/ShardCandidate.ts
+++ b/src/node/ShardCandidate.ts
@@ -5,23 +5,38 @@
 import type { NodeContext } from './NodeContext.js';
 import { OwnerWriter } from './OwnerWriter.js';
 import type { OperatorState } from './OperatorFollower.js';
+import { computeClaimDelay } from './computeClaimDelay.js';
 import { ShardOwner } from './ShardOwner.js';
 import { UnrecordedStarts } from './UnrecordedStarts.js';
 
 /** Maximum random delay in ms before a claim, so that the nodes do not claim simultaneously. */
 const CLAIM_JITTER_MS = 250;
-/** Maximum random delay in ms if there is no owner or the owner has released the shard. */
+/** Maximum random delay in ms if there is no owner. */
 const UNOWNED_CLAIM_JITTER_MS = 30;
+/**
+ * A node that handed the shard over because it could not keep up does so again only after this time
+ * in ms, and only to a node with this multiple of its processor share.
+ */
+const HAND_OVER_INTERVAL_MS = 30_000;
+const HAND_OVER_FACTOR = 1.5;
 /** Minimum delay in ms before a claim with an unknown outcome is retried. */
 const CLAIM_RETRY_DELAY_MS = 300;
 
 /** Upper bound of the random sequence numbers that distinguish two claims with the same token. */
 const MAX_FIRST_SEQUENCE = 1_000_000_000;
 
+/** Changes that records of the owner make. */
+const OWNER_CHANGES: ReadonlySet<WorkLogChange['type']> = new Set([
+  'progress',
+  'wave',
+  'machine-orders',
+]);
+
 /** Messages of a `ShardCandidate`. */
 export type ShardCandidateMessage =
   | { type: 'claimed'; result: 'claimed' | 'lost' | 'unknown'; token: number }
   | { type: 'lost' }
+  | { type: 'reconsider' }
   | { type: 'stop'; reply: (isDone: boolean) => void };
 
 /** Options of a `ShardCandidate`. */
@@ -74,6 +89,13 @@
 
   #isStopping = false;
 
+  /** Inputs of the last decision whether to claim, for a decision after a delay. */
+  #lastRead: { view: WorkLogView; state: FollowerState } | undefined;
+
+  #reconsiderTimer: NodeJS.Timeout | undefined;
+
+  #handedOverAt = -Infinity;
+
   constructor(context: NodeContext, options: ShardCandidateOptions) {
     super(context.scope, 'candidate');
     this.#context = context;
@@ -97,14 +119,13 @@
         this.#ownerSeenAt = now;
         if (change.isClaim) this.#handleClaim(change, view);
       }
-      if (change.type === 'progress' && change.job.progress?.token === view.owner?.token) {
-        this.#ownerSeenAt = now;
-      }
-      // Only the owner writes these records, and its append may contain no others.
-      if (change.type === 'wave' || change.type === 'machine-orders') this.#ownerSeenAt = now;
+      // Only the owner writes these records, and its append may contain no others. After a claim, the
+      // store accepts none of an earlier owner.
+      if (OWNER_CHANGES.has(change.type)) this.#ownerSeenAt = now;
       if (change.type === 'machine-orders') this.#machineOrdersReadAt = now;
     });
     if (this.#owner !== undefined) this.#owner.send({ type: 'work-log', changes, end: state.end });
+    this.#lastRead = { view, state };
     this.#considerClaim(view, state, now);
   }
 
@@ -133,6 +154,12 @@
         this.#owner = undefined;
         this.#options.onOwnershipChange(false);
         break;
+      case 'reconsider':
+        if (this.#lastRead !== undefined) {
+          const { view, state } = this.#lastRead;
+          this.#considerClaim(view, state, this.#context.clock.readMonotonic());
+        }
+        break;
       default:
         this.#isStopping = true;
         await this.#releaseShard();
@@ -141,6 +168,7 @@
   }
 
   override close(): void {
+    clearTimeout(this.#reconsiderTimer);
     this.#owner?.close();
     this.#owner = undefined;
     super.close();
@@ -181,10 +209,14 @@
 
   #isClaimable(view: WorkLogView, state: FollowerState, now: number): boolean {
     const { owner } = view;
+    const delayMs = this.#computeClaimDelay(view);
     if (owner === undefined || owner.isReleased) {
-      return (
-        now - state.contactSince > (this.#jitterMs / CLAIM_JITTER_MS) * UNOWNED_CLAIM_JITTER_MS
-      );
+      const jitterMs =
+        owner === undefined ? (this.#jitterMs / CLAIM_JITTER_MS) * UNOWNED_CLAIM_JITTER_MS : 0;
+      const since = Math.max(state.contactSince, owner === undefined ? 0 : this.#ownerSeenAt);
+      const remainingMs = since + jitterMs + delayMs - now;
+      if (remainingMs > 0) this.#scheduleReconsideration(remainingMs);
+      return remainingMs <= 0;
     }
     // This process owned the shard and lost it, for example because it was suspended.
     if (owner.session === this.#context.session) return true;
@@ -194,7 +226,36 @@
     // Silence is only known up to the time at which the state was current: a node that was suspended
     // has not read what the owner wrote meanwhile.
     const silentMs = state.freshAt - Math.max(this.#ownerSeenAt, state.contactSince);
-    return silentMs > this.#context.settings.ownerSilenceMs + this.#jitterMs;
+    return silentMs > this.#context.settings.ownerSilenceMs + this.#jitterMs + delayMs;
+  }
+
+  #computeClaimDelay(view: WorkLogView): number {
+    const { name, cores } = this.#context.settings;
+    return computeClaimDelay(cores, ShardCandidate.#listCores(view, name));
+  }
+
+  /** Lists the processor shares of the other registered nodes. */
+  static #listCores(view: WorkLogView, name: string): number[] {
+    return [...view.nodes].flatMap(([other, { cores }]) =>
+      other === name || cores === undefined ? [] : [cores],
+    );
+  }
+
+  #scheduleReconsideration(delayMs: number): void {
+    clearTimeout(this.#reconsiderTimer);
+    this.#reconsiderTimer = setTimeout(() => this.send({ type: 'reconsider' }), delayMs);
+  }
+
+  /** Checks whether the owner may hand the shard over since a faster node is registered. */
+  #canHandOver(view: WorkLogView): boolean {
+    const { name, cores } = this.#context.settings;
+    const now = this.#context.clock.readMonotonic();
+    if (now - this.#handedOverAt < HAND_OVER_INTERVAL_MS) return false;
+    if (!ShardCandidate.#listCores(view, name).some((other) => other >= HAND_OVER_FACTOR * cores)) {
+      return false;
+    }
+    this.#handedOverAt = now;
+    return true;
   }
 
   #handleClaim(
@@ -220,6 +281,7 @@
       operator: this.#operatorState,
       onLost: () => this.send({ type: 'lost' }),
       isStoreUnreachable: () => this.#options.isStoreUnreachable(owner.token),
+      canHandOver: () => this.#canHandOver(view),
       onUnrecordedStarts: () => this.#unrecordedStarts.confirm(owner.token),
     });
     this.#options.onOwnershipChange(true);
--- a/src/node/ShardOwner.ts
+++ b/src/node/ShardOwner.ts
@@ -18,6 +18,7 @@
 import { HostFollower } from './HostFollower.js';
 import { HostLink, type HoldOutcome } from './HostLink.js';
 import { HoldScheduler } from './HoldScheduler.js';
+import { LagMeter } from './LagMeter.js';
 import { OwnerOutput } from './_OwnerOutput.js';
 import { OwnershipCheck } from './OwnershipCheck.js';
 import type { NodeContext } from './NodeContext.js';
@@ -75,6 +76,8 @@
   onLost: (reason: string) => void;
   /** Checks whether all other nodes respond and none of them is in contact with the store. */
   isStoreUnreachable: () => Promise<boolean>;
+  /** Checks whether an owner that does not keep up may hand the shard over to a faster node. */
+  canHandOver: () => boolean;
   /** Called when tasks of all jobs may be started without being recorded. */
   onUnrecordedStarts: () => void;
 }
@@ -101,6 +104,8 @@
 
   readonly #ownershipCheck: OwnershipCheck;
 
+  readonly #lag = new LagMeter(TICK_INTERVAL_MS);
+
   readonly #tickTimer: NodeJS.Timeout;
 
   /** Finished jobs whose records are removed after the retention time, oldest first. */
@@ -193,7 +198,7 @@
         return;
       case 'plan':
         this.#isPlanScheduled = false;
-        this.#plan();
+        this.#plan('starts');
         return;
       case 'flush':
         this.#isFlushScheduled = false;
@@ -249,24 +254,35 @@
   }
 
   #handleTick(): void {
+    this.#lag.recordTick(this.#context.clock.readMonotonic());
+    if (this.#lag.isOverloaded) this.#releaseIfPossible();
     this.#listMachines();
-    this.#plan();
+    this.#plan('all');
     this.#flush();
   }
 
+  /** Releases the shard if a faster node can own it. */
+  #releaseIfPossible(): void {
+    if (this.#replyToRelease !== undefined || !this.#options.canHandOver()) return;
+    const lagMs = Math.round(this.#lag.meanMs);
+    this.#context.log.record('owner-overloaded', String(this.token), { lagMs });
+    this.send({ type: 'release', reply: () => undefined });
+  }
+
   #schedulePlan(): void {
     if (this.#isPlanScheduled || this.isClosed) return;
     this.#isPlanScheduled = true;
     setTimeout(() => this.send({ type: 'plan' }), PLAN_DELAY_MS);
   }
 
-  #plan(): void {
+  #plan(scope: 'all' | 'starts'): void {
     if (this.#replyToRelease !== undefined || !this.#ownershipCheck.isConfirmed) return;
     const startedAt = this.#context.clock.readMonotonic();
     const sinceAppendMs = startedAt - this.#lastAppendAt;
     this.#shard.setDetached(sinceAppendMs > this.#context.settings.ownerSilenceMs);
     this.#setPermit(this.#startPolicy.choosePermit(sinceAppendMs));
-    this.#shard.plan();
+    if (scope === 'all') this.#shard.plan();
+    else this.#shard.planStarts();
     this.#context.metrics.recordLatency('plan', this.#context.clock.readMonotonic() - startedAt);
     this.#runCommands();
     // A start is ordered only after it was recorded, so it is flushed now; ends can wait. The plan
--- a/src/node/WorkLogFollower.ts
+++ b/src/node/WorkLogFollower.ts
@@ -38,7 +38,9 @@
 
 /** Owns the view of the work log: follows the log, notifies listeners and answers job queries. */
 export class WorkLogFollower extends TopicFollower<WorkLogFollowerMessage> {
-  readonly #view = new WorkLogView();
+  readonly #view = new WorkLogView((key, reason) =>
+    this.context.log.record('record-skipped', key, { reason }),
+  );
 
   readonly #listeners: WorkLogListener[];
 
--- a/src/schedule/Shard.ts
+++ b/src/schedule/Shard.ts
@@ -380,18 +380,26 @@
   /** Makes all decisions that are due now and sends the resulting commands. */
   plan(): void {
     const now = this.#now;
-    this.#jobs.openDueOccurrences(this.#clock.readWall());
     this.#expireLeases(now);
     if (!this.#isDetached) {
       this.#machinePlanner.planMaintenance(now, this.#clock.readWall(), this.#pools);
     }
-    const waiting = this.#jobs.listWaiting();
-    waiting.forEach((steps, pool) => this.#planPool(pool, steps, now));
+    this.planStarts();
     if (!this.#isDetached) {
       this.#machinePlanner.planMoves(now, this.#clock.readWall(), this.#pools);
     }
   }
 
+  /**
+   * Decides only which tasks start. The other decisions look at every host and take effect after
+   * seconds, so they are not repeated at every event.
+   */
+  planStarts(): void {
+    const now = this.#now;
+    this.#jobs.openDueOccurrences(this.#clock.readWall());
+    this.#jobs.listWaiting().forEach((steps, pool) => this.#planPool(pool, steps, now));
+  }
+
   /** Returns the jobs whose progress has to be recorded, and clears the set. */
   takeDirtyJobs(): ScheduledJob[] {
     return this.#jobs.takeDirtyJobs();
--- a/src/workLog/TrackedJob.ts
+++ b/src/workLog/TrackedJob.ts
@@ -8,5 +8,5 @@
   /** When a caller cancelled the job, in ms since the Unix epoch. */
   cancelledAtMs?: number;
   /** Progress last recorded by the owner. */
-  progress?: JobProgress;
+  progress?: JobProgress | undefined;
 }
--- a/src/workLog/WorkLogRecord.ts
+++ b/src/workLog/WorkLogRecord.ts
@@ -79,6 +79,8 @@
   /** Address under which other nodes reach the node. */
   address: z.string(),
   dataCentre: z.string(),
+  /** Processor share of the node in cores; records of older versions lack it. */
+  cores: z.number().positive().optional(),
 });
 export type NodeRecord = z.infer<typeof NodeRecord>;
 
--- a/src/workLog/WorkLogView.ts
+++ b/src/workLog/WorkLogView.ts
@@ -1,6 +1,7 @@
 import type { z } from 'zod';
 import { describeIssues } from '../finding/mod.js';
 import type { StoreRecord } from '../port/mod.js';
+import { StoredJob } from './StoredJob.js';
 import type { TrackedJob } from './TrackedJob.js';
 import {
   AcceptedJob,
@@ -50,13 +51,13 @@
  * ```
  */
 export class WorkLogView {
-  readonly #jobs = new Map<string, TrackedJob>();
+  readonly #jobs = new Map<string, StoredJob>();
 
   /**
    * Cancellations and progress of jobs that have not been read yet: pages are sorted by key, so
    * `cancel/ID` is read before `job/ID`.
    */
-  readonly #pendingUpdates = new Map<string, Pick<TrackedJob, 'cancelledAtMs' | 'progress'>>();
+  readonly #pendingUpdates = new Map<string, { cancelledAtMs?: number; progress?: Buffer }>();
 
   readonly #nodes = new Map<string, NodeRecord>();
 
@@ -67,10 +68,17 @@
   /** Number of jobs in each queue of which no task has started. */
   readonly #waitingCounts = new Map<string, number>();
 
+  readonly #onUnreadable: (key: string, reason: string) => void;
+
   #owner: OwnerRecord | undefined;
 
   #machineOrders: MachineOrders['orders'] = [];
 
+  /** @param onUnreadable Called for a progress record that is found unreadable when it is used. */
+  constructor(onUnreadable: (key: string, reason: string) => void = () => undefined) {
+    this.#onUnreadable = onUnreadable;
+  }
+
   get owner(): OwnerRecord | undefined {
     return this.#owner;
   }
@@ -145,12 +153,11 @@
     if (this.#jobs.has(id)) return undefined;
     const accepted = WorkLogView.#decode(AcceptedJob, record);
     if ('reason' in accepted) return accepted;
-    const job: TrackedJob = {
-      id,
-      acceptedOffset: record.offset,
-      ...accepted.value,
-      ...this.#pendingUpdates.get(id),
-    };
+    const head = { id, acceptedOffset: record.offset };
+    const job = new StoredJob(head, accepted.value, (value) => this.#decodeProgress(id, value));
+    const { cancelledAtMs, progress } = this.#pendingUpdates.get(id) ?? {};
+    if (cancelledAtMs !== undefined) job.cancel(cancelledAtMs);
+    if (progress !== undefined) job.setProgress(progress);
     this.#pendingUpdates.delete(id);
     this.#jobs.set(id, job);
     this.#changeWaitingCount(job, 1);
@@ -169,21 +176,21 @@
     }
     if (job.cancelledAtMs !== undefined) return undefined;
     this.#changeWaitingCount(job, -1);
-    job.cancelledAtMs = atMs;
+    job.cancel(atMs);
     return { type: 'cancelled', job };
   }
 
   #applyProgress(id: string, record: StoreRecord): WorkLogChange | undefined {
-    if (record.value === undefined) return undefined;
-    const progress = WorkLogView.#decode(JobProgress, record);
-    if ('reason' in progress) return progress;
+    const { value } = record;
+    if (value === undefined) return undefined;
     const job = this.#jobs.get(id);
     if (job === undefined) {
-      this.#pendingUpdates.set(id, { ...this.#pendingUpdates.get(id), progress: progress.value });
+      const progress = Buffer.from(value);
+      this.#pendingUpdates.set(id, { ...this.#pendingUpdates.get(id), progress });
       return undefined;
     }
     this.#changeWaitingCount(job, -1);
-    job.progress = progress.value;
+    job.setProgress(value);
     return { type: 'progress', job };
   }
 
@@ -222,12 +229,20 @@
   }
 
   /** Adjusts the count of waiting jobs; has no effect for a job that is not waiting. */
-  #changeWaitingCount(job: TrackedJob | undefined, by: 1 | -1): void {
+  #changeWaitingCount(job: StoredJob | undefined, by: 1 | -1): void {
     if (job === undefined || job.spec.repeat !== undefined) return;
-    if (job.progress !== undefined || job.cancelledAtMs !== undefined) return;
+    if (job.hasProgress || job.cancelledAtMs !== undefined) return;
     this.#waitingCounts.set(job.queue, this.countWaiting(job.queue) + by);
   }
 
+  #decodeProgress(id: string, value: Buffer): JobProgress | undefined {
+    const key = WorkLogKey.progress(id);
+    const decoded = WorkLogView.#decode(JobProgress, { key, offset: 0, value });
+    if ('value' in decoded) return decoded.value;
+    this.#onUnreadable(key, decoded.reason);
+    return undefined;
+  }
+
   static #decode<T>(
     schema: z.ZodType<T>,
     { key, value }: StoreRecord,
