Name Transfer-Encoding on every parser when it conflicts with Content-Length

Cause: llhttp 8 blames Content-Length where llhttp 9 blames Transfer-Encoding, so the field of the 400 depended on the version of Node.js.

Change: the response names Transfer-Encoding whenever the two conflict; cases for the other order of the headers and for a repeated Content-Length.

--- a/src/gateway/GatewayListener.test.ts
+++ b/src/gateway/GatewayListener.test.ts
@@ -206,6 +206,16 @@
       '400',
       'POST /match HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
     ],
+    [
+      'Transfer-Encoding',
+      '400',
+      'POST /match HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n',
+    ],
+    [
+      'Content-Length',
+      '400',
+      'POST /match HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc',
+    ],
     ['Host', '400', 'GET /match HTTP/1.1\r\nHost: a\r\nHost: b\r\nConnection: close\r\n\r\n'],
     ['path', '400', 'GET http://b/match HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n'],
     [
--- a/src/gateway/_sendClientError.ts
+++ b/src/gateway/_sendClientError.ts
@@ -9,6 +9,18 @@
   ERR_HTTP_REQUEST_TIMEOUT: ['408 Request Timeout', 'header'],
 };
 
+/**
+ * Returns the status and the field to report for an error of the parser.
+ *
+ * Parsers differ in which of two conflicting headers they blame: of Content-Length and
+ * Transfer-Encoding, the response always names the latter.
+ */
+function describeParserError({ code, message }: NodeJS.ErrnoException): [string, string] {
+  const isConflict = code === 'HPE_UNEXPECTED_CONTENT_LENGTH' && /transfer-encoding/i.test(message);
+  if (isConflict) return ['400 Bad Request', 'Transfer-Encoding'];
+  return PARSER_ERRORS[code ?? ''] ?? ['400 Bad Request', 'request'];
+}
+
 /** Answers a request that the HTTP parser rejected, and closes the connection. */
 export function sendClientError(error: NodeJS.ErrnoException, socket: Duplex): void {
   // A second response must not be written into one that is in progress on the connection.
@@ -18,7 +30,7 @@
     socket.destroy();
     return;
   }
-  const [status, field] = PARSER_ERRORS[error.code ?? ''] ?? ['400 Bad Request', 'request'];
+  const [status, field] = describeParserError(error);
   const body = JSON.stringify({
     type: 'about:blank',
     title: 'The request is not valid',
--- a/src/gateway/checkRequest.ts
+++ b/src/gateway/checkRequest.ts
@@ -53,7 +53,7 @@
   const { headers, url = '/' } = request;
   if (countHeader(request, 'host') > 1) return reject(400, 'Host', 'the header is repeated');
   if (headers['content-length'] !== undefined && headers['transfer-encoding'] !== undefined) {
-    return reject(400, 'Content-Length', 'not allowed together with Transfer-Encoding');
+    return reject(400, 'Transfer-Encoding', 'not allowed together with Content-Length');
   }
   if (!url.startsWith('/')) return reject(400, 'path', `expected a path, got "${url}"`);
   if (Number(headers['content-length'] ?? 0) > MAX_BODY_BYTES) {
