Follow the store's latency in timeouts and in the silence of an owner

Appends timed out after 700 ms, were processed nevertheless and sent again by eight writers, until the partition refused them; 27 of 42 batch-render jobs were not accepted in time. The owner's records came too seldom, so that it was replaced, and after 600 ms without an append it started only tasks of its own data centre.

A slow store is not taken for an unreachable one. An owner that lags pauses between holds and plans.

--- a/src/node/HoldScheduler.ts
+++ b/src/node/HoldScheduler.ts
@@ -19,6 +19,8 @@
   token: number;
   leaseMs: number;
   readClock: () => number;
+  /** Returns a pause in ms before the next hold, with which an overloaded owner sheds work. */
+  getPauseMs: () => number;
   onHoldResult: (host: ManagedHost, outcome: HoldOutcome, sentAt: number) => void;
 }
 
@@ -76,7 +78,7 @@
     }
     if (this.#hasUnacknowledgedEnds()) this.#schedule(UNACKNOWLEDGED_DELAY_MS);
     else if (this.#host.hasUnwantedRuns) this.#schedule(UNWANTED_DELAY_MS);
-    else if (this.#isHoldNeeded()) this.#schedule(0);
+    else if (this.#isHoldNeeded()) this.#schedule(this.#options.getPauseMs());
   }
 
   close(): void {
--- a/src/node/OwnerWriter.ts
+++ b/src/node/OwnerWriter.ts
@@ -1,9 +1,11 @@
 import { StoreRefusedError, type KeyedValue } from '../port/mod.js';
+import { AppendLatency } from './AppendLatency.js';
 import type { NodeContext } from './NodeContext.js';
 
 /** Writer name that all owners share; the fencing token is the epoch. */
 const WRITER_NAME = 'owner';
-const APPEND_TIMEOUT_MS = 700;
+/** Timeout of a claim in ms. */
+const CLAIM_TIMEOUT_MS = 1_500;
 /** Delay in ms after an append that was refused or not answered. */
 const RETRY_DELAY_MS = 80;
 
@@ -19,6 +21,8 @@
 
   readonly #token: number;
 
+  readonly #latency = new AppendLatency();
+
   #sequence: number;
 
   #isClosed = false;
@@ -29,6 +33,11 @@
     this.#sequence = sequence + 1;
   }
 
+  /** Latency in ms of recent appends. */
+  get latencyMs(): number {
+    return this.#latency.averageMs;
+  }
+
   /**
    * Appends a claim of the shard. The store rejects a token that is lower than an earlier one. Of
    * two claims with the same token it accepts only the first, since their sequence numbers differ.
@@ -42,7 +51,7 @@
     try {
       const answer = await context.store.append([record], {
         writer: { name: WRITER_NAME, epoch: token, sequence },
-        timeoutMs: APPEND_TIMEOUT_MS,
+        timeoutMs: CLAIM_TIMEOUT_MS,
       });
       return answer.type === 'appended' ? 'claimed' : 'lost';
     } catch (error) {
@@ -72,11 +81,13 @@
 
   async #tryAppend(records: readonly KeyedValue[]): Promise<'stored' | 'fenced' | 'retry'> {
     const writer = { name: WRITER_NAME, epoch: this.#token, sequence: this.#sequence };
+    const sentAt = this.#context.clock.readMonotonic();
     try {
       const answer = await this.#context.store.append(records, {
         writer,
-        timeoutMs: APPEND_TIMEOUT_MS,
+        timeoutMs: this.#latency.timeoutMs,
       });
+      this.#latency.recordAnswer(this.#context.clock.readMonotonic() - sentAt);
       if (answer.type === 'appended') return 'stored';
       if (answer.type === 'fenced') return 'fenced';
       if (answer.type === 'sequence' && answer.expected === this.#sequence + 1) return 'stored';
@@ -92,6 +103,7 @@
         sequence: this.#sequence,
         error: String(error),
       });
+      if (!(error instanceof StoreRefusedError)) this.#latency.recordTimeout();
       return 'retry';
     }
   }
--- a/src/node/ShardCandidate.ts
+++ b/src/node/ShardCandidate.ts
@@ -6,6 +6,7 @@
 import { OwnerWriter } from './OwnerWriter.js';
 import type { OperatorState } from './OperatorFollower.js';
 import { computeClaimDelay } from './computeClaimDelay.js';
+import { computeSilenceLimit } from './computeSilenceLimit.js';
 import { ShardOwner } from './ShardOwner.js';
 import { UnrecordedStarts } from './UnrecordedStarts.js';
 
@@ -226,7 +227,9 @@
     // Silence is only known up to the time at which the state was current: a node that was suspended
     // has not read what the owner wrote meanwhile.
     const silentMs = state.freshAt - Math.max(this.#ownerSeenAt, state.contactSince);
-    return silentMs > this.#context.settings.ownerSilenceMs + this.#jitterMs + delayMs;
+    const { ownerSilenceMs } = this.#context.settings;
+    const limitMs = computeSilenceLimit(ownerSilenceMs, owner.intervalMs);
+    return silentMs > limitMs + this.#jitterMs + delayMs;
   }
 
   #computeClaimDelay(view: WorkLogView): number {
--- a/src/node/ShardOwner.ts
+++ b/src/node/ShardOwner.ts
@@ -25,14 +25,23 @@
 import type { OperatorState } from './OperatorFollower.js';
 import { StartPolicy, type StartPermit } from './StartPolicy.js';
 import { OwnerWriter, type OwnerWriteResult } from './OwnerWriter.js';
+import { computeSilenceLimit } from './computeSilenceLimit.js';
 import { buildJobTombstones } from './buildJobTombstones.js';
 
 /** Interval in ms between plans if there are no events. */
 const TICK_INTERVAL_MS = 50;
 /** Delay in ms before a plan, so that it covers events that arrive together. */
 const PLAN_DELAY_MS = 3;
+/** Maximum delay in ms before a plan, and before the next hold of a host, of an overloaded owner. */
+const MAX_SHED_PLAN_DELAY_MS = 100;
+const MAX_SHED_HOLD_PAUSE_MS = 500;
+/** Mean lag in ms up to which an owner sheds no work. */
+const SHED_ABOVE_LAG_MS = 20;
 /** Delay in ms before an append, so that it covers ends that arrive together. */
 const FLUSH_DELAY_MS = 4;
+/** A longer interval of the owner's records is announced once it has grown by this factor. */
+const ANNOUNCE_FACTOR = 1.5;
+
 /** Interval in ms at which the machines are listed while the list is needed. */
 const MACHINE_LIST_INTERVAL_MS = 600;
 
@@ -64,6 +73,8 @@
   machineOrders: MachineCommand[];
   /** Gaps in the activity of the owner before the append was sent. */
   gaps: number;
+  /** Interval in ms that the append announces; undefined if it has no record of the owner. */
+  intervalMs?: number;
 }
 
 /** Options of a `ShardOwner`: its initial state and callbacks. */
@@ -141,6 +152,9 @@
 
   #lastAppendAt: number;
 
+  /** Interval in ms of the owner's records that its last stored record has announced. */
+  #announcedIntervalMs = 0;
+
   /** Offset up to which the work log has been read. */
   #readTo: number;
 
@@ -261,6 +275,15 @@
     this.#flush();
   }
 
+  /**
+   * Computes a delay in ms, up to a maximum, with which an owner that does not keep up handles more
+   * events at once: later holds and plans cost callers less than a change of the owner.
+   */
+  #computeShedDelay(maxMs: number): number {
+    const { meanMs } = this.#lag;
+    return meanMs <= SHED_ABOVE_LAG_MS ? 0 : Math.min(maxMs, 2 * meanMs);
+  }
+
   /** Releases the shard if a faster node can own it. */
   #releaseIfPossible(): void {
     if (this.#replyToRelease !== undefined || !this.#options.canHandOver()) return;
@@ -272,15 +295,19 @@
   #schedulePlan(): void {
     if (this.#isPlanScheduled || this.isClosed) return;
     this.#isPlanScheduled = true;
-    setTimeout(() => this.send({ type: 'plan' }), PLAN_DELAY_MS);
+    const delayMs = Math.max(PLAN_DELAY_MS, this.#computeShedDelay(MAX_SHED_PLAN_DELAY_MS));
+    setTimeout(() => this.send({ type: 'plan' }), delayMs);
   }
 
   #plan(scope: 'all' | 'starts'): void {
     if (this.#replyToRelease !== undefined || !this.#ownershipCheck.isConfirmed) return;
     const startedAt = this.#context.clock.readMonotonic();
     const sinceAppendMs = startedAt - this.#lastAppendAt;
-    this.#shard.setDetached(sinceAppendMs > this.#context.settings.ownerSilenceMs);
-    this.#setPermit(this.#startPolicy.choosePermit(sinceAppendMs));
+    const { ownerSilenceMs } = this.#context.settings;
+    // No other node claims the shard before this limit, which follows from the last stored record.
+    const limitMs = computeSilenceLimit(ownerSilenceMs, this.#announcedIntervalMs);
+    this.#shard.setDetached(sinceAppendMs > limitMs);
+    this.#setPermit(this.#startPolicy.choosePermit(sinceAppendMs, this.#writer.latencyMs));
     if (scope === 'all') this.#shard.plan();
     else this.#shard.planStarts();
     this.#context.metrics.recordLatency('plan', this.#context.clock.readMonotonic() - startedAt);
@@ -424,6 +451,7 @@
           token: this.token,
           leaseMs: this.#context.settings.shard.leaseMs,
           readClock: () => this.#context.clock.readMonotonic(),
+          getPauseMs: () => this.#computeShedDelay(MAX_SHED_HOLD_PAUSE_MS),
           onHoldResult: (heldHost, outcome, sentAt) =>
             this.send({ type: 'hold-result', host: heldHost, outcome, sentAt }),
         }),
@@ -517,15 +545,25 @@
       ...this.#buildMachineOrderRecords(now, machineOrders.length > 0),
       ...this.#collectTombstones(),
     ];
-    if (isHeartbeatDue || isRelease || records.length === 0)
-      records.push(this.#buildOwnerRecord(isRelease));
+    const intervalMs = this.#measureInterval();
+    const hasSlowed = intervalMs > ANNOUNCE_FACTOR * this.#announcedIntervalMs;
+    const isOwnerRecorded = isHeartbeatDue || isRelease || records.length === 0 || hasSlowed;
+    if (isOwnerRecorded) records.push(this.#buildOwnerRecord(isRelease, intervalMs));
     this.#isAppending = true;
     const { gaps } = this.#ownershipCheck;
     this.#writer.append(records).then((result) =>
       this.send({
         type: 'append-result',
         result,
-        batch: { jobs, waves, ends, isRelease, machineOrders, gaps },
+        batch: {
+          jobs,
+          waves,
+          ends,
+          isRelease,
+          machineOrders,
+          gaps,
+          ...(isOwnerRecorded ? { intervalMs } : {}),
+        },
       }),
     );
   }
@@ -540,7 +578,13 @@
     return [{ key: WorkLogKey.machineOrders, value: JSON.stringify({ orders }) }];
   }
 
-  #buildOwnerRecord(isReleased: boolean): KeyedValue {
+  /** Measures the interval in ms of this owner's records, as far as something is slow. */
+  #measureInterval(): number {
+    const slowestMs = Math.max(this.#writer.latencyMs, this.#lag.meanMs);
+    return slowestMs < this.#context.settings.ownerBeatMs ? 0 : Math.round(2 * slowestMs);
+  }
+
+  #buildOwnerRecord(isReleased: boolean, intervalMs: number): KeyedValue {
     return {
       key: WorkLogKey.owner,
       value: JSON.stringify({
@@ -550,6 +594,7 @@
         dataCentre: this.#context.settings.dataCentre,
         unrecorded: this.#shard.listUnrecorded(),
         readTo: this.#readTo,
+        intervalMs,
         isReleased,
       }),
     };
@@ -573,6 +618,7 @@
     }
     this.#lastAppendAt = this.#context.clock.readMonotonic();
     this.#ownershipCheck.recordAppend(batch.gaps);
+    this.#announcedIntervalMs = batch.intervalMs ?? this.#announcedIntervalMs;
     if (!batch.isRelease) this.#orderRecorded(batch.machineOrders);
     batch.jobs.forEach(({ id, endedAtMs }) => {
       if (endedAtMs !== undefined) this.#finishedJobs.push({ id, endedAtMs });
--- a/src/node/StartPolicy.ts
+++ b/src/node/StartPolicy.ts
@@ -2,6 +2,8 @@
 
 /** Starts are no longer recorded after this time in ms without a successful append. */
 const UNRECORDED_AFTER_MS = 600;
+/** With a slow store, this multiple of the latency of recent appends counts instead. */
+const LATENCY_FACTOR = 2.5;
 /** Interval in ms between checks with the other nodes. */
 const PEER_CHECK_INTERVAL_MS = 250;
 /**
@@ -47,9 +49,14 @@
     this.#options = options;
   }
 
-  /** Chooses the permit for the given time in ms since the last successful append. */
-  choosePermit(sinceAppendMs: number): StartPermit {
-    if (sinceAppendMs <= UNRECORDED_AFTER_MS) return { isRecorded: true, rule: 'all' };
+  /**
+   * Chooses the permit for the given time in ms since the last successful append.
+   *
+   * @param latencyMs Latency in ms of recent appends: a slow store is not an unreachable one.
+   */
+  choosePermit(sinceAppendMs: number, latencyMs = 0): StartPermit {
+    if (sinceAppendMs <= Math.max(UNRECORDED_AFTER_MS, LATENCY_FACTOR * latencyMs))
+      return { isRecorded: true, rule: 'all' };
     const now = this.#options.readClock();
     if (now - this.#checkedAt >= PEER_CHECK_INTERVAL_MS) this.#checkPeers(now);
     const isUnreachable = now - this.#unreachableAt <= UNREACHABLE_VALID_MS;
--- a/src/node/WorkLogWriter.ts
+++ b/src/node/WorkLogWriter.ts
@@ -1,13 +1,12 @@
 import { Actor } from '../actor/mod.js';
 import { StoreRefusedError, type KeyedValue } from '../port/mod.js';
+import { AppendLatency } from './AppendLatency.js';
 import type { NodeContext } from './NodeContext.js';
 
 /** Maximum number of records in one append. */
 const MAX_BATCH_RECORDS = 200;
 /** No records are added to an append that has reached this size; well below the store's limit. */
 const MAX_BATCH_BYTES = 512 * 1_024;
-/** Timeout of an append in ms. */
-const APPEND_TIMEOUT_MS = 700;
 /** A record is reported as not stored after this many refused appends. */
 const MAX_REFUSALS = 3;
 /** After a failed append the writer reports for this time in ms that it cannot write. */
@@ -54,6 +53,8 @@
 export class WorkLogWriter extends Actor<WorkLogWriterMessage> {
   readonly #context: NodeContext;
 
+  readonly #latency = new AppendLatency();
+
   #queue: PendingWrite[] = [];
 
   #inFlight: PendingWrite[] = [];
@@ -113,13 +114,17 @@
   }
 
   async #append(records: KeyedValue[]): Promise<WorkLogWriterMessage> {
+    const sentAt = this.#context.clock.readMonotonic();
     try {
-      const answer = await this.#context.store.append(records, { timeoutMs: APPEND_TIMEOUT_MS });
+      const { timeoutMs } = this.#latency;
+      const answer = await this.#context.store.append(records, { timeoutMs });
+      this.#latency.recordAnswer(this.#context.clock.readMonotonic() - sentAt);
       if (answer.type === 'appended') return { type: 'answered', outcome: 'stored', reason: '' };
       const reason = answer.type === 'refused' ? answer.reason : answer.type;
       return { type: 'answered', outcome: 'refused', reason };
     } catch (error) {
       const outcome = error instanceof StoreRefusedError ? 'refused' : 'unanswered';
+      if (outcome === 'unanswered') this.#latency.recordTimeout();
       return { type: 'answered', outcome, reason: String(error) };
     }
   }
--- a/src/workLog/WorkLogRecord.ts
+++ b/src/workLog/WorkLogRecord.ts
@@ -68,6 +68,11 @@
   unrecorded: z.array(z.string()).default([ANY_DATA_CENTRE]),
   /** Offset up to which the owner had read the work log; it knows the nodes registered before. */
   readTo: z.number().int().nonnegative().default(0),
+  /**
+   * Time in ms between two records of the owner, as far as its process or the store is slow; it
+   * counts as silent only after a multiple of it.
+   */
+  intervalMs: z.number().nonnegative().max(60_000).default(0),
   /** The owner has released the shard. */
   isReleased: z.boolean().default(false),
 });
