--- a/src/node/TopicFollower.test.ts
+++ b/src/node/TopicFollower.test.ts
@@ -16,14 +16,23 @@
 class ScriptedStore {
   readonly #reads: ((answer: ReadResponse) => void)[] = [];
 
-  readonly #pages: ((page: NewestPage) => void)[] = [];
+  readonly #pages: { resolve: (page: NewestPage) => void; reject: (error: Error) => void }[] = [];
 
-  readNewest(): Promise<NewestPage> {
-    return new Promise((resolve) => {
-      this.#pages.push(resolve);
+  /** Keys after which the pages were requested. */
+  readonly requestedAfter: (string | undefined)[] = [];
+
+  readNewest(_topic: string, after?: string): Promise<NewestPage> {
+    this.requestedAfter.push(after);
+    return new Promise((resolve, reject) => {
+      this.#pages.push({ resolve, reject });
     });
   }
 
+  async failPage(): Promise<void> {
+    const page = await waitFor('a read of the newest records', () => this.#pages.shift());
+    page.reject(new Error('no answer'));
+  }
+
   read(): Promise<ReadResponse> {
     return new Promise((resolve) => {
       this.#reads.push(resolve);
@@ -31,7 +40,8 @@
   }
 
   async answerPage(page: NewestPage): Promise<void> {
-    (await waitFor('a read of the newest records', () => this.#pages.shift()))(page);
+    const read = await waitFor('a read of the newest records', () => this.#pages.shift());
+    read.resolve(page);
   }
 
   async answerRead(answer: ReadResponse): Promise<void> {
@@ -120,6 +130,19 @@
     follower.close();
   });
 
+  // Guards against nodes that never get ready when all start at once: some reads of pages fail, and
+  // each failure made them start over with the first page.
+  it('goes on with the page whose read failed', async () => {
+    const { store, follower } = openFollower();
+    await store.answerPage({ records: [buildRecord(0)], next: 'key-0', end: 2 });
+    await store.failPage();
+    await store.answerPage({ records: [buildRecord(1)], next: undefined, end: 3 });
+    await waitFor('both pages', () => follower.applied === 2);
+    assert.deepEqual(store.requestedAfter, [undefined, 'key-0', 'key-0']);
+    assert.equal(follower.lastState?.end, 2);
+    follower.close();
+  });
+
   // Guards against followers that stop for ever, without a log line, after one odd record.
   it('skips a record that it cannot apply and reads on after any error', async () => {
     const store = new ScriptedStore();
--- a/src/node/TopicFollower.ts
+++ b/src/node/TopicFollower.ts
@@ -1,5 +1,5 @@
 import { Actor } from '../actor/mod.js';
-import type { ReadResponse, StoreRecord, StoreTopic } from '../port/mod.js';
+import type { NewestPage, ReadResponse, StoreRecord, StoreTopic } from '../port/mod.js';
 import type { NodeContext } from './NodeContext.js';
 
 /** Long polling: maximum time in ms that a read waits at the store for a record. */
@@ -10,10 +10,21 @@
 /** Messages of every topic follower. */
 export type FollowerMessage =
   | { type: 'read' }
-  | { type: 'newest'; records: StoreRecord[]; end: number; sentAt: number }
+  | { type: 'page'; page: NewestPage; sentAt: number }
   | { type: 'answered'; answer: ReadResponse; sentAt: number }
   | { type: 'failed'; error: Error };
 
+/** Newest records that have been read so far, page by page. */
+interface PartialSnapshot {
+  records: StoreRecord[];
+  /** End of the log when the first page was read; the log is followed from there. */
+  end: number;
+  /** Monotonic time in ms at which the first page was requested. */
+  sentAt: number;
+  /** Key after which the next page starts. */
+  next: string | undefined;
+}
+
 /** Position and freshness of a follower. */
 export interface FollowerState {
   /** Offset after the last record that was read. */
@@ -42,6 +53,8 @@
 
   #nextOffset: number | undefined;
 
+  #snapshot: PartialSnapshot | undefined;
+
   #isCurrent = false;
 
   #freshAt = -Infinity;
@@ -105,12 +118,9 @@
       case 'read':
         this.#read();
         return undefined;
-      case 'newest':
-        this.#nextOffset = followerMessage.end;
+      case 'page':
         this.#isReading = false;
-        this.#recordContact();
-        this.#freshAt = followerMessage.sentAt;
-        this.#applyThenSchedule(followerMessage.records, { isSnapshot: true, delayMs: 0 });
+        this.#handlePage(followerMessage.page, followerMessage.sentAt);
         return undefined;
       case 'answered':
         this.#isReading = false;
@@ -139,7 +149,7 @@
     if (this.#isReading || this.isClosed) return;
     this.#isReading = true;
     const pending =
-      this.#nextOffset === undefined ? this.#readNewest() : this.#readFrom(this.#nextOffset);
+      this.#nextOffset === undefined ? this.#readPage() : this.#readFrom(this.#nextOffset);
     pending.then(
       (message) => this.send(message),
       (error: unknown) => {
@@ -149,17 +159,31 @@
     );
   }
 
-  async #readNewest(): Promise<FollowerMessage> {
+  async #readPage(): Promise<FollowerMessage> {
     const sentAt = this.#context.clock.readMonotonic();
-    const first = await this.#context.store.readNewest(this.#topic);
-    const records = [...first.records];
-    let { next } = first;
-    while (next !== undefined) {
-      const page = await this.#context.store.readNewest(this.#topic, next);
-      records.push(...page.records);
-      next = page.next;
+    const page = await this.#context.store.readNewest(this.#topic, this.#snapshot?.next);
+    return { type: 'page', page, sentAt };
+  }
+
+  /**
+   * Adds a page to the snapshot. After a failed read the snapshot goes on with the page that is
+   * missing: when many nodes start at once, some reads fail, and reading again from the first page
+   * would never come to an end.
+   */
+  #handlePage({ records, next, end }: NewestPage, sentAt: number): void {
+    this.#recordContact();
+    this.#snapshot ??= { records: [], end, sentAt, next };
+    this.#snapshot.records.push(...records);
+    this.#snapshot.next = next;
+    if (next !== undefined) {
+      this.#schedule(0);
+      return;
     }
-    return { type: 'newest', records, end: first.end, sentAt };
+    const snapshot = this.#snapshot;
+    this.#snapshot = undefined;
+    this.#nextOffset = snapshot.end;
+    this.#freshAt = snapshot.sentAt;
+    this.#applyThenSchedule(snapshot.records, { isSnapshot: true, delayMs: 0 });
   }
 
   async #readFrom(from: number): Promise<FollowerMessage> {
