--- a/src/testing/ScheduleRig.ts
+++ b/src/testing/ScheduleRig.ts
@@ -9,7 +9,13 @@
   QueueConfig,
   RunOutcome,
 } from '../port/mod.js';
-import { Shard, type Run, type ShardCommand, type Takeover } from '../schedule/mod.js';
+import {
+  Shard,
+  type Run,
+  type SchedulingPolicy,
+  type ShardCommand,
+  type Takeover,
+} from '../schedule/mod.js';
 import { JobSpec } from '../task/mod.js';
 import { RecordingShardOutput } from './RecordingShardOutput.js';
 
@@ -102,6 +108,7 @@
     takeover: Partial<Takeover> = {},
     queues: QueueConfig[] = [buildQueueConfig()],
     poolFields: Partial<PoolConfig> = {},
+    schedulingPolicy?: SchedulingPolicy,
   ) {
     this.shard = new Shard(
       { ...FIRST_TAKEOVER, ...takeover },
@@ -117,7 +124,11 @@
         keepHosts: 2,
         dataCentre: 'dc-1',
       },
-      { clock: this.clock, output: this.output },
+      {
+        clock: this.clock,
+        output: this.output,
+        ...(schedulingPolicy === undefined ? {} : { schedulingPolicy }),
+      },
     );
     const pools = [...new Set(queues.map(({ pool }) => pool))];
     this.shard.applyConfiguration({
