Tell callers by the length of an outage when to return, and check orders when sent

Refused callers were told to return after 1 s, so that most had used up their four retries before it was back.

Change: RetryAdvisor takes an outage to last as long again as it has lasted, and spreads the returns. Four machine orders are under way at most; each of the others is checked when it is sent.

--- a/src/node/JobService.ts
+++ b/src/node/JobService.ts
@@ -8,13 +8,14 @@
 import { QueueTable, type QueueMatch } from './QueueTable.js';
 import type { RelayClient } from './RelayClient.js';
 import { RelayApi } from './RelayRouter.js';
+import { RetryAdvisor } from './RetryAdvisor.js';
 import type { FollowerState } from './TopicFollower.js';
 import type { WorkLogWriter, WriteOutcome } from './WorkLogWriter.js';
 
 /** Maximum age in ms of the state from which calls are answered. */
 const MAX_STATE_AGE_MS = 1_500;
-/** Retry delay in ms for callers while the store does not accept records. */
-const STORE_RETRY_AFTER_MS = 1_000;
+/** Retry delay in ms for callers that ask for a job while the state is not current. */
+const STATE_RETRY_AFTER_MS = 1_000;
 /** Retry delay in ms for callers while the node has no current configuration. */
 const STARTUP_RETRY_AFTER_MS = 500;
 
@@ -58,6 +59,8 @@
 
   readonly #checkStoreContact: (token: number) => boolean;
 
+  readonly #retryAdvisor = new RetryAdvisor(Math.random);
+
   #operatorState: OperatorState | undefined;
 
   #queueTable: QueueTable | undefined;
@@ -128,7 +131,7 @@
       configuration: this.#operatorState?.configuration?.version,
       tookMs: Math.round(tookMs),
     });
-    return JobService.#toResponse(outcome, { type: 'accepted' });
+    return this.#toResponse(outcome, { type: 'accepted' });
   }
 
   /** Cancels a job; it counts as cancelled only once the cancellation is stored. */
@@ -141,7 +144,7 @@
     const value = JSON.stringify({ atMs: this.#context.clock.readWall() });
     const outcome = await this.#writeWithFallback(WorkLogKey.cancel(id), value, timeoutMs);
     this.#context.log.record('cancel', id, { queue: queue.name, outcome });
-    return JobService.#toResponse(outcome, { type: 'cancelled' });
+    return this.#toResponse(outcome, { type: 'cancelled' });
   }
 
   /** Describes the state of a job. */
@@ -152,7 +155,7 @@
     return {
       type: 'refused',
       reason: 'the state is not current',
-      retryAfterMs: STORE_RETRY_AFTER_MS,
+      retryAfterMs: STATE_RETRY_AFTER_MS,
     };
   }
 
@@ -267,13 +270,18 @@
     return freshAt !== undefined && now - freshAt <= MAX_STATE_AGE_MS;
   }
 
-  static #toResponse(outcome: WriteOutcome, stored: CallResponse): CallResponse {
-    if (outcome === 'stored') return stored;
+  #toResponse(outcome: WriteOutcome, stored: CallResponse): CallResponse {
+    if (outcome === 'stored') {
+      this.#retryAdvisor.recordStored();
+      return stored;
+    }
     if (outcome === 'unknown') return { type: 'unknown' };
+    const now = this.#context.clock.readMonotonic();
+    this.#retryAdvisor.recordRefusal(now);
     return {
       type: 'refused',
       reason: 'the store takes no records',
-      retryAfterMs: STORE_RETRY_AFTER_MS,
+      retryAfterMs: this.#retryAdvisor.computeRetryAfter(now),
     };
   }
 }
--- a/src/node/ShardOwner.ts
+++ b/src/node/ShardOwner.ts
@@ -176,6 +176,7 @@
     this.#executor = new CommandExecutor(context, {
       token: takeover.token,
       findLink: (host) => this.#holdSchedulers.get(host)?.link,
+      canOrderMachine: (command) => this.#canOrderMachine(command),
       applyOutcome: (apply) => this.send({ type: 'apply-outcome', apply }),
     });
     this.#startPolicy = new StartPolicy({
@@ -202,10 +203,7 @@
       this.#endOwnership('no contact with the store');
       return;
     }
-    const gapMs = this.#ownershipCheck.recordActivity();
-    if (gapMs > 0) {
-      this.#context.log.record('owner-delayed', String(this.token), { gapMs: Math.round(gapMs) });
-    }
+    this.#recordActivity();
     switch (message.type) {
       case 'tick':
         this.#handleTick();
@@ -254,6 +252,12 @@
     super.close();
   }
 
+  #recordActivity(): void {
+    const gapMs = this.#ownershipCheck.recordActivity();
+    if (gapMs === 0) return;
+    this.#context.log.record('owner-delayed', String(this.token), { gapMs: Math.round(gapMs) });
+  }
+
   /** Checks whether the last successful append is so old that the owner must give up the shard. */
   #hasLostContact(): boolean {
     const sinceAppendMs = this.#context.clock.readMonotonic() - this.#lastAppendAt;
@@ -367,16 +371,16 @@
       return;
     }
     this.#takeWantedStarts(starts).forEach((start) => this.#executor.run(start));
-    machineOrders.forEach((one) => this.#orderMachine(one));
+    machineOrders.forEach((one) => this.#executor.run(one));
   }
 
-  /** Sends an order for a machine, unless the machine has changed while the order was recorded. */
-  #orderMachine(command: MachineCommand): void {
-    if (this.#shard.isMachineOrderWanted(command)) this.#executor.run(command);
-    else {
-      const answer = { type: 'refused', reason: 'the machine has changed' } as const;
-      this.#handleLedgerResult(this.#shard.reportMachineResponse(command, answer));
-    }
+  /**
+   * Checks whether a machine order may be sent now: nobody may have claimed the shard, and the
+   * machine has not changed since the order was planned.
+   */
+  #canOrderMachine(command: MachineCommand): boolean {
+    this.#recordActivity();
+    return this.#ownershipCheck.isConfirmed && this.#shard.isMachineOrderWanted(command);
   }
 
   #canStartUnrecorded({ run }: StartCommand): boolean {
--- a/src/node/_CommandExecutor.ts
+++ b/src/node/_CommandExecutor.ts
@@ -9,6 +9,8 @@
 import type { HostLink } from './HostLink.js';
 import type { NodeContext } from './NodeContext.js';
 
+/** Maximum number of machine orders under way; the others wait where they can be withdrawn. */
+const MAX_MACHINE_ORDERS = 4;
 /** Delay in ms before publishing the state of a wave is retried. */
 const PUBLISH_RETRY_DELAY_MS = 600;
 
@@ -23,6 +25,8 @@
   token: number;
   /** Finds the link to a host; undefined if its incarnation has ended. */
   findLink: (host: ManagedHost) => HostLink | undefined;
+  /** Checks, immediately before an order for a machine is sent, whether it may still be sent. */
+  canOrderMachine: (command: MachineCommand) => boolean;
   /** Enqueues the outcome of a command in the owner's mailbox, which applies it to the shard. */
   applyOutcome: (apply: (shard: Shard) => ReportResult) => void;
 }
@@ -36,6 +40,11 @@
   /** Last state of each wave that was published or is being published. */
   readonly #waveStates = new Map<number, 'running' | 'completed'>();
 
+  /** Machine orders that have not been sent yet. */
+  readonly #machineOrders: MachineCommand[] = [];
+
+  #machineOrdersUnderWay = 0;
+
   #isClosed = false;
 
   constructor(context: NodeContext, options: CommandExecutorOptions) {
@@ -87,7 +96,8 @@
       }
       case 'move':
       case 'maintain':
-        this.#sendMachineCommand(command);
+        this.#machineOrders.push(command);
+        this.#sendMachineOrders();
         break;
       case 'publish-wave':
         this.#publishWave(command.wave, command.state);
@@ -97,11 +107,28 @@
     }
   }
 
-  /** Stops retrying to publish wave states. */
+  /** Stops retrying to publish wave states, and sends no further machine orders. */
   close(): void {
     this.#isClosed = true;
   }
 
+  /**
+   * Sends machine orders as others have been answered. An order that waited in a connection pool
+   * would go out even after the owner has been suspended and replaced, and not every platform
+   * rejects the orders of an earlier owner.
+   */
+  #sendMachineOrders(): void {
+    while (this.#machineOrdersUnderWay < MAX_MACHINE_ORDERS && !this.#isClosed) {
+      const command = this.#machineOrders.shift();
+      if (command === undefined) return;
+      if (this.#options.canOrderMachine(command)) this.#sendMachineCommand(command);
+      else {
+        const answer = { type: 'refused', reason: 'the order is no longer valid' } as const;
+        this.#options.applyOutcome((shard) => shard.reportMachineResponse(command, answer));
+      }
+    }
+  }
+
   #startRun({ run, leaseEndMs, checkpoint, ticket }: StartCommand): void {
     const order = {
       task: run.task,
@@ -140,20 +167,26 @@
       return 'ok';
     });
     const { machines } = this.#context;
+    this.#machineOrdersUnderWay += 1;
     const answered =
       command.type === 'move'
         ? machines.moveMachine(order, command.pool)
         : machines.maintainMachine(order, command.wave);
-    answered.then(
-      (answer) =>
-        this.#options.applyOutcome((shard) => shard.reportMachineResponse(command, answer)),
-      (error: unknown) => {
-        this.#context.log.record('machine-unanswered', machine, { error: String(error) });
-        this.#options.applyOutcome((shard) =>
-          shard.reportMachineResponse(command, { type: 'unanswered' }),
-        );
-      },
-    );
+    answered
+      .then(
+        (answer) =>
+          this.#options.applyOutcome((shard) => shard.reportMachineResponse(command, answer)),
+        (error: unknown) => {
+          this.#context.log.record('machine-unanswered', machine, { error: String(error) });
+          this.#options.applyOutcome((shard) =>
+            shard.reportMachineResponse(command, { type: 'unanswered' }),
+          );
+        },
+      )
+      .finally(() => {
+        this.#machineOrdersUnderWay -= 1;
+        this.#sendMachineOrders();
+      });
   }
 
   #askAdvice(step: string, hostIds: string[]): void {
