Let only eight standbys read the work log closely

Change: the eight fastest registered nodes read every 80 ms, the others every 0.4 s and once more when a caller asks for a job that is not finished, so that a caller learns of the end of its job no later than before.

--- a/src/node/JobService.test.ts
+++ b/src/node/JobService.test.ts
@@ -21,6 +21,10 @@
     this.#lookup = { state: undefined, queue: undefined, follow: { ...state, ...follow } };
   }
 
+  setState(state: JobLookup['state']): void {
+    Object.assign(this.#lookup, { state, queue: 'renders' });
+  }
+
   send({ type }: WorkLogFollowerMessage): void {
     if (type !== 'read-now') return;
     this.#clock.advance(50);
@@ -76,4 +80,16 @@
     const answer = await openJobService(clock, workLog).describe('a', buildQueueConfig());
     assert.equal(answer.type, 'refused');
   });
+
+  // Guards against callers that learn late that their job has finished: a node that is no standby
+  // reads the work log only from time to time.
+  it('reads the work log again before it describes a running job from an old state', async () => {
+    const clock = new ManualClock();
+    clock.advance(1_000);
+    const workLog = new LaggingWorkLog(clock, { freshAt: clock.readMonotonic() - 300 });
+    workLog.setState('running');
+    workLog.caughtUp = { state: 'completed' };
+    const answer = await openJobService(clock, workLog).describe('a', buildQueueConfig());
+    assert.deepEqual(answer, { type: 'state', state: 'completed' });
+  });
 });
--- a/src/node/JobService.ts
+++ b/src/node/JobService.ts
@@ -12,6 +12,8 @@
 import type { FollowerState } from './TopicFollower.js';
 import type { WorkLogWriter, WriteOutcome } from './WorkLogWriter.js';
 
+/** A job that is not finished is looked up again if the state is older than this, in ms. */
+const MAX_ACTIVE_STATE_AGE_MS = 60;
 /** Maximum age in ms of the state from which calls are answered. */
 const MAX_STATE_AGE_MS = 1_500;
 /** Retry delay in ms for callers that ask for a job while the state is not current. */
@@ -186,14 +188,21 @@
    */
   async #findAfterCatchUp(id: string, timeoutMs: number): Promise<JobLookup | undefined> {
     const calledAt = this.#context.clock.readMonotonic();
+    let hasReadAgain = false;
     for (;;) {
       const lookup = await this.#queryWorkLog(id);
       const { follow } = lookup;
-      if (lookup.state !== undefined) return lookup;
+      if (lookup.state !== undefined) {
+        // One read more shows whether the job has finished; callers do not wait longer for it.
+        const isFresh = follow.freshAt >= calledAt - MAX_ACTIVE_STATE_AGE_MS;
+        const isActive = lookup.state === 'queued' || lookup.state === 'running';
+        if (!isActive || isFresh || hasReadAgain || !follow.isInContact) return lookup;
+      }
       if (follow.isCurrent && follow.freshAt >= calledAt) return lookup;
       const waitedMs = this.#context.clock.readMonotonic() - calledAt;
       if (!follow.isInContact || waitedMs > timeoutMs) return undefined;
       this.#workLog.send({ type: 'read-now' });
+      hasReadAgain = true;
       await new Promise((resolve) => {
         setTimeout(resolve, CATCH_UP_POLL_INTERVAL_MS);
       });
--- a/src/node/Node.ts
+++ b/src/node/Node.ts
@@ -1,7 +1,8 @@
-import { WorkLogKey } from '../workLog/mod.js';
+import { WorkLogKey, type WorkLogView } from '../workLog/mod.js';
 import { WorkLogFollower } from './WorkLogFollower.js';
 import { JobService } from './JobService.js';
 import { ShardCandidate } from './ShardCandidate.js';
+import { isStandby } from './isStandby.js';
 import type { NodeContext } from './NodeContext.js';
 import { OperatorFollower, type OperatorState } from './OperatorFollower.js';
 import { RelayClient } from './RelayClient.js';
@@ -66,9 +67,9 @@
       (changes, view, state) => {
         this.#workLogFreshAt = state.freshAt;
         this.#isWorkLogCurrent = state.isCurrent;
-        changes.forEach((change) => {
-          if (change.type === 'node') this.#relay.setPeer(change.name, change.node);
-        });
+        const nodeChanges = changes.filter((change) => change.type === 'node');
+        nodeChanges.forEach(({ name, node }) => this.#relay.setPeer(name, node));
+        if (nodeChanges.length > 0) this.#updateStandby(view);
         this.#shardCandidate.applyWorkLog(changes, view, state);
       },
     ]);
@@ -122,6 +123,15 @@
     }));
   }
 
+  #updateStandby({ nodes }: WorkLogView): void {
+    const { name, cores } = this.#context.settings;
+    const others = [...nodes].map(([other, record]) => ({ name: other, cores: record.cores ?? 0 }));
+    this.#workLog.send({
+      type: 'standby-changed',
+      isStandby: isStandby({ name, cores }, others),
+    });
+  }
+
   /** Reports that the node is not ready and releases the shard. Calls are still served. */
   async stop(): Promise<void> {
     this.#isStopping = true;
--- a/src/node/WorkLogFollower.ts
+++ b/src/node/WorkLogFollower.ts
@@ -10,8 +10,10 @@
 
 /** Delay between reads in ms while the node owns the shard; short, so that jobs start promptly. */
 const OWNER_READ_DELAY_MS = 10;
-/** Delay between reads in ms on other nodes, where callers may read a slightly outdated state. */
-const FOLLOWER_READ_DELAY_MS = 80;
+/** Delay between reads in ms on standbys, which notice soon that the owner is silent. */
+const STANDBY_READ_DELAY_MS = 80;
+/** Delay between reads in ms on other nodes, which also read when a caller asks for a job. */
+const FOLLOWER_READ_DELAY_MS = 400;
 
 /** Result of looking up a job in the work log view. */
 export interface JobLookup {
@@ -27,6 +29,7 @@
   | { type: 'get-state'; reply: (state: FollowerState) => void }
   | { type: 'count-waiting'; queue: string; reply: (count: number) => void }
   | { type: 'ownership-changed'; isOwner: boolean }
+  | { type: 'standby-changed'; isStandby: boolean }
   | { type: 'read-now' };
 
 /** Called after records were applied to the view, with the changes in log order. */
@@ -44,8 +47,12 @@
 
   readonly #listeners: WorkLogListener[];
 
+  #isOwner = false;
+
+  #isStandby = true;
+
   constructor(context: NodeContext, listeners: WorkLogListener[]) {
-    super(context, 'work', FOLLOWER_READ_DELAY_MS);
+    super(context, 'work', STANDBY_READ_DELAY_MS);
     this.#listeners = listeners;
   }
 
@@ -80,10 +87,20 @@
         message.reply(this.#view.countWaiting(message.queue));
         break;
       case 'ownership-changed':
-        this.readDelayMs = message.isOwner ? OWNER_READ_DELAY_MS : FOLLOWER_READ_DELAY_MS;
+        this.#isOwner = message.isOwner;
+        this.readDelayMs = this.#chooseReadDelay();
+        break;
+      case 'standby-changed':
+        this.#isStandby = message.isStandby;
+        this.readDelayMs = this.#chooseReadDelay();
         break;
       default:
         this.readNow();
     }
   }
+
+  #chooseReadDelay(): number {
+    if (this.#isOwner) return OWNER_READ_DELAY_MS;
+    return this.#isStandby ? STANDBY_READ_DELAY_MS : FOLLOWER_READ_DELAY_MS;
+  }
 }
