Build the owner's records in a class of their own

Change: OwnerRecords builds progress, waves, machine orders, tombstones and the owner's record; behaviour is unchanged.

Result: the tests of the node pass.

--- a/src/node/ShardOwner.ts
+++ b/src/node/ShardOwner.ts
@@ -1,11 +1,6 @@
 import { Actor } from '../actor/mod.js';
-import {
-  WorkLogKey,
-  type WorkLogChange,
-  type TrackedJob,
-  type WaveRecord,
-} from '../workLog/mod.js';
-import type { HostRecord, KeyedValue } from '../port/mod.js';
+import type { WorkLogChange, TrackedJob, WaveRecord } from '../workLog/mod.js';
+import type { HostRecord } from '../port/mod.js';
 import {
   Shard,
   type ReportResult,
@@ -20,13 +15,13 @@
 import { HoldScheduler } from './HoldScheduler.js';
 import { LagMeter } from './LagMeter.js';
 import { OwnerOutput } from './_OwnerOutput.js';
+import { OwnerRecords, type OwnerAppend } from './_OwnerRecords.js';
 import { OwnershipCheck } from './OwnershipCheck.js';
 import type { NodeContext } from './NodeContext.js';
 import type { OperatorState } from './OperatorFollower.js';
 import { StartPolicy, type StartPermit } from './StartPolicy.js';
 import { OwnerWriter, type OwnerWriteResult } from './OwnerWriter.js';
 import { computeSilenceLimit } from './computeSilenceLimit.js';
-import { buildJobTombstones } from './buildJobTombstones.js';
 
 /** Interval in ms between plans if there are no events. */
 const TICK_INTERVAL_MS = 50;
@@ -39,15 +34,9 @@
 const SHED_ABOVE_LAG_MS = 20;
 /** Delay in ms before an append, so that it covers ends that arrive together. */
 const FLUSH_DELAY_MS = 4;
-/** A longer interval of the owner's records is announced once it has grown by this factor. */
-const ANNOUNCE_FACTOR = 1.5;
-
 /** Interval in ms at which the machines are listed while the list is needed. */
 const MACHINE_LIST_INTERVAL_MS = 600;
 
-/** Interval in ms at which the ages of the machine orders are recorded again. */
-const MACHINE_ORDERS_REFRESH_MS = 500;
-
 /** Messages of a `ShardOwner`. */
 export type ShardOwnerMessage =
   | { type: 'tick' }
@@ -64,8 +53,8 @@
 
 /** Contents of an append whose effects depend on its result. */
 interface AppendBatch {
+  append: OwnerAppend;
   jobs: ScheduledJob[];
-  waves: [number, WaveRecord][];
   /** Highest end of each host that was processed before the append. */
   ends: [ManagedHost, number][];
   isRelease: boolean;
@@ -73,8 +62,6 @@
   machineOrders: MachineCommand[];
   /** Gaps in the activity of the owner before the append was sent. */
   gaps: number;
-  /** Interval in ms that the append announces; undefined if it has no record of the owner. */
-  intervalMs?: number;
 }
 
 /** Options of a `ShardOwner`: its initial state and callbacks. */
@@ -119,8 +106,7 @@
 
   readonly #tickTimer: NodeJS.Timeout;
 
-  /** Finished jobs whose records are removed after the retention time, oldest first. */
-  readonly #finishedJobs: { id: string; endedAtMs: number }[] = [];
+  readonly #records: OwnerRecords;
 
   #isPlanScheduled = false;
 
@@ -141,20 +127,12 @@
   /** Machine orders that are not recorded yet and therefore not sent yet. */
   #unrecordedMachineOrders: MachineCommand[] = [];
 
-  #machineOrdersRecordedAt = -Infinity;
-
-  /** The last record of machine orders was not empty. */
-  #hasRecordedMachineOrders = true;
-
   #isListingMachines = false;
 
   #machinesListedAt = -Infinity;
 
   #lastAppendAt: number;
 
-  /** Interval in ms of the owner's records that its last stored record has announced. */
-  #announcedIntervalMs = 0;
-
   /** Offset up to which the work log has been read. */
   #readTo: number;
 
@@ -170,6 +148,7 @@
       clock: context.clock,
       output: this.#output,
     });
+    this.#records = new OwnerRecords(context, this.#shard);
     this.#readTo = takeover.claimOffset;
     this.#writer = new OwnerWriter(context, takeover);
     this.#lastAppendAt = context.clock.readMonotonic();
@@ -309,7 +288,7 @@
     const sinceAppendMs = startedAt - this.#lastAppendAt;
     const { ownerSilenceMs } = this.#context.settings;
     // No other node claims the shard before this limit, which follows from the last stored record.
-    const limitMs = computeSilenceLimit(ownerSilenceMs, this.#announcedIntervalMs);
+    const limitMs = computeSilenceLimit(ownerSilenceMs, this.#records.announcedIntervalMs);
     this.#shard.setDetached(sinceAppendMs > limitMs);
     this.#setPermit(this.#startPolicy.choosePermit(sinceAppendMs, this.#writer.latencyMs));
     if (scope === 'all') this.#shard.plan();
@@ -494,7 +473,7 @@
     const { progress } = job;
     if (progress !== undefined && progress.state !== 'active') {
       const endedAtMs = progress.endedAtMs ?? this.#context.clock.readWall();
-      this.#finishedJobs.push({ id: job.id, endedAtMs });
+      this.#records.addFinishedJob(job.id, endedAtMs);
       this.#shard.reportSubmission(job);
     } else this.#shard.addJob(job);
   }
@@ -537,83 +516,32 @@
     const ends = [...this.#holdSchedulers.keys()]
       .filter((host) => host.processedEnd > host.acknowledgedEnd)
       .map((host): [ManagedHost, number] => [host, host.processedEnd]);
-    const records: KeyedValue[] = [
-      ...jobs.map((job) => ({
-        key: WorkLogKey.progress(job.id),
-        value: JSON.stringify(job.describeProgress(this.token)),
-      })),
-      ...waves.map(([wave, record]) => ({
-        key: WorkLogKey.wave(wave),
-        value: JSON.stringify(record),
-      })),
-      ...this.#buildMachineOrderRecords(now, machineOrders.length > 0),
-      ...this.#collectTombstones(),
-    ];
-    const intervalMs = this.#measureInterval();
-    const hasSlowed = intervalMs > ANNOUNCE_FACTOR * this.#announcedIntervalMs;
-    const isOwnerRecorded = isHeartbeatDue || isRelease || records.length === 0 || hasSlowed;
-    if (isOwnerRecorded) records.push(this.#buildOwnerRecord(isRelease, intervalMs));
+    const append = this.#records.build({
+      jobs,
+      waves,
+      hasNewMachineOrders: machineOrders.length > 0,
+      isHeartbeatDue,
+      isRelease,
+      readTo: this.#readTo,
+      intervalMs: this.#measureInterval(),
+    });
     this.#isAppending = true;
     const { gaps } = this.#ownershipCheck;
-    this.#writer.append(records).then((result) =>
+    this.#writer.append(append.records).then((result) =>
       this.send({
         type: 'append-result',
         result,
-        batch: {
-          jobs,
-          waves,
-          ends,
-          isRelease,
-          machineOrders,
-          gaps,
-          ...(isOwnerRecorded ? { intervalMs } : {}),
-        },
+        batch: { append, jobs, ends, isRelease, machineOrders, gaps },
       }),
     );
   }
 
-  /** Builds the record of machine orders if there are new ones or recorded ages are outdated. */
-  #buildMachineOrderRecords(now: number, hasNew: boolean): KeyedValue[] {
-    const isOld = now - this.#machineOrdersRecordedAt >= MACHINE_ORDERS_REFRESH_MS;
-    if (!hasNew && (!isOld || !this.#hasRecordedMachineOrders)) return [];
-    const orders = this.#shard.listMachineOrders();
-    this.#machineOrdersRecordedAt = now;
-    this.#hasRecordedMachineOrders = orders.length > 0;
-    return [{ key: WorkLogKey.machineOrders, value: JSON.stringify({ orders }) }];
-  }
-
   /** Measures the interval in ms of this owner's records, as far as something is slow. */
   #measureInterval(): number {
     const slowestMs = Math.max(this.#writer.latencyMs, this.#lag.meanMs);
     return slowestMs < this.#context.settings.ownerBeatMs ? 0 : Math.round(2 * slowestMs);
   }
 
-  #buildOwnerRecord(isReleased: boolean, intervalMs: number): KeyedValue {
-    return {
-      key: WorkLogKey.owner,
-      value: JSON.stringify({
-        token: this.token,
-        node: this.#context.settings.name,
-        session: this.#context.session,
-        dataCentre: this.#context.settings.dataCentre,
-        unrecorded: this.#shard.listUnrecorded(),
-        readTo: this.#readTo,
-        intervalMs,
-        isReleased,
-      }),
-    };
-  }
-
-  #collectTombstones(): KeyedValue[] {
-    const before = this.#context.clock.readWall() - this.#context.settings.retentionMs;
-    const tombstones: KeyedValue[] = [];
-    while ((this.#finishedJobs[0]?.endedAtMs ?? Infinity) < before) {
-      const finished = this.#finishedJobs.shift();
-      if (finished !== undefined) tombstones.push(...buildJobTombstones(finished.id));
-    }
-    return tombstones;
-  }
-
   #handleAppendResult(result: OwnerWriteResult, batch: AppendBatch): void {
     this.#isAppending = false;
     if (result === 'fenced') {
@@ -622,10 +550,10 @@
     }
     this.#lastAppendAt = this.#context.clock.readMonotonic();
     this.#ownershipCheck.recordAppend(batch.gaps);
-    this.#announcedIntervalMs = batch.intervalMs ?? this.#announcedIntervalMs;
+    this.#records.confirm(batch.append);
     if (!batch.isRelease) this.#orderRecorded(batch.machineOrders);
     batch.jobs.forEach(({ id, endedAtMs }) => {
-      if (endedAtMs !== undefined) this.#finishedJobs.push({ id, endedAtMs });
+      if (endedAtMs !== undefined) this.#records.addFinishedJob(id, endedAtMs);
     });
     batch.ends.forEach(([host, number]) => {
       host.acknowledge(number);
--- /dev/null
+++ b/src/node/_OwnerRecords.ts
@@ -0,0 +1,127 @@
+import type { KeyedValue } from '../port/mod.js';
+import type { RecentMachineOrder, Shard } from '../schedule/mod.js';
+import type { ScheduledJob } from '../schedule/ScheduledJob.js';
+import { WorkLogKey, type WaveRecord } from '../workLog/mod.js';
+import { buildJobTombstones } from './buildJobTombstones.js';
+import type { NodeContext } from './NodeContext.js';
+
+/** Interval in ms at which the ages of the machine orders are recorded again. */
+const MACHINE_ORDERS_REFRESH_MS = 500;
+/** A longer interval of the owner's records is announced once it has grown by this factor. */
+const ANNOUNCE_FACTOR = 1.5;
+
+/** What an append of the owner has to record. */
+export interface OwnerUpdate {
+  jobs: readonly ScheduledJob[];
+  waves: readonly [number, WaveRecord][];
+  /** The append records machine orders that have not been recorded before. */
+  hasNewMachineOrders: boolean;
+  isHeartbeatDue: boolean;
+  isRelease: boolean;
+  /** Offset up to which the work log has been read. */
+  readTo: number;
+  /** Interval in ms of the owner's records, as far as something is slow. */
+  intervalMs: number;
+}
+
+/** Records of an append, and the interval that they announce if they contain the owner's record. */
+export interface OwnerAppend {
+  records: KeyedValue[];
+  intervalMs: number | undefined;
+}
+
+/** Builds the records that an owner appends to the work log. */
+export class OwnerRecords {
+  readonly #context: NodeContext;
+
+  readonly #shard: Shard;
+
+  /** Finished jobs whose records are removed after the retention time, oldest first. */
+  readonly #finishedJobs: { id: string; endedAtMs: number }[] = [];
+
+  #machineOrdersRecordedAt = -Infinity;
+
+  /** The last record of machine orders was not empty. */
+  #hasRecordedMachineOrders = true;
+
+  #announcedIntervalMs = 0;
+
+  constructor(context: NodeContext, shard: Shard) {
+    this.#context = context;
+    this.#shard = shard;
+  }
+
+  /** Interval in ms of the owner's records that its last stored record has announced. */
+  get announcedIntervalMs(): number {
+    return this.#announcedIntervalMs;
+  }
+
+  /** Adds a finished job, whose records are removed after the retention time. */
+  addFinishedJob(id: string, endedAtMs: number): void {
+    this.#finishedJobs.push({ id, endedAtMs });
+  }
+
+  /** Builds the records of an append; there is always one. */
+  build(update: OwnerUpdate): OwnerAppend {
+    const { jobs, waves, isRelease, intervalMs } = update;
+    const records: KeyedValue[] = [
+      ...jobs.map((job) => ({
+        key: WorkLogKey.progress(job.id),
+        value: JSON.stringify(job.describeProgress(this.#shard.token)),
+      })),
+      ...waves.map(([wave, record]) => ({
+        key: WorkLogKey.wave(wave),
+        value: JSON.stringify(record),
+      })),
+      ...this.#buildMachineOrders(update.hasNewMachineOrders),
+      ...this.#collectTombstones(),
+    ];
+    const hasSlowed = intervalMs > ANNOUNCE_FACTOR * this.#announcedIntervalMs;
+    const isRecorded = update.isHeartbeatDue || isRelease || records.length === 0 || hasSlowed;
+    if (isRecorded) records.push(this.#buildOwner(update));
+    return { records, intervalMs: isRecorded ? intervalMs : undefined };
+  }
+
+  /** Records that an append has been stored. */
+  confirm({ intervalMs }: OwnerAppend): void {
+    this.#announcedIntervalMs = intervalMs ?? this.#announcedIntervalMs;
+  }
+
+  /** Builds the record of machine orders if there are new ones or recorded ages are outdated. */
+  #buildMachineOrders(hasNew: boolean): KeyedValue[] {
+    const now = this.#context.clock.readMonotonic();
+    const isOld = now - this.#machineOrdersRecordedAt >= MACHINE_ORDERS_REFRESH_MS;
+    if (!hasNew && (!isOld || !this.#hasRecordedMachineOrders)) return [];
+    const orders: RecentMachineOrder[] = this.#shard.listMachineOrders();
+    this.#machineOrdersRecordedAt = now;
+    this.#hasRecordedMachineOrders = orders.length > 0;
+    return [{ key: WorkLogKey.machineOrders, value: JSON.stringify({ orders }) }];
+  }
+
+  #buildOwner({ readTo, intervalMs, isRelease }: OwnerUpdate): KeyedValue {
+    const { settings, session } = this.#context;
+    return {
+      key: WorkLogKey.owner,
+      value: JSON.stringify({
+        token: this.#shard.token,
+        node: settings.name,
+        session,
+        dataCentre: settings.dataCentre,
+        unrecorded: this.#shard.listUnrecorded(),
+        readTo,
+        intervalMs,
+        isReleased: isRelease,
+      }),
+    };
+  }
+
+  #collectTombstones(): KeyedValue[] {
+    const before = this.#context.clock.readWall() - this.#context.settings.retentionMs;
+    const tombstones: KeyedValue[] = [];
+    while ((this.#finishedJobs[0]?.endedAtMs ?? Infinity) < before) {
+      const finished = this.#finishedJobs.shift();
+      if (finished !== undefined) tombstones.push(...buildJobTombstones(finished.id));
+    }
+    return tombstones;
+  }
+}
