Give small machines time as owners, and send heartbeats before other work

Cause: on the small twin of the large deployment an owner has 0.12 cores. Its heartbeat waited behind other messages for more than 1 s, before it had announced that it is slow, so it was replaced by a machine as slow.

Change: the announced interval has a lower bound by the share of a core, which only matters below 0.24 cores, and a due heartbeat is sent at any message.

--- a/src/node/ShardOwner.ts
+++ b/src/node/ShardOwner.ts
@@ -23,6 +23,11 @@
 import { OwnerWriter, type OwnerWriteResult } from './OwnerWriter.js';
 import { computeSilenceLimit } from './computeSilenceLimit.js';
 
+/**
+ * Processor time in ms for which an owner may be busy between two of its records. A machine with a
+ * small share of a core takes as much longer as its share is smaller.
+ */
+const BUSY_MS = 60;
 /** Interval in ms between plans if there are no events. */
 const TICK_INTERVAL_MS = 50;
 /** Delay in ms before a plan, so that it covers events that arrive together. */
@@ -183,6 +188,8 @@
       return;
     }
     this.#recordActivity();
+    // Under load the tick waits behind other messages, but other nodes wait for the heartbeat.
+    if (this.#isHeartbeatDue) this.#flush();
     switch (message.type) {
       case 'tick':
         this.#handleTick();
@@ -501,13 +508,15 @@
     );
   }
 
+  get #isHeartbeatDue(): boolean {
+    const sinceAppendMs = this.#context.clock.readMonotonic() - this.#lastAppendAt;
+    return !this.#ownershipCheck.isConfirmed || sinceAppendMs >= this.#context.settings.ownerBeatMs;
+  }
+
   #flush(): void {
     if (this.#isAppending || this.isClosed) return;
-    const now = this.#context.clock.readMonotonic();
     const isRelease = this.#replyToRelease !== undefined;
-    const isHeartbeatDue =
-      !this.#ownershipCheck.isConfirmed ||
-      now - this.#lastAppendAt >= this.#context.settings.ownerBeatMs;
+    const isHeartbeatDue = this.#isHeartbeatDue;
     if (!this.#hasPendingRecords && !isHeartbeatDue && !isRelease) return;
     const jobs = this.#shard.takeDirtyJobs();
     const waves = this.#shard.takeDirtyWaves();
@@ -538,8 +547,9 @@
 
   /** Measures the interval in ms of this owner's records, as far as something is slow. */
   #measureInterval(): number {
-    const slowestMs = Math.max(this.#writer.latencyMs, this.#lag.meanMs);
-    return slowestMs < this.#context.settings.ownerBeatMs ? 0 : Math.round(2 * slowestMs);
+    const { cores, ownerBeatMs } = this.#context.settings;
+    const slowestMs = Math.max(this.#writer.latencyMs, this.#lag.meanMs, BUSY_MS / cores);
+    return slowestMs < ownerBeatMs ? 0 : Math.round(2 * slowestMs);
   }
 
   #handleAppendResult(result: OwnerWriteResult, batch: AppendBatch): void {
