Test that a job decodes only its newest progress

Cause: the decoding of progress on demand was tested only through the view. Change: a test of StoredJob, also for unreadable records.

--- /dev/null
+++ b/src/workLog/StoredJob.test.ts
@@ -0,0 +1,48 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { JobSpec } from '../task/mod.js';
+import { StoredJob } from './StoredJob.js';
+import { JobProgress, type AcceptedJob } from './WorkLogRecord.js';
+
+const ACCEPTED: AcceptedJob = {
+  queue: 'renders',
+  pool: 'studio',
+  rule: { priority: 0, maxAttempts: 3, stretch: 2, latencyTargetMs: 600 },
+  submittedAtMs: 1,
+  dataCentre: 'dc-1',
+  spec: JobSpec.parse({ payload: 'x', steps: [{ count: 1 }] }),
+};
+
+function openJob(): { job: StoredJob; decoded: string[] } {
+  const decoded: string[] = [];
+  const job = new StoredJob({ id: 'a', acceptedOffset: 4 }, ACCEPTED, (value) => {
+    decoded.push(String(value));
+    if (String(value) === 'odd') return undefined;
+    return JobProgress.parse({ token: Number(value), state: 'active', occurrences: [] });
+  });
+  return { job, decoded };
+}
+
+describe('StoredJob', () => {
+  // Guards against a cost of nodes times records: of many progress records only the newest is used.
+  it('decodes only the newest progress, once, when it is asked for', () => {
+    const { job, decoded } = openJob();
+    assert.equal(job.hasProgress, false);
+    ['1', '2', '3'].forEach((value) => job.setProgress(Buffer.from(value)));
+    assert.equal(job.hasProgress, true);
+    assert.deepEqual(decoded, []);
+    assert.equal(job.progress?.token, 3);
+    assert.equal(job.progress?.token, 3);
+    assert.deepEqual(decoded, ['3']);
+  });
+
+  // Guards against finished tasks that run again because one record is not readable.
+  it('keeps the last readable progress if the newest record is not readable', () => {
+    const { job } = openJob();
+    job.setProgress(Buffer.from('1'));
+    job.setProgress(Buffer.from('odd'));
+    assert.equal(job.progress?.token, 1);
+    job.setProgress(Buffer.from('odd'));
+    assert.equal(job.progress?.token, 1);
+  });
+});
