Withdraw the order that finishes started jobs first

Ruled out by a trial with every node a standby: the seldom reads of other nodes (the same backlog up to 9 s).

Change: the least remaining work comes first again.

--- a/src/schedule/LeastWorkFirst.ts
+++ b/src/schedule/LeastWorkFirst.ts
@@ -15,9 +15,7 @@
  * Orders steps by least remaining work; jobs that can no longer meet their deadlines come last.
  *
  * In an overloaded pool, processing the least remaining work first lets the most jobs meet their
- * deadlines, whereas work on late jobs would make others late as well. Jobs that have started come
- * before those that have not: otherwise a large job whose next step is ready waits behind every
- * small job that arrives, and the work that it has had is lost on a late job. Within a priority,
+ * deadlines, whereas work on late jobs would make others late as well. Within a priority,
  * long-running tasks come first, since all of their downtime counts. Jobs with failed tasks come
  * after those without, since some jobs can never succeed.
  */
@@ -48,7 +46,6 @@
       step.spec.isLasting ? 0 : 1,
       this.#deadlines.isLate(occurrence, nowWallMs) ? 1 : 0,
       job.failures > 0 ? 1 : 0,
-      occurrence.hasStarted ? 0 : 1,
       this.#estimator.estimateRemainingWork(queue.name, occurrence.steps),
       job.tracked.submittedAtMs,
     ];
