Assume the shorter of two announced intervals while an append is open

Cause, found on the last read: a record that announces a shorter interval may be stored although its append is not answered. Other nodes then claim the shard after the shorter limit, and the owner counted on the longer one.

Change: the owner takes the shorter interval as soon as it sends the record.

--- a/src/node/_OwnerRecords.ts
+++ b/src/node/_OwnerRecords.ts
@@ -51,7 +51,10 @@
     this.#shard = shard;
   }
 
-  /** Interval in ms of the owner's records that its last stored record has announced. */
+  /**
+   * Interval in ms of the owner's records that other nodes assume: that of the last record which is
+   * known to be stored, or a shorter one that may be stored.
+   */
   get announcedIntervalMs(): number {
     return this.#announcedIntervalMs;
   }
@@ -76,9 +79,14 @@
       ...this.#buildMachineOrders(update.hasNewMachineOrders),
       ...this.#collectTombstones(),
     ];
-    const hasSlowed = intervalMs > ANNOUNCE_FACTOR * this.#announcedIntervalMs;
+    const announcedMs = this.#announcedIntervalMs;
+    const hasSlowed = intervalMs > ANNOUNCE_FACTOR * announcedMs;
     const isRecorded = update.isHeartbeatDue || isRelease || records.length === 0 || hasSlowed;
-    if (isRecorded) records.push(this.#buildOwner(update));
+    if (isRecorded) {
+      records.push(this.#buildOwner(update));
+      // The record may be stored although its append is not answered; then the shorter limit holds.
+      this.#announcedIntervalMs = Math.min(this.#announcedIntervalMs, intervalMs);
+    }
     return { records, intervalMs: isRecorded ? intervalMs : undefined };
   }
 
