Call an idle host that did not answer until it answers

Cause: a failed call marks a host as silent, a silent host gets no new work until it answers, and only hosts with runs were called. A start that was refused releases its run, and expired leases release all runs, so nothing cleared the mark. Ruled out: the form of the cut (reset, silent and one-way cuts all leave the mark), and the placement (it only skips hosts that are not available). A cut of under 0.3 s leaves no trace, since the first hold after the start is repeated once.

Change: HoldScheduler also sends holds to a host whose last call was not answered.

--- a/src/emulator/EmulatedFleet.ts
+++ b/src/emulator/EmulatedFleet.ts
@@ -50,6 +50,9 @@
   /** The order is not answered and is executed after a delay. */
   | 'late';
 
+/** How calls to an unreachable host fail: without an answer, or since the connection is refused. */
+type CallFailure = 'unanswered' | 'refused';
+
 /** Options of an emulated fleet. */
 export interface EmulatedFleetOptions {
   clock: Clock;
@@ -75,7 +78,8 @@
 
   readonly #machines = new Map<string, EmulatedMachine>();
 
-  readonly #partitioned = new Set<string>();
+  /** Machines whose hosts are unreachable, with the number of calls that have failed since. */
+  readonly #unreachable = new Map<string, { failure: CallFailure; failedCalls: number }>();
 
   /** All runs that were started, in order. */
   readonly started: StartedRun[] = [];
@@ -142,8 +146,17 @@
 
   /** Partitions the host on a machine from the nodes, or reconnects it; its runs continue. */
   setPartitioned(name: string, isPartitioned: boolean): void {
-    if (isPartitioned) this.#partitioned.add(name);
-    else this.#partitioned.delete(name);
+    this.#setUnreachable(name, isPartitioned ? 'unanswered' : undefined);
+  }
+
+  /** Makes the host on a machine refuse connections, or accept them again; its runs continue. */
+  setRefusing(name: string, isRefusing: boolean): void {
+    this.#setUnreachable(name, isRefusing ? 'refused' : undefined);
+  }
+
+  /** Counts the calls to the host on a machine that have failed since it became unreachable. */
+  countFailedCalls(name: string): number {
+    return this.#unreachable.get(name)?.failedCalls ?? 0;
   }
 
   /** Advances every host to the current time. */
@@ -237,6 +250,11 @@
     return { type: 'done' };
   }
 
+  #setUnreachable(name: string, failure: CallFailure | undefined): void {
+    if (failure === undefined) this.#unreachable.delete(name);
+    else this.#unreachable.set(name, { failure, failedCalls: 0 });
+  }
+
   #getMachine(name: string): EmulatedMachine {
     const machine = this.#machines.get(name);
     if (machine === undefined) throw new RangeError(`no machine "${name}"`);
@@ -249,11 +267,14 @@
       toAddress === undefined
         ? this.#machines.get(address)
         : [...this.#machines.values()].find(({ name }) => toAddress(name) === address);
-    if (machine === undefined || this.#partitioned.has(machine.name)) {
+    const unreachable = this.#unreachable.get(machine?.name ?? '');
+    if (unreachable !== undefined) unreachable.failedCalls += 1;
+    if (machine === undefined || unreachable?.failure === 'unanswered') {
       await wait(UNANSWERED_TIMEOUT_MS);
       throw new OrderUnansweredError('no answer');
     }
-    if (machine.host === undefined) throw new OrderUnsentError('connection refused');
+    if (machine.host === undefined || unreachable?.failure === 'refused')
+      throw new OrderUnsentError('connection refused');
     return machine.host.entry.id === id ? machine.host : undefined;
   }
 
--- a/src/node/HoldScheduler.ts
+++ b/src/node/HoldScheduler.ts
@@ -28,7 +28,8 @@
  * Schedules the holds of one host, which renew its lease and acknowledge ended runs.
  *
  * At most one hold is in flight. While tasks run, the next hold is sent as soon as the previous one
- * completes, so that an end is reported when it happens. An idle host gets no further holds.
+ * completes, so that an end is reported when it happens. An idle host gets no further holds, unless
+ * its last call was not answered: it receives no new work until it answers a hold.
  */
 export class HoldScheduler {
   readonly #host: ManagedHost;
@@ -92,8 +93,9 @@
   }
 
   #isHoldNeeded(): boolean {
-    const { runs, isFenced, hasUnwantedRuns } = this.#host;
-    return runs.size > 0 || !isFenced || hasUnwantedRuns || this.#hasUnacknowledgedEnds();
+    const { runs, isFenced, hasUnwantedRuns, silentCalls } = this.#host;
+    const isUnsettled = !isFenced || hasUnwantedRuns || silentCalls > 0;
+    return runs.size > 0 || isUnsettled || this.#hasUnacknowledgedEnds();
   }
 
   #schedule(delayMs: number): void {
--- a/src/node/Node.test.ts
+++ b/src/node/Node.test.ts
@@ -174,6 +174,47 @@
       cluster.fleet.setPartitioned('m-0', false);
     }));
 
+  // Guards against jobs that stand still (LOST): a host without runs that refused a start was not
+  // called again, although only its answer returned it to service.
+  it('uses hosts again that refused a start while they were idle', () =>
+    withCluster({}, async (cluster) => {
+      const machines = cluster.fleet.listMachines().map(({ name }) => name);
+      const spread = [{ ...STEPS[0], maxPerHost: 1 }];
+      await cluster.submit('node-0', 'a', spread);
+      await waitFor('a completed job', isCompleted(cluster, 'node-0', 'a'));
+      machines.forEach((name) => cluster.fleet.setRefusing(name, true));
+      await cluster.submit('node-0', 'b', spread);
+      // The start and two holds, the second of them sent when the host had no run any more.
+      await waitFor('refused calls to every host', () =>
+        machines.every((name) => cluster.fleet.countFailedCalls(name) >= 3),
+      );
+      machines.forEach((name) => cluster.fleet.setRefusing(name, false));
+      await waitFor('a completed job', isCompleted(cluster, 'node-0', 'b'), 5_000);
+    }));
+
+  // Guards against the same fault on another path: the runs of an unreachable host were released
+  // when its leases had expired, and it was not called again.
+  it('uses hosts again whose leases expired while they were unreachable', () =>
+    withCluster({ script: () => ({ runMs: 4_000, outcome: 'done' }) }, async (cluster) => {
+      const machines = cluster.fleet.listMachines().map(({ name }) => name);
+      await cluster.submit('node-0', 'a', [{ ...STEPS[0], maxPerHost: 1 }]);
+      await waitFor('started tasks', () => cluster.fleet.started.length === 3);
+      const partition = (): void =>
+        machines.forEach((name) => cluster.fleet.setPartitioned(name, true));
+      partition();
+      await waitFor('expired runs', () => {
+        cluster.fleet.advance();
+        return cluster.fleet.started.every(({ outcome }) => outcome === 'expired');
+      });
+      // Calls are counted anew: the third one fails after the owner has released the runs, too.
+      partition();
+      await waitFor('calls to every host', () =>
+        machines.every((name) => cluster.fleet.countFailedCalls(name) >= 3),
+      );
+      machines.forEach((name) => cluster.fleet.setPartitioned(name, false));
+      await waitFor('restarted tasks', () => cluster.fleet.started.length >= 6, 5_000);
+    }));
+
   // Guards against a new owner that issues an order for a machine right after its predecessor did.
   it('records machine orders before it sends them', async () => {
     const unrecorded: string[] = [];
