Keep runs that a host accepted after a restart under its identifier

Cause: orders name a host by its identifier, so the later incarnation executed the start. Its next report showed another start time, and the owner released all runs of the host as ended, also the accepted one. The same happened when the entry was read first. Ruled out: the fencing token and the lease, both were valid.

Change: a restart keeps the runs until a report of the later incarnation shows which of them exist; what refers to the former one (ends and their acknowledgements, clock, leases, answers to stops) starts anew. Late messages of the former incarnation are ignored. An acknowledgement is sent only in a hold that follows a report. The expiry of a lease is bounded by the longest lease, since the host's clock may have started anew. A link follows the address in the entry. The emulated hosts can restart, report their start times, and drop acknowledged ends when a hold arrives.

--- a/src/emulator/EmulatedFleet.ts
+++ b/src/emulator/EmulatedFleet.ts
@@ -129,6 +129,21 @@
     this.#startHost(this.#getMachine(name));
   }
 
+  /**
+   * Ends the host on a machine and starts it again at once with the same identifier. Its entry is
+   * written after a delay in ms; until then, the store has that of the former incarnation.
+   */
+  reboot(name: string, registersAfterMs = 0): void {
+    const machine = this.#getMachine(name);
+    if (machine.host === undefined) return;
+    const { id } = machine.host.entry;
+    machine.host.kill();
+    const host = this.#createHost(machine, id);
+    setTimeout(() => {
+      if (host.isAlive) this.#options.store.write('hosts', id, JSON.stringify(host.entry));
+    }, registersAfterMs);
+  }
+
   /** Sets the health check result of the host on a machine, independent of its behaviour. */
   setHealth(name: string, isWell: boolean): void {
     this.#getMachine(name).host?.setHealth(isWell);
@@ -222,7 +237,8 @@
     }
     if (!host.isAlive) throw new OrderUnansweredError('the host ended during the hold');
     await this.#locateHost(id, address);
-    return host.hold(order);
+    // The acknowledgement refers to the ends that the host had when the hold arrived.
+    return host.hold({ ...order, acknowledged: 0 });
   }
 
   /** Returns the health check result of a host; false if another incarnation responds. */
@@ -278,11 +294,17 @@
     return machine.host.entry.id === id ? machine.host : undefined;
   }
 
+  /** Starts a host with a new identifier on a machine. */
   #startHost(machine: EmulatedMachine): void {
     this.#incarnationCount += 1;
-    const { clock, script, store } = this.#options;
+    const { entry } = this.#createHost(machine, `host-${this.#incarnationCount}`);
+    this.#options.store.write('hosts', entry.id, JSON.stringify(entry));
+  }
+
+  #createHost(machine: EmulatedMachine, id: string): EmulatedHost {
+    const { clock, script } = this.#options;
     const entry = {
-      id: `host-${this.#incarnationCount}`,
+      id,
       pool: machine.pool,
       address: this.#options.toAddress?.(machine.name) ?? machine.name,
       dataCentre: 'dc-1',
@@ -291,19 +313,17 @@
       rack: machine.rack,
       capacity: DEFAULT_CAPACITY,
       clockMs: 0,
-      startedAtMs: undefined,
+      startedAtMs: Math.floor(clock.readWall()),
       machine: machine.name,
       remainingMs: undefined,
     };
-    Object.assign(machine, {
-      state: 'up',
-      host: new EmulatedHost(entry, {
-        clock,
-        script,
-        onStart: (run) => this.started.push(run),
-      }),
+    const host = new EmulatedHost(entry, {
+      clock,
+      script,
+      onStart: (run) => this.started.push(run),
     });
-    store.write('hosts', entry.id, JSON.stringify(entry));
+    Object.assign(machine, { state: 'up', host });
+    return host;
   }
 
   #endHost(machine: EmulatedMachine): void {
--- a/src/emulator/EmulatedHost.ts
+++ b/src/emulator/EmulatedHost.ts
@@ -205,7 +205,7 @@
       type: 'report',
       report: {
         clockMs: this.clockMs,
-        startedAtMs: undefined,
+        startedAtMs: this.entry.startedAtMs,
         running,
         ended: [...this.#unacknowledgedEnds],
       },
--- a/src/node/HoldScheduler.ts
+++ b/src/node/HoldScheduler.ts
@@ -24,6 +24,12 @@
   onHoldResult: (host: ManagedHost, outcome: HoldOutcome, sentAt: number) => void;
 }
 
+/** Acknowledged ends of a host; their numbers refer to the incarnation after its restarts so far. */
+interface Acknowledgement {
+  sequence: number;
+  restartCount: number;
+}
+
 /**
  * Schedules the holds of one host, which renew its lease and acknowledge ended runs.
  *
@@ -42,7 +48,13 @@
 
   #timer: NodeJS.Timeout | undefined;
 
-  #acknowledgedEnd = 0;
+  /** The last hold was answered by a report. */
+  #isAnswering = false;
+
+  /** Acknowledgement of the last hold, and the last one that was answered. */
+  #sent: Acknowledgement = { sequence: 0, restartCount: 0 };
+
+  #delivered: Acknowledgement = { sequence: 0, restartCount: 0 };
 
   #isClosed = false;
 
@@ -62,10 +74,9 @@
     if (!this.#isHolding && this.#timer === undefined && this.#isHoldNeeded()) this.#hold();
   }
 
-  /** Acknowledges the ends up to a sequence number; their effects are recorded in the store. */
-  acknowledge(sequence: number): void {
-    if (sequence <= this.#acknowledgedEnd) return;
-    this.#acknowledgedEnd = sequence;
+  /** Schedules a hold that acknowledges the ends whose effects have been recorded in the store. */
+  acknowledge(): void {
+    if (!this.#hasUndeliveredAcknowledgement()) return;
     if (!this.#isHolding && this.#isHoldNeeded()) this.#schedule(0);
     else if (!this.#isHolding) this.#schedule(UNACKNOWLEDGED_DELAY_MS);
   }
@@ -73,11 +84,14 @@
   /** Schedules the next hold after a report was applied; undefined if the hold failed. */
   handleReport(report: HostReport | undefined): void {
     this.#isHolding = false;
+    this.#isAnswering = report !== undefined;
     if (report === undefined) {
       if (this.#isHoldNeeded()) this.#schedule(RETRY_DELAY_MS);
       return;
     }
-    if (this.#hasUnacknowledgedEnds()) this.#schedule(UNACKNOWLEDGED_DELAY_MS);
+    if (this.#sent.sequence > 0) this.#delivered = this.#sent;
+    if (this.#hasUndeliveredAcknowledgement()) this.#schedule(0);
+    else if (this.#hasUnacknowledgedEnds()) this.#schedule(UNACKNOWLEDGED_DELAY_MS);
     else if (this.#host.hasUnwantedRuns) this.#schedule(UNWANTED_DELAY_MS);
     else if (this.#isHoldNeeded()) this.#schedule(this.#options.getPauseMs());
   }
@@ -89,7 +103,13 @@
   }
 
   #hasUnacknowledgedEnds(): boolean {
-    return this.#host.processedEnd > this.#acknowledgedEnd;
+    return this.#host.processedEnd > this.#host.acknowledgedEnd;
+  }
+
+  #hasUndeliveredAcknowledgement(): boolean {
+    const { acknowledgedEnd, restartCount } = this.#host;
+    const isCurrent = this.#delivered.restartCount === restartCount;
+    return acknowledgedEnd > (isCurrent ? this.#delivered.sequence : 0);
   }
 
   #isHoldNeeded(): boolean {
@@ -118,10 +138,15 @@
     const leaseEndMs = shouldRenew
       ? host.computeLeaseEnd(this.#options.leaseMs, sentAt)
       : undefined;
-    const canWait = hasRuns && host.isFenced && !this.#hasUnacknowledgedEnds();
+    // After a failed hold the host may have restarted unnoticed: an acknowledgement would then make
+    // it forget ends that have not been reported.
+    const canAcknowledge = this.#isAnswering && this.#hasUndeliveredAcknowledgement();
+    const acknowledged = canAcknowledge ? host.acknowledgedEnd : 0;
+    this.#sent = { sequence: acknowledged, restartCount: host.restartCount };
+    const canWait = hasRuns && host.isFenced && this.#isAnswering && !this.#hasUnacknowledgedEnds();
     const order: HoldOrder = {
       token: this.#options.token,
-      acknowledged: this.#acknowledgedEnd,
+      acknowledged,
       ...(leaseEndMs === undefined ? {} : { leaseEndMs }),
       waitMs: canWait ? HOLD_WAIT_MS : 0,
     };
--- a/src/node/HostLink.ts
+++ b/src/node/HostLink.ts
@@ -18,6 +18,8 @@
 
 /** Messages of a `HostLink`. */
 export type HostLinkMessage =
+  /** A host that has restarted under its identifier may have another address. */
+  | { type: 'set-target'; target: HostTarget }
   | { type: 'check-health'; path: string; reply: (isWell: HealthCheckResult) => void }
   | { type: 'hold'; order: HoldOrder; reply: (outcome: HoldOutcome) => void }
   | {
@@ -26,11 +28,11 @@
       reply: (outcome: OrderOutcome) => void;
     };
 
-/** Link to one incarnation of a host: owns the connections and sends holds and orders over them. */
+/** Link to a host: owns the connections and sends holds and orders over them. */
 export class HostLink extends Actor<HostLinkMessage> {
   readonly #context: NodeContext;
 
-  readonly #target: HostTarget;
+  #target: HostTarget;
 
   constructor(context: NodeContext, target: HostTarget) {
     super(context.scope, `host-${target.id}`);
@@ -40,7 +42,8 @@
 
   protected override receive(message: HostLinkMessage): void {
     // Responses are not awaited here, since an order must not wait for a long-polling hold.
-    if (message.type === 'hold') this.#hold(message.order).then(message.reply);
+    if (message.type === 'set-target') this.#setTarget(message.target);
+    else if (message.type === 'hold') this.#hold(message.order).then(message.reply);
     else if (message.type === 'check-health') this.#checkHealth(message.path).then(message.reply);
     else this.#order(message.send).then(message.reply);
   }
@@ -50,6 +53,12 @@
     super.close();
   }
 
+  #setTarget(target: HostTarget): void {
+    if (target.address === this.#target.address) return;
+    this.#context.hosts.closeConnections(this.#target);
+    this.#target = target;
+  }
+
   async #hold(order: HoldOrder): Promise<HoldOutcome> {
     try {
       return await this.#context.hosts.hold(this.#target, order);
--- a/src/node/Node.property.test.ts
+++ b/src/node/Node.property.test.ts
@@ -40,7 +40,17 @@
   { weight: 1, arbitrary: fc.record({ type: fc.constant('expire' as const) }) },
   { weight: 2, arbitrary: fc.record({ type: fc.constant('wait' as const), ms: fc.nat(600) }) },
 );
-type Action = typeof action extends fc.Arbitrary<infer T> ? T : never;
+/** Restart of a host under its identifier; its entry follows after a delay in ms. */
+const reboot = fc.record({
+  type: fc.constant('reboot' as const),
+  machine,
+  registersAfterMs: fc.nat(1_500),
+});
+const actionOrReboot = fc.oneof(
+  { weight: 12, arbitrary: action },
+  { weight: 3, arbitrary: reboot },
+);
+type Action = typeof actionOrReboot extends fc.Arbitrary<infer T> ? T : never;
 
 class FaultScenario {
   readonly #cluster: NodeCluster;
@@ -85,6 +95,9 @@
       case 'cut':
         cluster.fleet.setPartitioned(step.machine, step.isCut);
         break;
+      case 'reboot':
+        cluster.fleet.reboot(step.machine, step.registersAfterMs);
+        break;
       case 'expire':
         cluster.store.expire('work');
         break;
@@ -158,30 +171,42 @@
   };
 }
 
+/** Plays generated scenarios with random faults of orders and checks the guarantees after each. */
+async function assertScenarios(
+  steps: fc.Arbitrary<Action[]>,
+  { numRuns }: { numRuns: number },
+): Promise<void> {
+  await fc.assert(
+    fc.asyncProperty(steps, fc.nat(), async (scenario, faultSeed) => {
+      const cluster = new NodeCluster({
+        nodes: NODES,
+        machines: MACHINES,
+        script: () => ({ runMs: 120, outcome: 'done' }),
+        sampleFault: createFaultSampler(faultSeed),
+      });
+      try {
+        const run = new FaultScenario(cluster);
+        for (const step of scenario) await run.apply(step);
+        await run.check();
+      } finally {
+        cluster.close();
+      }
+    }),
+    { seed: readSeed(), numRuns, endOnFailure: true },
+  );
+}
+
+const STEP_COUNT = { minLength: 20, maxLength: 50 };
+
 describe('Node with random faults', () => {
-  it('completes accepted jobs and neither runs refused jobs nor duplicates tasks', async () => {
-    const seed = readSeed();
-    await fc.assert(
-      fc.asyncProperty(
-        fc.array(action, { minLength: 20, maxLength: 50 }),
-        fc.nat(),
-        async (steps, faultSeed) => {
-          const cluster = new NodeCluster({
-            nodes: NODES,
-            machines: MACHINES,
-            script: () => ({ runMs: 120, outcome: 'done' }),
-            sampleFault: createFaultSampler(faultSeed),
-          });
-          try {
-            const run = new FaultScenario(cluster);
-            for (const step of steps) await run.apply(step);
-            await run.check();
-          } finally {
-            cluster.close();
-          }
-        },
-      ),
-      { seed, numRuns: Number(process.env.FAULT_RUNS ?? 4), endOnFailure: true },
-    );
-  });
+  it('completes accepted jobs and neither runs refused jobs nor duplicates tasks', () =>
+    assertScenarios(fc.array(action, STEP_COUNT), {
+      numRuns: Number(process.env.FAULT_RUNS ?? 4),
+    }));
+
+  // Guards against runs that are lost or doubled when a host starts again under its identifier.
+  it('keeps these guarantees while hosts restart under their identifiers', () =>
+    assertScenarios(fc.array(actionOrReboot, STEP_COUNT), {
+      numRuns: Number(process.env.FAULT_RUNS ?? 2),
+    }));
 });
--- a/src/node/Node.test.ts
+++ b/src/node/Node.test.ts
@@ -215,6 +215,19 @@
       await waitFor('restarted tasks', () => cluster.fleet.started.length >= 6, 5_000);
     }));
 
+  // Guards against two runs of one task (TWICE): an idle host that had started again under its
+  // identifier accepted a start, and its next report was taken for the end of that run.
+  it('runs each task once while a host restarts under its identifier', () =>
+    withCluster({ script: () => ({ runMs: 600, outcome: 'done' }) }, async (cluster) => {
+      const spread = [{ ...STEPS[0], maxPerHost: 1 }];
+      await cluster.submit('node-0', 'a', spread);
+      await waitFor('a completed job', isCompleted(cluster, 'node-0', 'a'));
+      cluster.fleet.reboot('m-0', 1_000);
+      await cluster.submit('node-0', 'b', spread);
+      await waitFor('a completed job', isCompleted(cluster, 'node-0', 'b'));
+      assert.equal(cluster.fleet.started.length, 6);
+    }));
+
   // Guards against a new owner that issues an order for a machine right after its predecessor did.
   it('records machine orders before it sends them', async () => {
     const unrecorded: string[] = [];
--- a/src/node/ShardOwner.ts
+++ b/src/node/ShardOwner.ts
@@ -56,12 +56,19 @@
   | { type: 'append-result'; result: OwnerWriteResult; batch: AppendBatch }
   | { type: 'release'; reply: (isDone: boolean) => void };
 
+/** Ends of a host up to a sequence number, in the incarnation after its restarts so far. */
+interface RecordedEnd {
+  host: ManagedHost;
+  sequence: number;
+  restartCount: number;
+}
+
 /** Contents of an append whose effects depend on its result. */
 interface AppendBatch {
   append: OwnerAppend;
   jobs: ScheduledJob[];
   /** Highest end of each host that was processed before the append. */
-  ends: [ManagedHost, number][];
+  ends: RecordedEnd[];
   isRelease: boolean;
   /** Machine orders that the append records and that are sent after it succeeded. */
   machineOrders: MachineCommand[];
@@ -434,6 +441,7 @@
       if (record.type === 'gone') this.#shard.removeHost(record.id);
       if (record.type !== 'entry') return;
       const { host, isNew } = this.#shard.updateHost(record.entry);
+      this.#holdSchedulers.get(host)?.link.send({ type: 'set-target', target: host.entry });
       if (!isNew || this.#holdSchedulers.has(host)) return;
       this.#holdSchedulers.set(
         host,
@@ -524,7 +532,10 @@
     this.#startsBeingRecorded = this.#unrecordedStarts.splice(0);
     const ends = [...this.#holdSchedulers.keys()]
       .filter((host) => host.processedEnd > host.acknowledgedEnd)
-      .map((host): [ManagedHost, number] => [host, host.processedEnd]);
+      .map((host): RecordedEnd => {
+        const { processedEnd: sequence, restartCount } = host;
+        return { host, sequence, restartCount };
+      });
     const append = this.#records.build({
       jobs,
       waves,
@@ -565,9 +576,9 @@
     batch.jobs.forEach(({ id, endedAtMs }) => {
       if (endedAtMs !== undefined) this.#records.addFinishedJob(id, endedAtMs);
     });
-    batch.ends.forEach(([host, number]) => {
-      host.acknowledge(number);
-      this.#holdSchedulers.get(host)?.acknowledge(number);
+    batch.ends.forEach(({ host, sequence, restartCount }) => {
+      host.acknowledge(sequence, restartCount);
+      this.#holdSchedulers.get(host)?.acknowledge();
     });
     if (batch.isRelease) {
       const reply = this.#replyToRelease;
--- a/src/schedule/HostTable.ts
+++ b/src/schedule/HostTable.ts
@@ -31,18 +31,12 @@
     return this.#hosts.get(id);
   }
 
-  /** Adds or updates a host; returns the incarnation that it replaces, if any. */
-  update(entry: HostEntry, now: number): { host: ManagedHost; replaced: ManagedHost | undefined } {
+  /** Adds a host, or updates it with an entry of its last known incarnation. */
+  update(entry: HostEntry, now: number): ManagedHost {
     const known = this.#hosts.get(entry.id);
-    if (known === undefined) return { host: this.#add(entry, now), replaced: undefined };
-    const isSameIncarnation =
-      known.entry.startedAtMs === undefined ||
-      entry.startedAtMs === undefined ||
-      known.entry.startedAtMs === entry.startedAtMs;
-    if (!isSameIncarnation) return { host: this.#add(entry, now), replaced: known };
-    known.entry = { ...entry, machine: entry.machine ?? known.entry.machine };
-    known.isListed = true;
-    return { host: known, replaced: undefined };
+    if (known === undefined) return this.#add(entry, now);
+    known.updateEntry(entry);
+    return known;
   }
 
   /** Adds a host that only the machine list names: it may have runs, and its address is unknown. */
--- a/src/schedule/ManagedHost.ts
+++ b/src/schedule/ManagedHost.ts
@@ -9,7 +9,16 @@
 /** Resources reserved for a task on a host. */
 export type ResourceRequest = Capacity;
 
-/** One incarnation of an upstream host, as known to the owner of the shard. */
+/** How a start time relates an entry or a report to the known incarnation of its host. */
+export type IncarnationOrder = 'same' | 'former' | 'later';
+
+/**
+ * An upstream host, as known to the owner of the shard.
+ *
+ * A host that starts again usually gets a new identifier and is another `ManagedHost`. It may also
+ * keep its identifier; then orders that were sent before the owner noticed it may have been executed
+ * by the later incarnation, and `startIncarnation` resets only what refers to the former one.
+ */
 export class ManagedHost {
   entry: HostEntry;
 
@@ -60,12 +69,27 @@
   /** Monotonic time since which the host has had no runs. */
   idleSince: number;
 
-  /** Highest sequence number of a processed end of a run. */
+  /** Highest sequence number of a processed end of a run in this incarnation. */
   processedEnd = 0;
 
   /** Highest sequence number that may be acknowledged, since its effect has been stored. */
   acknowledgedEnd = 0;
 
+  /** Number of restarts under the same identifier that the owner has noticed. */
+  restartCount = 0;
+
+  /**
+   * The host has restarted, and no report of the later incarnation has been processed. It may run
+   * what it accepted before the owner noticed the restart.
+   */
+  isRestarting = false;
+
+  /** Start time of the last known incarnation, in ms since the Unix epoch. */
+  #startedAtMs: number | undefined;
+
+  /** Start times of the incarnations before it; their messages may still arrive. */
+  readonly #formerStartTimes = new Set<number>();
+
   /** Monotonic time until which runs of a previous owner may exist; 0 after the first response. */
   reservedUntil = 0;
 
@@ -75,6 +99,9 @@
 
   #leaseEndMs = 0;
 
+  /** Monotonic time of the last order that may have granted a lease. */
+  #leaseGrantedAt = 0;
+
   /** Latest expiry, on the host's clock, of leases granted by previous owners. */
   #inheritedLeaseEndMs = 0;
 
@@ -88,6 +115,7 @@
     this.entry = entry;
     this.discoveredAt = now;
     this.idleSince = now;
+    this.#startedAtMs = entry.startedAtMs;
     if (entry.clockMs !== undefined) this.setClock(entry.clockMs, now);
   }
 
@@ -118,9 +146,13 @@
     this.#clockReadAt = now;
   }
 
-  /** Marks the ends up to a sequence number as stored. */
-  acknowledge(number: number): void {
-    this.acknowledgedEnd = Math.max(this.acknowledgedEnd, number);
+  /**
+   * Marks the ends up to a sequence number as stored. The number is ignored if the host has
+   * restarted since: it refers to the ends of a former incarnation.
+   */
+  acknowledge(sequence: number, restartCount: number): void {
+    if (restartCount !== this.restartCount) return;
+    this.acknowledgedEnd = Math.max(this.acknowledgedEnd, sequence);
   }
 
   /** Marks whether an order that ends the incarnation is under way. */
@@ -143,7 +175,10 @@
    * their lease, which may last for up to `inheritedLeaseMs` from now.
    */
   fence(inheritedLeaseMs: number): void {
-    if (!this.isFenced) this.#inheritedLeaseEndMs = (this.#clockMs ?? 0) + inheritedLeaseMs;
+    if (!this.isFenced) {
+      this.#inheritedLeaseEndMs = (this.#clockMs ?? 0) + inheritedLeaseMs;
+      this.#leaseGrantedAt = Math.max(this.#leaseGrantedAt, this.#clockReadAt);
+    }
     this.isFenced = true;
     this.reservedUntil = 0;
   }
@@ -203,31 +238,79 @@
     if (clockMs !== undefined) this.setClock(clockMs, now);
   }
 
-  /** Checks, by the start times, whether a report comes from another incarnation of the host. */
-  isOtherIncarnation(report: HostReport): boolean {
-    const { startedAtMs: known } = this.entry;
-    return known !== undefined && report.startedAtMs !== undefined && known !== report.startedAtMs;
+  /**
+   * Compares the incarnation that wrote an entry or a report with the known one. The start times are
+   * not compared by size, since the clock that they are read from may be set.
+   */
+  compareIncarnation({ startedAtMs }: Pick<HostReport, 'startedAtMs'>): IncarnationOrder {
+    if (startedAtMs === undefined || this.#startedAtMs === undefined) return 'same';
+    if (startedAtMs === this.#startedAtMs) return 'same';
+    return this.#formerStartTimes.has(startedAtMs) ? 'former' : 'later';
+  }
+
+  /** Replaces the entry with a newer one of the same incarnation. */
+  updateEntry(entry: HostEntry): void {
+    this.entry = { ...entry, machine: entry.machine ?? this.entry.machine };
+    this.#startedAtMs ??= entry.startedAtMs;
+    this.isListed = true;
+  }
+
+  /**
+   * Begins a later incarnation with the same identifier.
+   *
+   * The runs are kept, since the host may have accepted them after its restart; the next report
+   * shows which of them exist. What was stopped before the restart may be started by a delayed order,
+   * so it has to be stopped again.
+   *
+   * @param leasesUntil Monotonic time until which leases may last that it has granted unnoticed.
+   */
+  startIncarnation(startedAtMs: number | undefined, leasesUntil: number): void {
+    if (this.#startedAtMs !== undefined) this.#formerStartTimes.add(this.#startedAtMs);
+    this.#startedAtMs = startedAtMs;
+    this.restartCount += 1;
+    this.isRestarting = true;
+    this.isFenced = false;
+    this.hasUnwantedRuns = false;
+    this.processedEnd = 0;
+    this.acknowledgedEnd = 0;
+    this.#clockMs = undefined;
+    this.#leaseEndMs = 0;
+    this.#inheritedLeaseEndMs = 0;
+    this.reserve(leasesUntil);
+    this.suspendedUntil = 0;
+    this.recordOutcome('', false);
+    this.runs.forEach((run) => run.withdrawStopAnswer());
+  }
+
+  /** Marks the first report after a restart as processed. */
+  finishRestart(): void {
+    this.isRestarting = false;
   }
 
   /** Computes the expiry of a new lease on the host's clock; undefined if that clock is unknown. */
   computeLeaseEnd(leaseMs: number, now: number): number | undefined {
     if (this.#clockMs === undefined) return undefined;
+    this.#leaseGrantedAt = now;
     const end = Math.floor(this.#clockMs + (now - this.#clockReadAt) + leaseMs);
     this.#leaseEndMs = Math.max(this.#leaseEndMs, end);
     return this.#leaseEndMs;
   }
 
-  /** Computes the monotonic time by which all leases granted to the host have expired. */
-  computeLeaseExpiry(): number {
+  /**
+   * Computes the monotonic time by which all leases granted to the host have expired. The clock of a
+   * host that has restarted unnoticed starts anew, so a lease may seem longer than it can be.
+   */
+  computeLeaseExpiry(maxLeaseMs: number): number {
     if (this.#clockMs === undefined) return this.reservedUntil;
     const remainingMs = Math.max(
       0,
       Math.max(this.#leaseEndMs, this.#inheritedLeaseEndMs) - this.#clockMs,
     );
-    return Math.max(
-      this.reservedUntil,
-      this.#clockReadAt + remainingMs * (1 + MAX_CLOCK_DRIFT) + LEASE_MARGIN_MS,
+    const expiry = Math.min(
+      this.#clockReadAt + remainingMs * (1 + MAX_CLOCK_DRIFT),
+      this.#leaseGrantedAt + maxLeaseMs * (1 + MAX_CLOCK_DRIFT),
     );
+    return Math.max(this.reservedUntil, expiry + LEASE_MARGIN_MS);
   }
 
   /** Checks whether the host has enough free resources. */
@@ -248,6 +331,7 @@
       !this.isLeaving &&
       !this.isEvacuating &&
       !this.hasUnwantedRuns &&
+      this.#hasCurrentEntry &&
       this.isFenced &&
       this.entry.state === 'ready' &&
       this.silentCalls === 0 &&
@@ -255,6 +339,11 @@
     );
   }
 
+  /** Whether the entry describes the last known incarnation, which may have another capacity. */
+  get #hasCurrentEntry(): boolean {
+    return this.compareIncarnation(this.entry) === 'same';
+  }
+
   /** Finds a run by its task and number. */
   findRun(task: string, number: number): Run | undefined {
     return this.runs.get(`${task}#${number}`);
--- a/src/schedule/Run.ts
+++ b/src/schedule/Run.ts
@@ -110,6 +110,19 @@
     this.stopOrderedAt = now;
   }
 
+  /** Withdraws the answer to a stop: the host has restarted and does not know of the stop. */
+  withdrawStopAnswer(): void {
+    this.stopAnsweredAt = undefined;
+  }
+
+  /**
+   * Checks whether the host had confirmed the start before a given time, so that a report on a hold
+   * sent then lists the run if it still exists.
+   */
+  isConfirmedBefore(sentAt: number): boolean {
+    return this.startedAt !== undefined && this.seenAt < sentAt;
+  }
+
   /** Applies the entry of the run in a host report. */
   update({ checkpoint, percent, load }: ActiveRun, now: number): void {
     this.confirm(now);
--- a/src/schedule/RunTracker.ts
+++ b/src/schedule/RunTracker.ts
@@ -156,8 +156,12 @@
       else host.hasUnwantedRuns = true;
     });
     [...host.runs.values()].forEach((run) => {
-      if (!listed.has(run)) this.#handleUnlisted(run, sentAt, now);
+      if (listed.has(run)) return;
+      // The run ended with the former incarnation of the host.
+      if (host.isRestarting && run.isConfirmedBefore(sentAt)) RunTracker.#release(run, now, 0);
+      else this.#handleUnlisted(run, sentAt, now);
     });
+    host.finishRestart();
   }
 
   /** Releases all runs of a host, once none of them can exist any more. */
--- a/src/schedule/Shard.ts
+++ b/src/schedule/Shard.ts
@@ -225,16 +225,18 @@
     const known = this.#hosts.get(entry.id);
     // A host that was added from the machine list has no address until its entry is read.
     const hadAddress = known !== undefined && known.entry.address !== '';
-    const { host, replaced } = this.#hosts.update(entry, now);
-    if (replaced !== undefined) this.#endIncarnation(replaced, 'other-life', now);
+    const incarnation = known?.compareIncarnation(entry);
+    if (known !== undefined && incarnation === 'former') return { host: known, isNew: false };
+    if (known !== undefined && incarnation === 'later')
+      this.#startIncarnation(known, entry, 'entry');
+    const host = this.#hosts.update(entry, now);
     if (host.entry.state === 'draining') this.#stopLastingRuns(host, now);
-    const isNew = known !== host || !hadAddress;
-    if (isNew && replaced === undefined && !this.#takeover.isFirst && known === undefined) {
+    if (known === undefined && !this.#takeover.isFirst) {
       // A host that started after the claim has no runs of previous owners, but its entry does not
       // show when it started. Its first report does.
       host.reserve(this.#computeReservedUntil());
     }
-    return { host, isNew };
+    return { host, isNew: !hadAddress };
   }
 
   /** Marks a host as missing from the host list; it may still have runs. */
@@ -308,9 +310,14 @@
   reportHold(host: ManagedHost, report: HostReport, sentAt: number): ReportResult {
     const now = this.#now;
     if (host.hasEnded) return 'ok';
-    if (host.isOtherIncarnation(report)) return this.#handleResult(host, 'other-life');
+    const incarnation = host.compareIncarnation(report);
+    if (incarnation === 'former') return 'ok';
+    if (incarnation === 'later') this.#startIncarnation(host, report, 'report');
+    // A later owner may have noticed the restart, too, and have started the tasks elsewhere.
+    if (host.isRestarting && this.#isDetached) return 'ok';
     host.setClock(report.clockMs, now);
-    host.fence(this.#takeover.isFirst ? 0 : this.#options.maxLeaseMs);
+    const hasUnknownLeases = !this.#takeover.isFirst || host.restartCount > 0;
+    host.fence(hasUnknownLeases ? this.#options.maxLeaseMs : 0);
     this.#runTracker.reportHold(host, report, sentAt, now);
     this.#hostMonitor.handleReport(host, this.#pools.get(host.pool)?.healthPath, now);
     InterferenceControl.plan(host).forEach(({ run, percent }) => {
@@ -450,6 +457,25 @@
     return result;
   }
 
+  /** Handles the news that a host has started again under its identifier. */
+  #startIncarnation(
+    host: ManagedHost,
+    { startedAtMs }: Pick<HostReport, 'startedAtMs'>,
+    source: 'entry' | 'report',
+  ): void {
+    this.#output.record({
+      decision: 'host-restarted',
+      subject: host.id,
+      inputs: { machine: host.machine, source, startedAtMs, runs: host.runs.size },
+    });
+    host.startIncarnation(
+      startedAtMs,
+      this.#now + this.#options.maxLeaseMs * (1 + MAX_CLOCK_DRIFT),
+    );
+    this.#faultyHosts.remove(host);
+    this.#hostMonitor.remove(host);
+  }
+
   #endIncarnation(host: ManagedHost, proof: string, now: number): void {
     if (host.hasEnded || this.#isDetached) return;
     host.markEnded();
@@ -468,7 +494,8 @@
   #expireLeases(now: number): void {
     [...this.#hosts.hosts].forEach((host) => {
       const isSilent = host.silentCalls > 0 || !host.isListed;
-      const hasExpired = !this.#isDetached && host.computeLeaseExpiry() < now;
+      const hasExpired =
+        !this.#isDetached && host.computeLeaseExpiry(this.#options.maxLeaseMs) < now;
       if (isSilent && host.runs.size > 0 && hasExpired) {
         // Only the runs have ended: the host itself may respond again.
         this.#output.record({
