Count a job as waiting until a host has started one of its tasks

Cause: the owner records a job's progress before it orders the first start, so that a successor knows about it, and every job with a progress record counted as begun. Ruled out: outdated views (all nodes had read the records) and the store, which was not disturbed.

Change: progress records say whether a host has started a task, by the answer to a start, a report or an end. Nodes count and describe by that field. The record that says so waits for the next append, at the latest the next heartbeat. Records of older versions count as begun.

--- a/src/emulator/NodeCluster.ts
+++ b/src/emulator/NodeCluster.ts
@@ -162,6 +162,12 @@
     }
   }
 
+  /** Counts the waiting jobs as a node reports them; undefined if it does not answer. */
+  async countWaiting(name: string): Promise<number | undefined> {
+    const answer = await this.get(name)?.jobService.countWaiting(this.queue);
+    return answer?.type === 'waiting' ? answer.count : undefined;
+  }
+
   /** Finds the node that owns the shard. */
   findOwner(): string | undefined {
     return findOwner(this.store);
--- a/src/node/Node.test.ts
+++ b/src/node/Node.test.ts
@@ -215,6 +215,30 @@
       await waitFor('restarted tasks', () => cluster.fleet.started.length >= 6, 5_000);
     }));
 
+  // Guards against a count of waiting jobs that is too low (MIXED): the owner had recorded a start
+  // whose order no host executed.
+  it('counts a job as waiting at every node while no host has started a task of it', () =>
+    withCluster({}, async (cluster) => {
+      const machines = cluster.fleet.listMachines().map(({ name }) => name);
+      const spread = [{ ...STEPS[0], maxPerHost: 1 }];
+      await cluster.submit('node-0', 'a', spread);
+      await waitFor('a completed job', isCompleted(cluster, 'node-0', 'a'));
+      machines.forEach((name) => cluster.fleet.setPartitioned(name, true));
+      await cluster.submit('node-0', 'b', spread);
+      await waitFor('unanswered starts', () =>
+        machines.every((name) => cluster.fleet.countFailedCalls(name) >= 2),
+      );
+      for (const name of cluster.names) {
+        assert.equal(await cluster.findJobState(name, 'b'), 'queued');
+        assert.equal(await cluster.countWaiting(name), 1);
+      }
+      machines.forEach((name) => cluster.fleet.setPartitioned(name, false));
+      for (const name of cluster.names) {
+        await waitFor('no waiting job', async () => (await cluster.countWaiting(name)) === 0);
+      }
+      await waitFor('a completed job', isCompleted(cluster, 'node-0', 'b'));
+    }));
+
   // Guards against two runs of one task (TWICE): an idle host that had started again under its
   // identifier accepted a start, and its next report was taken for the end of that run.
   it('runs each task once while a host restarts under its identifier', () =>
--- a/src/schedule/JobTable.ts
+++ b/src/schedule/JobTable.ts
@@ -19,6 +19,9 @@
   /** Jobs whose progress has changed since it was last recorded. */
   readonly #dirty = new Set<ScheduledJob>();
 
+  /** Jobs that have begun since their progress was last recorded; the next append records them. */
+  readonly #begun = new Set<ScheduledJob>();
+
   readonly #output: ShardOutput;
 
   constructor(output: ShardOutput) {
@@ -81,19 +84,26 @@
     return this.#jobs.get(id)?.occurrences.get(occurrence)?.steps[step]?.findUnit(index);
   }
 
-  /** Marks the occurrence of a unit as started, so that its job no longer counts as waiting. */
-  markOccurrenceStarted({ step }: WorkUnit): void {
+  /** Records that the start of a run is about to be ordered; a later owner has to know of it. */
+  recordStart({ step }: WorkUnit): void {
     const { occurrence } = step;
-    if (occurrence.hasStarted) return;
     occurrence.hasStarted = true;
-    occurrence.job.hasStarted = true;
     this.#dirty.add(occurrence.job);
   }
 
-  /** Marks the job of a unit as dirty, so that the start of a run is recorded. */
-  recordStart(unit: WorkUnit): void {
-    this.markOccurrenceStarted(unit);
-    this.#dirty.add(unit.step.occurrence.job);
+  /**
+   * Records that a host has started a run of a unit, so that its job no longer counts as waiting. It
+   * may count as waiting a little longer, so this causes no append by itself.
+   */
+  recordBegin({ step }: WorkUnit): void {
+    const { occurrence } = step;
+    const { job } = occurrence;
+    if (job.finalState !== undefined) return;
+    if (!occurrence.hasStarted) this.#dirty.add(job);
+    occurrence.hasStarted = true;
+    if (job.hasBegun) return;
+    job.hasBegun = true;
+    this.#begun.add(job);
   }
 
   /** Marks a unit as done, and also its step, occurrence and job if it was their last one. */
@@ -134,9 +144,10 @@
 
   /** Returns the jobs whose progress has to be recorded, and clears the set. */
   takeDirtyJobs(): ScheduledJob[] {
-    const jobs = [...this.#dirty];
+    const jobs = new Set([...this.#dirty, ...this.#begun]);
     this.#dirty.clear();
-    return jobs;
+    this.#begun.clear();
+    return [...jobs];
   }
 
   get hasDirtyJobs(): boolean {
--- a/src/schedule/Occurrence.ts
+++ b/src/schedule/Occurrence.ts
@@ -5,7 +5,7 @@
 export class Occurrence {
   readonly steps: ScheduledStep[];
 
-  /** At least one of its tasks has been started. */
+  /** The start of at least one of its tasks has been ordered. */
   hasStarted = false;
 
   constructor(
--- a/src/schedule/RunTracker.ts
+++ b/src/schedule/RunTracker.ts
@@ -93,6 +93,7 @@
     host.recordResponse(outcome.clockMs, now);
     if (outcome.type === 'done') {
       if (run.state === 'starting') run.confirm(now);
+      this.#jobs.recordBegin(run.unit);
       return 'ok';
     }
     this.#output.record({
@@ -206,6 +207,7 @@
     const run = host.findRun(listed.task, listed.run) ?? this.#adopt(host, listed, now);
     if (run === undefined) return undefined;
     run.update(listed, now);
+    this.#jobs.recordBegin(run.unit);
     const { spec, step } = run.unit;
     if (!spec.isLasting) {
       const estimateMs = this.#estimator.estimate(step.occurrence.job.queue.name, spec);
@@ -287,7 +289,7 @@
         : this.#jobs.findUnit(id.job, id.occurrence, id.step, id.index));
     if (unit === undefined) return;
     // A previous owner may have started the run without recording any progress of the job.
-    this.#jobs.markOccurrenceStarted(unit);
+    this.#jobs.recordBegin(unit);
     unit.lastRunNumber = Math.max(unit.lastRunNumber, end.run);
     if (end.checkpoint !== '' && unit.spec.checkpoints) unit.checkpoint = end.checkpoint;
     if (end.outcome === 'done') this.#handleDone(host, unit, run, now);
--- a/src/schedule/ScheduledJob.ts
+++ b/src/schedule/ScheduledJob.ts
@@ -25,8 +25,8 @@
 
   endedAtMs: number | undefined;
 
-  /** At least one of its tasks has been started. */
-  hasStarted = false;
+  /** A host has started at least one of its tasks. */
+  hasBegun = false;
 
   /** Number of failed runs of all of its tasks. */
   failures = 0;
@@ -106,6 +106,7 @@
     return {
       token,
       state: this.finalState ?? 'active',
+      hasBegun: this.hasBegun,
       ...(this.reason === undefined ? {} : { reason: this.reason }),
       ...(this.endedAtMs === undefined ? {} : { endedAtMs: this.endedAtMs }),
       finishedBelow: this.#finishedBelow,
@@ -145,7 +146,7 @@
 
   #restore(progress: JobProgress | undefined): void {
     if (progress === undefined) return;
-    this.hasStarted = true;
+    this.hasBegun = progress.hasBegun;
     this.#finishedBelow = progress.finishedBelow;
     progress.finished.forEach((number) => this.#finished.add(number));
     if (progress.state !== 'active') this.finalState = progress.state;
--- a/src/schedule/Shard.test.ts
+++ b/src/schedule/Shard.test.ts
@@ -77,6 +77,25 @@
     assert.equal(rig.plan().filter(({ type }) => type === 'start').length, 1);
   });
 
+  // Guards against jobs that are counted as begun although no host has started a task of them (MIXED).
+  it('records a job as begun only when a host has started one of its tasks', () => {
+    const rig = new ScheduleRig();
+    rig.addHost('h1');
+    rig.shard.addJob(buildTrackedJob('a', [{ count: 1, cpuMilli: 1_000 }]));
+    const [command] = rig.plan();
+    assert.ok(command?.type === 'start');
+    const isRecordedAsBegun = (): boolean | undefined =>
+      rig.shard.takeDirtyJobs()[0]?.describeProgress(1).hasBegun;
+    assert.equal(isRecordedAsBegun(), false);
+    rig.shard.reportStart(command.run, { type: 'unanswered' });
+    assert.equal(isRecordedAsBegun(), undefined);
+    rig.clock.advance(10);
+    rig.report('h1');
+    // The next append records it, which a heartbeat causes at the latest.
+    assert.equal(rig.shard.hasDirtyRecords, false);
+    assert.equal(isRecordedAsBegun(), true);
+  });
+
   it('keeps an unanswered start that the host lists as running', () => {
     const rig = new ScheduleRig();
     rig.addHost('h1');
@@ -112,6 +131,7 @@
     const progress = {
       token: 1,
       state: 'active' as const,
+      hasBegun: true,
       finishedBelow: 0,
       finished: [],
       occurrences: [
@@ -193,6 +213,7 @@
     const progress = {
       token: 1,
       state: 'active' as const,
+      hasBegun: true,
       finishedBelow: 0,
       finished: [],
       occurrences: [
--- a/src/workLog/StoredJob.ts
+++ b/src/workLog/StoredJob.ts
@@ -39,6 +39,9 @@
 
   #progress: JobProgress | undefined;
 
+  /** A progress record showed that a task had been started; no later record takes this back. */
+  #hasBegun = false;
+
   constructor(
     { id, acceptedOffset }: Pick<TrackedJob, 'id' | 'acceptedOffset'>,
     accepted: AcceptedJob,
@@ -72,6 +75,18 @@
     return this.#newest !== undefined || this.#progress !== undefined;
   }
 
+  /**
+   * A task of the job has been started. The newest record is decoded until one shows this, which
+   * costs a few records a job.
+   */
+  get hasBegun(): boolean {
+    if (!this.#hasBegun && this.hasProgress) {
+      const { progress } = this;
+      this.#hasBegun = progress !== undefined && (progress.hasBegun || progress.state !== 'active');
+    }
+    return this.#hasBegun;
+  }
+
   /** Sets the newest progress record. */
   setProgress(value: Buffer): void {
     this.#previous = this.#newest;
--- a/src/workLog/WorkLogRecord.ts
+++ b/src/workLog/WorkLogRecord.ts
@@ -40,6 +40,11 @@
   /** Fencing token of the owner that wrote the record. */
   token: z.number().int(),
   state: z.enum(['active', 'completed', 'failed', 'cancelled']),
+  /**
+   * A host has started at least one task. A record that precedes the first start order does not tell
+   * yet; records of older versions do not tell at all and count as begun.
+   */
+  hasBegun: z.boolean().default(true),
   reason: z.string().optional(),
   /** All occurrences below this number are finished. */
   finishedBelow: z.number().int().nonnegative().default(0),
--- a/src/workLog/WorkLogView.test.ts
+++ b/src/workLog/WorkLogView.test.ts
@@ -55,6 +55,25 @@
     });
   });
 
+  // Guards against jobs that are counted as begun too early (MIXED): the owner records a start before
+  // it orders it, and the order may not be answered.
+  it('counts a job as waiting and queued until a host has started a task', () => {
+    const view = applyAll(
+      buildRecords([
+        ['job/a', JOB],
+        ['progress/a', { ...PROGRESS, hasBegun: false }],
+      ]),
+    );
+    assert.deepEqual(describeView(view), { jobs: [['a', 'queued']], waiting: 1, owner: undefined });
+    const begun = Buffer.from(JSON.stringify({ ...PROGRESS, hasBegun: true }));
+    view.apply({ offset: 2, key: 'progress/a', value: begun });
+    assert.deepEqual(describeView(view), {
+      jobs: [['a', 'running']],
+      waiting: 0,
+      owner: undefined,
+    });
+  });
+
   it('applies a cancellation that is read before its job', () => {
     const view = applyAll(
       buildRecords([
--- a/src/workLog/WorkLogView.ts
+++ b/src/workLog/WorkLogView.ts
@@ -143,8 +143,7 @@
 
   #applyJob(id: string, record: StoreRecord): WorkLogChange | undefined {
     if (record.value === undefined) {
-      this.#changeWaitingCount(this.#jobs.get(id), -1);
-      this.#jobs.delete(id);
+      this.#changeJob(this.#jobs.get(id), () => this.#jobs.delete(id));
       this.#pendingUpdates.delete(id);
       this.#newestOffsets.delete(WorkLogKey.job(id));
       return { type: 'removed', id };
@@ -159,8 +158,7 @@
     if (cancelledAtMs !== undefined) job.cancel(cancelledAtMs);
     if (progress !== undefined) job.setProgress(progress);
     this.#pendingUpdates.delete(id);
-    this.#jobs.set(id, job);
-    this.#changeWaitingCount(job, 1);
+    this.#changeJob(job, () => this.#jobs.set(id, job));
     return { type: 'job', job };
   }
 
@@ -175,8 +173,7 @@
       return undefined;
     }
     if (job.cancelledAtMs !== undefined) return undefined;
-    this.#changeWaitingCount(job, -1);
-    job.cancel(atMs);
+    this.#changeJob(job, () => job.cancel(atMs));
     return { type: 'cancelled', job };
   }
 
@@ -189,8 +186,7 @@
       this.#pendingUpdates.set(id, { ...this.#pendingUpdates.get(id), progress });
       return undefined;
     }
-    this.#changeWaitingCount(job, -1);
-    job.setProgress(value);
+    this.#changeJob(job, () => job.setProgress(value));
     return { type: 'progress', job };
   }
 
@@ -228,11 +224,18 @@
     return { type: 'machine-orders' };
   }
 
-  /** Adjusts the count of waiting jobs; has no effect for a job that is not waiting. */
-  #changeWaitingCount(job: StoredJob | undefined, by: 1 | -1): void {
-    if (job === undefined || job.spec.repeat !== undefined) return;
-    if (job.hasProgress || job.cancelledAtMs !== undefined) return;
-    this.#waitingCounts.set(job.queue, this.countWaiting(job.queue) + by);
+  /** Applies a change to a job, or its addition or removal, and updates the count of waiting jobs. */
+  #changeJob(job: StoredJob | undefined, change: () => void): void {
+    const wasWaiting = this.#isWaiting(job);
+    change();
+    if (job === undefined || wasWaiting === this.#isWaiting(job)) return;
+    this.#waitingCounts.set(job.queue, this.countWaiting(job.queue) + (wasWaiting ? -1 : 1));
+  }
+
+  /** Checks whether the view contains a job of which no task has started. */
+  #isWaiting(job: StoredJob | undefined): boolean {
+    if (job === undefined || this.#jobs.get(job.id) !== job) return false;
+    return job.spec.repeat === undefined && job.cancelledAtMs === undefined && !job.hasBegun;
   }
 
   #decodeProgress(id: string, value: Buffer): JobProgress | undefined {
--- a/src/workLog/describeJobState.ts
+++ b/src/workLog/describeJobState.ts
@@ -18,5 +18,5 @@
 export function describeJobState({ progress, cancelledAtMs }: TrackedJob): JobState {
   if (progress !== undefined && progress.state !== 'active') return progress.state;
   if (cancelledAtMs !== undefined) return 'cancelled';
-  return progress === undefined ? 'queued' : 'running';
+  return progress?.hasBegun === true ? 'running' : 'queued';
 }
