Take no run for lost whose end may be behind the first 500

Cause: a host lists its unacknowledged ends 500 at a time, and without the store none is acknowledged. A run in neither list of two reports was taken for lost. A new owner settled the runs of its predecessor by its first report of a host in the same way. Ruled out: lost leases (they were renewed) and the acknowledgement (none was sent).

Change: the adapter marks a report with 500 ends as possibly incomplete, and such a report says nothing about the runs that it does not list.

--- a/src/emulator/EmulatedHost.ts
+++ b/src/emulator/EmulatedHost.ts
@@ -15,6 +15,9 @@
 /** Duration in ms of a run on a failing host. */
 const FAILURE_DELAY_MS = 20;
 
+/** Maximum number of ends in one report. */
+const MAX_ENDS_PER_REPORT = 500;
+
 /** Decides the duration and the outcome of a run. */
 export type TaskScript = (order: StartOrder) => { runMs: number; outcome: 'done' | 'failed' };
 
@@ -207,7 +210,8 @@
         clockMs: this.clockMs,
         startedAtMs: this.entry.startedAtMs,
         running,
-        ended: [...this.#unacknowledgedEnds],
+        ended: this.#unacknowledgedEnds.slice(0, MAX_ENDS_PER_REPORT),
+        hasMoreEnds: this.#unacknowledgedEnds.length > MAX_ENDS_PER_REPORT,
       },
     };
   }
--- a/src/port/HostOrders.ts
+++ b/src/port/HostOrders.ts
@@ -47,7 +47,10 @@
   /** Start time of this incarnation, in ms since the Unix epoch; undefined if not reported. */
   startedAtMs: number | undefined;
   running: ActiveRun[];
+  /** Unacknowledged ends in the order of their numbers, up to a maximum. */
   ended: EndedRun[];
+  /** Further ends may follow once the host has received an acknowledgement of these. */
+  hasMoreEnds: boolean;
 }
 
 /** The host to which an order is addressed. */
--- a/src/schedule/ManagedHost.ts
+++ b/src/schedule/ManagedHost.ts
@@ -57,6 +57,12 @@
    */
   hasUnwantedRuns = false;
 
+  /**
+   * The last report did not contain all ends: a run that it does not list may have ended, and its
+   * outcome follows in a later report.
+   */
+  hasHiddenEnds = false;
+
   /** Number of consecutive unanswered calls. */
   silentCalls = 0;
 
@@ -271,6 +277,7 @@
     this.isRestarting = true;
     this.isFenced = false;
     this.hasUnwantedRuns = false;
+    this.hasHiddenEnds = false;
     this.processedEnd = 0;
     this.acknowledgedEnd = 0;
     this.#clockMs = undefined;
--- a/src/schedule/RunTracker.ts
+++ b/src/schedule/RunTracker.ts
@@ -156,6 +156,9 @@
       // eslint-disable-next-line no-param-reassign -- the host is owned by the shard
       else host.hasUnwantedRuns = true;
     });
+    // eslint-disable-next-line no-param-reassign -- the host is owned by the shard
+    host.hasHiddenEnds = report.hasMoreEnds;
+    if (host.hasHiddenEnds) return;
     [...host.runs.values()].forEach((run) => {
       if (listed.has(run)) return;
       // The run ended with the former incarnation of the host.
--- a/src/schedule/Shard.ts
+++ b/src/schedule/Shard.ts
@@ -562,8 +562,9 @@
 
   /** Checks whether a host cannot have runs of previous owners that this owner does not know. */
   #isAccountedFor(id: string): boolean {
-    if (this.#computeReservedUntil() < this.#now) return true;
     const host = this.#hosts.get(id);
+    if (host?.hasHiddenEnds === true) return false;
+    if (this.#computeReservedUntil() < this.#now) return true;
     if (host !== undefined) return host.isFenced;
     // An incarnation that is on no machine has ended.
     return this.#hosts.machinesReadAt !== -Infinity;
@@ -574,9 +575,10 @@
     if (this.#takeover.isFirst) return false;
     if (this.#hosts.machinesReadAt === -Infinity) return true;
     const now = this.#now;
-    return [...this.#hosts.hosts].some(
-      (host) => host.pool === pool && !host.isFenced && host.reservedUntil > now,
-    );
+    return [...this.#hosts.hosts].some((host) => {
+      if (host.pool !== pool) return false;
+      return host.hasHiddenEnds || (!host.isFenced && host.reservedUntil > now);
+    });
   }
 
   #planStep(step: ScheduledStep, round: PlacementRound, now: number): void {
--- a/src/testing/ScheduleRig.ts
+++ b/src/testing/ScheduleRig.ts
@@ -194,6 +194,7 @@
       startedAtMs: undefined,
       running,
       ended: [],
+      hasMoreEnds: false,
       ...fields,
     };
     this.shard.reportHold(host, report, now);
