Count a machine against the cap while its order is not answered

Cause: an unanswered order was treated like a refused one, so the machine no longer counted against the cap and another one was ordered at once. Ruled out: the machine list and the fence.

Change: such a machine keeps its place and stays evacuated until a repeated order for it is accepted, which is idempotent. The wave's record names ordered machines, and the next owner settles them first. An order that could not be sent counts as refused. The boolean outcome in MaintenancePlanner.test became 'started', with the same assertions.

--- a/src/node/_CommandExecutor.ts
+++ b/src/node/_CommandExecutor.ts
@@ -6,6 +6,7 @@
   Shard,
   ShardCommand,
 } from '../schedule/mod.js';
+import { OrderUnsentError } from '../port/mod.js';
 import type { HostLink } from './HostLink.js';
 import type { NodeContext } from './NodeContext.js';
 
@@ -178,9 +179,11 @@
           this.#options.applyOutcome((shard) => shard.reportMachineResponse(command, answer)),
         (error: unknown) => {
           this.#context.log.record('machine-unanswered', machine, { error: String(error) });
-          this.#options.applyOutcome((shard) =>
-            shard.reportMachineResponse(command, { type: 'unanswered' }),
-          );
+          const answer =
+            error instanceof OrderUnsentError
+              ? ({ type: 'refused', reason: 'the order was not sent' } as const)
+              : ({ type: 'unanswered' } as const);
+          this.#options.applyOutcome((shard) => shard.reportMachineResponse(command, answer));
         },
       )
       .finally(() => {
--- a/src/schedule/MachinePlanner.ts
+++ b/src/schedule/MachinePlanner.ts
@@ -10,7 +10,7 @@
 import type { RunTracker } from './RunTracker.js';
 import type { ShardOptions } from './ShardOptions.js';
 import type { MachineSubject, ShardOutput } from './ShardCommand.js';
-import { MaintenancePlanner } from './MaintenancePlanner.js';
+import { MaintenancePlanner, type MaintenanceOutcome } from './MaintenancePlanner.js';
 
 /** A move is abandoned if its host is not up after this multiple of the usual duration. */
 const MOVE_TIMEOUT_FACTOR = 4;
@@ -50,6 +50,11 @@
   isAccepted: boolean;
 }
 
+function toOutcome({ type }: { type: string }): MaintenanceOutcome {
+  if (type === 'done') return 'started';
+  return type === 'unanswered' ? 'unanswered' : 'refused';
+}
+
 /** Turns the decisions of pool sizing and of maintenance planning into orders for machines. */
 export class MachinePlanner {
   readonly #options: ShardOptions;
@@ -150,6 +155,7 @@
       const host = hosts.get(order.machine);
       if (host !== undefined) host.isLeaving = true;
       this.#orders.report(order.machine, now);
+      this.dirtyWaves.add(order.wave);
       this.#output.send({ type: 'maintain', ...order, host });
     });
     plan.completed.forEach((wave) => {
@@ -214,8 +220,8 @@
   ): ManagedHost | undefined {
     const isDone = answer.type === 'done';
     if (wave !== undefined) {
-      this.#maintenance.reportResponse({ machine, wave }, isDone, now);
-      if (isDone) this.dirtyWaves.add(wave);
+      this.#maintenance.reportResponse({ machine, wave }, toOutcome(answer), now);
+      this.dirtyWaves.add(wave);
     } else {
       const move = this.#moves.get(machine);
       if (move !== undefined && isDone) move.isAccepted = true;
--- a/src/schedule/MaintenancePlanner.test.ts
+++ b/src/schedule/MaintenancePlanner.test.ts
@@ -62,7 +62,7 @@
     const plan = this.planner.plan(view);
     plan.orders.forEach((order) => {
       this.begun.push(order.machine);
-      this.planner.reportResponse(order, true, this.now);
+      this.planner.reportResponse(order, 'started', this.now);
       const machine = this.machines.get(order.machine);
       if (machine !== undefined) {
         this.machines.set(order.machine, { ...machine, state: 'maintenance', hostId: undefined });
--- a/src/schedule/MaintenancePlanner.ts
+++ b/src/schedule/MaintenancePlanner.ts
@@ -40,6 +40,9 @@
   wave: number;
 }
 
+/** Outcome of an order: a refused one was certainly not executed. */
+export type MaintenanceOutcome = 'started' | 'refused' | 'unanswered';
+
 /** Decisions of a `MaintenancePlanner`. */
 export interface MaintenancePlan {
   /** Machines to evacuate; they receive no new work. */
@@ -68,18 +71,14 @@
       known.order = order;
       return false;
     }
-    const wave = new MaintenanceWave(order, record?.seenAtMs ?? nowWallMs);
-    record?.begun.forEach((machine) => wave.begun.add(machine));
-    wave.isCompleted = record?.isCompleted ?? false;
+    const wave = new MaintenanceWave(order, record?.seenAtMs ?? nowWallMs, record);
     this.#waves.set(order.wave, wave);
     return true;
   }
 
   /** Describes the progress of a wave for the work log. */
   describe(number: number): WaveRecord | undefined {
-    const wave = this.#waves.get(number);
-    if (wave === undefined) return undefined;
-    return { seenAtMs: wave.seenAtMs, begun: [...wave.begun], isCompleted: wave.isCompleted };
+    return this.#waves.get(number)?.describe();
   }
 
   /** Checks whether the maintenance of a machine has been ordered and has not finished. */
@@ -101,20 +100,31 @@
     );
   }
 
-  /** Handles the response to an order: the maintenance has started, or is retried after a delay. */
+  /**
+   * Handles the response to an order: the maintenance has started, or is ordered again after a delay.
+   *
+   * A machine whose order was not answered keeps its place below the cap, and stays evacuated, until
+   * a repeated order is accepted: the provider answers it in the same way if the first one has been
+   * executed. A refusal of the repeated order tells nothing about the first one.
+   */
   reportResponse(
     { machine, wave: number }: MaintenanceOrder,
-    hasStarted: boolean,
+    outcome: MaintenanceOutcome,
     now: number,
   ): void {
     const wave = this.#waves.get(number);
     const maintenance = wave?.ongoing.get(machine);
     if (wave === undefined || maintenance === undefined) return;
-    if (hasStarted) {
+    if (outcome === 'started') {
       maintenance.isAccepted = true;
       wave.begun.add(machine);
       return;
     }
+    if (outcome === 'unanswered') maintenance.isUnsettled = true;
+    if (maintenance.isUnsettled) {
+      maintenance.repeatFrom = now + RETRY_DELAY_MS;
+      return;
+    }
     wave.ongoing.delete(machine);
     wave.notBefore.set(machine, now + RETRY_DELAY_MS);
   }
@@ -141,12 +151,12 @@
       plan.completed.push(order.wave);
       return;
     }
+    MaintenancePlanner.#retryUnsettled(wave, view, plan);
     const eligible = pending.filter((machine) => {
       const state = view.machines.get(machine)?.state;
       if (view.isMoving(machine)) return false;
       return state === 'up' && (wave.notBefore.get(machine) ?? 0) <= view.now;
     });
-    const remainingMs = wave.seenAtMs + order.durationMs - view.nowWallMs;
     const slots = MaintenancePlanner.#countSlots(wave, view, unfinished.length);
     const selected = eligible
       .map((machine) => ({ machine, cost: MaintenancePlanner.#computeCost(wave, machine, view) }))
@@ -154,15 +164,10 @@
       // Evacuations that have started come first and continue even if other machines use all slots.
       .slice(0, Math.max(slots, eligible.filter((one) => wave.evacuatingSince.has(one)).length));
     selected.forEach(({ machine }) => {
-      const host = view.hosts.get(machine);
-      const since = wave.evacuatingSince.get(machine) ?? view.now;
-      wave.evacuatingSince.set(machine, since);
+      const isEvacuated = MaintenancePlanner.#evacuate(wave, machine, view);
       plan.evacuating.add(machine);
-      const isUrgent =
-        remainingMs < URGENT_REMAINING_MS && view.now - since > EVACUATION_TIMEOUT_MS;
-      if (!MaintenancePlanner.#canMaintain(machine, view, isUrgent)) return;
-      if (!MaintenancePlanner.#hasFreeSlot(wave, view)) return;
-      wave.ongoing.set(machine, { orderedAt: view.now, hostId: host?.id, isAccepted: false });
+      if (!isEvacuated || !MaintenancePlanner.#hasFreeSlot(wave, view)) return;
+      wave.recordOrder(machine, view.now, view.hosts.get(machine)?.id);
       plan.orders.push({ machine, wave: order.wave });
     });
     [...wave.evacuatingSince.keys()]
@@ -170,6 +175,36 @@
       .forEach((machine) => wave.evacuatingSince.delete(machine));
   }
 
+  /** Orders the maintenance of machines again whose order has not been answered. */
+  static #retryUnsettled(
+    wave: MaintenanceWave,
+    view: MaintenanceView,
+    plan: MaintenancePlan,
+  ): void {
+    [...wave.ongoing].forEach(([machine, { isAccepted, isUnsettled, repeatFrom }]) => {
+      if (isAccepted || !isUnsettled) return;
+      const listed = view.machines.get(machine);
+      // A machine that the provider no longer lists cannot be maintained any more.
+      if (listed === undefined) wave.ongoing.delete(machine);
+      if (listed?.state !== 'up') return;
+      const isEvacuated = MaintenancePlanner.#evacuate(wave, machine, view);
+      plan.evacuating.add(machine);
+      if (!isEvacuated || repeatFrom === undefined || repeatFrom > view.now) return;
+      if (view.isMoving(machine)) return;
+      wave.recordOrder(machine, view.now, view.hosts.get(machine)?.id);
+      plan.orders.push({ machine, wave: wave.order.wave });
+    });
+  }
+
+  /** Begins or continues the evacuation of a machine; returns whether it may be maintained now. */
+  static #evacuate(wave: MaintenanceWave, machine: string, view: MaintenanceView): boolean {
+    const since = wave.evacuatingSince.get(machine) ?? view.now;
+    wave.evacuatingSince.set(machine, since);
+    const remainingMs = wave.seenAtMs + wave.order.durationMs - view.nowWallMs;
+    const isUrgent = remainingMs < URGENT_REMAINING_MS && view.now - since > EVACUATION_TIMEOUT_MS;
+    return MaintenancePlanner.#canMaintain(machine, view, isUrgent);
+  }
+
   /**
    * Checks whether maintenance of a machine would end no run that has to be kept. If the wave is
    * urgent, it may end short runs, but never long-running ones, since these have disruption
--- a/src/schedule/_MaintenanceWave.ts
+++ b/src/schedule/_MaintenanceWave.ts
@@ -1,4 +1,5 @@
 import type { WaveOrder } from '../port/mod.js';
+import type { WaveRecord } from '../workLog/mod.js';
 
 /** Maintenance of one machine that has been ordered and has not finished. */
 export interface OngoingMaintenance {
@@ -6,6 +7,13 @@
   /** Host incarnation on the machine before the maintenance. */
   hostId: string | undefined;
   isAccepted: boolean;
+  /**
+   * An order has not been answered, so it may still be executed, even after newer ones. Only an
+   * accepted order for the same machine settles this.
+   */
+  isUnsettled: boolean;
+  /** Monotonic time from which the order may be repeated; undefined while one is under way. */
+  repeatFrom: number | undefined;
 }
 
 /** A maintenance wave and its progress. */
@@ -30,7 +38,15 @@
 
   #machines: ReadonlySet<string>;
 
-  constructor(order: WaveOrder, seenAtMs: number) {
+  constructor(order: WaveOrder, seenAtMs: number, record?: WaveRecord) {
+    record?.begun.forEach((machine) => this.begun.add(machine));
+    record?.ordered
+      .filter((machine) => !this.begun.has(machine))
+      .forEach((machine) => {
+        const maintenance = { orderedAt: -Infinity, hostId: undefined, isAccepted: false };
+        this.ongoing.set(machine, { ...maintenance, isUnsettled: true, repeatFrom: -Infinity });
+      });
+    this.isCompleted = record?.isCompleted ?? false;
     this.#order = order;
     this.#machines = new Set(order.machines);
     this.seenAtMs = seenAtMs;
@@ -45,6 +61,24 @@
     this.#machines = new Set(order.machines);
   }
 
+  /** Describes the progress of the wave for the work log. */
+  describe(): WaveRecord {
+    const ordered = [...this.ongoing].filter(([, { isAccepted }]) => !isAccepted);
+    return {
+      seenAtMs: this.seenAtMs,
+      begun: [...this.begun],
+      ordered: ordered.map(([machine]) => machine),
+      isCompleted: this.isCompleted,
+    };
+  }
+
+  /** Records that the maintenance of a machine is ordered, for the first time or again. */
+  recordOrder(machine: string, orderedAt: number, hostId: string | undefined): void {
+    const isUnsettled = this.ongoing.get(machine)?.isUnsettled ?? false;
+    const repeatFrom = undefined;
+    this.ongoing.set(machine, { orderedAt, hostId, isAccepted: false, isUnsettled, repeatFrom });
+  }
+
   /** Checks whether the wave includes a machine. */
   hasMachine(machine: string): boolean {
     return this.#machines.has(machine);
--- a/src/workLog/WorkLogRecord.ts
+++ b/src/workLog/WorkLogRecord.ts
@@ -100,6 +100,8 @@
   seenAtMs: z.number(),
   /** Machines whose maintenance has started. */
   begun: z.array(z.string()),
+  /** Machines whose maintenance has been ordered and has not been accepted yet. */
+  ordered: z.array(z.string()).default([]),
   isCompleted: z.boolean(),
 });
 export type WaveRecord = z.infer<typeof WaveRecord>;
