Clear the evacuation mark of hosts that are not listed

Cause: a host keeps the mark of its evacuation, which keeps it without work, until a plan of maintenance renews it. Plans skipped unlisted hosts and end with the last wave, so a host that was missing from the list at that moment stayed without work after its return.

Change: each plan renews the mark of all hosts.

Result: the new test of MachinePlanner.test failed before (true !== false) and passes.

--- a/src/schedule/MachinePlanner.test.ts
+++ b/src/schedule/MachinePlanner.test.ts
@@ -272,4 +272,27 @@
     reportAll();
     assert.deepEqual(listStops(), ['a.0.0.0']);
   });
+
+  // Guards against a host that stays without work for good: the mark of its evacuation was set while
+  // the host list had lost it, and its wave ended meanwhile.
+  it('returns an evacuated host to service that was not listed when its wave ended', () => {
+    const rig = new ScheduleRig();
+    rig.addHost('h1');
+    const machine = buildStandby('machine-of-h1', { pool: 'studio', hostId: 'h1' });
+    rig.shard.updateMachines([machine], 0);
+    const lasting = [{ count: 1, cpuMilli: 1_000, isLasting: true }];
+    rig.shard.addJob(buildTrackedJob('a', lasting));
+    rig.startAll();
+    const order = { wave: 1, machines: [machine.name], durationMs: 20_000, cap: 1 };
+    rig.shard.setWave(order, undefined);
+    rig.plan();
+    const host = rig.shard.findHost('h1');
+    assert.equal(host?.isEvacuating, true);
+    rig.shard.removeHost('h1');
+    rig.shard.setWave({ ...order, machines: [] }, undefined);
+    rig.plan();
+    rig.shard.updateHost(buildHostEntry('h1'));
+    rig.plan();
+    assert.equal(host.isEvacuating, false);
+  });
 });
--- a/src/schedule/MachinePlanner.ts
+++ b/src/schedule/MachinePlanner.ts
@@ -150,7 +150,10 @@
       isStandby: (pool) => pools.get(pool)?.isStandby ?? false,
       measureBacklogS: (pool) => (backlogs[pool] ?? 0) / 1_000,
     });
-    hosts.forEach((host) => this.#evacuate(host, plan.evacuating.has(host.machine), now));
+    // All hosts, since one that the host list has lost may return after the end of the wave.
+    [...this.#hosts.hosts].forEach((host) =>
+      this.#evacuate(host, plan.evacuating.has(host.machine), now),
+    );
     plan.orders.forEach((order) => {
       const host = hosts.get(order.machine);
       if (host !== undefined) host.isLeaving = true;
