Split leases and the runs of previous owners out of the shard

Change: the lease of a host is a HostLease, what previous owners may have running is PreviousOwners, and a Takeover has its own file; behaviour is the same, but for a hold that only delivers an acknowledgement: an overloaded owner delays it like the others.

--- a/src/node/HoldScheduler.ts
+++ b/src/node/HoldScheduler.ts
@@ -90,7 +90,7 @@
       return;
     }
     if (this.#sent.sequence > 0) this.#delivered = this.#sent;
-    if (this.#hasUndeliveredAcknowledgement()) this.#schedule(0);
+    if (this.#hasUndeliveredAcknowledgement()) this.#schedule(this.#options.getPauseMs());
     else if (this.#hasUnacknowledgedEnds()) this.#schedule(UNACKNOWLEDGED_DELAY_MS);
     else if (this.#host.hasUnwantedRuns) this.#schedule(UNWANTED_DELAY_MS);
     else if (this.#isHoldNeeded()) this.#schedule(this.#options.getPauseMs());
--- a/src/schedule/ManagedHost.ts
+++ b/src/schedule/ManagedHost.ts
@@ -1,11 +1,7 @@
 import type { Capacity, HostEntry, HostReport } from '../port/mod.js';
+import { HostLease } from './_HostLease.js';
 import type { Run } from './Run.js';
 
-/** Maximum fraction by which a host's clock may run slower than the owner's clock. */
-export const MAX_CLOCK_DRIFT = 0.02;
-/** Margin in ms added to the computed expiry of a lease, for timer granularity on both sides. */
-const LEASE_MARGIN_MS = 150;
-
 /** Resources reserved for a task on a host. */
 export type ResourceRequest = Capacity;
 
@@ -99,17 +95,8 @@
   /** Monotonic time until which runs of a previous owner may exist; 0 after the first response. */
   reservedUntil = 0;
 
-  #clockMs: number | undefined;
-
-  #clockReadAt = 0;
-
-  #leaseEndMs = 0;
-
-  /** Monotonic time of the last order that may have granted a lease. */
-  #leaseGrantedAt = 0;
-
-  /** Latest expiry, on the host's clock, of leases granted by previous owners. */
-  #inheritedLeaseEndMs = 0;
+  /** Lease of the runs of this incarnation. */
+  #lease = new HostLease();
 
   /** Number of consecutive failed runs since the last successful one. */
   failuresInRow = 0;
@@ -148,8 +135,7 @@
 
   /** Records a reading of the host's clock at a time of the owner's monotonic clock. */
   setClock(clockMs: number, now: number): void {
-    this.#clockMs = clockMs;
-    this.#clockReadAt = now;
+    this.#lease.setClock(clockMs, now);
   }
 
   /**
@@ -181,10 +167,7 @@
    * their lease, which may last for up to `inheritedLeaseMs` from now.
    */
   fence(inheritedLeaseMs: number): void {
-    if (!this.isFenced) {
-      this.#inheritedLeaseEndMs = (this.#clockMs ?? 0) + inheritedLeaseMs;
-      this.#leaseGrantedAt = Math.max(this.#leaseGrantedAt, this.#clockReadAt);
-    }
+    if (!this.isFenced) this.#lease.adopt(inheritedLeaseMs);
     this.isFenced = true;
     this.reservedUntil = 0;
   }
@@ -280,9 +263,7 @@
     this.hasHiddenEnds = false;
     this.processedEnd = 0;
     this.acknowledgedEnd = 0;
-    this.#clockMs = undefined;
-    this.#leaseEndMs = 0;
-    this.#inheritedLeaseEndMs = 0;
+    this.#lease = new HostLease();
     this.reserve(leasesUntil);
     this.suspendedUntil = 0;
     this.recordOutcome('', false);
@@ -296,28 +277,12 @@
 
   /** Computes the expiry of a new lease on the host's clock; undefined if that clock is unknown. */
   computeLeaseEnd(leaseMs: number, now: number): number | undefined {
-    if (this.#clockMs === undefined) return undefined;
-    this.#leaseGrantedAt = now;
-    const end = Math.floor(this.#clockMs + (now - this.#clockReadAt) + leaseMs);
-    this.#leaseEndMs = Math.max(this.#leaseEndMs, end);
-    return this.#leaseEndMs;
+    return this.#lease.computeEnd(leaseMs, now);
   }
 
-  /**
-   * Computes the monotonic time by which all leases granted to the host have expired. The clock of a
-   * host that has restarted unnoticed starts anew, so a lease may seem longer than it can be.
-   */
+  /** Computes the monotonic time by which all leases granted to the host have expired. */
   computeLeaseExpiry(maxLeaseMs: number): number {
-    if (this.#clockMs === undefined) return this.reservedUntil;
-    const remainingMs = Math.max(
-      0,
-      Math.max(this.#leaseEndMs, this.#inheritedLeaseEndMs) - this.#clockMs,
-    );
-    const expiry = Math.min(
-      this.#clockReadAt + remainingMs * (1 + MAX_CLOCK_DRIFT),
-      this.#leaseGrantedAt + maxLeaseMs * (1 + MAX_CLOCK_DRIFT),
-    );
-    return Math.max(this.reservedUntil, expiry + LEASE_MARGIN_MS);
+    return Math.max(this.reservedUntil, this.#lease.computeExpiry(maxLeaseMs) ?? -Infinity);
   }
 
   /** Checks whether the host has enough free resources. */
--- /dev/null
+++ b/src/schedule/PreviousOwners.ts
@@ -0,0 +1,87 @@
+import { ANY_DATA_CENTRE, type TrackedJob } from '../workLog/mod.js';
+import type { HostTable } from './HostTable.js';
+import { MAX_CLOCK_DRIFT } from './_HostLease.js';
+import type { ShardOptions } from './ShardOptions.js';
+import type { Takeover } from './Takeover.js';
+import type { WorkUnit } from './WorkUnit.js';
+
+/** Collaborators of a `PreviousOwners`. */
+export interface PreviousOwnersParts {
+  hosts: HostTable;
+  /** Monotonic time of the takeover in ms. */
+  startedAt: number;
+}
+
+/**
+ * What previous owners of the shard may have running on hosts that this owner does not know
+ * completely: hosts that have not responded to it, or whose reports have not contained all ends.
+ *
+ * @example
+ * ```ts
+ * const previousOwners = new PreviousOwners(takeover, options, { hosts, startedAt });
+ * if (!previousOwners.canRun(unit, now)) start(unit);
+ * ```
+ */
+export class PreviousOwners {
+  readonly #takeover: Takeover;
+
+  readonly #hosts: HostTable;
+
+  /** Monotonic time until which unresponsive hosts may have runs of previous owners. */
+  readonly reservedUntil: number;
+
+  constructor(
+    takeover: Takeover,
+    options: ShardOptions,
+    { hosts, startedAt }: PreviousOwnersParts,
+  ) {
+    this.#takeover = takeover;
+    this.#hosts = hosts;
+    const ordersMs = takeover.isHandover ? 0 : options.detachedLimitMs;
+    this.reservedUntil = startedAt + (ordersMs + options.maxLeaseMs) * (1 + MAX_CLOCK_DRIFT);
+  }
+
+  /** Lists the data centres whose jobs may still have unrecorded runs of previous owners. */
+  listUnrecorded(now: number): readonly string[] {
+    return this.reservedUntil < now ? [] : this.#takeover.unrecorded;
+  }
+
+  /** Checks whether tasks of a job may have been started in a pool without being recorded. */
+  canHaveStarted(tracked: TrackedJob, pool: string, now: number): boolean {
+    return this.#hasUnrecordedStarts(tracked) && this.#hasUnknownRuns(pool, now);
+  }
+
+  /** Checks whether a recorded run of a unit may still exist on a host. */
+  canRun(unit: WorkUnit, now: number): boolean {
+    if (unit.inheritedRuns.length === 0) return false;
+    // eslint-disable-next-line no-param-reassign -- the unit is owned by the shard
+    unit.inheritedRuns = unit.inheritedRuns.filter(({ host }) => !this.#isAccountedFor(host, now));
+    return unit.inheritedRuns.length > 0;
+  }
+
+  #hasUnrecordedStarts({ acceptedOffset, dataCentre }: TrackedJob): boolean {
+    const { claimOffset, unrecorded } = this.#takeover;
+    if (acceptedOffset >= claimOffset) return false;
+    return unrecorded.includes(ANY_DATA_CENTRE) || unrecorded.includes(dataCentre);
+  }
+
+  /** Checks whether a host cannot have runs of previous owners that this owner does not know. */
+  #isAccountedFor(id: string, now: number): boolean {
+    const host = this.#hosts.get(id);
+    if (host?.hasHiddenEnds === true) return false;
+    if (this.reservedUntil < now) return true;
+    if (host !== undefined) return host.isFenced;
+    // An incarnation that is on no machine has ended.
+    return this.#hosts.machinesReadAt !== -Infinity;
+  }
+
+  /** Checks whether hosts of a pool may have runs that this owner does not know. */
+  #hasUnknownRuns(pool: string, now: number): boolean {
+    if (this.#takeover.isFirst) return false;
+    if (this.#hosts.machinesReadAt === -Infinity) return true;
+    return [...this.#hosts.hosts].some((host) => {
+      if (host.pool !== pool) return false;
+      return host.hasHiddenEnds || (!host.isFenced && host.reservedUntil > now);
+    });
+  }
+}
--- a/src/schedule/Shard.ts
+++ b/src/schedule/Shard.ts
@@ -1,4 +1,4 @@
-import { ANY_DATA_CENTRE, type TrackedJob, type WaveRecord } from '../workLog/mod.js';
+import type { TrackedJob, WaveRecord } from '../workLog/mod.js';
 import type { Clock } from '../clock/mod.js';
 import type {
   Advice,
@@ -20,12 +20,14 @@
 import type { SchedulingPolicy } from './SchedulingPolicy.js';
 import { JobTable } from './JobTable.js';
 import { LeastWorkFirst } from './LeastWorkFirst.js';
-import { MAX_CLOCK_DRIFT, type ManagedHost } from './ManagedHost.js';
+import { MAX_CLOCK_DRIFT } from './_HostLease.js';
+import type { ManagedHost } from './ManagedHost.js';
 import { MachinePlanner } from './MachinePlanner.js';
 import { PackingPlacement } from './PackingPlacement.js';
 import type { PlacementPolicy } from './PlacementPolicy.js';
 import { PlacementRound } from './PlacementRound.js';
 import { PoolLoad } from './PoolLoad.js';
+import { PreviousOwners } from './PreviousOwners.js';
 import { DeadlineEstimator } from './DeadlineEstimator.js';
 import { RecentMachineOrders, type RecentMachineOrder } from './RecentMachineOrders.js';
 import type { Run } from './Run.js';
@@ -34,6 +36,7 @@
 import type { ScheduledJob } from './ScheduledJob.js';
 import type { ScheduledStep } from './ScheduledStep.js';
 import type { ShardOptions } from './ShardOptions.js';
+import type { Takeover } from './Takeover.js';
 import type { MachineSubject, ShardOutput } from './ShardCommand.js';
 import type { WorkUnit } from './WorkUnit.js';
 
@@ -42,24 +45,6 @@
 /** Consecutive unanswered calls after which the machine list is checked for the end of a host. */
 const MAX_SILENT_CALLS = 2;
 
-/** Circumstances under which an owner took over a shard. */
-export interface Takeover {
-  /** Fencing token of the owner. */
-  token: number;
-  /** Offset of the claim; previous owners have not seen jobs accepted after it. */
-  claimOffset: number;
-  /** The shard has had no owner before. */
-  isFirst: boolean;
-  /** The previous owner released the shard, so it issues no more orders. */
-  isHandover: boolean;
-  /** Sequence number of the claim in the store; the owner's appends continue from it. */
-  sequence: number;
-  /** Data centres whose jobs may have tasks that previous owners started without recording them. */
-  unrecorded: readonly string[];
-  /** Orders for machines that previous owners may have issued recently. */
-  machineOrders: readonly RecentMachineOrder[];
-}
-
 /** Jobs whose tasks an owner may start: all, or those accepted in its own data centre. */
 export type StartRule = 'all' | 'own-data-centre';
 
@@ -87,8 +72,6 @@
 
   readonly #takeover: Takeover;
 
-  readonly #startedAt: number;
-
   readonly #jobs: JobTable;
 
   readonly #hosts = new HostTable();
@@ -115,6 +98,8 @@
 
   readonly #load: PoolLoad;
 
+  readonly #previousOwners: PreviousOwners;
+
   #isDetached = false;
 
   #startRule: StartRule = 'all';
@@ -128,7 +113,11 @@
     this.#options = options;
     this.#clock = parts.clock;
     this.#output = parts.output;
-    this.#startedAt = this.#clock.readMonotonic();
+    const startedAt = this.#clock.readMonotonic();
+    this.#previousOwners = new PreviousOwners(takeover, options, {
+      hosts: this.#hosts,
+      startedAt,
+    });
     this.#jobs = new JobTable(this.#output);
     this.#schedulingPolicy = parts.schedulingPolicy ?? new LeastWorkFirst(this.#estimator);
     this.#placementPolicy = parts.placementPolicy ?? new PackingPlacement();
@@ -142,11 +131,11 @@
     });
     this.#hostMonitor = new HostMonitor(this.#runTracker, this.#output);
     this.#load = new PoolLoad(this.#jobs, this.#hosts, this.#estimator, options.moveMs);
-    if (!takeover.isFirst) this.#load.reportDemand(this.#startedAt);
+    if (!takeover.isFirst) this.#load.reportDemand(startedAt);
     this.#machineOrders = new RecentMachineOrders({
       leaseMs: options.machineLeaseMs,
       inherited: takeover.machineOrders,
-      startedAt: this.#startedAt,
+      startedAt,
     });
     this.#machinePlanner = new MachinePlanner(options, {
       hosts: this.#hosts,
@@ -234,7 +223,7 @@
     if (known === undefined && !this.#takeover.isFirst) {
       // A host that started after the claim has no runs of previous owners, but its entry does not
       // show when it started. Its first report does.
-      host.reserve(this.#computeReservedUntil());
+      host.reserve(this.#previousOwners.reservedUntil);
     }
     return { host, isNew: !hadAddress };
   }
@@ -258,7 +247,7 @@
         if (hostId === undefined || machine.state !== 'up' || this.#hosts.get(hostId)) return;
         if (this.#pools.get(machine.pool)?.isStandby === true) return;
         const host = this.#hosts.addUnlisted({ ...machine, hostId }, now);
-        host.reserve(this.#computeReservedUntil());
+        host.reserve(this.#previousOwners.reservedUntil);
       });
     }
     [...this.#hosts.hosts].forEach((host) => {
@@ -423,7 +412,7 @@
 
   /** Lists the data centres whose jobs may still have unrecorded runs of previous owners. */
   listUnrecorded(): readonly string[] {
-    return this.#computeReservedUntil() < this.#now ? [] : this.#takeover.unrecorded;
+    return this.#previousOwners.listUnrecorded(this.#now);
   }
 
   /** Records that an order for a machine has just been sent. */
@@ -445,13 +434,6 @@
     return { name: queue, hostName: '', pathPrefix: '', pool, timeoutMs: 0, ...rule };
   }
 
-  /** Computes the time until which unresponsive hosts may have runs of previous owners. */
-  #computeReservedUntil(): number {
-    const { maxLeaseMs, detachedLimitMs } = this.#options;
-    const orders = this.#takeover.isHandover ? 0 : detachedLimitMs;
-    return this.#startedAt + (orders + maxLeaseMs) * (1 + MAX_CLOCK_DRIFT);
-  }
-
   #handleResult(host: ManagedHost, result: ReportResult): ReportResult {
     if (result === 'other-life') this.#endIncarnation(host, 'other-life', this.#now);
     return result;
@@ -534,7 +516,7 @@
     sorted.forEach((step) => {
       const { tracked } = step.occurrence.job;
       if (!this.#canStart(tracked)) return;
-      if (this.#hasUnrecordedStarts(tracked) && this.#hasUnknownRuns(pool)) return;
+      if (this.#previousOwners.canHaveStarted(tracked, pool, now)) return;
       // Lateness only matters while the pool has to release hosts.
       const isLate = isReleasing && this.#deadlines.isLate(step.occurrence, nowWallMs);
       this.#planStep(step, isLate ? lateRound : round, now);
@@ -545,46 +527,11 @@
     return this.#startRule === 'all' || dataCentre === this.#options.dataCentre;
   }
 
-  /** Checks whether previous owners may have started tasks of a job without recording them. */
-  #hasUnrecordedStarts({ acceptedOffset, dataCentre }: TrackedJob): boolean {
-    const { claimOffset, unrecorded } = this.#takeover;
-    if (acceptedOffset >= claimOffset) return false;
-    return unrecorded.includes(ANY_DATA_CENTRE) || unrecorded.includes(dataCentre);
-  }
-
-  /** Checks whether a recorded run of a previous owner may still exist on an unresponsive host. */
-  #hasInheritedRuns(unit: WorkUnit): boolean {
-    if (unit.inheritedRuns.length === 0) return false;
-    // eslint-disable-next-line no-param-reassign -- the unit is owned by the shard
-    unit.inheritedRuns = unit.inheritedRuns.filter(({ host }) => !this.#isAccountedFor(host));
-    return unit.inheritedRuns.length > 0;
-  }
-
-  /** Checks whether a host cannot have runs of previous owners that this owner does not know. */
-  #isAccountedFor(id: string): boolean {
-    const host = this.#hosts.get(id);
-    if (host?.hasHiddenEnds === true) return false;
-    if (this.#computeReservedUntil() < this.#now) return true;
-    if (host !== undefined) return host.isFenced;
-    // An incarnation that is on no machine has ended.
-    return this.#hosts.machinesReadAt !== -Infinity;
-  }
-
-  /** Checks whether hosts of a pool that have not responded may have runs of previous owners. */
-  #hasUnknownRuns(pool: string): boolean {
-    if (this.#takeover.isFirst) return false;
-    if (this.#hosts.machinesReadAt === -Infinity) return true;
-    const now = this.#now;
-    return [...this.#hosts.hosts].some((host) => {
-      if (host.pool !== pool) return false;
-      return host.hasHiddenEnds || (!host.isFenced && host.reservedUntil > now);
-    });
-  }
-
   #planStep(step: ScheduledStep, round: PlacementRound, now: number): void {
     const needsAdvice = step.occurrence.job.queue.advice !== undefined;
     for (const unit of step.units) {
-      if (!unit.isWaiting || unit.notBefore > now || this.#hasInheritedRuns(unit)) continue;
+      if (!unit.isWaiting || unit.notBefore > now || this.#previousOwners.canRun(unit, now))
+        continue;
       const allowed = needsAdvice ? this.#advice.collectAllowed(step, now) : undefined;
       const placements = round.choose(unit, allowed);
       if (placements === undefined) {
