Tell a link its host's address only when it changes

Cause: since the link follows the entry of its host, each heartbeat of a host sent a message to its link. Change: HoldScheduler compares the address first; a test of HostLink covers the change of the target.

--- a/src/node/HoldScheduler.ts
+++ b/src/node/HoldScheduler.ts
@@ -44,6 +44,9 @@
 
   readonly #options: HoldSchedulerOptions;
 
+  /** Address to which the link sends. */
+  #address: string;
+
   #isHolding = false;
 
   #timer: NodeJS.Timeout | undefined;
@@ -62,6 +65,7 @@
     this.#host = host;
     this.#link = link;
     this.#options = options;
+    this.#address = host.entry.address;
     this.holdIfNeeded();
   }
 
@@ -69,6 +73,14 @@
     return this.#link;
   }
 
+  /** Follows the address in the host's entry, which a restart under its identifier may change. */
+  followAddress(): void {
+    const { entry } = this.#host;
+    if (entry.address === this.#address) return;
+    this.#address = entry.address;
+    this.#link.send({ type: 'set-target', target: entry });
+  }
+
   /** Sends a hold if one is needed and none is in flight or scheduled. */
   holdIfNeeded(): void {
     if (!this.#isHolding && this.#timer === undefined && this.#isHoldNeeded()) this.#hold();
--- a/src/node/HostLink.test.ts
+++ b/src/node/HostLink.test.ts
@@ -1,21 +1,27 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { ActorScope } from '../actor/mod.js';
-import { OrderUnansweredError, OrderUnsentError, type OrderResponse } from '../port/mod.js';
+import {
+  OrderUnansweredError,
+  OrderUnsentError,
+  type HostTarget,
+  type OrderResponse,
+} from '../port/mod.js';
 import type { OrderOutcome } from '../schedule/RunTracker.js';
 import { HostLink } from './HostLink.js';
 import type { NodeContext } from './NodeContext.js';
 
 const TARGET = { id: 'h-1', address: '127.0.0.1:9' };
 
-function openLink(): { link: HostLink; faults: string[] } {
+function openLink(): { link: HostLink; faults: string[]; closed: string[] } {
   const faults: string[] = [];
+  const closed: string[] = [];
   const scope = new ActorScope('link', (_, error) => faults.push(error.message));
   const hosts = {
-    closeConnections: () => undefined,
+    closeConnections: ({ address }: HostTarget) => closed.push(address),
     checkHealth: () => Promise.reject(new TypeError('odd answer')),
   };
-  return { link: new HostLink({ scope, hosts } as unknown as NodeContext, TARGET), faults };
+  return { link: new HostLink({ scope, hosts } as unknown as NodeContext, TARGET), faults, closed };
 }
 
 function order(link: HostLink, send: () => Promise<OrderResponse>): Promise<OrderOutcome> {
@@ -23,6 +29,28 @@
 }
 
 describe('HostLink', () => {
+  // Guards against calls to the former address of a host that restarted under its identifier.
+  it('sends orders to its last target and closes the connections to the former one', async () => {
+    const { link, closed } = openLink();
+    const target = { id: 'h-1', address: '127.0.0.1:10' };
+    link.send({ type: 'set-target', target });
+    const addresses: string[] = [];
+    await link.ask<OrderOutcome>(
+      (reply) => ({
+        type: 'order',
+        send: ({ address }) => {
+          addresses.push(address);
+          return Promise.resolve({ type: 'done', clockMs: undefined });
+        },
+        reply,
+      }),
+      1_000,
+    );
+    assert.deepEqual(addresses, [target.address]);
+    assert.deepEqual(closed, [TARGET.address]);
+    link.close();
+  });
+
   // Guards against orders without an outcome, and against a rejection without a handler that ends
   // the process: a call to a host may throw before it returns a promise.
   it('replies to every order, whatever error its call throws', async () => {
--- a/src/node/HostLink.ts
+++ b/src/node/HostLink.ts
@@ -54,7 +54,6 @@
   }
 
   #setTarget(target: HostTarget): void {
-    if (target.address === this.#target.address) return;
     this.#context.hosts.closeConnections(this.#target);
     this.#target = target;
   }
--- a/src/node/ShardOwner.ts
+++ b/src/node/ShardOwner.ts
@@ -441,7 +441,7 @@
       if (record.type === 'gone') this.#shard.removeHost(record.id);
       if (record.type !== 'entry') return;
       const { host, isNew } = this.#shard.updateHost(record.entry);
-      this.#holdSchedulers.get(host)?.link.send({ type: 'set-target', target: host.entry });
+      this.#holdSchedulers.get(host)?.followAddress();
       if (!isNew || this.#holdSchedulers.has(host)) return;
       this.#holdSchedulers.set(
         host,
