Complete a wave only if a newer machine list lacks its machines

Cause: a machine that the last machine list lacked counted as removed. The list had been requested before the machine joined, so it did not show that. Ruled out: the order, which was read in full, and the maintenance order, which was never sent.

Change: a machine counts as removed only if a list lacks it that was requested after this owner had read the order and found the host on the machine. An unanswered maintenance order is withdrawn on the same condition. The planner gets the time of an order by both clocks, so the test that passed one number passes two; its assertions are the same.

--- a/src/schedule/MachinePlanner.ts
+++ b/src/schedule/MachinePlanner.ts
@@ -1,5 +1,6 @@
 import type { WaveRecord } from '../workLog/mod.js';
 import type { MachineResponse, PoolConfig, WaveOrder } from '../port/mod.js';
+import type { ReadTime } from './_MaintenanceWave.js';
 import { canInterrupt } from './canInterrupt.js';
 import type { HostTable } from './HostTable.js';
 import { IdleHostLending } from './IdleHostLending.js';
@@ -111,8 +112,8 @@
   }
 
   /** Adds or updates a wave requested by the operator. */
-  setWave(order: WaveOrder, nowWallMs: number, record: WaveRecord | undefined): void {
-    if (!this.#maintenance.setOrder(order, nowWallMs, record)) return;
+  setWave(order: WaveOrder, readTime: ReadTime, record: WaveRecord | undefined): void {
+    if (!this.#maintenance.setOrder(order, readTime, record)) return;
     if (record?.isCompleted === true) {
       // The owner that recorded the completion may have stopped before it published it.
       this.#output.send({ type: 'publish-wave', wave: order.wave, state: 'completed' });
--- a/src/schedule/MaintenancePlanner.test.ts
+++ b/src/schedule/MaintenancePlanner.test.ts
@@ -3,6 +3,7 @@
 import type { Machine } from '../port/mod.js';
 import { buildTrackedJob, buildHostEntry, ScheduleRig } from '../testing/ScheduleRig.js';
 import { ManagedHost } from './ManagedHost.js';
+import type { ShardCommand } from './ShardCommand.js';
 import {
   MaintenancePlanner,
   type MaintenancePlan,
@@ -35,7 +36,7 @@
     for (let index = 0; index < machines; index += 1) this.#startHost(`m-${index}`);
     this.planner.setOrder(
       { wave: 1, machines: [...this.machines.keys()], durationMs: DURATION_MS, cap: CAP },
-      0,
+      { now: 0, nowWallMs: 0 },
     );
   }
 
@@ -89,6 +90,14 @@
   }
 }
 
+/** Lists the published states of waves and the machines whose maintenance is ordered. */
+function listWaveCommands(commands: readonly ShardCommand[]): string[] {
+  return commands.flatMap((command) => {
+    if (command.type === 'publish-wave') return [`publish ${command.state}`];
+    return command.type === 'maintain' ? [`maintain ${command.machine}`] : [];
+  });
+}
+
 describe('MaintenancePlanner', () => {
   it('maintains every machine once and in time without exceeding the cap', () => {
     const wave = new WaveSimulation();
@@ -115,6 +124,42 @@
     assert.ok(!wave.begun.includes('m-3'));
   });
 
+  // Guards against a wave that is completed without the maintenance of a machine (MIXED): the
+  // machine joined after the last machine list had been requested.
+  it('does not take a machine for removed that an older machine list lacks', () => {
+    const rig = new ScheduleRig();
+    rig.shard.updateMachines([], rig.clock.readMonotonic());
+    rig.clock.advance(5_000);
+    rig.addHost('h1');
+    const order = { wave: 1, machines: ['machine-of-h1'], durationMs: 20_000, cap: 1 };
+    rig.shard.setWave(order, undefined);
+    rig.clock.advance(50);
+    assert.deepEqual(listWaveCommands(rig.plan()), []);
+    // Requested before the order was read: it does not show that the machine has been removed.
+    rig.shard.updateMachines([], rig.clock.readMonotonic() - 100);
+    assert.deepEqual(listWaveCommands(rig.plan()), []);
+    const machine = { name: 'machine-of-h1', pool: 'studio', dataCentre: 'dc-1', hostId: 'h1' };
+    rig.shard.updateMachines([{ ...machine, state: 'up' }], rig.clock.readMonotonic());
+    assert.deepEqual(listWaveCommands(rig.plan()), ['maintain machine-of-h1']);
+  });
+
+  // Guards against the same fault for a machine whose order precedes it: its host was found after
+  // the list had been requested.
+  it('does not take a machine for removed whose host is newer than the machine list', () => {
+    const rig = new ScheduleRig();
+    rig.shard.updateMachines([], rig.clock.readMonotonic());
+    const order = { wave: 1, machines: ['machine-of-h1'], durationMs: 20_000, cap: 1 };
+    rig.shard.setWave(order, undefined);
+    rig.clock.advance(50);
+    const requestedAt = rig.clock.readMonotonic();
+    rig.clock.advance(50);
+    rig.addHost('h1');
+    rig.shard.updateMachines([], requestedAt);
+    assert.deepEqual(listWaveCommands(rig.plan()), []);
+    rig.shard.updateMachines([], rig.clock.readMonotonic() + 1);
+    assert.deepEqual(listWaveCommands(rig.plan()), ['publish completed']);
+  });
+
   it('does not maintain a host that has not responded yet, since it may have unknown runs', () => {
     const wave = new WaveSimulation();
     wave.hosts.forEach((host) => {
--- a/src/schedule/MaintenancePlanner.ts
+++ b/src/schedule/MaintenancePlanner.ts
@@ -1,6 +1,6 @@
 import type { WaveRecord } from '../workLog/mod.js';
 import type { Machine, WaveOrder } from '../port/mod.js';
-import { MaintenanceWave } from './_MaintenanceWave.js';
+import { MaintenanceWave, type ReadTime } from './_MaintenanceWave.js';
 import type { ManagedHost } from './ManagedHost.js';
 
 /** Fraction of a wave's duration in which all maintenance should start; the rest is a reserve. */
@@ -65,14 +65,13 @@
   readonly #waves = new Map<number, MaintenanceWave>();
 
   /** Adds or updates a wave; returns true if it is new. */
-  setOrder(order: WaveOrder, nowWallMs: number, record?: WaveRecord): boolean {
+  setOrder(order: WaveOrder, readTime: ReadTime, record?: WaveRecord): boolean {
     const known = this.#waves.get(order.wave);
     if (known !== undefined) {
-      known.order = order;
+      known.updateOrder(order, readTime.now);
       return false;
     }
-    const wave = new MaintenanceWave(order, record?.seenAtMs ?? nowWallMs, record);
-    this.#waves.set(order.wave, wave);
+    this.#waves.set(order.wave, new MaintenanceWave(order, readTime, record));
     return true;
   }
 
@@ -141,9 +140,8 @@
   static #planWave(wave: MaintenanceWave, view: MaintenanceView, plan: MaintenancePlan): void {
     const { order } = wave;
     MaintenancePlanner.#removeFinished(wave, view);
-    // A machine that the provider no longer lists has been removed permanently.
     const unfinished = order.machines.filter(
-      (machine) => !wave.begun.has(machine) && view.machines.has(machine),
+      (machine) => !wave.begun.has(machine) && !MaintenancePlanner.#isRemoved(machine, wave, view),
     );
     const pending = unfinished.filter((machine) => !wave.ongoing.has(machine));
     if (unfinished.length === 0) {
@@ -175,6 +173,16 @@
       .forEach((machine) => wave.evacuatingSince.delete(machine));
   }
 
+  /**
+   * Checks whether a machine has been removed permanently: it is missing from a machine list that
+   * was requested after this owner had read the order that names it and had found its host, if any.
+   */
+  static #isRemoved(machine: string, wave: MaintenanceWave, view: MaintenanceView): boolean {
+    if (view.machines.has(machine)) return false;
+    const knownSince = Math.max(wave.readAt, view.hosts.get(machine)?.discoveredAt ?? -Infinity);
+    return view.machinesReadAt > knownSince;
+  }
+
   /** Orders the maintenance of machines again whose order has not been answered. */
   static #retryUnsettled(
     wave: MaintenanceWave,
@@ -183,10 +191,8 @@
   ): void {
     [...wave.ongoing].forEach(([machine, { isAccepted, isUnsettled, repeatFrom }]) => {
       if (isAccepted || !isUnsettled) return;
-      const listed = view.machines.get(machine);
-      // A machine that the provider no longer lists cannot be maintained any more.
-      if (listed === undefined) wave.ongoing.delete(machine);
-      if (listed?.state !== 'up') return;
+      if (MaintenancePlanner.#isRemoved(machine, wave, view)) wave.ongoing.delete(machine);
+      if (view.machines.get(machine)?.state !== 'up') return;
       const isEvacuated = MaintenancePlanner.#evacuate(wave, machine, view);
       plan.evacuating.add(machine);
       if (!isEvacuated || repeatFrom === undefined || repeatFrom > view.now) return;
--- a/src/schedule/Shard.ts
+++ b/src/schedule/Shard.ts
@@ -267,7 +267,8 @@
 
   /** Adds or updates a maintenance wave requested by the operator. */
   setWave(order: WaveOrder, record: WaveRecord | undefined): void {
-    this.#machinePlanner.setWave(order, this.#clock.readWall(), record);
+    const readTime = { now: this.#now, nowWallMs: this.#clock.readWall() };
+    this.#machinePlanner.setWave(order, readTime, record);
   }
 
   /** Handles the outcome of a start order. */
--- a/src/schedule/_MaintenanceWave.ts
+++ b/src/schedule/_MaintenanceWave.ts
@@ -16,6 +16,12 @@
   repeatFrom: number | undefined;
 }
 
+/** Time at which an order was read: on the monotonic clock and in ms since the Unix epoch. */
+export interface ReadTime {
+  now: number;
+  nowWallMs: number;
+}
+
 /** A maintenance wave and its progress. */
 export class MaintenanceWave {
   /** Machines whose maintenance has started. */
@@ -34,11 +40,15 @@
 
   readonly seenAtMs: number;
 
+  /** Monotonic time at which this owner read the current order. */
+  readAt: number;
+
   #order: WaveOrder;
 
   #machines: ReadonlySet<string>;
 
-  constructor(order: WaveOrder, seenAtMs: number, record?: WaveRecord) {
+  /** @param readTime Time at which the order was read, by both clocks in ms. */
+  constructor(order: WaveOrder, readTime: ReadTime, record?: WaveRecord) {
     record?.begun.forEach((machine) => this.begun.add(machine));
     record?.ordered
       .filter((machine) => !this.begun.has(machine))
@@ -49,16 +59,20 @@
     this.isCompleted = record?.isCompleted ?? false;
     this.#order = order;
     this.#machines = new Set(order.machines);
-    this.seenAtMs = seenAtMs;
+    this.seenAtMs = record?.seenAtMs ?? readTime.nowWallMs;
+    this.readAt = readTime.now;
   }
 
   get order(): WaveOrder {
     return this.#order;
   }
 
-  set order(order: WaveOrder) {
+  /** Replaces the order with one that was read at a monotonic time. */
+  updateOrder(order: WaveOrder, readAt: number): void {
+    if (order === this.#order) return;
     this.#order = order;
     this.#machines = new Set(order.machines);
+    this.readAt = readAt;
   }
 
   /** Describes the progress of the wave for the work log. */
