Keep a silent host that an older machine list lacks

A host that joined while the machine list was being read, and did not answer two calls, was taken for ended: the list lacked it, since it had been requested before.

Cause: the list only had to be newer than the last answer of the host, which for a host without an answer is time 0.

Change: the list must also be newer than the discovery of the host.

--- a/src/schedule/Shard.test.ts
+++ b/src/schedule/Shard.test.ts
@@ -191,6 +191,23 @@
     );
   });
 
+  // Guards against a host that is taken for ended while it starts: the machine list had been
+  // requested before the host was there.
+  it('does not take a silent host for ended that an older machine list lacks', () => {
+    const rig = new ScheduleRig();
+    rig.shard.updateMachines([], rig.clock.readMonotonic());
+    rig.clock.advance(1_000);
+    const requestedAt = rig.clock.readMonotonic();
+    rig.clock.advance(100);
+    const { host } = rig.shard.updateHost(buildHostEntry('h1'));
+    for (let call = 0; call < 2; call += 1) rig.shard.reportHoldFailure(host, 'refused');
+    rig.shard.updateMachines([], requestedAt);
+    assert.equal(host.hasEnded, false);
+    rig.clock.advance(100);
+    rig.shard.updateMachines([], rig.clock.readMonotonic());
+    assert.equal(host.hasEnded, true);
+  });
+
   // Guards against a new owner that starts no tasks while it cannot reach a data centre.
   it('starts tasks that no previous owner has recorded or may have started unrecorded', () => {
     const rig = new ScheduleRig({
--- a/src/schedule/Shard.ts
+++ b/src/schedule/Shard.ts
@@ -258,7 +258,7 @@
         return;
       }
       const isSilent = host.silentCalls >= MAX_SILENT_CALLS || !host.isListed;
-      const isOlder = host.answeredAt < readAt;
+      const isOlder = Math.max(host.answeredAt, host.discoveredAt) < readAt;
       if (isSilent && isOlder && this.#hosts.isProvenEnded(host)) {
         this.#endIncarnation(host, 'machine-list', now);
       }
