Store a job once for each data centre that accepts it

The owner started the tasks as its own, and its successor as those of another data centre.

Cause: the second submission replaced the record job/ID in the store. A node that had followed the log kept the first record, one that began with the newest records read the second one. The rule that keeps an owner without contact and its successor apart needs the same data centre at both. Ruled out: leases, fencing, and the list of unrecorded data centres.

Change: each data centre stores its own record, and a job is one of every data centre that accepted it; what an owner had read is a part of what its successor has read. The view of the work log is now a function of the newest record of each key: removals that expired unread, times of cancellations and offsets of replaced records differed between readers, too. A node that knows a job accepts its repetition without storing it and refuses an identifier of another queue's job, which never ran.

--- a/src/emulator/EmulatedStore.ts
+++ b/src/emulator/EmulatedStore.ts
@@ -38,7 +38,7 @@
  * ```ts
  * const store = new EmulatedStore(clock);
  * const connection = store.connect('node-1');
- * await connection.append([{ key: 'job/1', value: '{}' }]);
+ * await connection.append([{ key: 'wave/1', value: '{}' }]);
  * store.setMode('silent', 'node-1');
  * ```
  */
--- a/src/node/JobService.test.ts
+++ b/src/node/JobService.test.ts
@@ -1,10 +1,14 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { ManualClock } from '../clock/mod.js';
+import { Metrics } from '../metrics/mod.js';
+import { JobSpec } from '../task/mod.js';
+import { WorkLogKey } from '../workLog/mod.js';
 import { buildQueueConfig } from '../testing/ScheduleRig.js';
 import type { WorkLogFollower, WorkLogFollowerMessage, JobLookup } from './WorkLogFollower.js';
 import { JobService, type JobServiceOptions } from './JobService.js';
 import type { NodeContext } from './NodeContext.js';
+import type { WorkLogWriterMessage, WriteOutcome } from './WorkLogWriter.js';
 
 /** A work log follower that catches up with the current time on each requested read. */
 class LaggingWorkLog {
@@ -37,13 +41,39 @@
   }
 }
 
-function openJobService(clock: ManualClock, workLog: LaggingWorkLog): JobService {
+interface StoringWriter {
+  /** Keys of the records that were written. */
+  keys: string[];
+  ask: (build: (reply: () => void) => WorkLogWriterMessage) => Promise<WriteOutcome>;
+}
+
+/** Creates a writer that stores every record. */
+function createWriter(): StoringWriter {
+  const keys: string[] = [];
+  return {
+    keys,
+    ask: (build) => {
+      const message = build(() => undefined);
+      if (message.type === 'write') keys.push(message.record.key);
+      return Promise.resolve('stored');
+    },
+  };
+}
+
+function openJobService(
+  clock: ManualClock,
+  workLog: LaggingWorkLog,
+  writer = createWriter(),
+): JobService {
   const relay = { findState: () => Promise.resolve(undefined) };
-  const options = { workLog: workLog as unknown as WorkLogFollower, relay };
-  return new JobService(
-    { clock } as unknown as NodeContext,
-    options as unknown as JobServiceOptions,
-  );
+  const options = { workLog: workLog as unknown as WorkLogFollower, relay, writer };
+  const context = {
+    clock,
+    log: { record: () => undefined },
+    metrics: new Metrics(),
+    settings: { dataCentre: 'dc-1', retentionMs: 60_000 },
+  };
+  return new JobService(context as unknown as NodeContext, options as unknown as JobServiceOptions);
 }
 
 describe('JobService', () => {
@@ -81,6 +111,33 @@
     assert.equal(answer.type, 'refused');
   });
 
+  // Guards against a repeated submission that replaces the first record of its job in the store.
+  it('accepts a job that is known to be stored without storing it again', async () => {
+    const clock = new ManualClock();
+    const workLog = new LaggingWorkLog(clock, {});
+    const writer = createWriter();
+    const service = openJobService(clock, workLog, writer);
+    const spec = JobSpec.parse({ payload: 'x', steps: [{ count: 1 }] });
+    assert.deepEqual(await service.submit('a', buildQueueConfig(), spec), { type: 'accepted' });
+    assert.deepEqual(writer.keys, [WorkLogKey.job('a', 'dc-1')]);
+    workLog.setState('running');
+    assert.deepEqual(await service.submit('a', buildQueueConfig(), spec), { type: 'accepted' });
+    assert.equal(writer.keys.length, 1);
+  });
+
+  // Guards against a job that is said to be accepted and never runs.
+  it('refuses a job whose identifier belongs to a job of another queue', async () => {
+    const clock = new ManualClock();
+    const workLog = new LaggingWorkLog(clock, {});
+    workLog.setState('running');
+    const writer = createWriter();
+    const spec = JobSpec.parse({ payload: 'x', steps: [{ count: 1 }] });
+    const other = buildQueueConfig({ name: 'scores' });
+    const answer = await openJobService(clock, workLog, writer).submit('a', other, spec);
+    assert.equal(answer.type, 'refused');
+    assert.deepEqual(writer.keys, []);
+  });
+
   // Guards against callers that learn late that their job has finished: a node that is no standby
   // reads the work log only from time to time.
   it('reads the work log again before it describes a running job from an old state', async () => {
--- a/src/node/JobService.ts
+++ b/src/node/JobService.ts
@@ -104,7 +104,11 @@
     return { type: 'no-queue' };
   }
 
-  /** Stores a job; it is accepted only once it is stored. */
+  /**
+   * Stores a job; it is accepted only once it is stored.
+   *
+   * A job that is known to be stored is not stored again: its first record stays the newest one.
+   */
   async submit(
     id: string,
     queue: QueueConfig,
@@ -112,6 +116,9 @@
     timeoutMs = queue.timeoutMs,
   ): Promise<CallResponse> {
     const startedAt = this.#context.clock.readMonotonic();
+    const known = await this.#queryWorkLog(id);
+    if (known.queue !== undefined) return this.#answerRepeated(id, known.queue, queue);
+    const { dataCentre } = this.#context.settings;
     const value = JSON.stringify({
       queue: queue.name,
       pool: queue.pool,
@@ -122,10 +129,11 @@
         latencyTargetMs: queue.latencyTargetMs,
       },
       submittedAtMs: this.#context.clock.readWall(),
-      dataCentre: this.#context.settings.dataCentre,
+      dataCentre,
       spec,
     });
-    const outcome = await this.#writeWithFallback(WorkLogKey.job(id), value, timeoutMs);
+    const key = WorkLogKey.job(id, dataCentre);
+    const outcome = await this.#writeWithFallback(key, value, timeoutMs);
     const tookMs = this.#context.clock.readMonotonic() - startedAt;
     this.#context.metrics.recordLatency('submit', tookMs);
     this.#context.log.record(`job-${outcome === 'stored' ? 'accepted' : outcome}`, id, {
@@ -220,6 +228,17 @@
     return { state: found.queue === queue.name ? state : undefined, isCurrent: true };
   }
 
+  /** Answers the submission of a job whose identifier is known. */
+  #answerRepeated(id: string, knownQueue: string, { name }: QueueConfig): CallResponse {
+    this.#context.log.record('job-repeated', id, { queue: name, knownQueue });
+    if (knownQueue === name) return { type: 'accepted' };
+    return {
+      type: 'refused',
+      reason: `the identifier belongs to a job of queue "${knownQueue}"`,
+      retryAfterMs: this.#context.settings.retentionMs,
+    };
+  }
+
   #queryWorkLog(id: string): Promise<JobLookup> {
     return this.#workLog.ask<JobLookup>((reply) => ({ type: 'find', id, reply }));
   }
--- a/src/node/OwnerRecords.test.ts
+++ b/src/node/OwnerRecords.test.ts
@@ -2,6 +2,8 @@
 import { describe, it } from 'node:test';
 import { ManualClock } from '../clock/mod.js';
 import type { Shard } from '../schedule/mod.js';
+import { buildTrackedJob } from '../testing/ScheduleRig.js';
+import { WorkLogKey } from '../workLog/mod.js';
 import type { NodeContext } from './NodeContext.js';
 import { OwnerRecords, type OwnerUpdate } from './_OwnerRecords.js';
 
@@ -16,6 +18,26 @@
 };
 
 describe('OwnerRecords', () => {
+  // Guards against a job that runs again after its removal: the record of one of its data centres
+  // is left, without its final state.
+  it('removes all records of a finished job after the retention time', () => {
+    const clock = new ManualClock();
+    const shard = { token: 1, listUnrecorded: () => [], listMachineOrders: () => [] };
+    const settings = { name: 'node', dataCentre: 'dc-1', retentionMs: 60_000 };
+    const context = { clock, settings, session: 's' } as unknown as NodeContext;
+    const records = new OwnerRecords(context, shard as unknown as Shard);
+    const recordKeys = [WorkLogKey.job('a', 'dc-1')];
+    records.addFinishedJob(buildTrackedJob('a', [{ count: 1 }], { recordKeys }), clock.readWall());
+    // A repeated submission that was under way is stored after the end of the job.
+    recordKeys.push(WorkLogKey.job('a', 'dc-2'));
+    clock.advance(60_001);
+    const removed = records.build(UPDATE).records.filter(({ value }) => value === undefined);
+    assert.deepEqual(
+      removed.map(({ key }) => key),
+      [...recordKeys, WorkLogKey.cancel('a'), WorkLogKey.progress('a')],
+    );
+  });
+
   // Guards against an owner that takes itself for the only one for longer than the other nodes do:
   // its last record, with a shorter interval, is stored but not answered.
   it('assumes the shorter interval until an append is known to be stored', () => {
--- a/src/node/ShardOwner.ts
+++ b/src/node/ShardOwner.ts
@@ -379,8 +379,8 @@
   #canStartUnrecorded({ run }: StartCommand): boolean {
     const { isRecorded, rule } = this.#permit;
     if (isRecorded) return false;
-    const { dataCentre } = run.unit.step.occurrence.job.tracked;
-    return rule === 'all' || dataCentre === this.#context.settings.dataCentre;
+    const { dataCentres } = run.unit.step.occurrence.job.tracked;
+    return rule === 'all' || dataCentres.includes(this.#context.settings.dataCentre);
   }
 
   /** Returns the starts whose runs are still wanted and cancels the others. */
@@ -488,7 +488,7 @@
     const { progress } = job;
     if (progress !== undefined && progress.state !== 'active') {
       const endedAtMs = progress.endedAtMs ?? this.#context.clock.readWall();
-      this.#records.addFinishedJob(job.id, endedAtMs);
+      this.#records.addFinishedJob(job, endedAtMs);
       this.#shard.reportSubmission(job);
     } else this.#shard.addJob(job);
   }
@@ -573,8 +573,8 @@
     this.#ownershipCheck.recordAppend(batch.gaps);
     this.#records.confirm(batch.append);
     if (!batch.isRelease) this.#orderRecorded(batch.machineOrders);
-    batch.jobs.forEach(({ id, endedAtMs }) => {
-      if (endedAtMs !== undefined) this.#records.addFinishedJob(id, endedAtMs);
+    batch.jobs.forEach(({ tracked, endedAtMs }) => {
+      if (endedAtMs !== undefined) this.#records.addFinishedJob(tracked, endedAtMs);
     });
     batch.ends.forEach(({ host, sequence, restartCount }) => {
       host.acknowledge(sequence, restartCount);
--- a/src/node/WorkLogFollower.ts
+++ b/src/node/WorkLogFollower.ts
@@ -56,10 +56,11 @@
     this.#listeners = listeners;
   }
 
-  protected override applyRecords(records: readonly StoreRecord[]): void {
+  protected override applyRecords(records: readonly StoreRecord[], isSnapshot: boolean): void {
     const changes: WorkLogChange[] = [];
-    this.applyEach(records, (record) => {
-      const change = this.#view.apply(record);
+    const removed = isSnapshot ? this.#view.listRemoved(records, this.state.end) : [];
+    this.applyEach([...removed, ...records], (record) => {
+      const change = this.#view.apply(record, { isNewest: isSnapshot });
       if (change === undefined) return;
       if (change.type === 'unreadable') {
         this.context.log.record('record-skipped', change.key, { reason: change.reason });
--- a/src/node/_OwnerRecords.ts
+++ b/src/node/_OwnerRecords.ts
@@ -1,7 +1,7 @@
 import type { KeyedValue } from '../port/mod.js';
 import type { RecentMachineOrder, Shard } from '../schedule/mod.js';
 import type { ScheduledJob } from '../schedule/ScheduledJob.js';
-import { WorkLogKey, type WaveRecord } from '../workLog/mod.js';
+import { WorkLogKey, type TrackedJob, type WaveRecord } from '../workLog/mod.js';
 import { buildJobTombstones } from './buildJobTombstones.js';
 import type { NodeContext } from './NodeContext.js';
 
@@ -37,7 +37,7 @@
   readonly #shard: Shard;
 
   /** Finished jobs whose records are removed after the retention time, oldest first. */
-  readonly #finishedJobs: { id: string; endedAtMs: number }[] = [];
+  readonly #finishedJobs: { job: TrackedJob; endedAtMs: number }[] = [];
 
   #machineOrdersRecordedAt = -Infinity;
 
@@ -60,8 +60,8 @@
   }
 
   /** Adds a finished job, whose records are removed after the retention time. */
-  addFinishedJob(id: string, endedAtMs: number): void {
-    this.#finishedJobs.push({ id, endedAtMs });
+  addFinishedJob(job: TrackedJob, endedAtMs: number): void {
+    this.#finishedJobs.push({ job, endedAtMs });
   }
 
   /** Builds the records of an append; there is always one. */
@@ -128,7 +128,7 @@
     const tombstones: KeyedValue[] = [];
     while ((this.#finishedJobs[0]?.endedAtMs ?? Infinity) < before) {
       const finished = this.#finishedJobs.shift();
-      if (finished !== undefined) tombstones.push(...buildJobTombstones(finished.id));
+      if (finished !== undefined) tombstones.push(...buildJobTombstones(finished.job));
     }
     return tombstones;
   }
--- a/src/node/buildJobTombstones.ts
+++ b/src/node/buildJobTombstones.ts
@@ -1,4 +1,4 @@
-import { WorkLogKey } from '../workLog/mod.js';
+import { WorkLogKey, type TrackedJob } from '../workLog/mod.js';
 import type { KeyedValue } from '../port/mod.js';
 
 /**
@@ -7,11 +7,15 @@
  *
  * @example
  * ```ts
- * buildJobTombstones('5c0e').map(({ key }) => key); // ['job/5c0e', 'cancel/5c0e', 'progress/5c0e']
+ * buildJobTombstones({ id: '5c0e', recordKeys: ['accepted-job/5c0e/bzh-a'] }).map(({ key }) => key);
+ * // ['accepted-job/5c0e/bzh-a', 'cancel/5c0e', 'progress/5c0e']
  * ```
  */
-export function buildJobTombstones(id: string): KeyedValue[] {
-  return [WorkLogKey.job(id), WorkLogKey.cancel(id), WorkLogKey.progress(id)].map((key) => ({
+export function buildJobTombstones({
+  id,
+  recordKeys,
+}: Pick<TrackedJob, 'id' | 'recordKeys'>): KeyedValue[] {
+  return [...recordKeys, WorkLogKey.cancel(id), WorkLogKey.progress(id)].map((key) => ({
     key,
     value: undefined,
   }));
--- a/src/schedule/PreviousOwners.ts
+++ b/src/schedule/PreviousOwners.ts
@@ -59,10 +59,16 @@
     return unit.inheritedRuns.length > 0;
   }
 
-  #hasUnrecordedStarts({ acceptedOffset, dataCentre }: TrackedJob): boolean {
+  /**
+   * A previous owner may have started the job as one of any data centre that accepted it: what it
+   * had read when it lost contact with the store is a part of what this owner has read.
+   */
+  #hasUnrecordedStarts({ acceptedOffset, dataCentres }: TrackedJob): boolean {
     const { claimOffset, unrecorded } = this.#takeover;
     if (acceptedOffset >= claimOffset) return false;
-    return unrecorded.includes(ANY_DATA_CENTRE) || unrecorded.includes(dataCentre);
+    return (
+      unrecorded.includes(ANY_DATA_CENTRE) || dataCentres.some((one) => unrecorded.includes(one))
+    );
   }
 
   /** Checks whether a host cannot have runs of previous owners that this owner does not know. */
--- a/src/schedule/Shard.test.ts
+++ b/src/schedule/Shard.test.ts
@@ -241,7 +241,7 @@
       ],
     };
     rig.shard.addJob(buildTrackedJob('recorded', steps, { progress }));
-    rig.shard.addJob(buildTrackedJob('other', steps, { dataCentre: 'dc-2' }));
+    rig.shard.addJob(buildTrackedJob('other', steps, { dataCentres: ['dc-2'] }));
     const [run, ...others] = rig.startAll();
     assert.equal(run?.task, 'recorded.0.0.1');
     assert.deepEqual(others, []);
@@ -259,12 +259,35 @@
     );
   });
 
+  // Guards against two runs of one task (TWICE): a job that was submitted in two data centres counts
+  // as one of each of them, for an owner without contact and for its successor.
+  it('starts no task that a previous owner may have started as one of any data centre', () => {
+    const rig = new ScheduleRig({
+      token: 2,
+      claimOffset: 500,
+      isFirst: false,
+      unrecorded: ['dc-2'],
+    });
+    rig.shard.updateMachines([], 0);
+    rig.addHost('h1');
+    rig.shard.updateHost(buildHostEntry('silent'));
+    const steps = [{ count: 1, cpuMilli: 1_000 }];
+    rig.shard.addJob(buildTrackedJob('both', steps, { dataCentres: ['dc-1', 'dc-2'] }));
+    assert.deepEqual(rig.startAll(), []);
+    rig.report('silent');
+    rig.shard.setStartRule('own-data-centre');
+    assert.deepEqual(
+      rig.startAll().map(({ task }) => task),
+      ['both.0.0.0'],
+    );
+  });
+
   it('starts only jobs of its own data centre while a later owner may exist', () => {
     const rig = new ScheduleRig();
     rig.addHost('h1');
     const steps = [{ count: 1, cpuMilli: 1_000 }];
     rig.shard.addJob(buildTrackedJob('own', steps));
-    rig.shard.addJob(buildTrackedJob('foreign', steps, { dataCentre: 'dc-2' }));
+    rig.shard.addJob(buildTrackedJob('foreign', steps, { dataCentres: ['dc-2'] }));
     rig.shard.setStartRule('own-data-centre');
     assert.deepEqual(
       rig.startAll().map(({ task }) => task),
--- a/src/schedule/Shard.ts
+++ b/src/schedule/Shard.ts
@@ -524,8 +524,8 @@
     });
   }
 
-  #canStart({ dataCentre }: TrackedJob): boolean {
-    return this.#startRule === 'all' || dataCentre === this.#options.dataCentre;
+  #canStart({ dataCentres }: TrackedJob): boolean {
+    return this.#startRule === 'all' || dataCentres.includes(this.#options.dataCentre);
   }
 
   #planStep(step: ScheduledStep, round: PlacementRound, now: number): void {
--- a/src/testing/ScheduleRig.ts
+++ b/src/testing/ScheduleRig.ts
@@ -1,5 +1,5 @@
 import type { z } from 'zod';
-import type { TrackedJob } from '../workLog/mod.js';
+import { WorkLogKey, type TrackedJob } from '../workLog/mod.js';
 import { ManualClock } from '../clock/mod.js';
 import type {
   HostEntry,
@@ -58,7 +58,8 @@
     pool: 'studio',
     rule: { priority: 0, maxAttempts: 3, stretch: 2, latencyTargetMs: 600 },
     submittedAtMs: 0,
-    dataCentre: 'dc-1',
+    dataCentres: ['dc-1'],
+    recordKeys: [WorkLogKey.job(id, 'dc-1')],
     acceptedOffset: 100,
     spec: JobSpec.parse({ payload: id, steps }),
     ...fields,
--- a/src/workLog/StoredJob.test.ts
+++ b/src/workLog/StoredJob.test.ts
@@ -15,7 +15,8 @@
 
 function openJob(): { job: StoredJob; decoded: string[] } {
   const decoded: string[] = [];
-  const job = new StoredJob({ id: 'a', acceptedOffset: 4 }, ACCEPTED, (value) => {
+  const head = { id: 'a', acceptedOffset: 4, key: 'accepted-job/a/dc-1' };
+  const job = new StoredJob(head, ACCEPTED, (value) => {
     decoded.push(String(value));
     if (String(value) === 'odd') return undefined;
     return JobProgress.parse({ token: Number(value), state: 'active', occurrences: [] });
--- a/src/workLog/StoredJob.ts
+++ b/src/workLog/StoredJob.ts
@@ -8,6 +8,14 @@
  */
 const NOT_BEGUN = '"hasBegun":false';
 
+/** Identifier of a job, and offset and key of the first record that accepted it. */
+export interface StoredJobHead {
+  id: string;
+  /** See `TrackedJob.acceptedOffset`. */
+  acceptedOffset: number;
+  key: string;
+}
+
 /** Decodes a progress record; undefined if it is not readable. */
 export type ProgressDecoder = (value: Buffer) => JobProgress | undefined;
 
@@ -22,17 +30,13 @@
 
   readonly acceptedOffset: number;
 
-  readonly queue: string;
-
-  readonly pool: string;
-
-  readonly rule: AcceptedJob['rule'];
+  /** Accepting records by key. */
+  readonly #submissions = new Map<string, AcceptedJob>();
 
-  readonly submittedAtMs: number;
+  /** The earliest submission, which describes the job. */
+  #accepted: AcceptedJob;
 
-  readonly dataCentre: string;
-
-  readonly spec: JobSpec;
+  #dataCentres: readonly string[] = [];
 
   cancelledAtMs?: number;
 
@@ -45,23 +49,61 @@
 
   #progress: JobProgress | undefined;
 
-  /** A progress record showed that a task had been started; no later record takes this back. */
+  /** The newest progress record shows that a task had been started; the owner never takes it back. */
   #hasBegun = false;
 
   constructor(
-    { id, acceptedOffset }: Pick<TrackedJob, 'id' | 'acceptedOffset'>,
+    { id, acceptedOffset, key }: StoredJobHead,
     accepted: AcceptedJob,
     decode: ProgressDecoder,
   ) {
     this.id = id;
     this.acceptedOffset = acceptedOffset;
-    this.queue = accepted.queue;
-    this.pool = accepted.pool;
-    this.rule = accepted.rule;
-    this.submittedAtMs = accepted.submittedAtMs;
-    this.dataCentre = accepted.dataCentre;
-    this.spec = accepted.spec;
+    this.#accepted = accepted;
     this.#decode = decode;
+    this.setSubmission(key, accepted);
+  }
+
+  get queue(): string {
+    return this.#accepted.queue;
+  }
+
+  get pool(): string {
+    return this.#accepted.pool;
+  }
+
+  get rule(): AcceptedJob['rule'] {
+    return this.#accepted.rule;
+  }
+
+  get submittedAtMs(): number {
+    return this.#accepted.submittedAtMs;
+  }
+
+  get spec(): JobSpec {
+    return this.#accepted.spec;
+  }
+
+  get dataCentres(): readonly string[] {
+    return this.#dataCentres;
+  }
+
+  get recordKeys(): readonly string[] {
+    return [...this.#submissions.keys()];
+  }
+
+  /** Adds a record that accepted the job, or replaces the one with the same key. */
+  setSubmission(key: string, accepted: AcceptedJob): void {
+    this.#submissions.set(key, accepted);
+    this.#updateSubmissions();
+  }
+
+  /** Removes an accepting record; returns false if it was the last one, which is kept. */
+  removeSubmission(key: string): boolean {
+    if (this.#submissions.size === 1 && this.#submissions.has(key)) return false;
+    this.#submissions.delete(key);
+    this.#updateSubmissions();
+    return true;
   }
 
   /** Progress last recorded by the owner; the last readable one if a record is odd. */
@@ -88,14 +130,37 @@
 
   /** Sets the newest progress record. */
   setProgress(value: Buffer): void {
-    this.#hasBegun ||= !value.includes(NOT_BEGUN);
+    this.#hasBegun = !value.includes(NOT_BEGUN);
     this.#previous = this.#newest;
     // The record is a part of the response of a read, which would be kept with it.
     this.#newest = Buffer.from(value);
   }
 
+  /** Chooses by content and not by offset, so that all readers choose the same submission. */
+  #updateSubmissions(): void {
+    const sorted = [...this.#submissions].sort(
+      ([key, one], [otherKey, other]) =>
+        one.submittedAtMs - other.submittedAtMs || (key < otherKey ? -1 : 1),
+    );
+    this.#accepted = sorted[0]?.[1] ?? this.#accepted;
+    this.#dataCentres = [...new Set(sorted.map(([, { dataCentre }]) => dataCentre))].sort();
+  }
+
   /** Marks the job as cancelled by a caller at a time in ms since the Unix epoch. */
   cancel(atMs: number): void {
     this.cancelledAtMs = atMs;
   }
+
+  /** Removes the cancellation, whose record has been removed. */
+  removeCancellation(): void {
+    delete this.cancelledAtMs;
+  }
+
+  /** Removes the progress, whose record has been removed. */
+  removeProgress(): void {
+    this.#newest = undefined;
+    this.#previous = undefined;
+    this.#progress = undefined;
+    this.#hasBegun = false;
+  }
 }
--- a/src/workLog/WorkLogRecord.ts
+++ b/src/workLog/WorkLogRecord.ts
@@ -1,7 +1,13 @@
 import { z } from 'zod';
 import { JobSpec } from '../task/mod.js';
 
-/** An accepted job, stored under `job/ID` by the node that accepted it. */
+/**
+ * An accepted job, stored under `accepted-job/ID/DATA-CENTRE` by the node that accepted it.
+ *
+ * The store keeps only the newest record of each key. A job that is submitted again in another data
+ * centre gets a second record, so that every reader knows all data centres of the job. Earlier
+ * versions stored it under `job/ID`.
+ */
 export const AcceptedJob = z.object({
   queue: z.string(),
   pool: z.string(),
@@ -116,7 +122,7 @@
 export const WorkLogKey = {
   owner: 'owner',
   machineOrders: 'machine-orders',
-  job: (id: string): string => `job/${id}`,
+  job: (id: string, dataCentre: string): string => `accepted-job/${id}/${dataCentre}`,
   cancel: (id: string): string => `cancel/${id}`,
   progress: (id: string): string => `progress/${id}`,
   node: (name: string): string => `node/${name}`,
--- a/src/workLog/WorkLogView.test.ts
+++ b/src/workLog/WorkLogView.test.ts
@@ -4,6 +4,7 @@
 import { readSeed } from '../testing/readSeed.js';
 import type { StoreRecord } from '../port/mod.js';
 import { describeJobState } from './describeJobState.js';
+import { WorkLogKey } from './WorkLogRecord.js';
 import { WorkLogView } from './WorkLogView.js';
 
 const JOB = {
@@ -37,6 +38,92 @@
   };
 }
 
+/** Describes everything that a view knows but the offsets of records, which readers may lack. */
+function describeAll(view: WorkLogView): unknown {
+  const jobs = [...view.jobs].map((job) => {
+    const { id, queue, submittedAtMs, dataCentres, spec, cancelledAtMs, progress } = job;
+    const recordKeys = [...job.recordKeys].sort();
+    return { id, queue, submittedAtMs, dataCentres, recordKeys, spec, cancelledAtMs, progress };
+  });
+  return {
+    state: describeView(view),
+    jobs: jobs.sort((one, other) => (one.id < other.id ? -1 : 1)),
+    waiting: ['renders', 'scores'].map((queue) => view.countWaiting(queue)),
+    nodes: new Map([...view.nodes].sort()),
+    waves: new Map([...view.waves].sort()),
+    machineOrders: view.machineOrders,
+  };
+}
+
+/**
+ * Reads the newest record of each key into a view, as in pages. The log is followed from `end`; the
+ * pages may contain newer records.
+ */
+function readNewest(
+  view: WorkLogView,
+  records: readonly StoreRecord[],
+  end = records.length,
+): WorkLogView {
+  const newest = new Map(records.map((record) => [record.key, record]));
+  const pages = [...newest.values()]
+    .filter(({ value }) => value !== undefined)
+    .sort((one, other) => (one.key < other.key ? -1 : 1));
+  [...view.listRemoved(pages, end), ...pages].forEach((record) =>
+    view.apply(record, { isNewest: true }),
+  );
+  return view;
+}
+
+function followFrom(view: WorkLogView, records: readonly StoreRecord[], from: number): void {
+  records.slice(from).forEach((record) => view.apply(record));
+}
+
+const jobId = fc.constantFrom('a', 'b', 'c');
+const smallNumber = fc.nat(5);
+/** Records of one append; a tombstone group removes all records of a job. */
+const append = fc.oneof(
+  fc
+    .record({
+      id: jobId,
+      dataCentre: fc.constantFrom('dc-1', 'dc-2', 'dc-3'),
+      queue: fc.constantFrom('renders', 'scores'),
+      submittedAtMs: smallNumber,
+      payload: fc.constantFrom('x', 'y'),
+    })
+    .map(({ id, payload, ...fields }): [string, unknown][] => [
+      [
+        WorkLogKey.job(id, fields.dataCentre),
+        { ...JOB, ...fields, spec: { ...JOB.spec, payload } },
+      ],
+    ]),
+  fc
+    .tuple(jobId, smallNumber)
+    .map(([id, atMs]): [string, unknown][] => [[WorkLogKey.cancel(id), { atMs }]]),
+  fc
+    .record({
+      id: jobId,
+      token: smallNumber,
+      state: fc.constantFrom('active', 'completed', 'failed'),
+      hasBegun: fc.boolean(),
+    })
+    .map(({ id, ...fields }): [string, unknown][] => [
+      [WorkLogKey.progress(id), { ...PROGRESS, ...fields }],
+    ]),
+  jobId.map((id): [string, unknown][] =>
+    ['dc-1', 'dc-2', 'dc-3']
+      .map((dataCentre) => WorkLogKey.job(id, dataCentre))
+      .concat(WorkLogKey.cancel(id), WorkLogKey.progress(id))
+      .map((key) => [key, undefined]),
+  ),
+  fc.tuple(smallNumber, fc.constantFrom('n', 'm')).map(([number, node]): [string, unknown][] => [
+    [WorkLogKey.owner, { token: number + 1, node, session: 's' }],
+    [WorkLogKey.node(node), { session: `s-${number}`, address: '', dataCentre: 'dc-1' }],
+    [WorkLogKey.wave(number % 2), { seenAtMs: number, begun: [node], isCompleted: number > 3 }],
+    [WorkLogKey.machineOrders, { orders: [{ machine: node, ageMs: number }] }],
+  ]),
+);
+const log = fc.array(append, { maxLength: 40 }).map((appends) => buildRecords(appends.flat()));
+
 describe('WorkLogView', () => {
   it('counts a job as waiting until it starts or is cancelled', () => {
     const steps: [string, unknown, number][] = [
@@ -125,4 +212,61 @@
       { seed: readSeed() },
     );
   });
+
+  // Guards against two runs of one task (TWICE): a caller submits a job in two data centres, and an
+  // owner and its successor know different ones for it.
+  it('knows all data centres of a job, whatever it has read', () => {
+    const records = buildRecords([
+      [WorkLogKey.job('a', 'dc-1'), { ...JOB, dataCentre: 'dc-1' }],
+      [WorkLogKey.job('a', 'dc-2'), { ...JOB, dataCentre: 'dc-2', submittedAtMs: 9 }],
+      [WorkLogKey.job('a', 'dc-2'), { ...JOB, dataCentre: 'dc-2', submittedAtMs: 12 }],
+    ]);
+    const followed = applyAll(records).get('a');
+    const restored = readNewest(new WorkLogView(), records).get('a');
+    assert.deepEqual(followed?.dataCentres, ['dc-1', 'dc-2']);
+    assert.deepEqual(restored?.dataCentres, ['dc-1', 'dc-2']);
+    assert.equal(restored.submittedAtMs, 1);
+  });
+
+  // Guards against a takeover that trusts the offset of a record which has replaced an earlier one.
+  it('does not know when a job was accepted that it read from the newest records', () => {
+    const records = buildRecords([[WorkLogKey.job('a', 'dc-1'), JOB]]);
+    assert.equal(applyAll(records).get('a')?.acceptedOffset, 0);
+    const later = [{ ...records[0]!, offset: 7 }];
+    assert.equal(applyAll(later).get('a')?.acceptedOffset, 7);
+    assert.equal(readNewest(new WorkLogView(), later).get('a')?.acceptedOffset, 0);
+  });
+
+  // Guards against a job that runs again: its removal expired in the store before it was read.
+  it('forgets a job that the newest records lack', () => {
+    const view = applyAll(buildRecords([[WorkLogKey.job('a', 'dc-1'), JOB]]));
+    const [removed] = view.listRemoved([], 5);
+    assert.ok(removed !== undefined);
+    assert.deepEqual(view.apply(removed), { type: 'removed', id: 'a' });
+    assert.equal(view.size, 0);
+    assert.equal(view.countWaiting('renders'), 0);
+  });
+
+  // Guards against nodes that decide differently about the same log: one followed it, one began with
+  // the newest records, one lost a part of it to the store's retention.
+  it('yields the same state to all readers of a log', () => {
+    fc.assert(
+      fc.property(log, fc.nat(60), fc.nat(60), fc.nat(60), (records, one, other, third) => {
+        const [start = 0, expired = 0, resumed = 0] = [one, other, third]
+          .map((offset) => Math.min(offset, records.length))
+          .sort((left, right) => left - right);
+        const followed = describeAll(applyAll(records));
+        const restored = readNewest(new WorkLogView(), records);
+        assert.deepEqual(describeAll(restored), followed, 'newest records');
+        const late = readNewest(new WorkLogView(), records.slice(0, resumed), start);
+        followFrom(late, records, start);
+        assert.deepEqual(describeAll(late), followed, 'newest records, then the log');
+        const gapped = applyAll(records.slice(0, start));
+        readNewest(gapped, records.slice(0, resumed), expired);
+        followFrom(gapped, records, expired);
+        assert.deepEqual(describeAll(gapped), followed, 'a gap in the log');
+      }),
+      { seed: readSeed(), numRuns: 500 },
+    );
+  });
 });
--- a/src/workLog/WorkLogView.ts
+++ b/src/workLog/WorkLogView.ts
@@ -114,8 +114,27 @@
     return this.#waitingCounts.get(queue) ?? 0;
   }
 
-  /** Applies a record; returns undefined if it changes nothing. */
-  apply(record: StoreRecord): WorkLogChange | undefined {
+  /**
+   * Lists tombstones for the known keys that the newest records of all keys, read page by page, lack:
+   * their own tombstones have expired unread.
+   *
+   * @param end End of the log when the first page was requested. What was written from there on is
+   * read afterwards, also if the pages lack it.
+   */
+  listRemoved(newest: readonly StoreRecord[], end: number): StoreRecord[] {
+    const listed = new Set(newest.map(({ key }) => key));
+    const offset = end - 1;
+    return [...this.#newestOffsets]
+      .filter(([key, known]) => known < offset && !listed.has(key))
+      .map(([key]) => ({ key, offset, value: undefined }));
+  }
+
+  /**
+   * Applies a record; returns undefined if it changes nothing.
+   *
+   * `isNewest` tells that the record may have replaced earlier ones that this view has not read.
+   */
+  apply(record: StoreRecord, { isNewest = false } = {}): WorkLogChange | undefined {
     if ((this.#newestOffsets.get(record.key) ?? -1) >= record.offset) return undefined;
     this.#newestOffsets.set(record.key, record.offset);
     const slash = record.key.indexOf('/');
@@ -123,7 +142,8 @@
     const name = slash < 0 ? '' : record.key.slice(slash + 1);
     switch (kind) {
       case 'job':
-        return this.#applyJob(name, record);
+      case 'accepted-job':
+        return this.#applyJob(name.split('/', 1)[0] ?? '', record, isNewest);
       case 'cancel':
         return this.#applyCancellation(name, record);
       case 'progress':
@@ -141,18 +161,17 @@
     }
   }
 
-  #applyJob(id: string, record: StoreRecord): WorkLogChange | undefined {
-    if (record.value === undefined) {
-      this.#changeJob(this.#jobs.get(id), () => this.#jobs.delete(id));
-      this.#pendingUpdates.delete(id);
-      this.#newestOffsets.delete(WorkLogKey.job(id));
-      return { type: 'removed', id };
-    }
-    // Submissions are idempotent: the first record of a job takes precedence over duplicates.
-    if (this.#jobs.has(id)) return undefined;
+  #applyJob(id: string, record: StoreRecord, isNewest: boolean): WorkLogChange | undefined {
+    const known = this.#jobs.get(id);
+    if (record.value === undefined) return this.#removeSubmission(id, record.key);
     const accepted = WorkLogView.#decode(AcceptedJob, record);
     if ('reason' in accepted) return accepted;
-    const head = { id, acceptedOffset: record.offset };
+    if (known !== undefined) {
+      // Submissions are idempotent: a repeated one adds at most a data centre.
+      this.#changeJob(known, () => known.setSubmission(record.key, accepted.value));
+      return undefined;
+    }
+    const head = { id, acceptedOffset: isNewest ? 0 : record.offset, key: record.key };
     const job = new StoredJob(head, accepted.value, (value) => this.#decodeProgress(id, value));
     const { cancelledAtMs, progress } = this.#pendingUpdates.get(id) ?? {};
     if (cancelledAtMs !== undefined) job.cancel(cancelledAtMs);
@@ -162,25 +181,44 @@
     return { type: 'job', job };
   }
 
+  /** Removes an accepting record, and the job if it was the last one. */
+  #removeSubmission(id: string, key: string): WorkLogChange | undefined {
+    this.#newestOffsets.delete(key);
+    const job = this.#jobs.get(id);
+    if (job === undefined || !job.recordKeys.includes(key)) return undefined;
+    let isKept = false;
+    this.#changeJob(job, () => {
+      isKept = job.removeSubmission(key);
+      if (!isKept) this.#jobs.delete(id);
+    });
+    return isKept ? undefined : { type: 'removed', id };
+  }
+
   #applyCancellation(id: string, record: StoreRecord): WorkLogChange | undefined {
-    if (record.value === undefined) return undefined;
+    const job = this.#jobs.get(id);
+    if (record.value === undefined) {
+      if (job !== undefined) this.#changeJob(job, () => job.removeCancellation());
+      return this.#removePending(id, record.key, 'cancelledAtMs');
+    }
     const cancellation = WorkLogView.#decode(Cancellation, record);
     if ('reason' in cancellation) return cancellation;
     const { atMs } = cancellation.value;
-    const job = this.#jobs.get(id);
     if (job === undefined) {
       this.#pendingUpdates.set(id, { ...this.#pendingUpdates.get(id), cancelledAtMs: atMs });
       return undefined;
     }
-    if (job.cancelledAtMs !== undefined) return undefined;
+    const wasCancelled = job.cancelledAtMs !== undefined;
     this.#changeJob(job, () => job.cancel(atMs));
-    return { type: 'cancelled', job };
+    return wasCancelled ? undefined : { type: 'cancelled', job };
   }
 
   #applyProgress(id: string, record: StoreRecord): WorkLogChange | undefined {
     const { value } = record;
-    if (value === undefined) return undefined;
     const job = this.#jobs.get(id);
+    if (value === undefined) {
+      if (job !== undefined) this.#changeJob(job, () => job.removeProgress());
+      return this.#removePending(id, record.key, 'progress');
+    }
     if (job === undefined) {
       const progress = Buffer.from(value);
       this.#pendingUpdates.set(id, { ...this.#pendingUpdates.get(id), progress });
@@ -190,6 +228,15 @@
     return { type: 'progress', job };
   }
 
+  /** Forgets an update that was read before its job, and the key of its record. */
+  #removePending(id: string, key: string, field: 'cancelledAtMs' | 'progress'): undefined {
+    this.#newestOffsets.delete(key);
+    const pending = this.#pendingUpdates.get(id);
+    if (pending === undefined) return;
+    delete pending[field];
+    if (Object.keys(pending).length === 0) this.#pendingUpdates.delete(id);
+  }
+
   #applyOwner(record: StoreRecord): WorkLogChange | undefined {
     const owner = WorkLogView.#decode(OwnerRecord, record);
     if ('reason' in owner) return owner;
@@ -225,17 +272,21 @@
   }
 
   /** Applies a change to a job, or its addition or removal, and updates the count of waiting jobs. */
-  #changeJob(job: StoredJob | undefined, change: () => void): void {
-    const wasWaiting = this.#isWaiting(job);
+  #changeJob(job: StoredJob, change: () => void): void {
+    const before = this.#findWaitingQueue(job);
     change();
-    if (job === undefined || wasWaiting === this.#isWaiting(job)) return;
-    this.#waitingCounts.set(job.queue, this.countWaiting(job.queue) + (wasWaiting ? -1 : 1));
+    const after = this.#findWaitingQueue(job);
+    if (before === after) return;
+    if (before !== undefined) this.#waitingCounts.set(before, this.countWaiting(before) - 1);
+    if (after !== undefined) this.#waitingCounts.set(after, this.countWaiting(after) + 1);
   }
 
-  /** Checks whether the view contains a job of which no task has started. */
-  #isWaiting(job: StoredJob | undefined): boolean {
-    if (job === undefined || this.#jobs.get(job.id) !== job) return false;
-    return job.spec.repeat === undefined && job.cancelledAtMs === undefined && !job.hasBegun;
+  /** Finds the queue of a job of which no task has started; undefined for other jobs. */
+  #findWaitingQueue(job: StoredJob): string | undefined {
+    if (this.#jobs.get(job.id) !== job) return undefined;
+    const isWaiting =
+      job.spec.repeat === undefined && job.cancelledAtMs === undefined && !job.hasBegun;
+    return isWaiting ? job.queue : undefined;
   }
 
   #decodeProgress(id: string, value: Buffer): JobProgress | undefined {
