Store the cancellation of a job that a node does not know

Cause: a node that did not find the job in its view answered without storing anything, while the write was still open; it repeated the write 0.7 s later. Ruled out: the age of the view, and the owner, which had no cancellation to read. The write may also be open in another node or in the store, so waiting for the own write would not be enough.

Change: the cancellation is stored before the answer, under a key that names the queue. It applies whether it precedes the job in the log or follows it. The owner removes it if no job was stored within the retention time. The emulated store can execute an append late.

--- a/src/emulator/EmulatedStore.ts
+++ b/src/emulator/EmulatedStore.ts
@@ -56,6 +56,9 @@
 
   readonly #nodeModes = new Map<string, StoreMode>();
 
+  /** Delay in ms of the next append of a node, which is not answered. */
+  readonly #appendDelays = new Map<string, number>();
+
   #mode: StoreMode = 'normal';
 
   constructor(clock: Clock) {
@@ -77,6 +80,18 @@
     else this.#nodeModes.set(node, mode);
   }
 
+  /** Executes the next append of a node after a delay in ms, without an answer. */
+  holdNextAppend(node: string, delayMs: number): void {
+    this.#appendDelays.set(node, delayMs);
+  }
+
+  /** Returns the delay in ms of an append that a node makes now; undefined if there is none. */
+  takeAppendDelay(node: string): number | undefined {
+    const delayMs = this.#appendDelays.get(node);
+    this.#appendDelays.delete(node);
+    return delayMs;
+  }
+
   /** Returns the fault mode for a node. */
   getMode(node: string): StoreMode {
     const nodeMode = this.#nodeModes.get(node) ?? 'normal';
--- a/src/emulator/NodeCluster.ts
+++ b/src/emulator/NodeCluster.ts
@@ -151,6 +151,12 @@
     }
   }
 
+  /** Cancels a job at a node; the answer is `unknown` if the node is not running. */
+  async cancel(name: string, id: string): Promise<CallResponse> {
+    const node = this.get(name);
+    return node === undefined ? { type: 'unknown' } : node.jobService.cancel(id, this.queue);
+  }
+
   /** Queries a node for the state of a job; undefined if the node does not return one. */
   async findJobState(name: string, id: string): Promise<string | undefined> {
     try {
--- a/src/emulator/_StoreConnection.ts
+++ b/src/emulator/_StoreConnection.ts
@@ -32,6 +32,12 @@
     options: AppendOptions = {},
   ): Promise<AppendResponse> {
     await this.#applyMode();
+    const delayMs = this.#store.takeAppendDelay(this.#node);
+    if (delayMs !== undefined) {
+      setTimeout(() => this.#store.append(records, options), delayMs);
+      await StoreConnection.#wait(UNANSWERED_TIMEOUT_MS);
+      throw new StoreUnansweredError('the append is executed late');
+    }
     const answer = this.#store.append(records, options);
     if (this.#store.getMode(this.#node) === 'losing-answers') {
       await StoreConnection.#wait(UNANSWERED_TIMEOUT_MS);
--- a/src/node/JobService.test.ts
+++ b/src/node/JobService.test.ts
@@ -125,6 +125,28 @@
     assert.equal(writer.keys.length, 1);
   });
 
+  // Guards against a job that runs although its cancellation was answered (UNASKED): the write of the
+  // job may be open in this node, in another one or in the store.
+  it('stores the cancellation of a job that it does not know', async () => {
+    const clock = new ManualClock();
+    clock.advance(1_000);
+    const writer = createWriter();
+    const service = openJobService(clock, new LaggingWorkLog(clock, {}), writer);
+    assert.deepEqual(await service.cancel('a', buildQueueConfig()), { type: 'no-job' });
+    assert.deepEqual(writer.keys, [WorkLogKey.earlyCancel('a', 'renders')]);
+  });
+
+  it('cancels no job of another queue', async () => {
+    const clock = new ManualClock();
+    const workLog = new LaggingWorkLog(clock, {});
+    workLog.setState('running');
+    const writer = createWriter();
+    const service = openJobService(clock, workLog, writer);
+    const other = buildQueueConfig({ name: 'scores' });
+    assert.deepEqual(await service.cancel('a', other), { type: 'no-job' });
+    assert.deepEqual(writer.keys, []);
+  });
+
   // Guards against a job that is said to be accepted and never runs.
   it('refuses a job whose identifier belongs to a job of another queue', async () => {
     const clock = new ManualClock();
--- a/src/node/JobService.ts
+++ b/src/node/JobService.ts
@@ -38,7 +38,14 @@
  */
 const WRITE_MARGIN_MS = 2_000;
 
-const NO_SUCH_JOB = { state: undefined, isCurrent: true } as const;
+/** State of a job, from a view that is current or, if `isCurrent` is false, unknown. */
+interface CurrentState {
+  /** Undefined if no job of the queue has the identifier. */
+  state: JobState | undefined;
+  isCurrent: boolean;
+  /** The identifier belongs to a job of another queue. */
+  hasOtherQueue: boolean;
+}
 
 /** Options of a `JobService`: the actors that it calls. */
 export interface JobServiceOptions {
@@ -144,17 +151,25 @@
     return this.#toResponse(outcome, { type: 'accepted' });
   }
 
-  /** Cancels a job; it counts as cancelled only once the cancellation is stored. */
+  /**
+   * Cancels a job; it counts as cancelled only once the cancellation is stored.
+   *
+   * The cancellation of an unknown job is stored, too: a write of the job may still be open in this
+   * node, in another one or in the store, and it must not run if it is stored afterwards.
+   */
   async cancel(id: string, queue: QueueConfig, timeoutMs = queue.timeoutMs): Promise<CallResponse> {
-    const { state, isCurrent } = await this.#findCurrent(id, queue);
-    if (state === undefined && isCurrent) return { type: 'no-job' };
+    const { state, isCurrent, hasOtherQueue } = await this.#findCurrent(id, queue);
+    if (hasOtherQueue) return { type: 'no-job' };
     if (state !== undefined && state !== 'queued' && state !== 'running') {
       return { type: 'cancelled' };
     }
     const value = JSON.stringify({ atMs: this.#context.clock.readWall() });
-    const outcome = await this.#writeWithFallback(WorkLogKey.cancel(id), value, timeoutMs);
-    this.#context.log.record('cancel', id, { queue: queue.name, outcome });
-    return this.#toResponse(outcome, { type: 'cancelled' });
+    const key =
+      state === undefined ? WorkLogKey.earlyCancel(id, queue.name) : WorkLogKey.cancel(id);
+    const outcome = await this.#writeWithFallback(key, value, timeoutMs);
+    this.#context.log.record('cancel', id, { queue: queue.name, state, outcome });
+    const isUnknown = state === undefined && isCurrent;
+    return this.#toResponse(outcome, { type: isUnknown ? 'no-job' : 'cancelled' });
   }
 
   /** Describes the state of a job. */
@@ -180,13 +195,10 @@
   }
 
   /** Finds a job, querying other nodes if the work log of this one does not catch up. */
-  async #findCurrent(
-    id: string,
-    queue: QueueConfig,
-  ): Promise<{ state: JobState | undefined; isCurrent: boolean }> {
+  async #findCurrent(id: string, queue: QueueConfig): Promise<CurrentState> {
     const found = await this.#findAfterCatchUp(id, MAX_STATE_AGE_MS);
     if (found === undefined) return this.#findOnPeers(id, queue);
-    return found.queue === queue.name ? { state: found.state, isCurrent: true } : NO_SUCH_JOB;
+    return JobService.#toCurrentState(found, queue);
   }
 
   /**
@@ -218,14 +230,19 @@
   }
 
   /** Queries other nodes for the state of a job. */
-  async #findOnPeers(
-    id: string,
-    queue: QueueConfig,
-  ): Promise<{ state: JobState | undefined; isCurrent: boolean }> {
+  async #findOnPeers(id: string, queue: QueueConfig): Promise<CurrentState> {
     const found = await this.#relay.findState(id);
-    if (found === undefined) return { state: undefined, isCurrent: false };
+    if (found === undefined) return { state: undefined, isCurrent: false, hasOtherQueue: false };
     const state = JobState.safeParse(found.state).data;
-    return { state: found.queue === queue.name ? state : undefined, isCurrent: true };
+    return JobService.#toCurrentState({ state, queue: found.queue ?? undefined }, queue);
+  }
+
+  static #toCurrentState(
+    { state, queue }: Pick<JobLookup, 'state' | 'queue'>,
+    { name }: QueueConfig,
+  ): CurrentState {
+    const hasOtherQueue = queue !== undefined && queue !== name;
+    return { state: hasOtherQueue ? undefined : state, isCurrent: true, hasOtherQueue };
   }
 
   /** Answers the submission of a job whose identifier is known. */
--- a/src/node/Node.test.ts
+++ b/src/node/Node.test.ts
@@ -57,6 +57,31 @@
       assert.equal(cluster.fleet.started.length, 5);
     }));
 
+  // Guards against a job that runs on although its cancellation was answered (UNASKED): the write of
+  // the job was open at that time, in the node or in the store.
+  it('runs no job that was cancelled while its write was open', () =>
+    withCluster({}, async (cluster) => {
+      const owner = await waitFor('an owner', () => cluster.findOwner());
+      const [node = '', other = ''] = cluster.names.filter((name) => name !== owner);
+      cluster.store.holdNextAppend(node, 1_000);
+      const submitted = cluster.submit(node, 'a', STEPS);
+      const answers = [await cluster.cancel(node, 'a')];
+      await submitted;
+      // The job of another node, whose write is executed after the cancellation is stored.
+      cluster.store.holdNextAppend(node, 1_000);
+      const late = cluster.submit(node, 'b', STEPS);
+      answers.push(await cluster.cancel(other, 'b'));
+      answers.forEach(({ type }) => assert.ok(type === 'cancelled' || type === 'no-job', type));
+      await late;
+      for (const id of ['a', 'b']) {
+        const isStored = async (): Promise<boolean> =>
+          (await cluster.findJobState(other, id)) !== undefined;
+        await waitFor('a stored job', isStored);
+        assert.equal(await cluster.findJobState(other, id), 'cancelled');
+      }
+      assert.deepEqual(cluster.fleet.started, []);
+    }));
+
   it('finishes a job when the owner is killed while its tasks run', () =>
     withCluster({ script: () => ({ runMs: 600, outcome: 'done' }) }, async (cluster) => {
       await cluster.submit('node-0', 'a', STEPS);
--- a/src/node/OwnerRecords.test.ts
+++ b/src/node/OwnerRecords.test.ts
@@ -17,34 +17,54 @@
   intervalMs: 0,
 };
 
+function openRecords(clock: ManualClock): OwnerRecords {
+  const shard = { token: 1, listUnrecorded: () => [], listMachineOrders: () => [] };
+  const settings = { name: 'node', dataCentre: 'dc-1', retentionMs: 60_000 };
+  const context = { clock, settings, session: 's' };
+  return new OwnerRecords(context as unknown as NodeContext, shard as unknown as Shard);
+}
+
+function listRemoved(records: OwnerRecords): string[] {
+  return records
+    .build(UPDATE)
+    .records.flatMap(({ key, value }) => (value === undefined ? key : []));
+}
+
 describe('OwnerRecords', () => {
+  // Guards against records of cancellations that stay for ever, and against a cancellation that is
+  // removed before its job, which would then run.
+  it('removes the cancellation of an unknown job after the retention time', () => {
+    const clock = new ManualClock();
+    const records = openRecords(clock);
+    const key = WorkLogKey.earlyCancel('a', 'renders');
+    const known = WorkLogKey.earlyCancel('b', 'renders');
+    [key, known].forEach((one) => records.addEarlyCancel(one));
+    clock.advance(59_999);
+    records.withdrawEarlyCancels(buildTrackedJob('b', [{ count: 1 }], { recordKeys: [known] }));
+    assert.deepEqual(listRemoved(records), []);
+    clock.advance(2);
+    assert.deepEqual(listRemoved(records), [key]);
+    assert.deepEqual(listRemoved(records), []);
+  });
+
   // Guards against a job that runs again after its removal: the record of one of its data centres
   // is left, without its final state.
   it('removes all records of a finished job after the retention time', () => {
     const clock = new ManualClock();
-    const shard = { token: 1, listUnrecorded: () => [], listMachineOrders: () => [] };
-    const settings = { name: 'node', dataCentre: 'dc-1', retentionMs: 60_000 };
-    const context = { clock, settings, session: 's' } as unknown as NodeContext;
-    const records = new OwnerRecords(context, shard as unknown as Shard);
+    const records = openRecords(clock);
     const recordKeys = [WorkLogKey.job('a', 'dc-1')];
     records.addFinishedJob(buildTrackedJob('a', [{ count: 1 }], { recordKeys }), clock.readWall());
     // A repeated submission that was under way is stored after the end of the job.
     recordKeys.push(WorkLogKey.job('a', 'dc-2'));
     clock.advance(60_001);
-    const removed = records.build(UPDATE).records.filter(({ value }) => value === undefined);
-    assert.deepEqual(
-      removed.map(({ key }) => key),
-      [...recordKeys, WorkLogKey.cancel('a'), WorkLogKey.progress('a')],
-    );
+    const expected = [...recordKeys, WorkLogKey.cancel('a'), WorkLogKey.progress('a')];
+    assert.deepEqual(listRemoved(records), expected);
   });
 
   // Guards against an owner that takes itself for the only one for longer than the other nodes do:
   // its last record, with a shorter interval, is stored but not answered.
   it('assumes the shorter interval until an append is known to be stored', () => {
-    const shard = { token: 1, listUnrecorded: () => [], listMachineOrders: () => [] };
-    const settings = { name: 'node', dataCentre: 'dc-1', retentionMs: 60_000 };
-    const context = { clock: new ManualClock(), settings, session: 's' };
-    const records = new OwnerRecords(context as unknown as NodeContext, shard as unknown as Shard);
+    const records = openRecords(new ManualClock());
     const slow = records.build({ ...UPDATE, intervalMs: 800 });
     assert.equal(records.announcedIntervalMs, 0);
     records.confirm(slow);
--- a/src/node/ShardCandidate.ts
+++ b/src/node/ShardCandidate.ts
@@ -280,6 +280,7 @@
         unrecorded: owner.unrecorded,
       },
       jobs: [...view.jobs],
+      earlyCancels: view.listEarlyCancels(),
       waves: view.waves,
       operator: this.#operatorState,
       onLost: () => this.send({ type: 'lost' }),
--- a/src/node/ShardOwner.ts
+++ b/src/node/ShardOwner.ts
@@ -80,6 +80,8 @@
 export interface ShardOwnerOptions {
   takeover: Takeover;
   jobs: readonly TrackedJob[];
+  /** Keys of cancellations of jobs that are not known. */
+  earlyCancels: readonly string[];
   waves: ReadonlyMap<number, WaveRecord>;
   operator: OperatorState | undefined;
   /** Called once, when the ownership has ended. */
@@ -179,6 +181,7 @@
     this.#waveRecords = new Map(options.waves);
     if (operator !== undefined) this.#applyOperator(operator);
     this.#applyEach('jobs', options.jobs, (job) => this.#addJob(job));
+    options.earlyCancels.forEach((key) => this.#records.addEarlyCancel(key));
     this.#hostFollower = new HostFollower(context, (records) =>
       this.send({ type: 'hosts', records }),
     );
@@ -471,8 +474,12 @@
   #applyChange(change: WorkLogChange): void {
     switch (change.type) {
       case 'job':
+        this.#records.withdrawEarlyCancels(change.job);
         this.#addJob(change.job);
         break;
+      case 'early-cancel':
+        this.#records.addEarlyCancel(change.key);
+        break;
       case 'cancelled':
         this.#shard.cancelJob(change.job.id);
         break;
--- a/src/node/_OwnerRecords.ts
+++ b/src/node/_OwnerRecords.ts
@@ -39,6 +39,12 @@
   /** Finished jobs whose records are removed after the retention time, oldest first. */
   readonly #finishedJobs: { job: TrackedJob; endedAtMs: number }[] = [];
 
+  /**
+   * Times in ms since the Unix epoch at which this owner read cancellations of unknown jobs, by key,
+   * oldest first. They are removed after the retention time, when no write of the job can be open.
+   */
+  readonly #earlyCancels = new Map<string, number>();
+
   #machineOrdersRecordedAt = -Infinity;
 
   /** The last record of machine orders was not empty. */
@@ -64,6 +70,16 @@
     this.#finishedJobs.push({ job, endedAtMs });
   }
 
+  /** Adds a cancellation of a job that is not known; it is removed after the retention time. */
+  addEarlyCancel(key: string): void {
+    if (!this.#earlyCancels.has(key)) this.#earlyCancels.set(key, this.#context.clock.readWall());
+  }
+
+  /** Keeps the cancellations of a job that is known now; they are removed together with the job. */
+  withdrawEarlyCancels({ recordKeys }: TrackedJob): void {
+    recordKeys.forEach((key) => this.#earlyCancels.delete(key));
+  }
+
   /** Builds the records of an append; there is always one. */
   build(update: OwnerUpdate): OwnerAppend {
     const { jobs, waves, isRelease, intervalMs } = update;
@@ -130,6 +146,11 @@
       const finished = this.#finishedJobs.shift();
       if (finished !== undefined) tombstones.push(...buildJobTombstones(finished.job));
     }
+    for (const [key, readAtMs] of this.#earlyCancels) {
+      if (readAtMs >= before) break;
+      this.#earlyCancels.delete(key);
+      tombstones.push({ key, value: undefined });
+    }
     return tombstones;
   }
 }
--- a/src/node/buildJobTombstones.ts
+++ b/src/node/buildJobTombstones.ts
@@ -15,8 +15,6 @@
   id,
   recordKeys,
 }: Pick<TrackedJob, 'id' | 'recordKeys'>): KeyedValue[] {
-  return [...recordKeys, WorkLogKey.cancel(id), WorkLogKey.progress(id)].map((key) => ({
-    key,
-    value: undefined,
-  }));
+  const keys = new Set([...recordKeys, WorkLogKey.cancel(id), WorkLogKey.progress(id)]);
+  return [...keys].map((key) => ({ key, value: undefined }));
 }
--- a/src/workLog/StoredJob.ts
+++ b/src/workLog/StoredJob.ts
@@ -1,6 +1,6 @@
 import type { JobSpec } from '../task/mod.js';
 import type { TrackedJob } from './TrackedJob.js';
-import type { AcceptedJob, JobProgress } from './WorkLogRecord.js';
+import { WorkLogKey, type AcceptedJob, type JobProgress } from './WorkLogRecord.js';
 
 /**
  * Part of each progress record of a job that has not begun; other records cannot contain it, since
@@ -38,7 +38,8 @@
 
   #dataCentres: readonly string[] = [];
 
-  cancelledAtMs?: number;
+  /** Times of cancellations in ms since the Unix epoch, by key; undefined if there is none. */
+  #cancellations: Map<string, number> | undefined;
 
   readonly #decode: ProgressDecoder;
 
@@ -89,7 +90,17 @@
   }
 
   get recordKeys(): readonly string[] {
-    return [...this.#submissions.keys()];
+    return [...this.#submissions.keys(), ...(this.#cancellations?.keys() ?? [])];
+  }
+
+  get cancellations(): ReadonlyMap<string, number> | undefined {
+    return this.#cancellations;
+  }
+
+  get cancelledAtMs(): number | undefined {
+    if (this.#cancellations === undefined) return undefined;
+    const early = WorkLogKey.earlyCancel(this.id, this.queue);
+    return this.#cancellations.get(WorkLogKey.cancel(this.id)) ?? this.#cancellations.get(early);
   }
 
   /** Adds a record that accepted the job, or replaces the one with the same key. */
@@ -98,7 +109,7 @@
     this.#updateSubmissions();
   }
 
-  /** Removes an accepting record; returns false if it was the last one, which is kept. */
+  /** Removes an accepting record; returns false if it is the last one, which is kept. */
   removeSubmission(key: string): boolean {
     if (this.#submissions.size === 1 && this.#submissions.has(key)) return false;
     this.#submissions.delete(key);
@@ -146,14 +157,18 @@
     this.#dataCentres = [...new Set(sorted.map(([, { dataCentre }]) => dataCentre))].sort();
   }
 
-  /** Marks the job as cancelled by a caller at a time in ms since the Unix epoch. */
-  cancel(atMs: number): void {
-    this.cancelledAtMs = atMs;
+  /**
+   * Adds a cancellation by a caller at a time in ms since the Unix epoch. An early one applies only
+   * to a job of the queue that its key names.
+   */
+  addCancellation(key: string, atMs: number): void {
+    this.#cancellations ??= new Map();
+    this.#cancellations.set(key, atMs);
   }
 
-  /** Removes the cancellation, whose record has been removed. */
-  removeCancellation(): void {
-    delete this.cancelledAtMs;
+  /** Removes a cancellation whose record has been removed. */
+  removeCancellation(key: string): void {
+    this.#cancellations?.delete(key);
   }
 
   /** Removes the progress, whose record has been removed. */
--- a/src/workLog/TrackedJob.ts
+++ b/src/workLog/TrackedJob.ts
@@ -10,10 +10,10 @@
   acceptedOffset: number;
   /** Data centres of all nodes that accepted the job: callers may submit it more than once. */
   dataCentres: readonly string[];
-  /** Keys of the records that accepted the job. */
+  /** Keys of the records that accepted the job, then of those that cancelled it. */
   recordKeys: readonly string[];
   /** When a caller cancelled the job, in ms since the Unix epoch. */
-  cancelledAtMs?: number;
+  cancelledAtMs?: number | undefined;
   /** Progress last recorded by the owner. */
   progress?: JobProgress | undefined;
 }
--- a/src/workLog/WorkLogRecord.ts
+++ b/src/workLog/WorkLogRecord.ts
@@ -26,7 +26,11 @@
 });
 export type AcceptedJob = z.infer<typeof AcceptedJob>;
 
-/** The cancellation of a job, stored under `cancel/ID`. */
+/**
+ * The cancellation of a job, stored under `cancel/ID`; under `cancel/ID/QUEUE` by a node that does
+ * not know the job. Its write may still be open in another node or in the store: the cancellation
+ * then precedes the job and applies if the job belongs to that queue.
+ */
 export const Cancellation = z.object({ atMs: z.number() });
 export type Cancellation = z.infer<typeof Cancellation>;
 
@@ -124,6 +128,8 @@
   machineOrders: 'machine-orders',
   job: (id: string, dataCentre: string): string => `accepted-job/${id}/${dataCentre}`,
   cancel: (id: string): string => `cancel/${id}`,
+  /** Cancellation by a node that does not know the job. */
+  earlyCancel: (id: string, queue: string): string => `cancel/${id}/${queue}`,
   progress: (id: string): string => `progress/${id}`,
   node: (name: string): string => `node/${name}`,
   wave: (wave: number): string => `wave/${wave}`,
--- a/src/workLog/WorkLogView.test.ts
+++ b/src/workLog/WorkLogView.test.ts
@@ -52,6 +52,7 @@
     nodes: new Map([...view.nodes].sort()),
     waves: new Map([...view.waves].sort()),
     machineOrders: view.machineOrders,
+    earlyCancels: view.listEarlyCancels().sort(),
   };
 }
 
@@ -99,6 +100,12 @@
   fc
     .tuple(jobId, smallNumber)
     .map(([id, atMs]): [string, unknown][] => [[WorkLogKey.cancel(id), { atMs }]]),
+  // An early cancellation of either queue, or its removal.
+  fc
+    .tuple(jobId, fc.constantFrom('renders', 'scores'), fc.option(smallNumber))
+    .map(([id, queue, atMs]): [string, unknown][] => [
+      [WorkLogKey.earlyCancel(id, queue), atMs === null ? undefined : { atMs }],
+    ]),
   fc
     .record({
       id: jobId,
@@ -174,6 +181,23 @@
     assert.equal(view.countWaiting('renders'), 0);
   });
 
+  // Guards against a job that runs although a node that did not know it had cancelled it (UNASKED).
+  it('applies an early cancellation to a job of its queue only', () => {
+    const early = [WorkLogKey.earlyCancel('a', 'renders'), { atMs: 5 }] as [string, unknown];
+    const view = applyAll(buildRecords([early]));
+    assert.deepEqual(view.listEarlyCancels(), [early[0]]);
+    const [, job] = buildRecords([early, [WorkLogKey.job('a', 'dc-1'), JOB]]);
+    assert.ok(job !== undefined);
+    view.apply(job);
+    assert.equal(view.get('a')?.cancelledAtMs, 5);
+    assert.deepEqual(view.get('a')?.recordKeys, [job.key, early[0]]);
+    assert.deepEqual(view.listEarlyCancels(), []);
+    const other = applyAll(
+      buildRecords([early, [WorkLogKey.job('a', 'dc-1'), { ...JOB, queue: 'scores' }]]),
+    );
+    assert.equal(other.get('a')?.cancelledAtMs, undefined);
+  });
+
   it('skips records that it cannot decode', () => {
     const view = new WorkLogView();
     const undecodable: StoreRecord[] = [
--- a/src/workLog/WorkLogView.ts
+++ b/src/workLog/WorkLogView.ts
@@ -20,6 +20,8 @@
   | { type: 'cancelled'; job: TrackedJob }
   | { type: 'progress'; job: TrackedJob }
   | { type: 'removed'; id: string }
+  /** A job that has not been read was cancelled; the job may never be stored. */
+  | { type: 'early-cancel'; key: string }
   | {
       type: 'owner';
       owner: OwnerRecord;
@@ -35,6 +37,12 @@
   /** The record could not be decoded; every reader skips it in the same way. */
   | { type: 'unreadable'; key: string; reason: string };
 
+/** Cancellations, by key, and progress that were read before their job. */
+interface PendingUpdates {
+  cancellations: Map<string, number>;
+  progress: Buffer | undefined;
+}
+
 /**
  * Materialized view of a shard's work log: accepted jobs with their progress, the owner, the nodes,
  * the maintenance waves and recent machine orders.
@@ -54,10 +62,10 @@
   readonly #jobs = new Map<string, StoredJob>();
 
   /**
-   * Cancellations and progress of jobs that have not been read yet: pages are sorted by key, so
-   * `cancel/ID` is read before `job/ID`.
+   * Updates of jobs that have not been read yet. A job may be cancelled before it is stored, and
+   * newest records are sorted by key.
    */
-  readonly #pendingUpdates = new Map<string, { cancelledAtMs?: number; progress?: Buffer }>();
+  readonly #pendingUpdates = new Map<string, PendingUpdates>();
 
   readonly #nodes = new Map<string, NodeRecord>();
 
@@ -104,6 +112,13 @@
     return this.#jobs.size;
   }
 
+  /** Lists the keys of cancellations of jobs that have not been read. */
+  listEarlyCancels(): string[] {
+    return [...this.#pendingUpdates.values()].flatMap(({ cancellations }) => [
+      ...cancellations.keys(),
+    ]);
+  }
+
   /** Finds a job by its identifier. */
   get(id: string): TrackedJob | undefined {
     return this.#jobs.get(id);
@@ -145,7 +160,7 @@
       case 'accepted-job':
         return this.#applyJob(name.split('/', 1)[0] ?? '', record, isNewest);
       case 'cancel':
-        return this.#applyCancellation(name, record);
+        return this.#applyCancellation(name.split('/', 1)[0] ?? '', record);
       case 'progress':
         return this.#applyProgress(name, record);
       case 'owner':
@@ -173,8 +188,8 @@
     }
     const head = { id, acceptedOffset: isNewest ? 0 : record.offset, key: record.key };
     const job = new StoredJob(head, accepted.value, (value) => this.#decodeProgress(id, value));
-    const { cancelledAtMs, progress } = this.#pendingUpdates.get(id) ?? {};
-    if (cancelledAtMs !== undefined) job.cancel(cancelledAtMs);
+    const { cancellations, progress } = this.#pendingUpdates.get(id) ?? {};
+    cancellations?.forEach((atMs, key) => job.addCancellation(key, atMs));
     if (progress !== undefined) job.setProgress(progress);
     this.#pendingUpdates.delete(id);
     this.#changeJob(job, () => this.#jobs.set(id, job));
@@ -191,25 +206,30 @@
       isKept = job.removeSubmission(key);
       if (!isKept) this.#jobs.delete(id);
     });
-    return isKept ? undefined : { type: 'removed', id };
+    if (isKept) return undefined;
+    job.cancellations?.forEach((atMs, one) => this.#openPending(id).cancellations.set(one, atMs));
+    return { type: 'removed', id };
   }
 
   #applyCancellation(id: string, record: StoreRecord): WorkLogChange | undefined {
     const job = this.#jobs.get(id);
     if (record.value === undefined) {
-      if (job !== undefined) this.#changeJob(job, () => job.removeCancellation());
-      return this.#removePending(id, record.key, 'cancelledAtMs');
+      if (job !== undefined) this.#changeJob(job, () => job.removeCancellation(record.key));
+      this.#newestOffsets.delete(record.key);
+      this.#changePending(id, ({ cancellations }) => cancellations.delete(record.key));
+      return undefined;
     }
     const cancellation = WorkLogView.#decode(Cancellation, record);
     if ('reason' in cancellation) return cancellation;
     const { atMs } = cancellation.value;
     if (job === undefined) {
-      this.#pendingUpdates.set(id, { ...this.#pendingUpdates.get(id), cancelledAtMs: atMs });
-      return undefined;
+      this.#openPending(id).cancellations.set(record.key, atMs);
+      return { type: 'early-cancel', key: record.key };
     }
     const wasCancelled = job.cancelledAtMs !== undefined;
-    this.#changeJob(job, () => job.cancel(atMs));
-    return wasCancelled ? undefined : { type: 'cancelled', job };
+    this.#changeJob(job, () => job.addCancellation(record.key, atMs));
+    const isCancelled = job.cancelledAtMs !== undefined;
+    return isCancelled && !wasCancelled ? { type: 'cancelled', job } : undefined;
   }
 
   #applyProgress(id: string, record: StoreRecord): WorkLogChange | undefined {
@@ -217,24 +237,35 @@
     const job = this.#jobs.get(id);
     if (value === undefined) {
       if (job !== undefined) this.#changeJob(job, () => job.removeProgress());
-      return this.#removePending(id, record.key, 'progress');
+      this.#newestOffsets.delete(record.key);
+      this.#changePending(id, (pending) => Object.assign(pending, { progress: undefined }));
+      return undefined;
     }
     if (job === undefined) {
-      const progress = Buffer.from(value);
-      this.#pendingUpdates.set(id, { ...this.#pendingUpdates.get(id), progress });
+      Object.assign(this.#openPending(id), { progress: Buffer.from(value) });
       return undefined;
     }
     this.#changeJob(job, () => job.setProgress(value));
     return { type: 'progress', job };
   }
 
-  /** Forgets an update that was read before its job, and the key of its record. */
-  #removePending(id: string, key: string, field: 'cancelledAtMs' | 'progress'): undefined {
-    this.#newestOffsets.delete(key);
+  #openPending(id: string): PendingUpdates {
+    const pending = this.#pendingUpdates.get(id) ?? {
+      cancellations: new Map(),
+      progress: undefined,
+    };
+    this.#pendingUpdates.set(id, pending);
+    return pending;
+  }
+
+  /** Changes the updates of a job that has not been read, and forgets them if none is left. */
+  #changePending(id: string, change: (pending: PendingUpdates) => void): void {
     const pending = this.#pendingUpdates.get(id);
     if (pending === undefined) return;
-    delete pending[field];
-    if (Object.keys(pending).length === 0) this.#pendingUpdates.delete(id);
+    change(pending);
+    if (pending.cancellations.size === 0 && pending.progress === undefined) {
+      this.#pendingUpdates.delete(id);
+    }
   }
 
   #applyOwner(record: StoreRecord): WorkLogChange | undefined {
