Tell callers nothing that an open write of their job may refute

A caller whose first attempt got no answer could be told by the same node that there is no such job (410), or that its second attempt was not stored (503), and the job ran afterwards.

Cause: the outcome of a write was kept only for the call that made it.

Change: the writer remembers the keys of unanswered appends until they are stored, or 10 s after the last append. Meanwhile a repeated write ends as unknown instead of not stored, the state of the job is refused as not current (503), and a cancellation is answered 200 instead of 410.

Result: the three cases of WorkLogWriter.test fail without the memory ('not-stored' instead of 'unknown', closed instead of open) and pass; so does the new case of JobService.test.

--- a/src/node/JobService.test.ts
+++ b/src/node/JobService.test.ts
@@ -44,7 +44,9 @@
 interface StoringWriter {
   /** Keys of the records that were written. */
   keys: string[];
-  ask: (build: (reply: () => void) => WorkLogWriterMessage) => Promise<WriteOutcome>;
+  /** Whether the writer says that records are open. */
+  isOpen: boolean;
+  ask: (build: (reply: () => void) => WorkLogWriterMessage) => Promise<WriteOutcome | boolean>;
 }
 
 /** Creates a writer that stores every record. */
@@ -52,8 +54,10 @@
   const keys: string[] = [];
   return {
     keys,
-    ask: (build) => {
+    isOpen: false,
+    ask(build): Promise<WriteOutcome | boolean> {
       const message = build(() => undefined);
+      if (message.type === 'is-open') return Promise.resolve(this.isOpen);
       if (message.type === 'write') keys.push(message.record.key);
       return Promise.resolve('stored');
     },
@@ -136,6 +140,16 @@
     assert.deepEqual(writer.keys, [WorkLogKey.earlyCancel('a', 'renders')]);
   });
 
+  // Guards against a caller that is told that there is no such job before its job is stored.
+  it('does not deny a job whose write is open in the node', async () => {
+    const clock = new ManualClock();
+    clock.advance(1_000);
+    const writer = { ...createWriter(), isOpen: true };
+    const service = openJobService(clock, new LaggingWorkLog(clock, {}), writer);
+    assert.equal((await service.describe('a', buildQueueConfig())).type, 'refused');
+    assert.deepEqual(await service.cancel('a', buildQueueConfig()), { type: 'cancelled' });
+  });
+
   it('cancels no job of another queue', async () => {
     const clock = new ManualClock();
     const workLog = new LaggingWorkLog(clock, {});
--- a/src/node/JobService.ts
+++ b/src/node/JobService.ts
@@ -164,19 +164,19 @@
       return { type: 'cancelled' };
     }
     const value = JSON.stringify({ atMs: this.#context.clock.readWall() });
+    const isUnknown = state === undefined && isCurrent && !(await this.#hasOpenWrite(id));
     const key =
       state === undefined ? WorkLogKey.earlyCancel(id, queue.name) : WorkLogKey.cancel(id);
     const outcome = await this.#writeWithFallback(key, value, timeoutMs);
     this.#context.log.record('cancel', id, { queue: queue.name, state, outcome });
-    const isUnknown = state === undefined && isCurrent;
     return this.#toResponse(outcome, { type: isUnknown ? 'no-job' : 'cancelled' });
   }
 
   /** Describes the state of a job. */
   async describe(id: string, queue: QueueConfig): Promise<CallResponse> {
-    const { state, isCurrent } = await this.#findCurrent(id, queue);
+    const { state, isCurrent, hasOtherQueue } = await this.#findCurrent(id, queue);
     if (state !== undefined) return { type: 'state', state };
-    if (isCurrent) return { type: 'no-job' };
+    if (isCurrent && (hasOtherQueue || !(await this.#hasOpenWrite(id)))) return { type: 'no-job' };
     return {
       type: 'refused',
       reason: 'the state is not current',
@@ -256,6 +256,12 @@
     };
   }
 
+  /** Checks whether a write of this node may still store the job. */
+  #hasOpenWrite(id: string): Promise<boolean> {
+    const key = WorkLogKey.job(id, this.#context.settings.dataCentre);
+    return this.#writer.ask<boolean>((reply) => ({ type: 'is-open', key, reply }));
+  }
+
   #queryWorkLog(id: string): Promise<JobLookup> {
     return this.#workLog.ask<JobLookup>((reply) => ({ type: 'find', id, reply }));
   }
--- /dev/null
+++ b/src/node/WorkLogWriter.test.ts
@@ -0,0 +1,81 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { ActorScope } from '../actor/mod.js';
+import { SystemClock } from '../clock/mod.js';
+import { StoreRefusedError, StoreUnansweredError, type AppendResponse } from '../port/mod.js';
+import { waitFor } from '../testing/mod.js';
+import type { NodeContext } from './NodeContext.js';
+import { WorkLogWriter, type WriteOutcome } from './WorkLogWriter.js';
+
+type Answer = 'stored' | 'refused' | 'unanswered';
+
+const RECORD = { key: 'accepted-job/a/dc-1', value: '{}' };
+
+/** Runs a writer whose appends are answered in the given order, then stored. */
+async function withWriter(
+  answers: Answer[],
+  use: (writer: WorkLogWriter, appended: string[][]) => Promise<void>,
+): Promise<void> {
+  const appended: string[][] = [];
+  const append = (records: { key: string }[]): Promise<AppendResponse> => {
+    appended.push(records.map(({ key }) => key));
+    const answer = answers.shift() ?? 'stored';
+    if (answer === 'unanswered') return Promise.reject(new StoreUnansweredError('no answer'));
+    if (answer === 'refused') return Promise.reject(new StoreRefusedError('status 503'));
+    return Promise.resolve({ type: 'appended', offset: 0, end: 1 });
+  };
+  const scope = new ActorScope('test', (_actor, error) => assert.fail(error));
+  const context = {
+    scope,
+    clock: new SystemClock(),
+    store: { append },
+    log: { record: () => undefined },
+  };
+  const writer = new WorkLogWriter(context as unknown as NodeContext);
+  try {
+    await use(writer, appended);
+  } finally {
+    writer.close();
+    scope.close();
+  }
+}
+
+function write(writer: WorkLogWriter, record = RECORD, timeoutMs = 0): Promise<WriteOutcome> {
+  const deadline = performance.now() + timeoutMs;
+  return writer.ask<WriteOutcome>((reply) => ({ type: 'write', record, deadline, reply }));
+}
+
+function isOpen(writer: WorkLogWriter, { key } = RECORD): Promise<boolean> {
+  return writer.ask<boolean>((reply) => ({ type: 'is-open', key, reply }));
+}
+
+describe('WorkLogWriter', () => {
+  // Guards against a caller that is told that its job never runs while an earlier write of the job,
+  // for the same caller, may still be stored.
+  it('reports no record as not stored while an earlier append of it may be executed', () =>
+    withWriter(['unanswered', 'refused', 'refused', 'refused'], async (writer) => {
+      assert.equal(await write(writer), 'unknown');
+      assert.equal(await write(writer), 'unknown');
+      assert.equal(await write(writer, { ...RECORD, key: 'accepted-job/b/dc-1' }), 'not-stored');
+    }));
+
+  it('ends a write at once while the store does not answer', () =>
+    withWriter(['unanswered', 'unanswered', 'unanswered'], async (writer, appended) => {
+      const first = write(writer, RECORD, 200);
+      await waitFor('an unanswered append', () => appended.length === 2);
+      assert.equal(await write(writer, RECORD, 60_000), 'unknown');
+      const other = { ...RECORD, key: 'accepted-job/b/dc-1' };
+      assert.equal(await write(writer, other, 60_000), 'not-stored');
+      assert.equal(await first, 'stored');
+    }));
+
+  // Guards against a caller that is told that there is no such job before its write has ended.
+  it('counts a record as open until it is stored', () =>
+    withWriter(['unanswered'], async (writer) => {
+      assert.equal(await isOpen(writer), false);
+      assert.equal(await write(writer), 'unknown');
+      assert.equal(await isOpen(writer), true);
+      assert.equal(await write(writer), 'stored');
+      assert.equal(await isOpen(writer), false);
+    }));
+});
--- a/src/node/WorkLogWriter.ts
+++ b/src/node/WorkLogWriter.ts
@@ -13,6 +13,8 @@
 const UNAVAILABLE_AFTER_FAILURE_MS = 500;
 /** Delay in ms after a refused or unanswered append. */
 const RETRY_DELAY_MS = 60;
+/** Time in ms after the last append of a record in which the store may still execute it. */
+const LATE_EXECUTION_MS = 10_000;
 
 /** Outcome of a write. */
 export type WriteOutcome =
@@ -32,6 +34,8 @@
       reply: (outcome: WriteOutcome) => void;
     }
   | { type: 'can-write'; reply: (canWrite: boolean) => void }
+  /** Asks whether a record with the key may still be stored by a write of this node. */
+  | { type: 'is-open'; key: string; reply: (isOpen: boolean) => void }
   | { type: 'answered'; outcome: 'stored' | 'refused' | 'unanswered'; reason: string }
   | { type: 'send' };
 
@@ -59,6 +63,12 @@
 
   #inFlight: PendingWrite[] = [];
 
+  /**
+   * Monotonic time in ms until which an unanswered append of a key may be executed; `Infinity` while
+   * it is repeated.
+   */
+  readonly #openUntil = new Map<string, number>();
+
   #isFailing = false;
 
   #failedAt = -Infinity;
@@ -73,17 +83,10 @@
   protected override receive(message: WorkLogWriterMessage): void {
     switch (message.type) {
       case 'write':
-        if (this.#isFailing) {
-          message.reply('not-stored');
-          return;
-        }
-        this.#queue.push({
-          record: message.record,
-          reply: message.reply,
-          deadline: message.deadline,
-          failures: [],
-        });
-        this.#flush();
+        this.#addWrite(message);
+        break;
+      case 'is-open':
+        message.reply(this.#isOpen(message.key));
         break;
       case 'send':
         this.#flush();
@@ -101,6 +104,28 @@
     super.close();
   }
 
+  /** Queues a write; while the store does not answer, it ends at once. */
+  #addWrite({ record, reply, deadline }: WorkLogWriterMessage & { type: 'write' }): void {
+    // An earlier append of the record may still be executed, so this write cannot end as not stored.
+    const isUncertain = this.#isUncertain(record.key);
+    if (this.#isFailing) {
+      reply(isUncertain ? 'unknown' : 'not-stored');
+      return;
+    }
+    this.#queue.push({ record, reply, deadline, failures: isUncertain ? ['unanswered'] : [] });
+    this.#flush();
+  }
+
+  #isOpen(key: string): boolean {
+    const isPending = [...this.#inFlight, ...this.#queue].some(({ record }) => record.key === key);
+    return isPending || this.#isUncertain(key);
+  }
+
+  /** Checks whether an unanswered append of a key may still be executed. */
+  #isUncertain(key: string): boolean {
+    return (this.#openUntil.get(key) ?? -Infinity) > this.#context.clock.readMonotonic();
+  }
+
   #flush(): void {
     if (this.#inFlight.length > 0 || this.#queue.length === 0) return;
     let bytes = 0;
@@ -135,7 +160,10 @@
     if (outcome === 'stored') {
       this.#isFailing = false;
       this.#failedAt = -Infinity;
-      writes.forEach(({ reply }) => reply('stored'));
+      writes.forEach(({ record, reply }) => {
+        this.#openUntil.delete(record.key);
+        reply('stored');
+      });
       this.#flush();
       return;
     }
@@ -143,14 +171,37 @@
     if (outcome === 'unanswered') this.#isFailing = true;
     const now = this.#context.clock.readMonotonic();
     this.#failedAt = now;
+    if (outcome === 'unanswered') this.#markUncertain(writes, now);
     const retried = writes.filter((write) => !WorkLogWriter.#recordFailure(write, outcome, now));
     // Records that are still pending are retried before those that have not been sent yet.
     this.#queue = [...retried, ...this.#queue];
+    this.#expireUncertain(now);
     if (this.#queue.length === 0) this.#isFailing = false;
     clearTimeout(this.#timer);
     this.#timer = setTimeout(() => this.send({ type: 'send' }), RETRY_DELAY_MS);
   }
 
+  /** Marks the records of an unanswered append, also for queued writes of the same records. */
+  #markUncertain(writes: readonly PendingWrite[], now: number): void {
+    this.#openUntil.forEach((until, key) => {
+      if (until <= now) this.#openUntil.delete(key);
+    });
+    writes.forEach(({ record }) => this.#openUntil.set(record.key, Infinity));
+    this.#queue
+      .filter(({ record }) => this.#openUntil.has(record.key))
+      .forEach(({ failures }) => failures.push('unanswered'));
+  }
+
+  /** Bounds the time for which records count as open whose writes have ended without an answer. */
+  #expireUncertain(now: number): void {
+    const pending = new Set(this.#queue.map(({ record }) => record.key));
+    this.#openUntil.forEach((until, key) => {
+      if (until === Infinity && !pending.has(key)) {
+        this.#openUntil.set(key, now + LATE_EXECUTION_MS);
+      }
+    });
+  }
+
   #canWrite(): boolean {
     return (
       !this.#isFailing &&
