Take an owner for ended only if its node has registered since

Cause: a node gave up its registration after three refusals, and a registration of another session counted as proof that the owner's process had ended even if it was older than the claim. Each owner was unregistered and therefore replaced as soon as its claim was read. Ruled out: silent owners (each one wrote).

Change: an actor repeats the registration until it is stored. The process of an owner counts as ended only if its node registered another process after the owner's last record.

--- a/src/node/Node.test.ts
+++ b/src/node/Node.test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from 'node:test';
 import { NodeCluster } from '../emulator/NodeCluster.js';
 import { waitFor } from '../testing/waitFor.js';
+import { WorkLogKey } from '../workLog/mod.js';
 
 const STEPS = [
   { count: 3, cpuMilli: 1_000, estimateMs: 100 },
@@ -82,6 +83,40 @@
       assert.deepEqual(cluster.fleet.started, []);
     }));
 
+  // Guards against a shard without a lasting owner (LOST): a node that gave up its registration was
+  // taken for ended as soon as it owned the shard, like each node after it.
+  it('keeps an owner when all nodes start while the store refuses calls', () =>
+    withCluster({}, async (cluster) => {
+      const names = [...cluster.names];
+      names.forEach((name) => cluster.kill(name));
+      cluster.store.setMode('refusing');
+      names.forEach((name) => cluster.start(name));
+      await new Promise((resolve) => {
+        setTimeout(resolve, 1_000);
+      });
+      cluster.store.setMode('normal');
+      const firstToken = cluster.readOwnerToken() ?? 0;
+      await waitFor('an owner', () => (cluster.readOwnerToken() ?? 0) > firstToken);
+      await waitFor('an accepted job', async () => {
+        const { type } = await cluster.submit('node-1', 'a', STEPS);
+        return type === 'accepted';
+      });
+      await waitFor('a completed job', isCompleted(cluster, 'node-2', 'a'));
+      const token = cluster.readOwnerToken();
+      await new Promise((resolve) => {
+        setTimeout(resolve, 1_000);
+      });
+      assert.equal(cluster.readOwnerToken(), token, 'the owner has changed');
+      const isRegistered = (name: string): boolean => {
+        const records = cluster.store.listNewest('work');
+        const value = records.find(({ key }) => key === WorkLogKey.node(name))?.value;
+        return !['session-1', 'session-2', 'session-3'].some((session) =>
+          String(value).includes(`"${session}"`),
+        );
+      };
+      await waitFor('registered nodes', () => names.every(isRegistered));
+    }));
+
   it('finishes a job when the owner is killed while its tasks run', () =>
     withCluster({ script: () => ({ runMs: 600, outcome: 'done' }) }, async (cluster) => {
       await cluster.submit('node-0', 'a', STEPS);
--- a/src/node/Node.ts
+++ b/src/node/Node.ts
@@ -1,13 +1,14 @@
-import { WorkLogKey, type WorkLogView } from '../workLog/mod.js';
+import type { WorkLogView } from '../workLog/mod.js';
 import { WorkLogFollower } from './WorkLogFollower.js';
 import { JobService } from './JobService.js';
 import { ShardCandidate } from './ShardCandidate.js';
 import { isStandby } from './isStandby.js';
 import type { NodeContext } from './NodeContext.js';
 import { OperatorFollower, type OperatorState } from './OperatorFollower.js';
+import { Registration } from './Registration.js';
 import { RelayClient } from './RelayClient.js';
 import { RelayServer } from './RelayServer.js';
-import { WorkLogWriter, type WriteOutcome } from './WorkLogWriter.js';
+import { WorkLogWriter } from './WorkLogWriter.js';
 
 /** A node whose work log state is older than this, in ms, reports that it is not ready. */
 const MAX_READY_STATE_AGE_MS = 2_500;
@@ -31,6 +32,8 @@
 
   readonly #writer: WorkLogWriter;
 
+  readonly #registration: Registration;
+
   readonly #operatorFollower: OperatorFollower;
 
   readonly #shardCandidate: ShardCandidate;
@@ -52,6 +55,7 @@
   constructor(context: NodeContext) {
     this.#context = context;
     this.#writer = new WorkLogWriter(context);
+    this.#registration = new Registration(context, this.#writer);
     this.#relay = new RelayClient({
       name: context.settings.name,
       dataCentre: context.settings.dataCentre,
@@ -104,23 +108,11 @@
     return ageMs <= MAX_READY_STATE_AGE_MS;
   }
 
-  /** Opens the peer server and registers the node in the work log. */
-  async open(): Promise<WriteOutcome> {
-    const { settings, session } = this.#context;
-    const address =
-      settings.peerAddress === undefined ? '' : await this.#relayServer.open(settings.peerAddress);
-    const value = JSON.stringify({
-      session,
-      address,
-      dataCentre: settings.dataCentre,
-      cores: settings.cores,
-    });
-    return this.#writer.ask<WriteOutcome>((reply) => ({
-      type: 'write',
-      record: { key: WorkLogKey.node(settings.name), value },
-      deadline: Infinity,
-      reply,
-    }));
+  /** Opens the peer server and begins to register the node in the work log. */
+  async open(): Promise<void> {
+    const { peerAddress } = this.#context.settings;
+    const address = peerAddress === undefined ? '' : await this.#relayServer.open(peerAddress);
+    this.#registration.send({ type: 'register', address });
   }
 
   #updateStandby({ nodes }: WorkLogView): void {
@@ -142,6 +134,7 @@
     this.#shardCandidate.close();
     this.#operatorFollower.close();
     this.#workLog.close();
+    this.#registration.close();
     this.#writer.close();
     await this.#relayServer.close();
   }
--- a/src/node/ShardCandidate.ts
+++ b/src/node/ShardCandidate.ts
@@ -221,9 +221,7 @@
     }
     // This process owned the shard and lost it, for example because it was suspended.
     if (owner.session === this.#context.session) return true;
-    // The owner's node has registered a new session, so the process that owned the shard has ended.
-    const node = view.nodes.get(owner.node);
-    if (node !== undefined && node.session !== owner.session) return true;
+    if (view.hasOwnerEnded) return true;
     // Silence is only known up to the time at which the state was current: a node that was suspended
     // has not read what the owner wrote meanwhile.
     const silentMs = state.freshAt - Math.max(this.#ownerSeenAt, state.contactSince);
--- a/src/workLog/WorkLogView.test.ts
+++ b/src/workLog/WorkLogView.test.ts
@@ -53,6 +53,7 @@
     waves: new Map([...view.waves].sort()),
     machineOrders: view.machineOrders,
     earlyCancels: view.listEarlyCancels().sort(),
+    hasOwnerEnded: view.hasOwnerEnded,
   };
 }
 
@@ -198,6 +199,25 @@
     assert.equal(other.get('a')?.cancelledAtMs, undefined);
   });
 
+  // Guards against a shard without a lasting owner (LOST): nodes that start while the store refuses
+  // writes own the shard before they are registered.
+  it('takes an owner for ended only if its node has registered since', () => {
+    const buildNode = (session: string): [string, unknown] => [
+      WorkLogKey.node('n'),
+      { session, address: '', dataCentre: 'dc-1' },
+    ];
+    const owner = (session: string): [string, unknown] => [
+      'owner',
+      { token: 1, node: 'n', session },
+    ];
+    const hasEnded = (entries: [string, unknown][]): boolean =>
+      applyAll(buildRecords(entries)).hasOwnerEnded;
+    assert.equal(hasEnded([buildNode('former'), owner('s')]), false);
+    assert.equal(hasEnded([buildNode('former'), owner('s'), buildNode('s')]), false);
+    assert.equal(hasEnded([buildNode('s'), owner('s'), buildNode('next')]), true);
+    assert.equal(hasEnded([owner('s'), buildNode('next'), owner('s')]), false);
+  });
+
   it('skips records that it cannot decode', () => {
     const view = new WorkLogView();
     const undecodable: StoreRecord[] = [
--- a/src/workLog/WorkLogView.ts
+++ b/src/workLog/WorkLogView.ts
@@ -91,6 +91,20 @@
     return this.#owner;
   }
 
+  /**
+   * Checks whether the process of the owner has ended: its node has registered another process since
+   * the owner's last record. An earlier registration may be that of the process before the owner,
+   * which may own the shard before its own registration is stored.
+   */
+  get hasOwnerEnded(): boolean {
+    if (this.#owner === undefined) return false;
+    const { node: name, session } = this.#owner;
+    const node = this.#nodes.get(name);
+    if (node === undefined || node.session === session) return false;
+    const registeredAt = this.#newestOffsets.get(WorkLogKey.node(name)) ?? -1;
+    return registeredAt > (this.#newestOffsets.get(WorkLogKey.owner) ?? -1);
+  }
+
   get nodes(): ReadonlyMap<string, NodeRecord> {
     return this.#nodes;
   }
