Store with a job that its queue needs advice

Cause: a new owner builds the queue of a removed route from the rule that is stored with the job, and the rule did not say that the queue needs advice. Ruled out: the advice service, which was not asked.

Change: the rule contains the queue's advice.

--- a/src/node/JobService.test.ts
+++ b/src/node/JobService.test.ts
@@ -3,7 +3,7 @@
 import { ManualClock } from '../clock/mod.js';
 import { Metrics } from '../metrics/mod.js';
 import { JobSpec } from '../task/mod.js';
-import { WorkLogKey } from '../workLog/mod.js';
+import { WorkLogKey, WorkLogView } from '../workLog/mod.js';
 import { buildQueueConfig } from '../testing/ScheduleRig.js';
 import type { WorkLogFollower, WorkLogFollowerMessage, JobLookup } from './WorkLogFollower.js';
 import { JobService, type JobServiceOptions } from './JobService.js';
@@ -44,6 +44,7 @@
 interface StoringWriter {
   /** Keys of the records that were written. */
   keys: string[];
+  values: string[];
   /** Whether the writer says that records are open. */
   isOpen: boolean;
   ask: (build: (reply: () => void) => WorkLogWriterMessage) => Promise<WriteOutcome | boolean>;
@@ -52,13 +53,18 @@
 /** Creates a writer that stores every record. */
 function createWriter(): StoringWriter {
   const keys: string[] = [];
+  const values: string[] = [];
   return {
     keys,
+    values,
     isOpen: false,
     ask(build): Promise<WriteOutcome | boolean> {
       const message = build(() => undefined);
       if (message.type === 'is-open') return Promise.resolve(this.isOpen);
-      if (message.type === 'write') keys.push(message.record.key);
+      if (message.type === 'write') {
+        keys.push(message.record.key);
+        values.push(message.record.value ?? '');
+      }
       return Promise.resolve('stored');
     },
   };
@@ -161,6 +167,21 @@
     assert.deepEqual(writer.keys, []);
   });
 
+  // Guards against a job that is never restarted (LOST): an owner that takes it over after its queue
+  // has been removed knows only what is stored with the job.
+  it('stores with a job whether its queue needs advice', async () => {
+    const writer = createWriter();
+    const clock = new ManualClock();
+    const service = openJobService(clock, new LaggingWorkLog(clock, {}), writer);
+    const advice = { decisionMs: 100, perHostMs: 10 };
+    const spec = JobSpec.parse({ payload: 'x', steps: [{ count: 1 }] });
+    await service.submit('a', buildQueueConfig({ advice }), spec);
+    const view = new WorkLogView();
+    const [key = '', value = ''] = [writer.keys[0], writer.values[0]];
+    view.apply({ offset: 0, key, value: Buffer.from(value) });
+    assert.deepEqual(view.get('a')?.rule.advice, advice);
+  });
+
   // Guards against a job that is said to be accepted and never runs.
   it('refuses a job whose identifier belongs to a job of another queue', async () => {
     const clock = new ManualClock();
--- a/src/node/JobService.ts
+++ b/src/node/JobService.ts
@@ -134,6 +134,7 @@
         maxAttempts: queue.maxAttempts,
         stretch: queue.stretch,
         latencyTargetMs: queue.latencyTargetMs,
+        advice: queue.advice,
       },
       submittedAtMs: this.#context.clock.readWall(),
       dataCentre,
--- a/src/schedule/Shard.test.ts
+++ b/src/schedule/Shard.test.ts
@@ -300,6 +300,24 @@
     );
   });
 
+  // Guards against a job that is never restarted (LOST): the hosts refuse starts without a ticket.
+  it('asks for advice for a job of a removed queue that it has taken over', () => {
+    const rig = new ScheduleRig({ token: 2, claimOffset: 500, isFirst: false });
+    rig.shard.updateMachines([], 0);
+    rig.addHost('h1');
+    const advice = { decisionMs: 100, perHostMs: 10 };
+    const rule = { priority: 0, maxAttempts: 3, stretch: 2, latencyTargetMs: 600, advice };
+    const lasting = [{ count: 1, cpuMilli: 1_000, isLasting: true }];
+    rig.shard.addJob(buildTrackedJob('a', lasting, { queue: 'removed', rule }));
+    const commands = rig.plan().map(({ type }) => type);
+    assert.deepEqual(commands, ['ask-advice']);
+    const allowed = [{ hostId: 'h1', ticket: 't' }];
+    rig.shard.reportAdvice('a.0.0', { allowed, validityMs: 60_000 });
+    const [start] = rig.plan();
+    assert.ok(start?.type === 'start');
+    assert.equal(start.ticket, 't');
+  });
+
   it('finds a host whose machine was listed before its own entry was read', () => {
     const rig = new ScheduleRig({ token: 2, claimOffset: 500, isFirst: false });
     const machine = { name: 'machine-of-h1', pool: 'studio', dataCentre: 'dc-1', hostId: 'h1' };
--- a/src/workLog/WorkLogRecord.ts
+++ b/src/workLog/WorkLogRecord.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { QueueConfig } from '../port/mod.js';
 import { JobSpec } from '../task/mod.js';
 
 /**
@@ -17,6 +18,8 @@
     maxAttempts: z.number(),
     stretch: z.number(),
     latencyTargetMs: z.number(),
+    /** Without it, hosts refuse the tasks of a queue whose steps need the advice service's tickets. */
+    advice: QueueConfig.shape.advice,
   }),
   /** Submission time at the accepting node, in ms since the Unix epoch. */
   submittedAtMs: z.number(),
