--- a/src/node/WorkLogWriter.ts
+++ b/src/node/WorkLogWriter.ts
@@ -192,7 +192,7 @@
       .forEach(({ failures }) => failures.push('unanswered'));
   }
 
-  /** Bounds the time for which records count as open whose writes have ended without an answer. */
+  /** Sets the time until which records count as open whose writes have ended without an answer. */
   #expireUncertain(now: number): void {
     const pending = new Set(this.#queue.map(({ record }) => record.key));
     this.#openUntil.forEach((until, key) => {
--- a/src/workLog/StoredJob.ts
+++ b/src/workLog/StoredJob.ts
@@ -93,6 +93,7 @@
     return [...this.#submissions.keys(), ...(this.#cancellations?.keys() ?? [])];
   }
 
+  /** Cancellations of any queue, by key; they outlive the job until their own records are removed. */
   get cancellations(): ReadonlyMap<string, number> | undefined {
     return this.#cancellations;
   }
