Drop a needless check when an accepting record is removed

The view asked whether a job has the record before it removed it, which builds a list of all its keys, and looked the job up twice; StoredJob.removeSubmission already leaves a job without that record as it is. Two tests spelled a key and a pause by hand that WorkLogKey and node:timers/promises provide. Behaviour and assertions are the same.

--- a/src/node/Node.test.ts
+++ b/src/node/Node.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import { setTimeout as pause } from 'node:timers/promises';
 import { NodeCluster } from '../emulator/NodeCluster.js';
 import { waitFor } from '../testing/waitFor.js';
 import { WorkLogKey } from '../workLog/mod.js';
@@ -91,9 +92,7 @@
       names.forEach((name) => cluster.kill(name));
       cluster.store.setMode('refusing');
       names.forEach((name) => cluster.start(name));
-      await new Promise((resolve) => {
-        setTimeout(resolve, 1_000);
-      });
+      await pause(1_000);
       cluster.store.setMode('normal');
       const firstToken = cluster.readOwnerToken() ?? 0;
       await waitFor('an owner', () => (cluster.readOwnerToken() ?? 0) > firstToken);
@@ -103,9 +102,7 @@
       });
       await waitFor('a completed job', isCompleted(cluster, 'node-2', 'a'));
       const token = cluster.readOwnerToken();
-      await new Promise((resolve) => {
-        setTimeout(resolve, 1_000);
-      });
+      await pause(1_000);
       assert.equal(cluster.readOwnerToken(), token, 'the owner has changed');
       const isRegistered = (name: string): boolean => {
         const records = cluster.store.listNewest('work');
--- a/src/node/WorkLogWriter.test.ts
+++ b/src/node/WorkLogWriter.test.ts
@@ -4,12 +4,14 @@
 import { SystemClock } from '../clock/mod.js';
 import { StoreRefusedError, StoreUnansweredError, type AppendResponse } from '../port/mod.js';
 import { waitFor } from '../testing/mod.js';
+import { WorkLogKey } from '../workLog/mod.js';
 import type { NodeContext } from './NodeContext.js';
 import { WorkLogWriter, type WriteOutcome } from './WorkLogWriter.js';
 
 type Answer = 'stored' | 'refused' | 'unanswered';
 
-const RECORD = { key: 'accepted-job/a/dc-1', value: '{}' };
+const RECORD = { key: WorkLogKey.job('a', 'dc-1'), value: '{}' };
+const OTHER_RECORD = { ...RECORD, key: WorkLogKey.job('b', 'dc-1') };
 
 /** Runs a writer whose appends are answered in the given order, then stored. */
 async function withWriter(
@@ -56,7 +58,7 @@
     withWriter(['unanswered', 'refused', 'refused', 'refused'], async (writer) => {
       assert.equal(await write(writer), 'unknown');
       assert.equal(await write(writer), 'unknown');
-      assert.equal(await write(writer, { ...RECORD, key: 'accepted-job/b/dc-1' }), 'not-stored');
+      assert.equal(await write(writer, OTHER_RECORD), 'not-stored');
     }));
 
   it('ends a write at once while the store does not answer', () =>
@@ -64,8 +66,7 @@
       const first = write(writer, RECORD, 200);
       await waitFor('an unanswered append', () => appended.length === 2);
       assert.equal(await write(writer, RECORD, 60_000), 'unknown');
-      const other = { ...RECORD, key: 'accepted-job/b/dc-1' };
-      assert.equal(await write(writer, other, 60_000), 'not-stored');
+      assert.equal(await write(writer, OTHER_RECORD, 60_000), 'not-stored');
       assert.equal(await first, 'stored');
     }));
 
--- a/src/workLog/StoredJob.ts
+++ b/src/workLog/StoredJob.ts
@@ -110,7 +110,10 @@
     this.#updateSubmissions();
   }
 
-  /** Removes an accepting record; returns false if it is the last one, which is kept. */
+  /**
+   * Removes an accepting record, if the job has it; returns false if it is the last one, which is
+   * kept.
+   */
   removeSubmission(key: string): boolean {
     if (this.#submissions.size === 1 && this.#submissions.has(key)) return false;
     this.#submissions.delete(key);
--- a/src/workLog/WorkLogView.ts
+++ b/src/workLog/WorkLogView.ts
@@ -192,7 +192,7 @@
 
   #applyJob(id: string, record: StoreRecord, isNewest: boolean): WorkLogChange | undefined {
     const known = this.#jobs.get(id);
-    if (record.value === undefined) return this.#removeSubmission(id, record.key);
+    if (record.value === undefined) return this.#removeSubmission(known, record.key);
     const accepted = WorkLogView.#decode(AcceptedJob, record);
     if ('reason' in accepted) return accepted;
     if (known !== undefined) {
@@ -211,10 +211,10 @@
   }
 
   /** Removes an accepting record, and the job if it was the last one. */
-  #removeSubmission(id: string, key: string): WorkLogChange | undefined {
+  #removeSubmission(job: StoredJob | undefined, key: string): WorkLogChange | undefined {
     this.#newestOffsets.delete(key);
-    const job = this.#jobs.get(id);
-    if (job === undefined || !job.recordKeys.includes(key)) return undefined;
+    if (job === undefined) return undefined;
+    const { id } = job;
     let isKept = false;
     this.#changeJob(job, () => {
       isKept = job.removeSubmission(key);
