Define organisations, their caps and keys, and move the planning of starts out of Shard

Cause: the configuration of two new deployments has customers with keys, a rate and a cap, and Shard had no room for the decisions that follow from them. Nothing reads the new fields yet, so no behaviour changes.

--- a/src/node/CallResponse.ts
+++ b/src/node/CallResponse.ts
@@ -13,6 +13,12 @@
   | { type: 'no-job' }
   /** Nothing was stored and nothing will run; the caller may retry after the given time. */
   | { type: 'refused'; reason: string; retryAfterMs: number }
+  /** The call has no API key, or one that the current configuration does not contain. */
+  | { type: 'unauthorized' }
+  /** The job belongs to another organisation than the API key. */
+  | { type: 'forbidden' }
+  /** Refused since the organisation exceeds its rate; nothing was stored and nothing will run. */
+  | { type: 'over-limit'; reason: string; retryAfterMs: number }
   /** The call may have taken effect or may still take effect. */
   | { type: 'unknown' }
   | { type: 'bad-request'; findings: Finding[] };
--- a/src/node/NodeSettings.ts
+++ b/src/node/NodeSettings.ts
@@ -21,6 +21,11 @@
   ownerSilenceMs: z.number().positive().default(1_000),
   /** Heartbeat interval of an owner that has nothing else to record. */
   ownerBeatMs: z.number().positive().default(250),
+  /**
+   * Time after the acknowledgement of a configuration from which no API key that it removed may be
+   * served; undefined if nodes without contact to the store may go on serving the keys they know.
+   */
+  revocationLimitMs: z.number().positive().optional(),
   shard: ShardOptions,
 });
 export type NodeSettings = z.infer<typeof NodeSettings>;
--- a/src/port/Configuration.ts
+++ b/src/port/Configuration.ts
@@ -17,6 +17,8 @@
   latencyTargetMs: z.number().nonnegative().default(0),
   /** Time limit in ms for answering a request. */
   timeoutMs: z.number().positive().default(3_000),
+  /** Calls need no API key. */
+  isPublic: z.boolean().default(false),
   /** Set if an advice service decides which hosts may run a step; holds its response times. */
   advice: z
     .object({ decisionMs: z.number().nonnegative(), perHostMs: z.number().nonnegative() })
@@ -38,6 +40,25 @@
 });
 export type PoolConfig = z.infer<typeof PoolConfig>;
 
+/** Limit of the resources that an organisation may have in use across all hosts; 0 is no limit. */
+export const ResourceCap = z.object({
+  cpuMilli: z.number().nonnegative().default(0),
+  memoryMb: z.number().nonnegative().default(0),
+  accelerators: z.number().nonnegative().default(0),
+});
+export type ResourceCap = z.infer<typeof ResourceCap>;
+
+/** Configuration of an organisation: a customer whose callers share API keys, a rate and a cap. */
+export const OrganisationConfig = z.object({
+  name: z.string(),
+  /** API keys that its callers send; never logged. */
+  apiKeys: z.array(z.string()),
+  /** Jobs a second that are owed to it, and its weight when pools are full. */
+  jobsPerS: z.number().nonnegative(),
+  cap: ResourceCap.prefault({}),
+});
+export type OrganisationConfig = z.infer<typeof OrganisationConfig>;
+
 /** Limits on HTTP requests of callers. */
 export const RequestLimits = z.object({
   maxHeaderBytes: z.number().int().positive().default(16_384),
@@ -52,6 +73,8 @@
   version: z.number(),
   queues: z.array(QueueConfig),
   pools: z.array(PoolConfig),
+  /** Undefined if the deployment has no organisations; then no call needs an API key. */
+  organisations: z.array(OrganisationConfig).optional(),
   limits: RequestLimits.prefault({}),
 });
 export type Configuration = z.infer<typeof Configuration>;
--- a/src/schedule/Shard.ts
+++ b/src/schedule/Shard.ts
@@ -12,7 +12,6 @@
   WaveOrder,
 } from '../port/mod.js';
 import { AdviceCache } from './AdviceCache.js';
-import { canInterrupt } from './canInterrupt.js';
 import { FaultyHostDetector } from './FaultyHostDetector.js';
 import { HostMonitor } from './HostMonitor.js';
 import { HostTable } from './HostTable.js';
@@ -25,7 +24,6 @@
 import { MachinePlanner } from './MachinePlanner.js';
 import { PackingPlacement } from './PackingPlacement.js';
 import type { PlacementPolicy } from './PlacementPolicy.js';
-import { PlacementRound } from './PlacementRound.js';
 import { PoolLoad } from './PoolLoad.js';
 import { PreviousOwners } from './PreviousOwners.js';
 import { DeadlineEstimator } from './DeadlineEstimator.js';
@@ -34,20 +32,14 @@
 import { RunTracker, type ReportResult, type OrderOutcome } from './RunTracker.js';
 import { RunTimeEstimator } from './RunTimeEstimator.js';
 import type { ScheduledJob } from './ScheduledJob.js';
-import type { ScheduledStep } from './ScheduledStep.js';
 import type { ShardOptions } from './ShardOptions.js';
+import { StartPlanner, type StartRule } from './StartPlanner.js';
 import type { Takeover } from './Takeover.js';
 import type { MachineSubject, ShardOutput } from './ShardCommand.js';
-import type { WorkUnit } from './WorkUnit.js';
 
-/** Range of run numbers per token, so that later owners use higher numbers. */
-const RUNS_PER_TOKEN = 1_000;
 /** Consecutive unanswered calls after which the machine list is checked for the end of a host. */
 const MAX_SILENT_CALLS = 2;
 
-/** Jobs whose tasks an owner may start: all, or those accepted in its own data centre. */
-export type StartRule = 'all' | 'own-data-centre';
-
 /** Collaborators of a `Shard`; the policies have defaults. */
 export interface ShardParts {
   clock: Clock;
@@ -80,15 +72,11 @@
 
   readonly #estimator = new RunTimeEstimator();
 
-  readonly #deadlines = new DeadlineEstimator(this.#estimator);
-
   readonly #faultyHosts = new FaultyHostDetector();
 
   readonly #hostMonitor: HostMonitor;
 
-  readonly #schedulingPolicy: SchedulingPolicy;
-
-  readonly #placementPolicy: PlacementPolicy;
+  readonly #startPlanner: StartPlanner;
 
   readonly #advice = new AdviceCache();
 
@@ -102,8 +90,6 @@
 
   #isDetached = false;
 
-  #startRule: StartRule = 'all';
-
   #pools = new Map<string, PoolConfig>();
 
   #queues = new Map<string, QueueConfig>();
@@ -119,8 +105,6 @@
       startedAt,
     });
     this.#jobs = new JobTable(this.#output);
-    this.#schedulingPolicy = parts.schedulingPolicy ?? new LeastWorkFirst(this.#estimator);
-    this.#placementPolicy = parts.placementPolicy ?? new PackingPlacement();
     this.#runTracker = new RunTracker({
       jobs: this.#jobs,
       estimator: this.#estimator,
@@ -144,6 +128,18 @@
       output: this.#output,
       orders: this.#machineOrders,
     });
+    this.#startPlanner = new StartPlanner(takeover, options, {
+      hosts: this.#hosts,
+      runTracker: this.#runTracker,
+      previousOwners: this.#previousOwners,
+      machinePlanner: this.#machinePlanner,
+      advice: this.#advice,
+      deadlines: new DeadlineEstimator(this.#estimator),
+      schedulingPolicy: parts.schedulingPolicy ?? new LeastWorkFirst(this.#estimator),
+      placementPolicy: parts.placementPolicy ?? new PackingPlacement(),
+      output: this.#output,
+      clock: this.#clock,
+    });
   }
 
   get token(): number {
@@ -163,7 +159,7 @@
 
   /** Sets the jobs whose tasks may be started from now on. */
   setStartRule(rule: StartRule): void {
-    this.#startRule = rule;
+    this.#startPlanner.setStartRule(rule);
   }
 
   /** Discards a run whose start has not been ordered. */
@@ -394,7 +390,9 @@
   planStarts(): void {
     const now = this.#now;
     this.#jobs.openDueOccurrences(this.#clock.readWall());
-    this.#jobs.listWaiting().forEach((steps, pool) => this.#planPool(pool, steps, now));
+    this.#jobs.listWaiting().forEach((steps, pool) => {
+      if (this.#pools.get(pool)?.isStandby !== true) this.#startPlanner.plan(pool, steps, now);
+    });
   }
 
   /** Returns the jobs whose progress has to be recorded, and clears the set. */
@@ -432,7 +430,15 @@
 
   /** Restores the queue configuration of a job whose queue is not in the current configuration. */
   static #restoreQueue({ queue, pool, rule }: TrackedJob): QueueConfig {
-    return { name: queue, hostName: '', pathPrefix: '', pool, timeoutMs: 0, ...rule };
+    return {
+      name: queue,
+      hostName: '',
+      pathPrefix: '',
+      pool,
+      timeoutMs: 0,
+      isPublic: false,
+      ...rule,
+    };
   }
 
   #handleResult(host: ManagedHost, result: ReportResult): ReportResult {
@@ -502,88 +508,4 @@
       }
     });
   }
-
-  #planPool(pool: string, steps: readonly ScheduledStep[], now: number): void {
-    if (this.#pools.get(pool)?.isStandby === true) return;
-    const hosts = this.#hosts.listInPool(pool).filter((host) => host.isAvailable(now));
-    const nowWallMs = this.#clock.readWall();
-    const hostsForLateJobs = this.#machinePlanner.chooseHostsForLateJobs(pool, hosts);
-    const round = new PlacementRound(this.#placementPolicy, hosts, now);
-    const isReleasing = hostsForLateJobs !== hosts;
-    const lateRound = isReleasing
-      ? new PlacementRound(this.#placementPolicy, hostsForLateJobs, now)
-      : round;
-    const sorted = this.#schedulingPolicy.sort(steps, nowWallMs);
-    sorted.forEach((step) => {
-      const { tracked } = step.occurrence.job;
-      if (!this.#canStart(tracked)) return;
-      if (this.#previousOwners.canHaveStarted(tracked, pool, now)) return;
-      // Lateness only matters while the pool has to release hosts.
-      const isLate = isReleasing && this.#deadlines.isLate(step.occurrence, nowWallMs);
-      this.#planStep(step, isLate ? lateRound : round, now);
-    });
-  }
-
-  #canStart({ dataCentres }: TrackedJob): boolean {
-    return this.#startRule === 'all' || dataCentres.includes(this.#options.dataCentre);
-  }
-
-  #planStep(step: ScheduledStep, round: PlacementRound, now: number): void {
-    const needsAdvice = step.occurrence.job.queue.advice !== undefined;
-    for (const unit of step.units) {
-      if (!unit.isWaiting || unit.notBefore > now || this.#previousOwners.canRun(unit, now))
-        continue;
-      const allowed = needsAdvice ? this.#advice.collectAllowed(step, now) : undefined;
-      const placements = round.choose(unit, allowed);
-      if (placements === undefined) {
-        if (needsAdvice) this.#askAdvice(step, round.hosts, now);
-        else this.#preempt(unit, round, now);
-        return;
-      }
-      const number = unit.takeRunNumber((this.token - 1) * RUNS_PER_TOKEN);
-      placements.forEach(({ index, host }) => this.#start(unit, index, host, number));
-    }
-  }
-
-  #start(unit: WorkUnit, index: number, host: ManagedHost, number: number): void {
-    const now = this.#now;
-    const leaseEndMs = host.computeLeaseEnd(this.#options.leaseMs, now);
-    const run = this.#runTracker.createRun(unit, index, host, number, now);
-    if (leaseEndMs === undefined) {
-      this.#runTracker.reportStart(run, { type: 'unsent' }, now);
-      return;
-    }
-    this.#output.send({
-      type: 'start',
-      run,
-      leaseEndMs,
-      checkpoint: unit.checkpoint,
-      ticket: this.#advice.findTicket(unit.step, host.id),
-    });
-  }
-
-  #askAdvice(step: ScheduledStep, hosts: readonly ManagedHost[], now: number): void {
-    const hostIds = this.#advice.planRequest(step, hosts, now);
-    if (hostIds !== undefined) this.#output.send({ type: 'ask-advice', step: step.id, hostIds });
-  }
-
-  /** Preempts a run of lower priority to free resources for a unit of higher priority. */
-  #preempt(unit: WorkUnit, round: PlacementRound, now: number): void {
-    const { priority } = unit.step.occurrence.job.queue;
-    if (!round.hasLowerPriorityRun(priority)) return;
-    const victims = round.hosts.flatMap((host) =>
-      [...host.runs.values()].filter(
-        (run) =>
-          run.unit.step.occurrence.job.queue.priority > priority &&
-          run.unit.spec.cpuMilli > 0 &&
-          canInterrupt(run),
-      ),
-    );
-    if (victims.some(({ state }) => state === 'stopping')) return;
-    const candidates = victims
-      .filter(({ state, unit: other }) => state === 'running' && other.spec.checkpoints)
-      .filter(({ unit: other }) => other.spec.cpuMilli >= unit.spec.cpuMilli);
-    const [victim] = candidates.sort((one, other) => (other.startedAt ?? 0) - (one.startedAt ?? 0));
-    if (victim !== undefined) this.#runTracker.stop(victim, now, 'preempted');
-  }
 }
--- a/src/schedule/ShardOptions.ts
+++ b/src/schedule/ShardOptions.ts
@@ -16,6 +16,10 @@
   machineLeaseMs: z.number().positive(),
   /** Time without contact to the store after which an owner gives up the shard. */
   detachedLimitMs: z.number().positive(),
+  /** Window over which the submission rate of an organisation is measured. */
+  rateWindowMs: z.number().positive().default(5_000),
+  /** Fraction by which a start may bring an organisation above its cap, plus one task. */
+  capOvershoot: z.number().nonnegative().default(0),
   /** See `IdleHostLendingOptions`. */
   borrowAboveMs: z.number().nonnegative().default(400),
   /** See `IdleHostLendingOptions`. */
--- /dev/null
+++ b/src/schedule/StartPlanner.ts
@@ -0,0 +1,178 @@
+import type { Clock } from '../clock/mod.js';
+import type { TrackedJob } from '../workLog/mod.js';
+import type { AdviceCache } from './AdviceCache.js';
+import { canInterrupt } from './canInterrupt.js';
+import type { DeadlineEstimator } from './DeadlineEstimator.js';
+import type { HostTable } from './HostTable.js';
+import type { MachinePlanner } from './MachinePlanner.js';
+import type { ManagedHost } from './ManagedHost.js';
+import type { PlacementPolicy } from './PlacementPolicy.js';
+import { PlacementRound } from './PlacementRound.js';
+import type { PreviousOwners } from './PreviousOwners.js';
+import type { RunTracker } from './RunTracker.js';
+import type { ScheduledStep } from './ScheduledStep.js';
+import type { SchedulingPolicy } from './SchedulingPolicy.js';
+import type { ShardOptions } from './ShardOptions.js';
+import type { ShardOutput } from './ShardCommand.js';
+import type { Takeover } from './Takeover.js';
+import type { WorkUnit } from './WorkUnit.js';
+
+/** Range of run numbers per token, so that later owners use higher numbers. */
+const RUNS_PER_TOKEN = 1_000;
+
+/** Jobs whose tasks an owner may start: all, or those accepted in its own data centre. */
+export type StartRule = 'all' | 'own-data-centre';
+
+/** Collaborators of a `StartPlanner`. */
+export interface StartPlannerParts {
+  hosts: HostTable;
+  runTracker: RunTracker;
+  previousOwners: PreviousOwners;
+  machinePlanner: MachinePlanner;
+  advice: AdviceCache;
+  deadlines: DeadlineEstimator;
+  schedulingPolicy: SchedulingPolicy;
+  placementPolicy: PlacementPolicy;
+  output: ShardOutput;
+  clock: Clock;
+}
+
+/** Decides which waiting tasks of a pool start now, on which hosts, and which runs they preempt. */
+export class StartPlanner {
+  readonly #token: number;
+
+  readonly #dataCentre: string;
+
+  readonly #leaseMs: number;
+
+  readonly #hosts: HostTable;
+
+  readonly #runTracker: RunTracker;
+
+  readonly #previousOwners: PreviousOwners;
+
+  readonly #machinePlanner: MachinePlanner;
+
+  readonly #advice: AdviceCache;
+
+  readonly #deadlines: DeadlineEstimator;
+
+  readonly #schedulingPolicy: SchedulingPolicy;
+
+  readonly #placementPolicy: PlacementPolicy;
+
+  readonly #output: ShardOutput;
+
+  readonly #clock: Clock;
+
+  #startRule: StartRule = 'all';
+
+  constructor(
+    { token }: Takeover,
+    { dataCentre, leaseMs }: ShardOptions,
+    parts: StartPlannerParts,
+  ) {
+    this.#token = token;
+    this.#dataCentre = dataCentre;
+    this.#leaseMs = leaseMs;
+    this.#hosts = parts.hosts;
+    this.#runTracker = parts.runTracker;
+    this.#previousOwners = parts.previousOwners;
+    this.#machinePlanner = parts.machinePlanner;
+    this.#advice = parts.advice;
+    this.#deadlines = parts.deadlines;
+    this.#schedulingPolicy = parts.schedulingPolicy;
+    this.#placementPolicy = parts.placementPolicy;
+    this.#output = parts.output;
+    this.#clock = parts.clock;
+  }
+
+  /** Sets the jobs whose tasks may be started from now on. */
+  setStartRule(rule: StartRule): void {
+    this.#startRule = rule;
+  }
+
+  /** Starts the waiting tasks of a pool that fit on its available hosts. */
+  plan(pool: string, steps: readonly ScheduledStep[], now: number): void {
+    const hosts = this.#hosts.listInPool(pool).filter((host) => host.isAvailable(now));
+    const nowWallMs = this.#clock.readWall();
+    const hostsForLateJobs = this.#machinePlanner.chooseHostsForLateJobs(pool, hosts);
+    const round = new PlacementRound(this.#placementPolicy, hosts, now);
+    const isReleasing = hostsForLateJobs !== hosts;
+    const lateRound = isReleasing
+      ? new PlacementRound(this.#placementPolicy, hostsForLateJobs, now)
+      : round;
+    const sorted = this.#schedulingPolicy.sort(steps, nowWallMs);
+    sorted.forEach((step) => {
+      const { tracked } = step.occurrence.job;
+      if (!this.#canStart(tracked)) return;
+      if (this.#previousOwners.canHaveStarted(tracked, pool, now)) return;
+      // Lateness only matters while the pool has to release hosts.
+      const isLate = isReleasing && this.#deadlines.isLate(step.occurrence, nowWallMs);
+      this.#planStep(step, isLate ? lateRound : round, now);
+    });
+  }
+
+  #canStart({ dataCentres }: TrackedJob): boolean {
+    return this.#startRule === 'all' || dataCentres.includes(this.#dataCentre);
+  }
+
+  #planStep(step: ScheduledStep, round: PlacementRound, now: number): void {
+    const needsAdvice = step.occurrence.job.queue.advice !== undefined;
+    for (const unit of step.units) {
+      if (!unit.isWaiting || unit.notBefore > now || this.#previousOwners.canRun(unit, now))
+        continue;
+      const allowed = needsAdvice ? this.#advice.collectAllowed(step, now) : undefined;
+      const placements = round.choose(unit, allowed);
+      if (placements === undefined) {
+        if (needsAdvice) this.#askAdvice(step, round.hosts, now);
+        else this.#preempt(unit, round, now);
+        return;
+      }
+      const number = unit.takeRunNumber((this.#token - 1) * RUNS_PER_TOKEN);
+      placements.forEach(({ index, host }) => this.#start(unit, index, host, number));
+    }
+  }
+
+  #start(unit: WorkUnit, index: number, host: ManagedHost, number: number): void {
+    const now = this.#clock.readMonotonic();
+    const leaseEndMs = host.computeLeaseEnd(this.#leaseMs, now);
+    const run = this.#runTracker.createRun(unit, index, host, number, now);
+    if (leaseEndMs === undefined) {
+      this.#runTracker.reportStart(run, { type: 'unsent' }, now);
+      return;
+    }
+    this.#output.send({
+      type: 'start',
+      run,
+      leaseEndMs,
+      checkpoint: unit.checkpoint,
+      ticket: this.#advice.findTicket(unit.step, host.id),
+    });
+  }
+
+  #askAdvice(step: ScheduledStep, hosts: readonly ManagedHost[], now: number): void {
+    const hostIds = this.#advice.planRequest(step, hosts, now);
+    if (hostIds !== undefined) this.#output.send({ type: 'ask-advice', step: step.id, hostIds });
+  }
+
+  /** Preempts a run of lower priority to free resources for a unit of higher priority. */
+  #preempt(unit: WorkUnit, round: PlacementRound, now: number): void {
+    const { priority } = unit.step.occurrence.job.queue;
+    if (!round.hasLowerPriorityRun(priority)) return;
+    const victims = round.hosts.flatMap((host) =>
+      [...host.runs.values()].filter(
+        (run) =>
+          run.unit.step.occurrence.job.queue.priority > priority &&
+          run.unit.spec.cpuMilli > 0 &&
+          canInterrupt(run),
+      ),
+    );
+    if (victims.some(({ state }) => state === 'stopping')) return;
+    const candidates = victims
+      .filter(({ state, unit: other }) => state === 'running' && other.spec.checkpoints)
+      .filter(({ unit: other }) => other.spec.cpuMilli >= unit.spec.cpuMilli);
+    const [victim] = candidates.sort((one, other) => (other.startedAt ?? 0) - (one.startedAt ?? 0));
+    if (victim !== undefined) this.#runTracker.stop(victim, now, 'preempted');
+  }
+}
--- a/src/schedule/mod.ts
+++ b/src/schedule/mod.ts
@@ -24,6 +24,7 @@
 export * from './RunTracker.js';
 export * from './ScheduledJob.js';
 export * from './SchedulingPolicy.js';
+export type { StartRule } from './StartPlanner.js';
 export * from './Shard.js';
 export * from './ShardCommand.js';
 export * from './ShardOptions.js';
--- a/src/testing/ScheduleRig.ts
+++ b/src/testing/ScheduleRig.ts
@@ -31,6 +31,7 @@
     stretch: 2,
     latencyTargetMs: 600,
     timeoutMs: 3_000,
+    isPublic: false,
     ...fields,
   };
 }
@@ -120,6 +121,8 @@
         moveMs: 1_500,
         machineLeaseMs: 3_000,
         detachedLimitMs: 20_000,
+        rateWindowMs: 5_000,
+        capOvershoot: 0.1,
         borrowAboveMs: 400,
         parkAfterMs: 1_500,
         keepHosts: 2,
--- a/src/workLog/StoredJob.ts
+++ b/src/workLog/StoredJob.ts
@@ -81,6 +81,10 @@
     return this.#accepted.submittedAtMs;
   }
 
+  get organisation(): string | undefined {
+    return this.#accepted.organisation;
+  }
+
   get spec(): JobSpec {
     return this.#accepted.spec;
   }
--- a/src/workLog/WorkLogRecord.ts
+++ b/src/workLog/WorkLogRecord.ts
@@ -25,6 +25,8 @@
   submittedAtMs: z.number(),
   /** Data centre of the accepting node. */
   dataCentre: z.string().default(''),
+  /** Organisation whose key the submission carried; undefined if it needed none. */
+  organisation: z.string().optional(),
   spec: JobSpec,
 });
 export type AcceptedJob = z.infer<typeof AcceptedJob>;
