Record when the last complete read of a topic was sent, on both clocks

Cause: a node must know for how long its API keys are proven to be the newest ones. The time freshAt does not tell: it counts an empty long poll up to the end of its wait, and the monotonic clock does not count a suspension of the machine. The operator's log is polled for 400 ms instead of 1,000 ms if the configuration has organisations, so that the proof is seldom older than 1 s. Result: freshAt is unchanged; nothing reads provenAt yet.

--- a/src/clock/mod.ts
+++ b/src/clock/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 export * from './Clock.js';
+export * from './TimeReading.js';
 export * from './ManualClock.js';
 export * from './OffsetClock.js';
 export * from './SystemClock.js';
--- a/src/node/OperatorFollower.ts
+++ b/src/node/OperatorFollower.ts
@@ -1,9 +1,16 @@
+import type { TimeReading } from '../clock/mod.js';
 import type { Configuration, StoreRecord, WaveOrder } from '../port/mod.js';
 import type { NodeContext } from './NodeContext.js';
 import { TopicFollower } from './TopicFollower.js';
 
 /** Delay between reads in ms; a new configuration has to take effect within a few seconds. */
 const READ_DELAY_MS = 50;
+/**
+ * Long polling: maximum time in ms that a read waits in a deployment with organisations. Each read
+ * proves that the API keys are current only for the time at which it was sent, so the proof is up to
+ * two such times old, plus the response times.
+ */
+const KEYED_LONG_POLL_MS = 400;
 
 /** The operator's configuration and maintenance waves. */
 export interface OperatorState {
@@ -12,6 +19,8 @@
   /** Monotonic time in ms at which the state was known to be current. */
   freshAt: number;
   isCurrent: boolean;
+  /** See `FollowerState.provenAt`. */
+  provenAt?: TimeReading | undefined;
 }
 
 /** Messages of the operator follower. */
@@ -43,12 +52,13 @@
   protected override applyRecords(records: readonly StoreRecord[], isSnapshot: boolean): void {
     this.applyEach(records, (record) => this.#apply(record));
     if (isSnapshot) this.#removeMissingWaves(records);
-    const { freshAt, isCurrent } = this.state;
+    const { freshAt, isCurrent, provenAt } = this.state;
     this.#onChange({
       configuration: this.#configuration,
       waves: this.#waves,
       freshAt,
       isCurrent,
+      provenAt,
     });
   }
 
@@ -75,6 +85,7 @@
         if (configuration.version < (this.#configuration?.version ?? -Infinity)) return;
         this.#configurationOffset = record.offset;
         this.#configuration = configuration;
+        if (configuration.organisations !== undefined) this.longPollMs = KEYED_LONG_POLL_MS;
         this.context.log.record('configuration', String(configuration.version), {
           offset: record.offset,
           queues: configuration.queues.length,
--- a/src/node/TopicFollower.ts
+++ b/src/node/TopicFollower.ts
@@ -1,8 +1,9 @@
 import { Actor } from '../actor/mod.js';
+import type { TimeReading } from '../clock/mod.js';
 import type { NewestPage, ReadResponse, StoreRecord, StoreTopic } from '../port/mod.js';
 import type { NodeContext } from './NodeContext.js';
 
-/** Long polling: maximum time in ms that a read waits at the store for a record. */
+/** Long polling: default of the maximum time in ms that a read waits at the store for a record. */
 const LONG_POLL_MS = 1_000;
 /** Delay in ms after a failed read. */
 const RETRY_DELAY_MS = 150;
@@ -10,8 +11,8 @@
 /** Messages of every topic follower. */
 export type FollowerMessage =
   | { type: 'read' }
-  | { type: 'page'; page: NewestPage; sentAt: number }
-  | { type: 'answered'; answer: ReadResponse; sentAt: number }
+  | { type: 'page'; page: NewestPage; sentAt: TimeReading }
+  | { type: 'answered'; answer: ReadResponse; sentAt: TimeReading }
   | { type: 'failed'; error: Error };
 
 /** Newest records that have been read so far, page by page. */
@@ -19,8 +20,8 @@
   records: StoreRecord[];
   /** End of the log when the first page was read; the log is followed from there. */
   end: number;
-  /** Monotonic time in ms at which the first page was requested. */
-  sentAt: number;
+  /** When the first page was requested: a record on it may have been replaced since. */
+  sentAt: TimeReading;
   /** Key after which the next page starts. */
   next: string | undefined;
 }
@@ -36,6 +37,12 @@
    * of the log update it.
    */
   freshAt: number;
+  /**
+   * When the last read that reached the end of the log was sent; undefined before the first one. The
+   * state contains everything that the store had acknowledged by then. An empty long poll counts
+   * from its sending, too, since its response may have been delayed on the way.
+   */
+  provenAt?: TimeReading | undefined;
   /** The last read succeeded. */
   isInContact: boolean;
   /** Monotonic time in ms since which all reads have succeeded. */
@@ -59,6 +66,8 @@
 
   #freshAt = -Infinity;
 
+  #provenAt: TimeReading | undefined;
+
   #contactSince = -Infinity;
 
   #isInContact = false;
@@ -70,6 +79,9 @@
   /** Delay in ms after a read that returned records, so that the next read returns a batch. */
   protected readDelayMs: number;
 
+  /** Maximum time in ms that a read waits at the store for a record. */
+  protected longPollMs = LONG_POLL_MS;
+
   constructor(context: NodeContext, topic: StoreTopic, readDelayMs: number) {
     super(context.scope, `follow-${topic}`);
     this.#topic = topic;
@@ -87,6 +99,7 @@
       end: this.#nextOffset ?? 0,
       isCurrent: this.#isCurrent,
       freshAt: this.#freshAt,
+      provenAt: this.#provenAt,
       isInContact: this.#isInContact,
       contactSince: this.#contactSince,
     };
@@ -160,7 +173,7 @@
   }
 
   async #readPage(): Promise<FollowerMessage> {
-    const sentAt = this.#context.clock.readMonotonic();
+    const sentAt = this.#context.clock.read();
     const page = await this.#context.store.readNewest(this.#topic, this.#snapshot?.next);
     return { type: 'page', page, sentAt };
   }
@@ -170,7 +183,7 @@
    * missing: when many nodes start at once, some reads fail, and reading again from the first page
    * would never come to an end.
    */
-  #handlePage({ records, next, end }: NewestPage, sentAt: number): void {
+  #handlePage({ records, next, end }: NewestPage, sentAt: TimeReading): void {
     this.#recordContact();
     this.#snapshot ??= { records: [], end, sentAt, next };
     this.#snapshot.records.push(...records);
@@ -182,17 +195,18 @@
     const snapshot = this.#snapshot;
     this.#snapshot = undefined;
     this.#nextOffset = snapshot.end;
-    this.#freshAt = snapshot.sentAt;
+    this.#freshAt = snapshot.sentAt.monotonicMs;
+    this.#provenAt = snapshot.sentAt;
     this.#applyThenSchedule(snapshot.records, { isSnapshot: true, delayMs: 0 });
   }
 
   async #readFrom(from: number): Promise<FollowerMessage> {
-    const sentAt = this.#context.clock.readMonotonic();
-    const answer = await this.#context.store.read(this.#topic, from, { waitMs: LONG_POLL_MS });
+    const sentAt = this.#context.clock.read();
+    const answer = await this.#context.store.read(this.#topic, from, { waitMs: this.longPollMs });
     return { type: 'answered', answer, sentAt };
   }
 
-  #handleResponse(answer: ReadResponse, sentAt: number): void {
+  #handleResponse(answer: ReadResponse, sentAt: TimeReading): void {
     this.#recordContact();
     if (answer.type === 'expired') {
       this.#context.log.record('log-expired', this.#topic, {
@@ -210,8 +224,10 @@
     if (!isBehind) {
       this.#isCurrent = true;
       // An empty long poll proves that no record was appended until the end of its wait.
-      const waitedUntil = Math.min(this.#context.clock.readMonotonic(), sentAt + LONG_POLL_MS);
-      this.#freshAt = isEmpty ? waitedUntil : sentAt;
+      const sentAtMs = sentAt.monotonicMs;
+      const waitedUntil = Math.min(this.#context.clock.readMonotonic(), sentAtMs + this.longPollMs);
+      this.#freshAt = isEmpty ? waitedUntil : sentAtMs;
+      this.#provenAt = sentAt;
     }
     const delayMs = isBehind || isEmpty ? 0 : this.readDelayMs;
     this.#applyThenSchedule(answer.records, { isSnapshot: false, delayMs });
