Decide on API keys and rates of organisations without network

Cause: the decisions about keys and rates need a place outside the node's actors. Result: not used yet.

--- a/src/organisation/mod.ts
+++ b/src/organisation/mod.ts
@@ -4,4 +4,9 @@
  *
  * @module
  */
+export * from './CallAuthorizer.js';
+export * from './KeyProof.js';
+export * from './Organisation.js';
+export * from './OrganisationTable.js';
+export * from './SubmissionLimiter.js';
 export * from './SubmissionRate.js';
