Keep the submissions of different organisations apart in the work log

Cause: two nodes may accept the same identifier for two organisations before they have read each other's record, and a node may store the cancellation of a job that it does not know. One organisation could replace or cancel the job of another. Change: the organisation is part of the keys of accepted jobs and early cancellations; a job has only the data centres of its own organisation's submissions; a change 'resubmitted' tells readers when an earlier submission changes the time or organisation of a job. Result: keys of jobs without an organisation are unchanged.

--- a/src/workLog/StoredJob.ts
+++ b/src/workLog/StoredJob.ts
@@ -104,8 +104,15 @@
 
   get cancelledAtMs(): number | undefined {
     if (this.#cancellations === undefined) return undefined;
-    const early = WorkLogKey.earlyCancel(this.id, this.queue);
-    return this.#cancellations.get(WorkLogKey.cancel(this.id)) ?? this.#cancellations.get(early);
+    const { id, queue, organisation } = this;
+    // An early cancellation by another organisation does not apply to the job.
+    return [
+      WorkLogKey.cancel(id),
+      WorkLogKey.earlyCancel(id, queue),
+      WorkLogKey.earlyCancel(id, queue, organisation),
+    ]
+      .map((key) => this.#cancellations?.get(key))
+      .find((atMs) => atMs !== undefined);
   }
 
   /** Adds a record that accepted the job, or replaces the one with the same key. */
@@ -162,7 +169,9 @@
         one.submittedAtMs - other.submittedAtMs || (key < otherKey ? -1 : 1),
     );
     this.#accepted = sorted[0]?.[1] ?? this.#accepted;
-    this.#dataCentres = [...new Set(sorted.map(([, { dataCentre }]) => dataCentre))].sort();
+    // Two organisations may submit an identifier at the same time; the job belongs to the first one.
+    const own = sorted.filter(([, { organisation }]) => organisation === this.organisation);
+    this.#dataCentres = [...new Set(own.map(([, { dataCentre }]) => dataCentre))].sort();
   }
 
   /**
--- a/src/workLog/WorkLogRecord.ts
+++ b/src/workLog/WorkLogRecord.ts
@@ -3,7 +3,8 @@
 import { JobSpec } from '../task/mod.js';
 
 /**
- * An accepted job, stored under `accepted-job/ID/DATA-CENTRE` by the node that accepted it.
+ * An accepted job, stored under `accepted-job/ID/DATA-CENTRE` by the node that accepted it, or under
+ * `accepted-job/ID/DATA-CENTRE/ORGANISATION` if the submission carried a key.
  *
  * The store keeps only the newest record of each key. A job that is submitted again in another data
  * centre gets a second record, so that every reader knows all data centres of the job. Earlier
@@ -33,7 +34,7 @@
 
 /**
  * The cancellation of a job, stored under `cancel/ID`; under `cancel/ID/QUEUE` by a node that does
- * not know the job. Its write may still be open in another node or in the store: the cancellation
+ * not know the job, followed by `/ORGANISATION` if the call carried a key. Its write may still be open in another node or in the store: the cancellation
  * then precedes the job and applies if the job belongs to that queue.
  */
 export const Cancellation = z.object({ atMs: z.number() });
@@ -143,15 +144,22 @@
 });
 export type PoolLoadRecord = z.infer<typeof PoolLoadRecord>;
 
+function toSuffix(organisation: string | undefined): string {
+  return organisation === undefined ? '' : `/${encodeURIComponent(organisation)}`;
+}
+
 /** Keys of the work log. */
 export const WorkLogKey = {
   owner: 'owner',
   machineOrders: 'machine-orders',
   poolLoad: 'pool-load',
-  job: (id: string, dataCentre: string): string => `accepted-job/${id}/${dataCentre}`,
+  /** The organisation is part of the key, so that another one cannot replace the record. */
+  job: (id: string, dataCentre: string, organisation?: string): string =>
+    `accepted-job/${id}/${dataCentre}${toSuffix(organisation)}`,
   cancel: (id: string): string => `cancel/${id}`,
-  /** Cancellation by a node that does not know the job. */
-  earlyCancel: (id: string, queue: string): string => `cancel/${id}/${queue}`,
+  /** Cancellation by a node that does not know the job, for a job of the caller's organisation. */
+  earlyCancel: (id: string, queue: string, organisation?: string): string =>
+    `cancel/${id}/${queue}${toSuffix(organisation)}`,
   progress: (id: string): string => `progress/${id}`,
   node: (name: string): string => `node/${name}`,
   wave: (wave: number): string => `wave/${wave}`,
--- a/src/workLog/WorkLogView.ts
+++ b/src/workLog/WorkLogView.ts
@@ -20,6 +20,8 @@
   | { type: 'job'; job: TrackedJob }
   | { type: 'cancelled'; job: TrackedJob }
   | { type: 'progress'; job: TrackedJob }
+  /** An earlier submission of a known job was read: its time or organisation has changed. */
+  | { type: 'resubmitted'; job: TrackedJob }
   | { type: 'removed'; id: string }
   /** A job that has not been read was cancelled; the job may never be stored. */
   | { type: 'early-cancel'; key: string }
@@ -209,8 +211,10 @@
     if ('reason' in accepted) return accepted;
     if (known !== undefined) {
       // Submissions are idempotent: a repeated one adds at most a data centre.
+      const { submittedAtMs, organisation } = known;
       this.#changeJob(known, () => known.setSubmission(record.key, accepted.value));
-      return undefined;
+      const isSame = known.submittedAtMs === submittedAtMs && known.organisation === organisation;
+      return isSame ? undefined : { type: 'resubmitted', job: known };
     }
     const head = { id, acceptedOffset: isNewest ? 0 : record.offset, key: record.key };
     const job = new StoredJob(head, accepted.value, (value) => this.#decodeProgress(id, value));
