Authorize calls with API keys and bound the use of revoked ones

Cause: no key was read, so callers with unknown or revoked keys were served. RelayClient passes the organisation of a job. JobFinder is moved out of JobService. A test expects the new field of a peer's answer.

--- a/src/emulator/NodeCluster.ts
+++ b/src/emulator/NodeCluster.ts
@@ -7,8 +7,14 @@
 import { findOwner } from './findOwner.js';
 import { createLogger } from '../logging/mod.js';
 import { Metrics } from '../metrics/mod.js';
-import { DecisionLog, Node, NodeSettings, type CallResponse } from '../node/mod.js';
-import { QueueConfig, type WaveOrder } from '../port/mod.js';
+import {
+  DecisionLog,
+  Node,
+  NodeSettings,
+  type CallOptions,
+  type CallResponse,
+} from '../node/mod.js';
+import { QueueConfig, type OrganisationConfig, type WaveOrder } from '../port/mod.js';
 import { JobSpec } from '../task/mod.js';
 import { NoAdviceService } from './NoAdviceService.js';
 
@@ -27,6 +33,10 @@
   machines: number;
   /** Number of machines in the standby pool; 0 by default. */
   standbyMachines?: number;
+  /** Organisations of the first configuration; by default the deployment has none. */
+  organisations?: OrganisationConfig[];
+  /** See `NodeSettings`. */
+  revocationLimitMs?: number;
 }
 
 /** A cluster of nodes on an emulated platform, all in one process. */
@@ -46,26 +56,26 @@
     latencyTargetMs: 600,
   });
 
+  /** A queue that needs no API key. */
+  readonly publicQueue = QueueConfig.parse({
+    ...this.queue,
+    name: 'previews',
+    pathPrefix: '/previews/',
+    isPublic: true,
+  });
+
   readonly #nodes = new Map<string, RunningNode>();
 
+  readonly #revocationLimitMs: number | undefined;
+
+  #version = 0;
+
   #sessionCount = 0;
 
   constructor(options: NodeClusterOptions) {
     this.fleet = new EmulatedFleet({ clock: this.clock, store: this.store, ...options });
-    const configuration = {
-      version: 1,
-      queues: [this.queue],
-      pools: [
-        { name: 'studio', refusesOverload: true, isStandby: false, maxConnections: 64 },
-        { name: 'reserve', refusesOverload: true, isStandby: true, maxConnections: 64 },
-      ],
-      limits: {},
-    };
-    this.store.write(
-      'operator',
-      'config',
-      JSON.stringify({ type: 'configuration', configuration }),
-    );
+    this.#revocationLimitMs = options.revocationLimitMs;
+    this.setOrganisations(options.organisations);
     for (let index = 0; index < options.machines; index += 1) {
       this.fleet.addMachine(`m-${index}`, 'studio', `r${index % 2}`);
     }
@@ -75,6 +85,23 @@
     for (let index = 0; index < options.nodes; index += 1) this.start(`node-${index}`);
   }
 
+  /** Sets a new version of the configuration, with the given organisations, as the operator. */
+  setOrganisations(organisations?: OrganisationConfig[]): void {
+    this.#version += 1;
+    const configuration = {
+      version: this.#version,
+      queues: organisations === undefined ? [this.queue] : [this.queue, this.publicQueue],
+      pools: [
+        { name: 'studio', refusesOverload: true, isStandby: false, maxConnections: 64 },
+        { name: 'reserve', refusesOverload: true, isStandby: true, maxConnections: 64 },
+      ],
+      organisations,
+      limits: {},
+    };
+    const record = JSON.stringify({ type: 'configuration', configuration });
+    this.store.write('operator', 'config', record);
+  }
+
   get names(): string[] {
     return [...this.#nodes.keys()];
   }
@@ -103,6 +130,7 @@
         retentionMs: 60_000,
         ownerSilenceMs: 500,
         ownerBeatMs: 100,
+        revocationLimitMs: this.#revocationLimitMs,
         shard: {
           maxLeaseMs: 1_500,
           leaseMs: 1_000,
@@ -140,11 +168,16 @@
   }
 
   /** Submits a job to a node; the answer is `unknown` if the node is not running. */
-  async submit(name: string, id: string, steps: unknown): Promise<CallResponse> {
+  async submit(
+    name: string,
+    id: string,
+    steps: unknown,
+    { queue = this.queue, ...call }: CallOptions & { queue?: QueueConfig } = {},
+  ): Promise<CallResponse> {
     const node = this.get(name);
     if (node === undefined) return { type: 'unknown' };
     try {
-      return await node.jobService.submit(id, this.queue, JobSpec.parse({ payload: id, steps }));
+      return await node.jobService.submit(id, queue, JobSpec.parse({ payload: id, steps }), call);
     } catch {
       // The node was killed during the call, so the outcome is unknown to the caller.
       return { type: 'unknown' };
--- a/src/node/JobService.test.ts
+++ b/src/node/JobService.test.ts
@@ -81,7 +81,7 @@
     clock,
     log: { record: () => undefined },
     metrics: new Metrics(),
-    settings: { dataCentre: 'dc-1', retentionMs: 60_000 },
+    settings: { dataCentre: 'dc-1', retentionMs: 60_000, shard: { rateWindowMs: 5_000 } },
   };
   return new JobService(context as unknown as NodeContext, options as unknown as JobServiceOptions);
 }
@@ -95,7 +95,7 @@
     const workLog = new LaggingWorkLog(clock, { freshAt: clock.readMonotonic() - 500 });
     workLog.caughtUp = { state: 'running', queue: 'renders' };
     const found = await openJobService(clock, workLog).findState('a');
-    assert.deepEqual(found, { state: 'running', queue: 'renders' });
+    assert.deepEqual(found, { state: 'running', queue: 'renders', organisation: null });
   });
 
   it('returns no result to a peer for an unknown job while reads fail', async () => {
--- a/src/node/JobService.ts
+++ b/src/node/JobService.ts
@@ -1,21 +1,26 @@
-import { WorkLogKey, JobState } from '../workLog/mod.js';
-import type { QueueConfig } from '../port/mod.js';
+import {
+  WorkLogKey,
+  type AcceptedJob,
+  type WorkLogChange,
+  type WorkLogView,
+} from '../workLog/mod.js';
+import type { KeyedValue, QueueConfig } from '../port/mod.js';
 import type { JobSpec } from '../task/mod.js';
-import type { WorkLogFollower, JobLookup } from './WorkLogFollower.js';
+import { SubmissionLimiter } from '../organisation/mod.js';
+import type { WorkLogFollower } from './WorkLogFollower.js';
+import { CallAccess } from './CallAccess.js';
+import { CallGate } from './CallGate.js';
 import type { CallResponse } from './CallResponse.js';
+import { JobFinder, MAX_STATE_AGE_MS } from './JobFinder.js';
 import type { NodeContext } from './NodeContext.js';
 import type { OperatorState } from './OperatorFollower.js';
 import { QueueTable, type QueueMatch } from './QueueTable.js';
 import type { RelayClient } from './RelayClient.js';
-import { RelayApi } from './RelayRouter.js';
+import { RelayApi, type PeerJobState } from './RelayRouter.js';
 import { RetryAdvisor } from './RetryAdvisor.js';
 import type { FollowerState } from './TopicFollower.js';
 import type { WorkLogWriter, WriteOutcome } from './WorkLogWriter.js';
 
-/** A job that is not finished is looked up again if the state is older than this, in ms. */
-const MAX_ACTIVE_STATE_AGE_MS = 60;
-/** Maximum age in ms of the state from which calls are answered. */
-const MAX_STATE_AGE_MS = 1_500;
 /** Retry delay in ms for callers that ask for a job while the state is not current. */
 const STATE_RETRY_AFTER_MS = 1_000;
 /** Retry delay in ms for callers while the node has no current configuration. */
@@ -24,27 +29,32 @@
 /** Time in ms that a query of a peer waits for the work log to catch up; the peer waits 400 ms. */
 const PEER_CATCH_UP_TIMEOUT_MS = 300;
 
-/** Interval in ms at which the view is checked while the work log catches up. */
-const CATCH_UP_POLL_INTERVAL_MS = 30;
-
 /** Part of the caller's timeout that is reserved for sending the response, in ms. */
 const RESPONSE_MARGIN_MS = 150;
 /** Minimum and maximum time in ms for relaying a write through another node. */
 const MIN_RELAY_TIMEOUT_MS = 100;
 const MAX_RELAY_TIMEOUT_MS = 700;
+/** Length of the path of an unauthorized call in log lines; an identifier has 16 characters. */
+const MAX_SUBJECT_LENGTH = 64;
 /**
  * Added to the timeout of a request to the writer, in ms. The writer itself replies in time unless
  * it has been closed.
  */
 const WRITE_MARGIN_MS = 2_000;
 
-/** State of a job, from a view that is current or, if `isCurrent` is false, unknown. */
-interface CurrentState {
-  /** Undefined if no job of the queue has the identifier. */
-  state: JobState | undefined;
-  isCurrent: boolean;
-  /** The identifier belongs to a job of another queue. */
-  hasOtherQueue: boolean;
+/** Options of a call. */
+export interface CallOptions {
+  /** API key that the call carries. */
+  key?: string | undefined;
+  /** Time in ms that the caller waits for a response; by default that of the queue. */
+  timeoutMs?: number | undefined;
+}
+
+/** Conditions of a write. */
+interface WriteOptions {
+  timeoutMs: number;
+  /** See `WorkLogWriterMessage`. */
+  isAllowed?: (() => boolean) | undefined;
 }
 
 /** Options of a `JobService`: the actors that it calls. */
@@ -70,6 +80,12 @@
 
   readonly #retryAdvisor = new RetryAdvisor(Math.random);
 
+  readonly #finder: JobFinder;
+
+  readonly #gate: CallGate;
+
+  readonly #limiter: SubmissionLimiter;
+
   #operatorState: OperatorState | undefined;
 
   #queueTable: QueueTable | undefined;
@@ -84,6 +100,14 @@
     this.#context = context;
     this.#workLog = workLog;
     this.#writer = writer;
+    this.#finder = new JobFinder(context, { workLog, relay });
+    this.#gate = new CallGate(context);
+    this.#limiter = new SubmissionLimiter(context.settings.shard.rateWindowMs);
+  }
+
+  /** Checks whether new callers with API keys may be sent to this node. */
+  get isReady(): boolean {
+    return this.#gate.isReady;
   }
 
   /** Sets the operator's configuration and waves. */
@@ -95,12 +119,29 @@
       this.#queueTable = new QueueTable(state.configuration);
     }
     this.#operatorState = state;
+    this.#gate.setOperatorState(state);
+    const { organisations } = this.#gate;
+    if (organisations !== undefined) this.#limiter.setOrganisations(organisations);
+  }
+
+  /** Applies changes of the work log: submissions of all nodes and the load of the pools. */
+  applyWorkLog(changes: readonly WorkLogChange[], { poolLoad }: WorkLogView): void {
+    changes.forEach((change) => {
+      if (change.type === 'job' || change.type === 'resubmitted') {
+        this.#limiter.recordJob(change.job);
+      } else if (change.type === 'removed') this.#limiter.removeJob(change.id);
+    });
+    this.#limiter.setPoolLoad(poolLoad, this.#context.clock.read());
   }
 
-  /** Finds the queue of a call, or the response if there is none. */
-  findQueue(hostName: string, path: string): QueueMatch | CallResponse {
+  /** Finds the queue of a call with an API key, or the response if there is none or it is refused. */
+  findQueue(hostName: string, path: string, key?: string): QueueMatch | CallResponse {
     const match = this.#queueTable?.find(hostName, path);
-    if (match !== undefined) return match;
+    if (match !== undefined) {
+      const subject = match.rest.slice(0, MAX_SUBJECT_LENGTH);
+      const access = this.#gate.authorize({ queue: match.queue, key, subject });
+      return access instanceof CallAccess ? match : access;
+    }
     if (this.#queueTable === undefined || !this.#isFresh(this.#operatorState?.freshAt)) {
       return {
         type: 'refused',
@@ -116,40 +157,42 @@
    *
    * A job that is known to be stored is not stored again: its first record stays the newest one.
    */
-  async submit(
+  submit(
     id: string,
     queue: QueueConfig,
     spec: JobSpec,
-    timeoutMs = queue.timeoutMs,
+    { key, timeoutMs = queue.timeoutMs }: CallOptions = {},
   ): Promise<CallResponse> {
     const startedAt = this.#context.clock.readMonotonic();
-    const known = await this.#queryWorkLog(id);
-    if (known.queue !== undefined) return this.#answerRepeated(id, known.queue, queue);
-    const { dataCentre } = this.#context.settings;
-    const value = JSON.stringify({
-      queue: queue.name,
-      pool: queue.pool,
-      rule: {
-        priority: queue.priority,
-        maxAttempts: queue.maxAttempts,
-        stretch: queue.stretch,
-        latencyTargetMs: queue.latencyTargetMs,
-        advice: queue.advice,
-      },
-      submittedAtMs: this.#context.clock.readWall(),
-      dataCentre,
-      spec,
-    });
-    const key = WorkLogKey.job(id, dataCentre);
-    const outcome = await this.#writeWithFallback(key, value, timeoutMs);
-    const tookMs = this.#context.clock.readMonotonic() - startedAt;
-    this.#context.metrics.recordLatency('submit', tookMs);
-    this.#context.log.record(`job-${outcome === 'stored' ? 'accepted' : outcome}`, id, {
-      queue: queue.name,
-      configuration: this.#operatorState?.configuration?.version,
-      tookMs: Math.round(tookMs),
+    return this.#gate.serve({ queue, key, subject: id }, async (access) => {
+      const known = await this.#finder.find(id);
+      const refusal = access.check();
+      if (refusal !== undefined) return refusal;
+      if (access.isForeign(known.organisation)) return { type: 'forbidden' };
+      if (known.queue !== undefined) return this.#answerRepeated(id, known.queue, queue);
+      const overLimit = this.#refuseOverLimit(queue, access);
+      if (overLimit !== undefined) return overLimit;
+      const job = this.#buildJob(queue, spec, access);
+      const record = {
+        key: WorkLogKey.job(id, job.dataCentre, access.organisation),
+        value: JSON.stringify(job),
+      };
+      const outcome = await this.#writeWithFallback(record, {
+        timeoutMs,
+        isAllowed: () => access.check() === undefined,
+      });
+      // The rate of this node's own callers is known before the record has been read.
+      if (outcome === 'stored') this.#limiter.recordJob({ id, ...job });
+      const tookMs = this.#context.clock.readMonotonic() - startedAt;
+      this.#context.metrics.recordLatency('submit', tookMs);
+      this.#context.log.record(`job-${outcome === 'stored' ? 'accepted' : outcome}`, id, {
+        queue: queue.name,
+        organisation: access.organisation,
+        configuration: this.#operatorState?.configuration?.version,
+        tookMs: Math.round(tookMs),
+      });
+      return this.#toResponse(outcome, { type: 'accepted' }, access);
     });
-    return this.#toResponse(outcome, { type: 'accepted' });
   }
 
   /**
@@ -158,92 +201,99 @@
    * The cancellation of an unknown job is stored, too: a write of the job may still be open in this
    * node, in another one or in the store, and it must not run if it is stored afterwards.
    */
-  async cancel(id: string, queue: QueueConfig, timeoutMs = queue.timeoutMs): Promise<CallResponse> {
-    const { state, isCurrent, hasOtherQueue } = await this.#findCurrent(id, queue);
-    if (hasOtherQueue) return { type: 'no-job' };
-    if (state !== undefined && state !== 'queued' && state !== 'running') {
-      return { type: 'cancelled' };
-    }
-    const value = JSON.stringify({ atMs: this.#context.clock.readWall() });
-    const isUnknown = state === undefined && isCurrent && !(await this.#hasOpenWrite(id));
-    const key =
-      state === undefined ? WorkLogKey.earlyCancel(id, queue.name) : WorkLogKey.cancel(id);
-    const outcome = await this.#writeWithFallback(key, value, timeoutMs);
-    this.#context.log.record('cancel', id, { queue: queue.name, state, outcome });
-    return this.#toResponse(outcome, { type: isUnknown ? 'no-job' : 'cancelled' });
+  cancel(
+    id: string,
+    queue: QueueConfig,
+    { key, timeoutMs = queue.timeoutMs }: CallOptions = {},
+  ): Promise<CallResponse> {
+    return this.#gate.serve({ queue, key, subject: id }, async (access) => {
+      const found = await this.#finder.findCurrent(id, queue);
+      const { state, isCurrent } = found;
+      const { organisation } = access;
+      const isUnknown =
+        state === undefined && isCurrent && !(await this.#hasOpenWrite(id, organisation));
+      const refusal = access.check();
+      if (refusal !== undefined) return refusal;
+      if (access.isForeign(found.organisation)) return { type: 'forbidden' };
+      if (found.hasOtherQueue) return { type: 'no-job' };
+      if (state !== undefined && state !== 'queued' && state !== 'running') {
+        return { type: 'cancelled' };
+      }
+      const record = {
+        key:
+          state === undefined
+            ? WorkLogKey.earlyCancel(id, queue.name, organisation)
+            : WorkLogKey.cancel(id),
+        value: JSON.stringify({ atMs: this.#context.clock.readWall() }),
+      };
+      const outcome = await this.#writeWithFallback(record, {
+        timeoutMs,
+        isAllowed: () => access.check() === undefined,
+      });
+      this.#context.log.record('cancel', id, { queue: queue.name, state, outcome });
+      return this.#toResponse(outcome, { type: isUnknown ? 'no-job' : 'cancelled' }, access);
+    });
   }
 
   /** Describes the state of a job. */
-  async describe(id: string, queue: QueueConfig): Promise<CallResponse> {
-    const { state, isCurrent, hasOtherQueue } = await this.#findCurrent(id, queue);
-    if (state !== undefined) return { type: 'state', state };
-    if (isCurrent && (hasOtherQueue || !(await this.#hasOpenWrite(id)))) return { type: 'no-job' };
-    return {
-      type: 'refused',
-      reason: 'the state is not current',
-      retryAfterMs: STATE_RETRY_AFTER_MS,
-    };
+  describe(id: string, queue: QueueConfig, { key }: CallOptions = {}): Promise<CallResponse> {
+    return this.#gate.serve({ queue, key, subject: id }, async (access) => {
+      const found = await this.#finder.findCurrent(id, queue);
+      const { state, isCurrent, hasOtherQueue } = found;
+      const isAbsent =
+        state === undefined &&
+        isCurrent &&
+        (hasOtherQueue || !(await this.#hasOpenWrite(id, access.organisation)));
+      const refusal = access.check();
+      if (refusal !== undefined) return refusal;
+      if (access.isForeign(found.organisation)) return { type: 'forbidden' };
+      if (state !== undefined) return { type: 'state', state };
+      if (isAbsent) return { type: 'no-job' };
+      return {
+        type: 'refused',
+        reason: 'the state is not current',
+        retryAfterMs: STATE_RETRY_AFTER_MS,
+      };
+    });
   }
 
   /** Counts the jobs of a queue of which no task has started. */
-  async countWaiting(queue: QueueConfig): Promise<CallResponse> {
-    const count = await this.#workLog.ask<number>((reply) => ({
-      type: 'count-waiting',
-      queue: queue.name,
-      reply,
-    }));
-    return { type: 'waiting', count };
-  }
-
-  /** Finds a job, querying other nodes if the work log of this one does not catch up. */
-  async #findCurrent(id: string, queue: QueueConfig): Promise<CurrentState> {
-    const found = await this.#findAfterCatchUp(id, MAX_STATE_AGE_MS);
-    if (found === undefined) return this.#findOnPeers(id, queue);
-    return JobService.#toCurrentState(found, queue);
-  }
-
-  /**
-   * Finds a job. A job that is not in the view may just have been accepted by another node, so this
-   * waits until the follower has read the log up to the time of the call. Returns undefined if that
-   * takes longer than `timeoutMs` or the last read failed.
-   */
-  async #findAfterCatchUp(id: string, timeoutMs: number): Promise<JobLookup | undefined> {
-    const calledAt = this.#context.clock.readMonotonic();
-    let hasReadAgain = false;
-    for (;;) {
-      const lookup = await this.#queryWorkLog(id);
-      const { follow } = lookup;
-      if (lookup.state !== undefined) {
-        // One read more shows whether the job has finished; callers do not wait longer for it.
-        const isFresh = follow.freshAt >= calledAt - MAX_ACTIVE_STATE_AGE_MS;
-        const isActive = lookup.state === 'queued' || lookup.state === 'running';
-        if (!isActive || isFresh || hasReadAgain || !follow.isInContact) return lookup;
-      }
-      if (follow.isCurrent && follow.freshAt >= calledAt) return lookup;
-      const waitedMs = this.#context.clock.readMonotonic() - calledAt;
-      if (!follow.isInContact || waitedMs > timeoutMs) return undefined;
-      this.#workLog.send({ type: 'read-now' });
-      hasReadAgain = true;
-      await new Promise((resolve) => {
-        setTimeout(resolve, CATCH_UP_POLL_INTERVAL_MS);
-      });
-    }
+  countWaiting(queue: QueueConfig, { key }: CallOptions = {}): Promise<CallResponse> {
+    return this.#gate.serve({ queue, key, subject: queue.name }, async (access) => {
+      const count = await this.#workLog.ask<number>((reply) => ({
+        type: 'count-waiting',
+        queue: queue.name,
+        reply,
+      }));
+      return access.check() ?? { type: 'waiting', count };
+    });
   }
 
-  /** Queries other nodes for the state of a job. */
-  async #findOnPeers(id: string, queue: QueueConfig): Promise<CurrentState> {
-    const found = await this.#relay.findState(id);
-    if (found === undefined) return { state: undefined, isCurrent: false, hasOtherQueue: false };
-    const state = JobState.safeParse(found.state).data;
-    return JobService.#toCurrentState({ state, queue: found.queue ?? undefined }, queue);
+  #buildJob(queue: QueueConfig, spec: JobSpec, { organisation }: CallAccess): AcceptedJob {
+    return {
+      queue: queue.name,
+      pool: queue.pool,
+      rule: {
+        priority: queue.priority,
+        maxAttempts: queue.maxAttempts,
+        stretch: queue.stretch,
+        latencyTargetMs: queue.latencyTargetMs,
+        advice: queue.advice,
+      },
+      submittedAtMs: this.#context.clock.readWall(),
+      dataCentre: this.#context.settings.dataCentre,
+      organisation,
+      spec,
+    };
   }
 
-  static #toCurrentState(
-    { state, queue }: Pick<JobLookup, 'state' | 'queue'>,
-    { name }: QueueConfig,
-  ): CurrentState {
-    const hasOtherQueue = queue !== undefined && queue !== name;
-    return { state: hasOtherQueue ? undefined : state, isCurrent: true, hasOtherQueue };
+  /** Refuses a submission beyond the rate of its organisation if its pool has no capacity left. */
+  #refuseOverLimit({ pool }: QueueConfig, { organisation }: CallAccess): CallResponse | undefined {
+    const now = this.#context.clock.read();
+    const retryAfterMs = this.#limiter.computeRefusal({ organisation, pool }, now);
+    if (retryAfterMs === undefined) return undefined;
+    const reason = 'the organisation exceeds its rate and the pool has no capacity left';
+    return { type: 'over-limit', reason, retryAfterMs };
   }
 
   /** Answers the submission of a job whose identifier is known. */
@@ -258,15 +308,11 @@
   }
 
   /** Checks whether a write of this node may still store the job. */
-  #hasOpenWrite(id: string): Promise<boolean> {
-    const key = WorkLogKey.job(id, this.#context.settings.dataCentre);
+  #hasOpenWrite(id: string, organisation: string | undefined): Promise<boolean> {
+    const key = WorkLogKey.job(id, this.#context.settings.dataCentre, organisation);
     return this.#writer.ask<boolean>((reply) => ({ type: 'is-open', key, reply }));
   }
 
-  #queryWorkLog(id: string): Promise<JobLookup> {
-    return this.#workLog.ask<JobLookup>((reply) => ({ type: 'find', id, reply }));
-  }
-
   override async canWrite(): Promise<boolean> {
     const canWrite = await this.#writer.ask<boolean>((reply) => ({ type: 'can-write', reply }));
     const { isInContact } = await this.#workLog.ask<FollowerState>((reply) => ({
@@ -276,11 +322,24 @@
     return canWrite && isInContact;
   }
 
-  /** Appends a record from this node only, without relaying it. */
+  /**
+   * Appends a record of a peer, without relaying it. The peer has checked the API key of the call, so
+   * a record that waited while this machine was suspended is not appended any more.
+   */
   override write(key: string, value: string, timeoutMs: number): Promise<WriteOutcome> {
+    const { revocationLimitMs } = this.#context.settings;
+    if (revocationLimitMs === undefined) return this.#write({ key, value }, { timeoutMs });
+    const receivedAt = this.#context.clock.read();
+    const isAllowed = (): boolean =>
+      receivedAt.computeAge(this.#context.clock.read()) <= timeoutMs + WRITE_MARGIN_MS;
+    return this.#write({ key, value }, { timeoutMs, isAllowed });
+  }
+
+  /** Appends a record from this node only, without relaying it. */
+  #write(record: KeyedValue, { timeoutMs, isAllowed }: WriteOptions): Promise<WriteOutcome> {
     const deadline = this.#context.clock.readMonotonic() + timeoutMs;
     return this.#writer.ask<WriteOutcome>(
-      (reply) => ({ type: 'write', record: { key, value }, deadline, reply }),
+      (reply) => ({ type: 'write', record, deadline, isAllowed, reply }),
       timeoutMs + WRITE_MARGIN_MS,
     );
   }
@@ -289,30 +348,30 @@
     return this.#checkStoreContact(token);
   }
 
-  override async findState(
-    id: string,
-  ): Promise<{ state: string | null; queue: string | null } | undefined> {
-    const found = await this.#findAfterCatchUp(id, PEER_CATCH_UP_TIMEOUT_MS);
+  override async findState(id: string): Promise<PeerJobState | undefined> {
+    const found = await this.#finder.findAfterCatchUp(id, PEER_CATCH_UP_TIMEOUT_MS);
     if (found === undefined) return undefined;
-    const { state, queue, follow } = found;
+    const { state, queue, organisation, follow } = found;
     if (!follow.isCurrent || !this.#isFresh(follow.freshAt)) return undefined;
-    return { state: state ?? null, queue: queue ?? null };
+    return { state: state ?? null, queue: queue ?? null, organisation: organisation ?? null };
   }
 
   /** Appends a record, relaying it through another node if this one cannot store it. */
-  async #writeWithFallback(key: string, value: string, timeoutMs: number): Promise<WriteOutcome> {
+  async #writeWithFallback(
+    record: { key: string; value: string },
+    { timeoutMs, isAllowed }: WriteOptions,
+  ): Promise<WriteOutcome> {
     const startedAt = this.#context.clock.readMonotonic();
     const limitMs = Math.max(0, timeoutMs - RESPONSE_MARGIN_MS);
-    const outcome = await this.write(key, value, limitMs);
+    const outcome = await this.#write(record, { timeoutMs: limitMs, isAllowed });
     if (outcome === 'stored') return outcome;
     const remainingMs = limitMs - (this.#context.clock.readMonotonic() - startedAt);
     if (remainingMs < MIN_RELAY_TIMEOUT_MS) return outcome;
-    const relayed = await this.#relay.write(
-      key,
-      value,
-      Math.min(remainingMs, MAX_RELAY_TIMEOUT_MS),
-    );
-    this.#context.log.record('write-relayed', key, { outcome, relayed });
+    const relayed = await this.#relay.write(record, {
+      timeoutMs: Math.min(remainingMs, MAX_RELAY_TIMEOUT_MS),
+      isAllowed,
+    });
+    this.#context.log.record('write-relayed', record.key, { outcome, relayed });
     // If this node may have appended the record, a peer that did not store it leaves that unknown.
     return relayed === 'not-stored' ? outcome : relayed;
   }
@@ -322,12 +381,14 @@
     return freshAt !== undefined && now - freshAt <= MAX_STATE_AGE_MS;
   }
 
-  #toResponse(outcome: WriteOutcome, stored: CallResponse): CallResponse {
+  #toResponse(outcome: WriteOutcome, stored: CallResponse, access: CallAccess): CallResponse {
     if (outcome === 'stored') {
       this.#retryAdvisor.recordStored();
       return stored;
     }
     if (outcome === 'unknown') return { type: 'unknown' };
+    const refusal = access.check();
+    if (refusal !== undefined) return refusal;
     const now = this.#context.clock.readMonotonic();
     this.#retryAdvisor.recordRefusal(now);
     return {
--- a/src/node/Node.ts
+++ b/src/node/Node.ts
@@ -74,6 +74,7 @@
         const nodeChanges = changes.filter((change) => change.type === 'node');
         nodeChanges.forEach(({ name, node }) => this.#relay.setPeer(name, node));
         if (nodeChanges.length > 0) this.#updateStandby(view);
+        this.#jobService.applyWorkLog(changes, view);
         this.#shardCandidate.applyWorkLog(changes, view, state);
       },
     ]);
@@ -104,6 +105,7 @@
   get isReady(): boolean {
     if (this.#isStopping || this.configuration === undefined || !this.#isWorkLogCurrent)
       return false;
+    if (!this.#jobService.isReady) return false;
     const ageMs = this.#context.clock.readMonotonic() - this.#workLogFreshAt;
     return ageMs <= MAX_READY_STATE_AGE_MS;
   }
--- a/src/node/RelayClient.test.ts
+++ b/src/node/RelayClient.test.ts
@@ -71,7 +71,10 @@
     const busy = new ScriptedNode(false);
     const client = openClient([await openSilent(), await openPeer(busy)]);
     const startedAt = performance.now();
-    assert.equal(await client.write('job/a', '{}', 700), 'not-stored');
+    assert.equal(
+      await client.write({ key: 'job/a', value: '{}' }, { timeoutMs: 700 }),
+      'not-stored',
+    );
     assert.ok(performance.now() - startedAt < 700);
     assert.deepEqual(busy.written, []);
   });
@@ -79,7 +82,7 @@
   it('sends the record to a peer that can append, skipping one that does not respond', async () => {
     const ready = new ScriptedNode(true);
     const client = openClient([await openSilent(), await openPeer(ready)]);
-    assert.equal(await client.write('job/a', '{}', 700), 'stored');
+    assert.equal(await client.write({ key: 'job/a', value: '{}' }, { timeoutMs: 700 }), 'stored');
     assert.deepEqual(ready.written, ['job/a']);
   });
 });
--- a/src/node/RelayClient.ts
+++ b/src/node/RelayClient.ts
@@ -1,7 +1,7 @@
 import { createTRPCClient, httpLink, TRPCClientError, type TRPCClient } from '@trpc/client';
 import type { NodeRecord } from '../workLog/mod.js';
 import { fetchJson } from '../net/mod.js';
-import type { RelayRouter } from './RelayRouter.js';
+import type { PeerJobState, RelayRouter } from './RelayRouter.js';
 import type { WriteOutcome } from './WorkLogWriter.js';
 
 /** Maximum number of peers that are tried for one record or one job query. */
@@ -75,14 +75,20 @@
   /**
    * Appends a record through a peer. The record is sent only to a peer that has just reported that
    * it can append: a peer that does not respond would make the outcome unknown, so that the caller
-   * could not retry.
+   * could not retry. `isAllowed` is asked before each attempt.
    */
-  async write(key: string, value: string, timeoutMs: number): Promise<WriteOutcome> {
+  async write(
+    { key, value }: { key: string; value: string },
+    {
+      timeoutMs,
+      isAllowed = () => true,
+    }: { timeoutMs: number; isAllowed?: (() => boolean) | undefined },
+  ): Promise<WriteOutcome> {
     let outcome: WriteOutcome = 'not-stored';
     const untriedPeers = new Set(this.#choosePeersByDataCentre());
     for (let attempt = 0; attempt < MAX_PEER_ATTEMPTS; attempt += 1) {
       const peer = await this.#findReadyPeer([...untriedPeers]);
-      if (peer === undefined) return outcome;
+      if (peer === undefined || !isAllowed()) return outcome;
       untriedPeers.delete(peer);
       const signal = AbortSignal.timeout(timeoutMs + RESPONSE_MARGIN_MS);
       try {
@@ -110,7 +116,7 @@
   }
 
   /** Queries peers for the state of a job; undefined if none of them has a current state. */
-  async findState(id: string): Promise<{ state: string | null; queue: string | null } | undefined> {
+  async findState(id: string): Promise<PeerJobState | undefined> {
     for (const peer of this.#choosePeers()) {
       try {
         const signal = AbortSignal.timeout(FIND_TIMEOUT_MS);
--- a/src/node/RelayRouter.ts
+++ b/src/node/RelayRouter.ts
@@ -2,6 +2,14 @@
 import { z } from 'zod';
 import type { WriteOutcome } from './WorkLogWriter.js';
 
+/** State of a job as a peer reports it; null if there is no such job. */
+export interface PeerJobState {
+  state: string | null;
+  queue: string | null;
+  /** Organisation to which the job belongs; earlier versions do not report it. */
+  organisation?: string | null;
+}
+
 /** Operations that a node offers to other nodes that cannot reach the store. */
 export abstract class RelayApi {
   /** Checks whether this node expects to be able to append to the work log. */
@@ -18,9 +26,7 @@
   abstract checkStoreContact(token: number): boolean;
 
   /** Finds the state of a job; undefined if the view of this node is not current. */
-  abstract findState(
-    id: string,
-  ): Promise<{ state: string | null; queue: string | null } | undefined>;
+  abstract findState(id: string): Promise<PeerJobState | undefined>;
 }
 
 const t = initTRPC.context<{ api: RelayApi }>().create();
--- a/src/node/WorkLogFollower.ts
+++ b/src/node/WorkLogFollower.ts
@@ -20,6 +20,8 @@
   /** Undefined if the view has no such job. */
   state: JobState | undefined;
   queue: string | undefined;
+  /** Organisation to which the job belongs; undefined if its submission needed no key. */
+  organisation?: string | undefined;
   follow: FollowerState;
 }
 
@@ -77,6 +79,7 @@
         message.reply({
           state: job === undefined ? undefined : describeJobState(job),
           queue: job?.queue,
+          organisation: job?.organisation,
           follow: this.state,
         });
         break;
--- a/src/node/WorkLogWriter.ts
+++ b/src/node/WorkLogWriter.ts
@@ -31,6 +31,8 @@
       record: KeyedValue;
       /** Monotonic time in ms after which the first failed append ends the write. */
       deadline: number;
+      /** Asked before each append of the record; if it returns false, the write ends. */
+      isAllowed?: (() => boolean) | undefined;
       reply: (outcome: WriteOutcome) => void;
     }
   | { type: 'can-write'; reply: (canWrite: boolean) => void }
@@ -43,6 +45,7 @@
   record: KeyedValue;
   reply: (outcome: WriteOutcome) => void;
   deadline: number;
+  isAllowed: (() => boolean) | undefined;
   /** Results of the failed appends of the record, in order. */
   failures: ('refused' | 'unanswered')[];
 }
@@ -105,14 +108,20 @@
   }
 
   /** Queues a write; while the store does not answer, it ends at once. */
-  #addWrite({ record, reply, deadline }: WorkLogWriterMessage & { type: 'write' }): void {
+  #addWrite({
+    record,
+    reply,
+    deadline,
+    isAllowed,
+  }: WorkLogWriterMessage & { type: 'write' }): void {
     // An earlier append of the record may still be executed, so this write cannot end as not stored.
     const isUncertain = this.#isUncertain(record.key);
     if (this.#isFailing) {
       reply(isUncertain ? 'unknown' : 'not-stored');
       return;
     }
-    this.#queue.push({ record, reply, deadline, failures: isUncertain ? ['unanswered'] : [] });
+    const failures: PendingWrite['failures'] = isUncertain ? ['unanswered'] : [];
+    this.#queue.push({ record, reply, deadline, isAllowed, failures });
     this.#flush();
   }
 
@@ -127,7 +136,9 @@
   }
 
   #flush(): void {
-    if (this.#inFlight.length > 0 || this.#queue.length === 0) return;
+    if (this.#inFlight.length > 0) return;
+    this.#rejectDisallowed();
+    if (this.#queue.length === 0) return;
     let bytes = 0;
     let count = 0;
     while (count < this.#queue.length && count < MAX_BATCH_RECORDS && bytes < MAX_BATCH_BYTES) {
@@ -138,6 +149,18 @@
     this.#append(this.#inFlight.map(({ record }) => record)).then((message) => this.send(message));
   }
 
+  /** Ends the queued writes that may no longer be appended, such as those of a revoked key. */
+  #rejectDisallowed(): void {
+    const rejected = this.#queue.filter(({ isAllowed }) => isAllowed?.() === false);
+    if (rejected.length === 0) return;
+    this.#queue = this.#queue.filter((write) => !rejected.includes(write));
+    rejected.forEach(({ failures, reply }) =>
+      reply(failures.includes('unanswered') ? 'unknown' : 'not-stored'),
+    );
+    this.#expireUncertain(this.#context.clock.readMonotonic());
+    if (this.#queue.length === 0) this.#isFailing = false;
+  }
+
   async #append(records: KeyedValue[]): Promise<WorkLogWriterMessage> {
     const sentAt = this.#context.clock.readMonotonic();
     try {
