--- a/src/organisation/CallAuthorizer.ts
+++ b/src/organisation/CallAuthorizer.ts
@@ -77,6 +77,7 @@
 
   /** Decides whether a call may be answered now. */
   authorize({ isPublic, key }: KeyedCall, now: TimeReading): Authorization {
+    if (this.#configuration === undefined) return { type: 'outdated' };
     if (this.#table === undefined || isPublic) return { type: 'granted', organisation: undefined };
     const organisation = key === undefined ? undefined : this.#table.findByKey(key);
     if (organisation !== undefined) {
