--- a/src/node/TopicFollower.test.ts
+++ b/src/node/TopicFollower.test.ts
@@ -28,6 +28,10 @@
     });
   }
 
+  get hasRead(): boolean {
+    return this.#reads.length > 0;
+  }
+
   async failPage(): Promise<void> {
     const page = await waitFor('a read of the newest records', () => this.#pages.shift());
     page.reject(new Error('no answer'));
@@ -130,6 +134,31 @@
     follower.close();
   });
 
+  // Guards against serving a revoked key too long: the response to an empty long poll may have been
+  // delayed, and a record of the first page may have been replaced while the others were read.
+  it('proves its state only for the time at which the read or the first page was sent', async () => {
+    const { clock, store, follower } = openFollower();
+    const firstSentAt = clock.read();
+    await store.answerPage({ records: [buildRecord(0)], next: 'key-0', end: 1 });
+    clock.advance(400);
+    await store.answerPage({ records: [], next: undefined, end: 1 });
+    await waitFor('the snapshot', () => follower.lastState?.provenAt);
+    assert.deepEqual(follower.lastState?.provenAt, firstSentAt);
+    const readSentAt = clock.read();
+    await waitFor('a read', () => store.hasRead);
+    clock.advance(900);
+    clock.setWall(9_000);
+    await store.answerRead({ type: 'records', end: 1, records: [] });
+    await waitFor('the proof', () => follower.lastState?.provenAt?.monotonicMs === 400);
+    assert.deepEqual(follower.lastState?.provenAt, readSentAt);
+    assert.ok(follower.lastState.freshAt > readSentAt.monotonicMs);
+    await waitFor('a read', () => store.hasRead);
+    await store.answerRead({ type: 'records', end: 9, records: [buildRecord(1)] });
+    await waitFor('the first record of the gap', () => follower.applied === 2);
+    assert.deepEqual(follower.lastState.provenAt, readSentAt);
+    follower.close();
+  });
+
   // Guards against nodes that never get ready when all start at once: some reads of pages fail, and
   // each failure made them start over with the first page.
   it('goes on with the page whose read failed', async () => {
--- a/src/node/WorkLogWriter.test.ts
+++ b/src/node/WorkLogWriter.test.ts
@@ -70,6 +70,29 @@
       assert.equal(await first, 'stored');
     }));
 
+  // Guards against appending the record of a call whose API key has been revoked while the record
+  // waited, and against calling it not stored if it may have been stored before.
+  it('appends no record whose permission has ended', () =>
+    withWriter(['unanswered', 'refused'], async (writer, appended) => {
+      let isAllowed = true;
+      const send = (record: typeof RECORD): Promise<WriteOutcome> =>
+        writer.ask<WriteOutcome>((reply) => ({
+          type: 'write',
+          record,
+          deadline: performance.now() + 60_000,
+          isAllowed: () => isAllowed,
+          reply,
+        }));
+      const first = send(RECORD);
+      const queued = send(OTHER_RECORD);
+      await waitFor('an unanswered append', () => appended.length === 1);
+      isAllowed = false;
+      assert.equal(await first, 'unknown');
+      assert.equal(await queued, 'not-stored');
+      assert.equal(await send(OTHER_RECORD), 'not-stored');
+      assert.deepEqual(appended, [[RECORD.key]]);
+    }));
+
   // Guards against a caller that is told that there is no such job before its write has ended.
   it('counts a record as open until it is stored', () =>
     withWriter(['unanswered'], async (writer) => {
--- a/src/workLog/WorkLogView.test.ts
+++ b/src/workLog/WorkLogView.test.ts
@@ -41,9 +41,11 @@
 /** Describes everything that a view knows but the offsets of records, which readers may lack. */
 function describeAll(view: WorkLogView): unknown {
   const jobs = [...view.jobs].map((job) => {
-    const { id, queue, submittedAtMs, dataCentres, spec, cancelledAtMs, progress } = job;
+    const { id, queue, submittedAtMs, organisation, dataCentres, spec } = job;
+    const { cancelledAtMs, progress } = job;
     const recordKeys = [...job.recordKeys].sort();
-    return { id, queue, submittedAtMs, dataCentres, recordKeys, spec, cancelledAtMs, progress };
+    const owned = { id, queue, submittedAtMs, organisation, dataCentres };
+    return { ...owned, recordKeys, spec, cancelledAtMs, progress };
   });
   return {
     state: describeView(view),
@@ -52,6 +54,7 @@
     nodes: new Map([...view.nodes].sort()),
     waves: new Map([...view.waves].sort()),
     machineOrders: view.machineOrders,
+    poolLoad: view.poolLoad,
     earlyCancels: view.listEarlyCancels().sort(),
     hasOwnerEnded: view.hasOwnerEnded,
   };
@@ -82,6 +85,7 @@
 
 const jobId = fc.constantFrom('a', 'b', 'c');
 const smallNumber = fc.nat(5);
+const organisation = fc.constantFrom(undefined, 'acme', 'umbra');
 /** Records of one append; a tombstone group removes all records of a job. */
 const append = fc.oneof(
   fc
@@ -90,11 +94,12 @@
       dataCentre: fc.constantFrom('dc-1', 'dc-2', 'dc-3'),
       queue: fc.constantFrom('renders', 'scores'),
       submittedAtMs: smallNumber,
+      organisation,
       payload: fc.constantFrom('x', 'y'),
     })
     .map(({ id, payload, ...fields }): [string, unknown][] => [
       [
-        WorkLogKey.job(id, fields.dataCentre),
+        WorkLogKey.job(id, fields.dataCentre, fields.organisation),
         { ...JOB, ...fields, spec: { ...JOB.spec, payload } },
       ],
     ]),
@@ -103,9 +108,9 @@
     .map(([id, atMs]): [string, unknown][] => [[WorkLogKey.cancel(id), { atMs }]]),
   // An early cancellation of either queue, or its removal.
   fc
-    .tuple(jobId, fc.constantFrom('renders', 'scores'), fc.option(smallNumber))
-    .map(([id, queue, atMs]): [string, unknown][] => [
-      [WorkLogKey.earlyCancel(id, queue), atMs === null ? undefined : { atMs }],
+    .tuple(jobId, fc.constantFrom('renders', 'scores'), organisation, fc.option(smallNumber))
+    .map(([id, queue, caller, atMs]): [string, unknown][] => [
+      [WorkLogKey.earlyCancel(id, queue, caller), atMs === null ? undefined : { atMs }],
     ]),
   fc
     .record({
@@ -119,7 +124,9 @@
     ]),
   jobId.map((id): [string, unknown][] =>
     ['dc-1', 'dc-2', 'dc-3']
-      .map((dataCentre) => WorkLogKey.job(id, dataCentre))
+      .flatMap((dataCentre) =>
+        [undefined, 'acme', 'umbra'].map((caller) => WorkLogKey.job(id, dataCentre, caller)),
+      )
       .concat(WorkLogKey.cancel(id), WorkLogKey.progress(id))
       .map((key) => [key, undefined]),
   ),
@@ -128,6 +135,7 @@
     [WorkLogKey.node(node), { session: `s-${number}`, address: '', dataCentre: 'dc-1' }],
     [WorkLogKey.wave(number % 2), { seenAtMs: number, begun: [node], isCompleted: number > 3 }],
     [WorkLogKey.machineOrders, { orders: [{ machine: node, ageMs: number }] }],
+    [WorkLogKey.poolLoad, { token: 6 - number, fullPools: [node], atMs: number, validMs: 1 }],
   ]),
 );
 const log = fc.array(append, { maxLength: 40 }).map((appends) => buildRecords(appends.flat()));
@@ -199,6 +207,35 @@
     assert.equal(other.get('a')?.cancelledAtMs, undefined);
   });
 
+  // Guards against an organisation that cancels or takes over the job of another one, which the node
+  // of the call has not read yet.
+  it('keeps a job to the organisation of its first submission', () => {
+    const own = { ...JOB, organisation: 'acme', dataCentre: 'dc-1', submittedAtMs: 3 };
+    const foreign = { ...JOB, organisation: 'umbra', dataCentre: 'dc-2', submittedAtMs: 4 };
+    const view = applyAll(
+      buildRecords([
+        [WorkLogKey.earlyCancel('a', 'renders', 'umbra'), { atMs: 2 }],
+        [WorkLogKey.job('a', 'dc-2', 'umbra'), foreign],
+      ]),
+    );
+    const [, , record] = buildRecords([
+      ['x', 0],
+      ['x', 0],
+      [WorkLogKey.job('a', 'dc-1', 'acme'), own],
+    ]);
+    assert.ok(record !== undefined);
+    const job = view.get('a');
+    assert.ok(job !== undefined);
+    assert.equal(job.cancelledAtMs, 2);
+    assert.deepEqual(view.apply(record), { type: 'resubmitted', job });
+    assert.equal(job.organisation, 'acme');
+    assert.equal(job.cancelledAtMs, undefined);
+    assert.deepEqual(job.dataCentres, ['dc-1']);
+    const cancel = { offset: 3, key: WorkLogKey.earlyCancel('a', 'renders', 'acme') };
+    view.apply({ ...cancel, value: Buffer.from(JSON.stringify({ atMs: 5 })) });
+    assert.equal(view.get('a')?.cancelledAtMs, 5);
+  });
+
   // Guards against a shard without a lasting owner (LOST): nodes that start while the store refuses
   // writes own the shard before they are registered.
   it('takes an owner for ended only if its node has registered since', () => {
