Refill the rate of an organisation by whole tokens at fixed times

Change: the token bucket holds whole tokens, added at multiples of the interval, so that one removal changes at most one other verdict. The interface is unchanged.

--- a/src/organisation/SubmissionRate.test.ts
+++ b/src/organisation/SubmissionRate.test.ts
@@ -30,6 +30,21 @@
     assert.equal(rate.record('acme', 'in time', 1_200 + delayMs), true);
   });
 
+  // Guards against verdicts on waiting jobs that change whenever an old job is removed.
+  it('changes the verdict on at most one other job when a job is removed', () => {
+    const rate = new SubmissionRate(WINDOW_MS);
+    rate.setRate('acme', 1);
+    const ids = Array.from({ length: 400 }, (_, index) => `job-${index}`);
+    ids.forEach((id, index) => rate.record('acme', id, index * 73));
+    ids.slice(0, 200).forEach((removed, index) => {
+      const rest = ids.slice(index + 1);
+      const before = rest.map((id) => rate.isWithin(id));
+      rate.remove(removed);
+      const changed = rest.filter((id, other) => rate.isWithin(id) !== before[other]);
+      assert.ok(changed.length <= 1, changed.join());
+    });
+  });
+
   it('lets an organisation with less than one job a window submit single jobs', () => {
     const rate = new SubmissionRate(WINDOW_MS);
     rate.setRate('small', 0.1);
--- a/src/organisation/SubmissionRate.ts
+++ b/src/organisation/SubmissionRate.ts
@@ -7,14 +7,14 @@
   id: string;
   atUs: number;
   isWithin: boolean;
-  /** Time in microseconds at which the rate has been used up to, after this submission. */
-  usedUpToUs: number;
+  /** Tokens that are left after the submission. */
+  tokensLeft: number;
 }
 
 /** The submissions of an organisation in order of their times, and its rate. */
 interface OrganisationRate {
   submissions: Submission[];
-  /** Time in microseconds that one job uses up; undefined if the organisation has no known rate. */
+  /** Time in microseconds between two tokens; undefined if the organisation has no known rate. */
   intervalUs: number | undefined;
 }
 
@@ -25,12 +25,13 @@
 /**
  * Decides for each job of an organisation whether it was submitted within the organisation's rate.
  *
- * A token bucket (in the form of the generic cell rate algorithm) of `windowMs` times the rate, but
- * at least one job: the smallest one that never rejects an organisation that submits at most that
- * many jobs in any window. The verdicts depend only on the rates and on the set of recorded
- * submissions, not on the order in which they were recorded, so that all readers of a work log agree
- * even if they began with its newest records, which are not sorted by time. For the same reason all
- * computations use whole microseconds.
+ * A token bucket of `windowMs` times the rate, but at least one job: the smallest one that never
+ * rejects an organisation that submits at most that many jobs in any window. The verdicts depend only
+ * on the rates and on the set of recorded submissions, not on the order in which they were recorded,
+ * so that all readers of a work log agree even if they began with its newest records, which are not
+ * sorted by time. Tokens are whole and are added at fixed points in time: a submission that is added
+ * or removed then changes the verdict on at most one other, so that the end of the retention of old
+ * jobs does not change the verdicts on new ones.
  *
  * @example
  * ```ts
@@ -38,7 +39,7 @@
  * rate.setRate('acme', 0.2); // one job in 5 s
  * rate.record('acme', '5c0e7a21d94b36f8', 1_000); // true
  * rate.record('acme', '77aa7a21d94b36f8', 2_000); // false
- * rate.computeDelay('acme', 2_000); // 4000
+ * rate.computeDelay('acme', 2_000); // 3000
  * ```
  */
 export class SubmissionRate {
@@ -59,7 +60,8 @@
    */
   setRate(organisation: string, jobsPerS: number): void {
     const state = this.#open(organisation);
-    const intervalUs = Math.round(US_PER_SECOND / jobsPerS);
+    // Rounded down, so that an organisation that keeps to its rate is not rejected.
+    const intervalUs = Math.floor(US_PER_SECOND / jobsPerS);
     if (state.intervalUs === intervalUs) return;
     state.intervalUs = intervalUs;
     this.#settle(state, 0, { isComplete: true });
@@ -76,7 +78,7 @@
     const known = this.#submissions.get(id);
     if (known?.organisation === organisation && known.atUs === atUs) return known.isWithin;
     this.remove(id);
-    const submission = { organisation, id, atUs, isWithin: true, usedUpToUs: -Infinity };
+    const submission = { organisation, id, atUs, isWithin: true, tokensLeft: NaN };
     const state = this.#open(organisation);
     const index = SubmissionRate.#findIndex(state.submissions, submission);
     state.submissions.splice(index, 0, submission);
@@ -106,9 +108,11 @@
     const state = this.#organisations.get(organisation);
     if (state?.intervalUs === undefined) return 0;
     if (state.intervalUs === Infinity) return Infinity;
-    const usedUpToUs = state.submissions.at(-1)?.usedUpToUs ?? -Infinity;
-    const withinAtUs = usedUpToUs - this.#computeToleranceUs(state.intervalUs);
-    return Math.max(0, withinAtUs / US_PER_MS - nowWallMs);
+    const last = state.submissions.at(-1);
+    const nowUs = Math.max(nowWallMs * US_PER_MS, last?.atUs ?? -Infinity);
+    if (this.#computeTokens(state.intervalUs, last, nowUs) >= 1) return 0;
+    const nextTokenUs = (Math.floor(nowUs / state.intervalUs) + 1) * state.intervalUs;
+    return nextTokenUs / US_PER_MS - nowWallMs;
   }
 
   /** Removes a submission whose job has been removed from the work log. */
@@ -134,26 +138,27 @@
     from: number,
     { isComplete = false } = {},
   ): void {
-    let usedUpToUs = submissions[from - 1]?.usedUpToUs ?? -Infinity;
     for (let index = from; index < submissions.length; index += 1) {
       const submission = submissions[index] as Submission;
-      if (intervalUs === undefined) submission.isWithin = true;
-      else {
-        const startUs = Math.max(usedUpToUs, submission.atUs);
-        const aheadUs = startUs - submission.atUs;
-        submission.isWithin =
-          intervalUs !== Infinity && aheadUs <= this.#computeToleranceUs(intervalUs);
-        if (submission.isWithin) usedUpToUs = startUs + intervalUs;
-      }
-      const isUnchanged = submission.usedUpToUs === usedUpToUs;
-      submission.usedUpToUs = usedUpToUs;
+      const tokens =
+        intervalUs === undefined
+          ? Infinity
+          : this.#computeTokens(intervalUs, submissions[index - 1], submission.atUs);
+      submission.isWithin = tokens >= 1;
+      const tokensLeft = submission.isWithin ? tokens - 1 : tokens;
+      const isUnchanged = submission.tokensLeft === tokensLeft;
+      submission.tokensLeft = tokensLeft;
       if (isUnchanged && !isComplete) return;
     }
   }
 
-  /** Computes how far ahead of its even spacing a job may be, in microseconds. */
-  #computeToleranceUs(intervalUs: number): number {
-    return Math.max(0, this.#windowUs - intervalUs);
+  /** Computes the tokens at a time in microseconds that is not before the last submission. */
+  #computeTokens(intervalUs: number, last: Submission | undefined, atUs: number): number {
+    if (intervalUs === Infinity) return 0;
+    const limit = Math.max(1, Math.floor(this.#windowUs / intervalUs));
+    if (last === undefined) return limit;
+    const added = Math.floor(atUs / intervalUs) - Math.floor(last.atUs / intervalUs);
+    return Math.min(limit, last.tokensLeft + added);
   }
 
   #open(organisation: string): OrganisationRate {
