Let a peer append a relayed record only as long as the key proof is valid

Cause: a node whose proof was about to expire could relay a submission that its peer appended up to 0.7 s later, or after a suspension later still, so that a revoked key was served after the limit. Change: the time for which a call may still be answered bounds each relayed write, and a peer measures it on both clocks.

--- a/src/node/CallGate.ts
+++ b/src/node/CallGate.ts
@@ -1,6 +1,6 @@
 import { CallAuthorizer } from '../organisation/mod.js';
 import type { QueueConfig } from '../port/mod.js';
-import { CallAccess } from './CallAccess.js';
+import { CallAccess, type CallValidity } from './CallAccess.js';
 import type { CallResponse } from './CallResponse.js';
 import type { NodeContext } from './NodeContext.js';
 import type { OperatorState } from './OperatorFollower.js';
@@ -90,20 +90,25 @@
     return response;
   }
 
-  #checkCall({ queue, key }: GatedCall): { organisation: string | undefined } | CallResponse {
+  #checkCall({
+    queue,
+    key,
+  }: GatedCall): (CallValidity & { organisation: string | undefined }) | CallResponse {
     this.#reportProof();
     const { isPublic } = queue;
     const decision = this.#authorizer.authorize({ isPublic, key }, this.#context.clock.read());
-    if (decision.type === 'granted') return { organisation: decision.organisation };
+    if (decision.type === 'granted') {
+      return { organisation: decision.organisation, validMs: decision.validMs };
+    }
     return decision.type === 'outdated' ? this.#refuseOutdated() : { type: 'unauthorized' };
   }
 
   /** Decides again on a call that had access for an organisation. */
-  #checkAgain(call: GatedCall, organisation: string | undefined): CallResponse | undefined {
+  #checkAgain(call: GatedCall, organisation: string | undefined): CallValidity | CallResponse {
     const decision = this.#checkCall(call);
     if (!('organisation' in decision)) return decision;
     // The key has been passed to another organisation, or the queue has become public.
-    return decision.organisation === organisation ? undefined : this.#refuseOutdated();
+    return decision.organisation === organisation ? decision : this.#refuseOutdated();
   }
 
   #refuseOutdated(): CallResponse {
--- a/src/node/JobService.ts
+++ b/src/node/JobService.ts
@@ -53,8 +53,8 @@
 /** Conditions of a write. */
 interface WriteOptions {
   timeoutMs: number;
-  /** See `WorkLogWriterMessage`. */
-  isAllowed?: (() => boolean) | undefined;
+  /** Computes for how long, in ms, the record may still be appended; by default without a limit. */
+  computeValidity?: (() => number) | undefined;
 }
 
 /** Options of a `JobService`: the actors that it calls. */
@@ -179,7 +179,7 @@
       };
       const outcome = await this.#writeWithFallback(record, {
         timeoutMs,
-        isAllowed: () => access.check() === undefined,
+        computeValidity: () => access.computeValidity(),
       });
       // The rate of this node's own callers is known before the record has been read.
       if (outcome === 'stored') this.#limiter.recordJob({ id, ...job });
@@ -228,7 +228,7 @@
       };
       const outcome = await this.#writeWithFallback(record, {
         timeoutMs,
-        isAllowed: () => access.check() === undefined,
+        computeValidity: () => access.computeValidity(),
       });
       this.#context.log.record('cancel', id, { queue: queue.name, state, outcome });
       return this.#toResponse(outcome, { type: isUnknown ? 'no-job' : 'cancelled' }, access);
@@ -323,21 +323,22 @@
   }
 
   /**
-   * Appends a record of a peer, without relaying it. The peer has checked the API key of the call, so
-   * a record that waited while this machine was suspended is not appended any more.
+   * Appends a record of a peer, without relaying it. The API key of the call is valid at the peer for
+   * `timeoutMs`; the record is not appended any more if it waited longer, on either clock.
    */
   override write(key: string, value: string, timeoutMs: number): Promise<WriteOutcome> {
     const { revocationLimitMs } = this.#context.settings;
     if (revocationLimitMs === undefined) return this.#write({ key, value }, { timeoutMs });
     const receivedAt = this.#context.clock.read();
-    const isAllowed = (): boolean =>
-      receivedAt.computeAge(this.#context.clock.read()) <= timeoutMs + WRITE_MARGIN_MS;
-    return this.#write({ key, value }, { timeoutMs, isAllowed });
+    const computeValidity = (): number =>
+      timeoutMs - receivedAt.computeAge(this.#context.clock.read());
+    return this.#write({ key, value }, { timeoutMs, computeValidity });
   }
 
   /** Appends a record from this node only, without relaying it. */
-  #write(record: KeyedValue, { timeoutMs, isAllowed }: WriteOptions): Promise<WriteOutcome> {
+  #write(record: KeyedValue, { timeoutMs, computeValidity }: WriteOptions): Promise<WriteOutcome> {
     const deadline = this.#context.clock.readMonotonic() + timeoutMs;
+    const isAllowed = (): boolean => computeValidity === undefined || computeValidity() > 0;
     return this.#writer.ask<WriteOutcome>(
       (reply) => ({ type: 'write', record, deadline, isAllowed, reply }),
       timeoutMs + WRITE_MARGIN_MS,
@@ -359,17 +360,17 @@
   /** Appends a record, relaying it through another node if this one cannot store it. */
   async #writeWithFallback(
     record: { key: string; value: string },
-    { timeoutMs, isAllowed }: WriteOptions,
+    { timeoutMs, computeValidity }: WriteOptions,
   ): Promise<WriteOutcome> {
     const startedAt = this.#context.clock.readMonotonic();
     const limitMs = Math.max(0, timeoutMs - RESPONSE_MARGIN_MS);
-    const outcome = await this.#write(record, { timeoutMs: limitMs, isAllowed });
+    const outcome = await this.#write(record, { timeoutMs: limitMs, computeValidity });
     if (outcome === 'stored') return outcome;
     const remainingMs = limitMs - (this.#context.clock.readMonotonic() - startedAt);
     if (remainingMs < MIN_RELAY_TIMEOUT_MS) return outcome;
     const relayed = await this.#relay.write(record, {
       timeoutMs: Math.min(remainingMs, MAX_RELAY_TIMEOUT_MS),
-      isAllowed,
+      computeValidity,
     });
     this.#context.log.record('write-relayed', record.key, { outcome, relayed });
     // If this node may have appended the record, a peer that did not store it leaves that unknown.
--- a/src/node/RelayClient.test.ts
+++ b/src/node/RelayClient.test.ts
@@ -12,6 +12,8 @@
 
   written: string[] = [];
 
+  readonly timeouts: number[] = [];
+
   constructor(isReady: boolean) {
     super();
     this.#isReady = isReady;
@@ -21,8 +23,9 @@
     return Promise.resolve(this.#isReady);
   }
 
-  override write(key: string): Promise<WriteOutcome> {
+  override write(key: string, _value: string, timeoutMs: number): Promise<WriteOutcome> {
     this.written.push(key);
+    this.timeouts.push(timeoutMs);
     return Promise.resolve(this.#isReady ? 'stored' : 'not-stored');
   }
 
@@ -85,4 +88,17 @@
     assert.equal(await client.write({ key: 'job/a', value: '{}' }, { timeoutMs: 700 }), 'stored');
     assert.deepEqual(ready.written, ['job/a']);
   });
+
+  // Guards against a peer that appends the record of a call after its API key has become invalid.
+  it('lets a peer append a record only as long as it is valid', async () => {
+    const ready = new ScriptedNode(true);
+    const client = openClient([await openPeer(ready)]);
+    const record = { key: 'job/a', value: '{}' };
+    const computeValidity = (): number => 40;
+    await client.write(record, { timeoutMs: 700, computeValidity });
+    assert.deepEqual(ready.timeouts, [40]);
+    const outcome = await client.write(record, { timeoutMs: 700, computeValidity: () => 0 });
+    assert.equal(outcome, 'not-stored');
+    assert.equal(ready.written.length, 1);
+  });
 });
--- a/src/node/RelayClient.ts
+++ b/src/node/RelayClient.ts
@@ -75,24 +75,29 @@
   /**
    * Appends a record through a peer. The record is sent only to a peer that has just reported that
    * it can append: a peer that does not respond would make the outcome unknown, so that the caller
-   * could not retry. `isAllowed` is asked before each attempt.
+   * could not retry. `computeValidity` tells before each attempt for how long, in ms, the record may
+   * still be appended.
    */
   async write(
     { key, value }: { key: string; value: string },
     {
       timeoutMs,
-      isAllowed = () => true,
-    }: { timeoutMs: number; isAllowed?: (() => boolean) | undefined },
+      computeValidity = () => Infinity,
+    }: { timeoutMs: number; computeValidity?: (() => number) | undefined },
   ): Promise<WriteOutcome> {
     let outcome: WriteOutcome = 'not-stored';
     const untriedPeers = new Set(this.#choosePeersByDataCentre());
     for (let attempt = 0; attempt < MAX_PEER_ATTEMPTS; attempt += 1) {
       const peer = await this.#findReadyPeer([...untriedPeers]);
-      if (peer === undefined || !isAllowed()) return outcome;
+      const limitMs = Math.min(timeoutMs, computeValidity());
+      if (peer === undefined || limitMs <= 0) return outcome;
       untriedPeers.delete(peer);
-      const signal = AbortSignal.timeout(timeoutMs + RESPONSE_MARGIN_MS);
+      const signal = AbortSignal.timeout(limitMs + RESPONSE_MARGIN_MS);
       try {
-        const result = await peer.client.write.mutate({ key, value, timeoutMs }, { signal });
+        const result = await peer.client.write.mutate(
+          { key, value, timeoutMs: limitMs },
+          { signal },
+        );
         if (result === 'stored') return result;
         if (result === 'unknown') outcome = 'unknown';
       } catch (error) {
--- a/src/organisation/CallAuthorizer.test.ts
+++ b/src/organisation/CallAuthorizer.test.ts
@@ -36,7 +36,7 @@
     const clock = new ManualClock();
     const authorizer = createAuthorizer(clock);
     const granted = authorizer.authorize({ isPublic: false, key: 'k-1' }, clock.read());
-    assert.deepEqual(granted, { type: 'granted', organisation: 'acme' });
+    assert.deepEqual(granted, { type: 'granted', organisation: 'acme', validMs: 4_900 });
     assert.equal(authorize(authorizer, 'k-2', clock.read()), 'unknown-key');
     assert.equal(authorize(authorizer, undefined, clock.read()), 'no-key');
   });
--- a/src/organisation/CallAuthorizer.ts
+++ b/src/organisation/CallAuthorizer.ts
@@ -13,8 +13,8 @@
 
 /** Decision whether a call may be answered. */
 export type Authorization =
-  /** The call may be answered; `organisation` is undefined if it needs no key. */
-  | { type: 'granted'; organisation: string | undefined }
+  /** The call may be answered for `validMs`; `organisation` is undefined if it needs no key. */
+  | { type: 'granted'; organisation: string | undefined; validMs: number }
   /** The current configuration does not contain the key, or the call has none. */
   | { type: 'unknown-key' | 'no-key' }
   /** The configuration may not be the newest: the key may have been removed or just added. */
@@ -30,7 +30,7 @@
  * authorizer.setConfiguration(configuration);
  * authorizer.setProof(sentAt);
  * authorizer.authorize({ isPublic: false, key: 'k-5c0e' }, clock.read());
- * // { type: 'granted', organisation: 'acme' }
+ * // { type: 'granted', organisation: 'acme', validMs: 4900 }
  * ```
  */
 export class CallAuthorizer {
@@ -78,11 +78,14 @@
   /** Decides whether a call may be answered now. */
   authorize({ isPublic, key }: KeyedCall, now: TimeReading): Authorization {
     if (this.#configuration === undefined) return { type: 'outdated' };
-    if (this.#table === undefined || isPublic) return { type: 'granted', organisation: undefined };
+    if (this.#table === undefined || isPublic) {
+      return { type: 'granted', organisation: undefined, validMs: Infinity };
+    }
     const organisation = key === undefined ? undefined : this.#table.findByKey(key);
     if (organisation !== undefined) {
-      if (!this.#proof.isValid(now)) return { type: 'outdated' };
-      return { type: 'granted', organisation: organisation.name };
+      const validMs = this.#proof.computeValidity(now);
+      if (validMs <= 0) return { type: 'outdated' };
+      return { type: 'granted', organisation: organisation.name, validMs };
     }
     if (!this.#proof.isCurrent(now)) return { type: 'outdated' };
     return { type: key === undefined ? 'no-key' : 'unknown-key' };
--- a/src/organisation/KeyProof.ts
+++ b/src/organisation/KeyProof.ts
@@ -43,10 +43,19 @@
     this.#provenAt = provenAt;
   }
 
+  /**
+   * Computes for how long, in ms, calls with a key of the configuration may still be answered;
+   * `Infinity` if there is no limit.
+   */
+  computeValidity(now: TimeReading): number {
+    if (this.#provenAt === undefined) return 0;
+    if (this.#limitMs === undefined) return Infinity;
+    return Math.max(0, this.#limitMs - this.#provenAt.computeAge(now));
+  }
+
   /** Checks whether calls with a key of the configuration may be answered. */
   isValid(now: TimeReading): boolean {
-    if (this.#provenAt === undefined) return false;
-    return this.#limitMs === undefined || this.#provenAt.computeAge(now) < this.#limitMs;
+    return this.computeValidity(now) > 0;
   }
 
   /** Checks whether a key that the configuration lacks is unknown; it may just have been added. */
