Refuse a submission only if no earlier write of it may be executed

Cause: a caller repeats a submission after a lost response. A refusal because of its rate or of an outdated key proof said that the job never runs, although its first write could be open in the node, or just stored by another one. Change: CallGate.serve answers such a refused call as unknown while a write of the node is open; a submission beyond the rate is refused only after the work log has been read up to the time of the call, and accepted if the job is found.

--- a/src/node/CallGate.ts
+++ b/src/node/CallGate.ts
@@ -55,19 +55,31 @@
   /** Authorizes a call; returns the response if it is refused. */
   authorize(call: GatedCall): CallAccess | CallResponse {
     const decision = this.#checkCall(call);
-    if (!('organisation' in decision)) return this.report(call, decision);
+    if (!('organisation' in decision)) return decision;
     const { organisation } = decision;
     return new CallAccess(organisation, () => this.#checkAgain(call, organisation));
   }
 
-  /** Serves a call if it is authorized, and logs and counts its response. */
+  /**
+   * Serves a call if it is authorized, and logs and counts its response.
+   *
+   * A refusal says that the call never runs. `isOpen` tells whether an earlier write for the same
+   * caller may still be executed; a refused call is then answered as unknown.
+   */
   async serve(
     call: GatedCall,
     run: (access: CallAccess) => Promise<CallResponse>,
+    isOpen: (organisation: string | undefined) => Promise<boolean> = () => Promise.resolve(false),
   ): Promise<CallResponse> {
     const access = this.authorize(call);
-    if (!(access instanceof CallAccess)) return access;
-    return this.report(call, await run(access), access.organisation);
+    const isAuthorized = access instanceof CallAccess;
+    const response = isAuthorized ? await run(access) : access;
+    const isRefused = response.type === 'refused' || response.type === 'over-limit';
+    if (isRefused && this.#authorizer.hasOrganisations) {
+      const organisation = this.#findOrganisation(call);
+      if (await isOpen(organisation)) return this.report(call, { type: 'unknown' });
+    }
+    return this.report(call, response, isAuthorized ? access.organisation : undefined);
   }
 
   /** Logs a refused call and counts the call for its organisation; returns the response. */
@@ -111,6 +123,12 @@
     return decision.organisation === organisation ? decision : this.#refuseOutdated();
   }
 
+  /** Finds the organisation of a call, whether or not it is authorized. */
+  #findOrganisation({ queue, key }: GatedCall): string | undefined {
+    if (queue.isPublic || key === undefined) return undefined;
+    return this.#authorizer.organisations?.findByKey(key)?.name;
+  }
+
   #refuseOutdated(): CallResponse {
     const now = this.#context.clock.readMonotonic();
     this.#retryAdvisor.recordRefusal(now);
--- a/src/node/JobService.ts
+++ b/src/node/JobService.ts
@@ -29,6 +29,9 @@
 /** Time in ms that a query of a peer waits for the work log to catch up; the peer waits 400 ms. */
 const PEER_CATCH_UP_TIMEOUT_MS = 300;
 
+/** Time in ms that a submission beyond the rate waits for the work log before it is refused. */
+const LIMIT_CATCH_UP_TIMEOUT_MS = 300;
+
 /** Part of the caller's timeout that is reserved for sending the response, in ms. */
 const RESPONSE_MARGIN_MS = 150;
 /** Minimum and maximum time in ms for relaying a write through another node. */
@@ -139,8 +142,11 @@
     const match = this.#queueTable?.find(hostName, path);
     if (match !== undefined) {
       const subject = match.rest.slice(0, MAX_SUBJECT_LENGTH);
-      const access = this.#gate.authorize({ queue: match.queue, key, subject });
-      return access instanceof CallAccess ? match : access;
+      const call = { queue: match.queue, key, subject };
+      const access = this.#gate.authorize(call);
+      // Other refusals depend on whether a write for the caller is open.
+      const isUnauthorized = !(access instanceof CallAccess) && access.type === 'unauthorized';
+      return isUnauthorized ? this.#gate.report(call, access) : match;
     }
     if (this.#queueTable === undefined || !this.#isFresh(this.#operatorState?.freshAt)) {
       return {
@@ -164,13 +170,19 @@
     { key, timeoutMs = queue.timeoutMs }: CallOptions = {},
   ): Promise<CallResponse> {
     const startedAt = this.#context.clock.readMonotonic();
-    return this.#gate.serve({ queue, key, subject: id }, async (access) => {
-      const known = await this.#finder.find(id);
+    const run = async (access: CallAccess): Promise<CallResponse> => {
+      let known = await this.#finder.find(id);
+      let overLimit = this.#refuseOverLimit(queue, access);
+      if (overLimit !== undefined && known.queue === undefined) {
+        // Only a job that is not in the log yet may be refused as one that never runs.
+        const found = await this.#finder.findAfterCatchUp(id, LIMIT_CATCH_UP_TIMEOUT_MS);
+        if (found === undefined) overLimit = undefined;
+        known = found ?? known;
+      }
       const refusal = access.check();
       if (refusal !== undefined) return refusal;
       if (access.isForeign(known.organisation)) return { type: 'forbidden' };
       if (known.queue !== undefined) return this.#answerRepeated(id, known.queue, queue);
-      const overLimit = this.#refuseOverLimit(queue, access);
       if (overLimit !== undefined) return overLimit;
       const job = this.#buildJob(queue, spec, access);
       const record = {
@@ -192,7 +204,9 @@
         tookMs: Math.round(tookMs),
       });
       return this.#toResponse(outcome, { type: 'accepted' }, access);
-    });
+    };
+    const call = { queue, key, subject: id };
+    return this.#gate.serve(call, run, (organisation) => this.#hasOpenWrite(id, organisation));
   }
 
   /**
@@ -206,7 +220,7 @@
     queue: QueueConfig,
     { key, timeoutMs = queue.timeoutMs }: CallOptions = {},
   ): Promise<CallResponse> {
-    return this.#gate.serve({ queue, key, subject: id }, async (access) => {
+    const run = async (access: CallAccess): Promise<CallResponse> => {
       const found = await this.#finder.findCurrent(id, queue);
       const { state, isCurrent } = found;
       const { organisation } = access;
@@ -232,6 +246,10 @@
       });
       this.#context.log.record('cancel', id, { queue: queue.name, state, outcome });
       return this.#toResponse(outcome, { type: isUnknown ? 'no-job' : 'cancelled' }, access);
+    };
+    return this.#gate.serve({ queue, key, subject: id }, run, async (organisation) => {
+      const early = WorkLogKey.earlyCancel(id, queue.name, organisation);
+      return (await this.#isOpen(WorkLogKey.cancel(id))) || this.#isOpen(early);
     });
   }
 
@@ -309,7 +327,10 @@
 
   /** Checks whether a write of this node may still store the job. */
   #hasOpenWrite(id: string, organisation: string | undefined): Promise<boolean> {
-    const key = WorkLogKey.job(id, this.#context.settings.dataCentre, organisation);
+    return this.#isOpen(WorkLogKey.job(id, this.#context.settings.dataCentre, organisation));
+  }
+
+  #isOpen(key: string): Promise<boolean> {
     return this.#writer.ask<boolean>((reply) => ({ type: 'is-open', key, reply }));
   }
 
--- a/src/node/keys.test.ts
+++ b/src/node/keys.test.ts
@@ -116,6 +116,9 @@
       const answer = await waiting;
       assert.equal(answer.type, 'refused');
       assert.equal((await first).type, 'unknown');
+      // The first append may still be executed, so its repetition cannot be refused as never running.
+      const repeated = await cluster.submit(AWAY, 'first', STEPS, { key: 'k-1' });
+      assert.equal(repeated.type, 'unknown');
       cluster.store.setMode('normal', AWAY);
       await pause(300);
       const records = cluster.store.listNewest('work').map(({ key }) => key);
@@ -133,6 +136,7 @@
       cluster.start(AWAY);
       await pause(500);
       assert.equal(cluster.get(AWAY)?.isReady, false);
+      assert.equal(await call(cluster, AWAY, 'k-1'), 'refused');
       const found = cluster.get(AWAY)?.jobService.findQueue('jobs.example', '/renders/a', 'k-1');
       assert.equal(found !== undefined && 'type' in found ? found.type : 'served', 'refused');
       cluster.store.setMode('normal', AWAY);
@@ -192,6 +196,20 @@
         `${refused.retryAfterMs}`,
       );
       assert.equal((await cluster.submit('node-1', 'c', STEPS, { key: 'k-2' })).type, 'accepted');
+      // A job that another node has just stored runs, so its repetition is not refused. The node has
+      // just read a record, so it reads the next one after a delay.
+      await pause(10);
+      const job = {
+        queue: 'renders',
+        pool: 'studio',
+        rule: { priority: 0, maxAttempts: 1, stretch: 2, latencyTargetMs: 600 },
+        submittedAtMs: cluster.clock.readWall(),
+        organisation: 'acme',
+        spec: { payload: 'x', steps: STEPS },
+      };
+      cluster.store.write('work', WorkLogKey.job('lost', 'dc', 'acme'), JSON.stringify(job));
+      const repeated = await cluster.submit('node-1', 'lost', STEPS, { key: 'k-1' });
+      assert.equal(repeated.type, 'accepted');
       await pause(refused.retryAfterMs);
       const retried = await cluster.submit('node-1', id, STEPS, { key: 'k-1' });
       assert.equal(retried.type, 'accepted');
