--- a/src/node/JobService.test.ts
+++ b/src/node/JobService.test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from 'node:test';
 import { ManualClock } from '../clock/mod.js';
 import { Metrics } from '../metrics/mod.js';
+import { Configuration } from '../port/mod.js';
 import { JobSpec } from '../task/mod.js';
 import { WorkLogKey, WorkLogView } from '../workLog/mod.js';
 import { buildQueueConfig } from '../testing/ScheduleRig.js';
@@ -81,9 +82,15 @@
     clock,
     log: { record: () => undefined },
     metrics: new Metrics(),
-    settings: { dataCentre: 'dc-1', retentionMs: 60_000 },
+    settings: { dataCentre: 'dc-1', retentionMs: 60_000, shard: { rateWindowMs: 5_000 } },
   };
-  return new JobService(context as unknown as NodeContext, options as unknown as JobServiceOptions);
+  const service = new JobService(
+    context as unknown as NodeContext,
+    options as unknown as JobServiceOptions,
+  );
+  const configuration = Configuration.parse({ version: 1, queues: [], pools: [] });
+  service.setOperatorState({ configuration, waves: new Map(), freshAt: 0, isCurrent: true });
+  return service;
 }
 
 describe('JobService', () => {
@@ -95,7 +102,7 @@
     const workLog = new LaggingWorkLog(clock, { freshAt: clock.readMonotonic() - 500 });
     workLog.caughtUp = { state: 'running', queue: 'renders' };
     const found = await openJobService(clock, workLog).findState('a');
-    assert.deepEqual(found, { state: 'running', queue: 'renders' });
+    assert.deepEqual(found, { state: 'running', queue: 'renders', organisation: null });
   });
 
   it('returns no result to a peer for an unknown job while reads fail', async () => {
--- a/src/workLog/WorkLogRecord.ts
+++ b/src/workLog/WorkLogRecord.ts
@@ -3,7 +3,8 @@
 import { JobSpec } from '../task/mod.js';
 
 /**
- * An accepted job, stored under `accepted-job/ID/DATA-CENTRE` by the node that accepted it.
+ * An accepted job, stored under `accepted-job/ID/DATA-CENTRE` by the node that accepted it, or under
+ * `accepted-job/ID/DATA-CENTRE/ORGANISATION` if the submission carried a key.
  *
  * The store keeps only the newest record of each key. A job that is submitted again in another data
  * centre gets a second record, so that every reader knows all data centres of the job. Earlier
@@ -33,7 +34,7 @@
 
 /**
  * The cancellation of a job, stored under `cancel/ID`; under `cancel/ID/QUEUE` by a node that does
- * not know the job. Its write may still be open in another node or in the store: the cancellation
+ * not know the job, followed by `/ORGANISATION` if the call carried a key. Its write may still be open in another node or in the store: the cancellation
  * then precedes the job and applies if the job belongs to that queue.
  */
 export const Cancellation = z.object({ atMs: z.number() });
@@ -127,14 +128,38 @@
 });
 export type MachineOrders = z.infer<typeof MachineOrders>;
 
+/**
+ * The pools in which the owner has no capacity left, stored under `pool-load`. The owner writes it
+ * only when it changes or its validity ends.
+ */
+export const PoolLoadRecord = z.object({
+  /** Fencing token of the owner that wrote the record. */
+  token: z.number().int(),
+  /** Names of the pools that have no capacity left. */
+  fullPools: z.array(z.string()),
+  /** When the owner decided it, in ms since the Unix epoch. */
+  atMs: z.number(),
+  /** Time in ms for which the record is valid. */
+  validMs: z.number().nonnegative(),
+});
+export type PoolLoadRecord = z.infer<typeof PoolLoadRecord>;
+
+function toSuffix(organisation: string | undefined): string {
+  return organisation === undefined ? '' : `/${encodeURIComponent(organisation)}`;
+}
+
 /** Keys of the work log. */
 export const WorkLogKey = {
   owner: 'owner',
   machineOrders: 'machine-orders',
-  job: (id: string, dataCentre: string): string => `accepted-job/${id}/${dataCentre}`,
+  poolLoad: 'pool-load',
+  /** The organisation is part of the key, so that another one cannot replace the record. */
+  job: (id: string, dataCentre: string, organisation?: string): string =>
+    `accepted-job/${id}/${dataCentre}${toSuffix(organisation)}`,
   cancel: (id: string): string => `cancel/${id}`,
-  /** Cancellation by a node that does not know the job. */
-  earlyCancel: (id: string, queue: string): string => `cancel/${id}/${queue}`,
+  /** Cancellation by a node that does not know the job, for a job of the caller's organisation. */
+  earlyCancel: (id: string, queue: string, organisation?: string): string =>
+    `cancel/${id}/${queue}${toSuffix(organisation)}`,
   progress: (id: string): string => `progress/${id}`,
   node: (name: string): string => `node/${name}`,
   wave: (wave: number): string => `wave/${wave}`,
--- a/src/workLog/WorkLogView.ts
+++ b/src/workLog/WorkLogView.ts
@@ -11,6 +11,7 @@
   MachineOrders,
   NodeRecord,
   OwnerRecord,
+  PoolLoadRecord,
   WaveRecord,
 } from './WorkLogRecord.js';
 
@@ -19,6 +20,8 @@
   | { type: 'job'; job: TrackedJob }
   | { type: 'cancelled'; job: TrackedJob }
   | { type: 'progress'; job: TrackedJob }
+  /** An earlier submission of a known job was read: its time or organisation has changed. */
+  | { type: 'resubmitted'; job: TrackedJob }
   | { type: 'removed'; id: string }
   /** A job that has not been read was cancelled; the job may never be stored. */
   | { type: 'early-cancel'; key: string }
@@ -34,6 +37,7 @@
   | { type: 'node'; name: string; node: NodeRecord | undefined; offset: number }
   | { type: 'wave'; wave: number }
   | { type: 'machine-orders' }
+  | { type: 'pool-load' }
   /** The record could not be decoded; every reader skips it in the same way. */
   | { type: 'unreadable'; key: string; reason: string };
 
@@ -82,6 +86,8 @@
 
   #machineOrders: MachineOrders['orders'] = [];
 
+  #poolLoad: PoolLoadRecord | undefined;
+
   /** @param onUnreadable Called for a progress record that is found unreadable when it is used. */
   constructor(onUnreadable: (key: string, reason: string) => void = () => undefined) {
     this.#onUnreadable = onUnreadable;
@@ -118,6 +124,12 @@
     return this.#machineOrders;
   }
 
+  /** The pools without capacity, as last recorded by the current owner; it may be outdated. */
+  get poolLoad(): PoolLoadRecord | undefined {
+    const isOutdated = (this.#poolLoad?.token ?? 0) < (this.#owner?.token ?? 0);
+    return isOutdated ? undefined : this.#poolLoad;
+  }
+
   get jobs(): IterableIterator<TrackedJob> {
     return this.#jobs.values();
   }
@@ -185,6 +197,8 @@
         return this.#applyWave(Number(name), record);
       case WorkLogKey.machineOrders:
         return this.#applyMachineOrders(record);
+      case WorkLogKey.poolLoad:
+        return this.#applyPoolLoad(record);
       default:
         return { type: 'unreadable', key: record.key, reason: 'unknown record type' };
     }
@@ -197,8 +211,10 @@
     if ('reason' in accepted) return accepted;
     if (known !== undefined) {
       // Submissions are idempotent: a repeated one adds at most a data centre.
+      const { submittedAtMs, organisation } = known;
       this.#changeJob(known, () => known.setSubmission(record.key, accepted.value));
-      return undefined;
+      const isSame = known.submittedAtMs === submittedAtMs && known.organisation === organisation;
+      return isSame ? undefined : { type: 'resubmitted', job: known };
     }
     const head = { id, acceptedOffset: isNewest ? 0 : record.offset, key: record.key };
     const job = new StoredJob(head, accepted.value, (value) => this.#decodeProgress(id, value));
@@ -316,6 +332,17 @@
     return { type: 'machine-orders' };
   }
 
+  #applyPoolLoad(record: StoreRecord): WorkLogChange {
+    if (record.value === undefined) {
+      this.#poolLoad = undefined;
+      return { type: 'pool-load' };
+    }
+    const decoded = WorkLogView.#decode(PoolLoadRecord, record);
+    if ('reason' in decoded) return decoded;
+    this.#poolLoad = decoded.value;
+    return { type: 'pool-load' };
+  }
+
   /** Applies a change to a job, or its addition or removal, and updates the count of waiting jobs. */
   #changeJob(job: StoredJob, change: () => void): void {
     const before = this.#findWaitingQueue(job);
