--- a/src/workLog/WorkLogRecord.ts
+++ b/src/workLog/WorkLogRecord.ts
@@ -127,10 +127,27 @@
 });
 export type MachineOrders = z.infer<typeof MachineOrders>;
 
+/**
+ * The pools in which the owner has no capacity left, stored under `pool-load`. The owner writes it
+ * only when it changes or its validity ends.
+ */
+export const PoolLoadRecord = z.object({
+  /** Fencing token of the owner that wrote the record. */
+  token: z.number().int(),
+  /** Names of the pools that have no capacity left. */
+  fullPools: z.array(z.string()),
+  /** When the owner decided it, in ms since the Unix epoch. */
+  atMs: z.number(),
+  /** Time in ms for which the record is valid. */
+  validMs: z.number().nonnegative(),
+});
+export type PoolLoadRecord = z.infer<typeof PoolLoadRecord>;
+
 /** Keys of the work log. */
 export const WorkLogKey = {
   owner: 'owner',
   machineOrders: 'machine-orders',
+  poolLoad: 'pool-load',
   job: (id: string, dataCentre: string): string => `accepted-job/${id}/${dataCentre}`,
   cancel: (id: string): string => `cancel/${id}`,
   /** Cancellation by a node that does not know the job. */
--- a/src/workLog/WorkLogView.test.ts
+++ b/src/workLog/WorkLogView.test.ts
@@ -291,6 +291,25 @@
     assert.equal(view.countWaiting('renders'), 0);
   });
 
+  // Guards against a new owner whose callers are refused because of its predecessor's pools.
+  it('takes the load of the pools only from the current owner', () => {
+    const load = { token: 1, fullPools: ['studio'], atMs: 1_000, validMs: 2_000 };
+    const owner = { token: 1, node: 'n1', session: 's1' };
+    const view = applyAll(
+      buildRecords([
+        ['owner', owner],
+        ['pool-load', load],
+      ]),
+    );
+    assert.deepEqual(view.poolLoad, load);
+    view.apply({
+      offset: 2,
+      key: 'owner',
+      value: Buffer.from(JSON.stringify({ ...owner, token: 2 })),
+    });
+    assert.equal(view.poolLoad, undefined);
+  });
+
   // Guards against nodes that decide differently about the same log: one followed it, one began with
   // the newest records, one lost a part of it to the store's retention.
   it('yields the same state to all readers of a log', () => {
--- a/src/workLog/WorkLogView.ts
+++ b/src/workLog/WorkLogView.ts
@@ -11,6 +11,7 @@
   MachineOrders,
   NodeRecord,
   OwnerRecord,
+  PoolLoadRecord,
   WaveRecord,
 } from './WorkLogRecord.js';
 
@@ -34,6 +35,7 @@
   | { type: 'node'; name: string; node: NodeRecord | undefined; offset: number }
   | { type: 'wave'; wave: number }
   | { type: 'machine-orders' }
+  | { type: 'pool-load' }
   /** The record could not be decoded; every reader skips it in the same way. */
   | { type: 'unreadable'; key: string; reason: string };
 
@@ -82,6 +84,8 @@
 
   #machineOrders: MachineOrders['orders'] = [];
 
+  #poolLoad: PoolLoadRecord | undefined;
+
   /** @param onUnreadable Called for a progress record that is found unreadable when it is used. */
   constructor(onUnreadable: (key: string, reason: string) => void = () => undefined) {
     this.#onUnreadable = onUnreadable;
@@ -118,6 +122,12 @@
     return this.#machineOrders;
   }
 
+  /** The pools without capacity, as last recorded by the current owner; it may be outdated. */
+  get poolLoad(): PoolLoadRecord | undefined {
+    const isOutdated = (this.#poolLoad?.token ?? 0) < (this.#owner?.token ?? 0);
+    return isOutdated ? undefined : this.#poolLoad;
+  }
+
   get jobs(): IterableIterator<TrackedJob> {
     return this.#jobs.values();
   }
@@ -185,6 +195,8 @@
         return this.#applyWave(Number(name), record);
       case WorkLogKey.machineOrders:
         return this.#applyMachineOrders(record);
+      case WorkLogKey.poolLoad:
+        return this.#applyPoolLoad(record);
       default:
         return { type: 'unreadable', key: record.key, reason: 'unknown record type' };
     }
@@ -316,6 +328,17 @@
     return { type: 'machine-orders' };
   }
 
+  #applyPoolLoad(record: StoreRecord): WorkLogChange {
+    if (record.value === undefined) {
+      this.#poolLoad = undefined;
+      return { type: 'pool-load' };
+    }
+    const decoded = WorkLogView.#decode(PoolLoadRecord, record);
+    if ('reason' in decoded) return decoded;
+    this.#poolLoad = decoded.value;
+    return { type: 'pool-load' };
+  }
+
   /** Applies a change to a job, or its addition or removal, and updates the count of waiting jobs. */
   #changeJob(job: StoredJob, change: () => void): void {
     const before = this.#findWaitingQueue(job);
