--- a/src/schedule/PreviousOwners.ts
+++ b/src/schedule/PreviousOwners.ts
@@ -1,6 +1,7 @@
 import { ANY_DATA_CENTRE, type TrackedJob } from '../workLog/mod.js';
 import type { HostTable } from './HostTable.js';
 import { MAX_CLOCK_DRIFT } from './_HostLease.js';
+import type { ManagedHost } from './ManagedHost.js';
 import type { ShardOptions } from './ShardOptions.js';
 import type { Takeover } from './Takeover.js';
 import type { WorkUnit } from './WorkUnit.js';
@@ -30,6 +31,9 @@
   /** Monotonic time until which unresponsive hosts may have runs of previous owners. */
   readonly reservedUntil: number;
 
+  /** Time in ms after the takeover until which unresponsive hosts may have such runs. */
+  readonly reservationMs: number;
+
   constructor(
     takeover: Takeover,
     options: ShardOptions,
@@ -38,7 +42,8 @@
     this.#takeover = takeover;
     this.#hosts = hosts;
     const ordersMs = takeover.isHandover ? 0 : options.detachedLimitMs;
-    this.reservedUntil = startedAt + (ordersMs + options.maxLeaseMs) * (1 + MAX_CLOCK_DRIFT);
+    this.reservationMs = (ordersMs + options.maxLeaseMs) * (1 + MAX_CLOCK_DRIFT);
+    this.reservedUntil = startedAt + this.reservationMs;
   }
 
   /** Lists the data centres whose jobs may still have unrecorded runs of previous owners. */
@@ -48,22 +53,24 @@
 
   /** Checks whether tasks of a job may have been started in a pool without being recorded. */
   canHaveStarted(tracked: TrackedJob, pool: string, now: number): boolean {
-    return this.#hasUnrecordedStarts(tracked) && this.#hasUnknownRuns(pool, now);
+    return this.hasUnrecordedStarts(tracked) && this.#isPoolUnknown(pool, now);
   }
 
   /** Checks whether a recorded run of a unit may still exist on a host. */
   canRun(unit: WorkUnit, now: number): boolean {
     if (unit.inheritedRuns.length === 0) return false;
     // eslint-disable-next-line no-param-reassign -- the unit is owned by the shard
-    unit.inheritedRuns = unit.inheritedRuns.filter(({ host }) => !this.#isAccountedFor(host, now));
+    unit.inheritedRuns = unit.inheritedRuns.filter(({ host }) => !this.isAccountedFor(host, now));
     return unit.inheritedRuns.length > 0;
   }
 
   /**
+   * Checks whether tasks of a job may have been started without being recorded.
+   *
    * A previous owner may have started the job as one of any data centre that accepted it: what it
    * had read when it lost contact with the store is a part of what this owner has read.
    */
-  #hasUnrecordedStarts({ acceptedOffset, dataCentres }: TrackedJob): boolean {
+  hasUnrecordedStarts({ acceptedOffset, dataCentres }: TrackedJob): boolean {
     const { claimOffset, unrecorded } = this.#takeover;
     if (acceptedOffset >= claimOffset) return false;
     return (
@@ -72,7 +79,7 @@
   }
 
   /** Checks whether a host cannot have runs of previous owners that this owner does not know. */
-  #isAccountedFor(id: string, now: number): boolean {
+  isAccountedFor(id: string, now: number): boolean {
     const host = this.#hosts.get(id);
     if (host?.hasHiddenEnds === true) return false;
     if (this.reservedUntil < now) return true;
@@ -81,13 +88,18 @@
     return this.#hosts.machinesReadAt !== -Infinity;
   }
 
+  /** Checks whether a host may have runs that this owner does not know. */
+  hasUnknownRuns(host: ManagedHost, now: number): boolean {
+    if (this.#takeover.isFirst) return false;
+    return host.hasHiddenEnds || (!host.isFenced && host.reservedUntil > now);
+  }
+
   /** Checks whether hosts of a pool may have runs that this owner does not know. */
-  #hasUnknownRuns(pool: string, now: number): boolean {
+  #isPoolUnknown(pool: string, now: number): boolean {
     if (this.#takeover.isFirst) return false;
     if (this.#hosts.machinesReadAt === -Infinity) return true;
-    return [...this.#hosts.hosts].some((host) => {
-      if (host.pool !== pool) return false;
-      return host.hasHiddenEnds || (!host.isFenced && host.reservedUntil > now);
-    });
+    return [...this.#hosts.hosts].some(
+      (host) => host.pool === pool && this.hasUnknownRuns(host, now),
+    );
   }
 }
