Export current values with labels as metrics

Cause: metrics were latencies and counters only, so the use of an organisation relative to its cap could not be exported. Change: gauges with labels in Metrics, MetricsReport and formatMetrics; ShardOutput.publish passes them from the scheduling classes to the metrics of the owner.

--- a/src/metrics/Metrics.ts
+++ b/src/metrics/Metrics.ts
@@ -1,5 +1,5 @@
 import { build, type Histogram } from 'hdr-histogram-js';
-import type { LatencyReport, MetricsReport } from './MetricsReport.js';
+import type { Gauge, LatencyReport, MetricsReport } from './MetricsReport.js';
 
 /** Values are recorded in microseconds to keep fractions of a millisecond. */
 const US_PER_MS = 1_000;
@@ -36,6 +36,9 @@
 
   readonly #counters = new Map<string, number>();
 
+  /** Gauges by name and labels. */
+  readonly #gauges = new Map<string, Gauge>();
+
   /** Records a duration in milliseconds. */
   recordLatency(name: string, ms: number): void {
     let histogram = this.#histograms.get(name);
@@ -52,12 +55,23 @@
     this.#counters.set(name, (this.#counters.get(name) ?? 0) + by);
   }
 
-  /** Exports all latencies and counters since the start of the process, by name. */
+  /** Sets the current value of a gauge. */
+  setGauge(gauge: Gauge): void {
+    this.#gauges.set(JSON.stringify([gauge.name, gauge.labels]), gauge);
+  }
+
+  /** Removes all gauges: the process no longer measures what they describe. */
+  removeGauges(): void {
+    this.#gauges.clear();
+  }
+
+  /** Exports the gauges, and all latencies and counters since the start of the process, by name. */
   export(): MetricsReport {
     const latencies = [...this.#histograms].map(([name, one]) => [name, describeHistogram(one)]);
     return {
       latencies: Object.fromEntries(latencies),
       counters: Object.fromEntries(this.#counters),
+      ...(this.#gauges.size === 0 ? {} : { gauges: [...this.#gauges.values()] }),
     };
   }
 }
--- a/src/metrics/MetricsReport.ts
+++ b/src/metrics/MetricsReport.ts
@@ -29,9 +29,18 @@
 });
 export type ProcessGauges = z.infer<typeof ProcessGauges>;
 
-/** Latencies and counters of a process, by name. */
+/** Current value of a quantity, which may have several labels. */
+export const Gauge = z.object({
+  name: z.string(),
+  value: z.number(),
+  labels: z.record(z.string(), z.string()),
+});
+export type Gauge = z.infer<typeof Gauge>;
+
+/** Latencies and counters of a process, by name, and its gauges if it has any. */
 export const MetricsReport = z.object({
   latencies: z.record(z.string(), LatencyReport),
   counters: z.record(z.string(), z.number()),
+  gauges: z.array(Gauge).optional(),
 });
 export type MetricsReport = z.infer<typeof MetricsReport>;
--- a/src/metrics/formatMetrics.ts
+++ b/src/metrics/formatMetrics.ts
@@ -1,4 +1,4 @@
-import type { MetricsReport } from './MetricsReport.js';
+import type { Gauge, MetricsReport } from './MetricsReport.js';
 
 /** Exported quantiles: label and report field. */
 const PERCENTILES = [
@@ -11,6 +11,14 @@
   return name.replace(/[^a-zA-Z0-9]/g, '_');
 }
 
+/** Formats a gauge; quotes, backslashes and line breaks in label values are escaped. */
+function formatGauge({ name, value, labels }: Gauge): string {
+  const pairs = Object.entries(labels).map(
+    ([label, text]) => `${formatName(label)}=${JSON.stringify(text)}`,
+  );
+  return `buckthornreach_${formatName(name)}{${pairs.join(',')}} ${value}`;
+}
+
 /**
  * Formats a report in the Prometheus text format, without metadata lines. Latencies are in ms.
  *
@@ -19,11 +27,12 @@
  * formatMetrics({ latencies: {}, counters: { refused: 1 } }); // 'buckthornreach_refused_total 1\n'
  * ```
  */
-export function formatMetrics({ latencies, counters }: MetricsReport): string {
+export function formatMetrics({ latencies, counters, gauges = [] }: MetricsReport): string {
   const lines: string[] = [];
   Object.entries(counters).forEach(([name, value]) => {
     lines.push(`buckthornreach_${formatName(name)}_total ${value}`);
   });
+  gauges.forEach((gauge) => lines.push(formatGauge(gauge)));
   Object.entries(latencies).forEach(([name, report]) => {
     const metric = `buckthornreach_${formatName(name)}_ms`;
     PERCENTILES.forEach(([label, key]) => {
--- a/src/node/_OwnerOutput.ts
+++ b/src/node/_OwnerOutput.ts
@@ -1,7 +1,12 @@
-import { ShardOutput, type DecisionRecord, type ShardCommand } from '../schedule/mod.js';
+import {
+  ShardOutput,
+  type DecisionRecord,
+  type Measurement,
+  type ShardCommand,
+} from '../schedule/mod.js';
 import type { NodeContext } from './NodeContext.js';
 
-/** Buffers the commands of a shard and logs its decisions. */
+/** Buffers the commands of a shard, logs its decisions and exports its measurements. */
 export class OwnerOutput extends ShardOutput {
   readonly commands: ShardCommand[] = [];
 
@@ -19,4 +24,13 @@
   override record({ decision, subject, inputs }: DecisionRecord): void {
     this.#context.log.record(decision, subject, inputs);
   }
+
+  override publish(measurement: Measurement): void {
+    this.#context.metrics.setGauge(measurement);
+  }
+
+  /** Removes the measurements, which are those of an owner. */
+  close(): void {
+    this.#context.metrics.removeGauges();
+  }
 }
--- a/src/schedule/ShardCommand.ts
+++ b/src/schedule/ShardCommand.ts
@@ -47,9 +47,18 @@
   inputs: Record<string, unknown>;
 }
 
-/** Receiver of the commands and decision records of the scheduling classes. */
+/** Current value of a quantity, replaced by the next one with the same name and labels. */
+export interface Measurement {
+  name: string;
+  value: number;
+  labels: Record<string, string>;
+}
+
+/** Receiver of the commands, decision records and measurements of the scheduling classes. */
 export abstract class ShardOutput {
   abstract send(command: ShardCommand): void;
 
   abstract record(decisionRecord: DecisionRecord): void;
+
+  abstract publish(measurement: Measurement): void;
 }
--- a/src/testing/RecordingShardOutput.ts
+++ b/src/testing/RecordingShardOutput.ts
@@ -1,4 +1,9 @@
-import { ShardOutput, type DecisionRecord, type ShardCommand } from '../schedule/mod.js';
+import {
+  ShardOutput,
+  type DecisionRecord,
+  type Measurement,
+  type ShardCommand,
+} from '../schedule/mod.js';
 
 /** Records the commands and decisions of a shard. */
 export class RecordingShardOutput extends ShardOutput {
@@ -6,6 +11,8 @@
 
   readonly decisionRecords: DecisionRecord[] = [];
 
+  readonly measurements: Measurement[] = [];
+
   override send(command: ShardCommand): void {
     this.commands.push(command);
   }
@@ -13,4 +20,8 @@
   override record(decisionRecord: DecisionRecord): void {
     this.decisionRecords.push(decisionRecord);
   }
+
+  override publish(measurement: Measurement): void {
+    this.measurements.push(measurement);
+  }
 }
