Hold starts at the cap and measure the standing of organisations

Cause: a task started whenever there was room on a host, whatever its organisation used, and work that no organisation is entitled to moved hosts into pools. Change: Organisations combines the decisions about organisations for the shard. StartPlanner skips the steps that the cap holds and, in ShareRound, defers organisations that rise above their share during a round. EntitledDemand limits what PoolLoad counts as demand to work within the rate and within what the cap leaves. The progress of a finished job with an organisation lists its runs, since a later owner counts them until they have ended.

--- /dev/null
+++ b/src/schedule/OrganisationStanding.ts
@@ -0,0 +1,81 @@
+import type { SubmissionRate } from '../organisation/mod.js';
+import type { Capacity, OrganisationConfig } from '../port/mod.js';
+import { addResources, NO_RESOURCES, RESOURCES } from './_ResourceAmount.js';
+import { CallerStanding } from './CallerStanding.js';
+import type { ManagedHost } from './ManagedHost.js';
+import type { OrganisationUse } from './OrganisationUse.js';
+import type { ScheduledJob } from './ScheduledJob.js';
+
+/** Collaborators of an `OrganisationStanding`. */
+export interface OrganisationStandingParts {
+  use: OrganisationUse;
+  rate: SubmissionRate;
+}
+
+/** What organisations compete for in a pool. */
+interface PoolDemand {
+  /** Resources of the available hosts. */
+  capacity: Capacity;
+  /** Sum of the weights of the organisations with waiting work. */
+  weight: number;
+}
+
+/**
+ * Standing by rate and by weighted dominant resource fairness: the share of an organisation in a
+ * pool is the largest fraction that it uses of any resource of the pool. Its fair part is its weight
+ * among the organisations that have waiting work there. Jobs without an organisation are always
+ * within the rate and never above a share.
+ */
+export class OrganisationStanding extends CallerStanding {
+  readonly #use: OrganisationUse;
+
+  readonly #rate: SubmissionRate;
+
+  #weights: ReadonlyMap<string, number> = new Map();
+
+  readonly #pools = new Map<string, PoolDemand>();
+
+  constructor({ use, rate }: OrganisationStandingParts) {
+    super();
+    this.#use = use;
+    this.#rate = rate;
+  }
+
+  /** Applies the weights of the current configuration. */
+  setWeights(organisations: readonly OrganisationConfig[]): void {
+    this.#weights = new Map(organisations.map(({ name, jobsPerS }) => [name, jobsPerS]));
+  }
+
+  /** Sets the organisations that have waiting work in a pool, and the available hosts of the pool. */
+  updatePool(
+    pool: string,
+    { waiting, hosts }: { waiting: ReadonlySet<string>; hosts: readonly ManagedHost[] },
+  ): void {
+    this.#pools.set(pool, {
+      capacity: hosts.reduce((sum, host) => addResources(sum, host.capacity), NO_RESOURCES),
+      weight: [...waiting].reduce((sum, one) => sum + (this.#weights.get(one) ?? 0), 0),
+    });
+  }
+
+  override isWithinRate({ tracked }: ScheduledJob): boolean {
+    return tracked.organisation === undefined || this.#rate.isWithin(tracked.id);
+  }
+
+  override isAboveShare({ tracked }: ScheduledJob, pool: string): boolean {
+    const { organisation } = tracked;
+    const weight = organisation === undefined ? undefined : this.#weights.get(organisation);
+    const total = this.#pools.get(pool)?.weight ?? 0;
+    if (organisation === undefined || weight === undefined || total === 0) return false;
+    return this.measureShare(organisation, pool) * total > weight;
+  }
+
+  /** Measures the share of a pool that an organisation uses, as a fraction. */
+  measureShare(organisation: string, pool: string): number {
+    const { capacity } = this.#pools.get(pool) ?? { capacity: NO_RESOURCES };
+    const used = this.#use.measureInPool(organisation, pool);
+    return Math.max(
+      0,
+      ...RESOURCES.map((one) => (capacity[one] > 0 ? used[one] / capacity[one] : 0)),
+    );
+  }
+}
--- a/src/schedule/PoolLoad.ts
+++ b/src/schedule/PoolLoad.ts
@@ -10,6 +10,7 @@
 import type { ScheduledStep } from './ScheduledStep.js';
 import type { ScheduledJob } from './ScheduledJob.js';
 import { BurstForecast } from './BurstForecast.js';
+import type { EntitledDemand } from './EntitledDemand.js';
 
 /**
  * Time in ms after which a waiting long-running task counts as not placeable; a restart on another
@@ -37,6 +38,17 @@
 
 const NO_WORK: WaitingWork = { hosts: 0, timelyHosts: 0, lastingHosts: 0, work: 0 };
 
+/** Collaborators of a `PoolLoad`. */
+export interface PoolLoadParts {
+  jobs: JobTable;
+  hosts: HostTable;
+  estimator: RunTimeEstimator;
+  /** Decides which work of organisations counts as demand. */
+  demand: EntitledDemand;
+  /** Duration in ms until a moved host is up in its new pool. */
+  moveMs: number;
+}
+
 /** Measures the load and the expected demand of each pool. */
 export class PoolLoad {
   readonly #jobs: JobTable;
@@ -45,6 +57,8 @@
 
   readonly #estimator: RunTimeEstimator;
 
+  readonly #demand: EntitledDemand;
+
   readonly #arrivals = new ArrivalMeter();
 
   readonly #deadlines: DeadlineEstimator;
@@ -54,9 +68,9 @@
   /** Monotonic time in ms of the first demand; before it, hosts are idle for lack of any work. */
   #demandSince: number | undefined;
 
-  /** `moveMs` is the duration until a moved host is up in its new pool. */
-  constructor(jobs: JobTable, hosts: HostTable, estimator: RunTimeEstimator, moveMs: number) {
+  constructor({ jobs, hosts, estimator, demand, moveMs }: PoolLoadParts) {
     this.#jobs = jobs;
+    this.#demand = demand;
     this.#hosts = hosts;
     this.#estimator = estimator;
     this.#forecast = new BurstForecast(moveMs + BURST_DETECTION_MS);
@@ -66,13 +80,16 @@
   /** Records the arrival of an accepted job. */
   reportArrival({ queue, tracked, isLasting }: ScheduledJob, now: number): void {
     if (isLasting) return;
+    const part = this.#demand.addArrival(tracked);
+    if (part === 0) return;
     this.reportDemand(now);
-    this.#arrivals.report(queue.pool, this.#estimator.estimateTotalWork(tracked), now);
+    this.#arrivals.report(queue.pool, part * this.#estimator.estimateTotalWork(tracked), now);
   }
 
   /** Records the submission of a job, finished or not, at a monotonic time. */
   reportSubmission(tracked: TrackedJob, at: number): void {
     if (tracked.spec.steps.some(({ isLasting }) => isLasting)) return;
+    if (!this.#demand.isWithinRate(tracked)) return;
     this.#forecast.report(tracked.pool, this.#estimator.estimateTotalWork(tracked), at);
   }
 
@@ -105,18 +122,22 @@
     return Math.max(0, (rate - freeCpuMilli) / this.#findLargestHost().cpuMilli);
   }
 
-  /** Measures the waiting work of each pool. */
+  /** Measures the waiting work of each pool, as far as its organisations are entitled to it. */
   measureWaiting(now: number, nowWallMs: number): Map<string, WaitingWork> {
     const result = new Map<string, WaitingWork>();
     const size = this.#findLargestHost();
-    this.#jobs.listWaiting().forEach((steps, pool) => {
+    const waiting = this.#jobs.listWaiting();
+    this.#demand.update(waiting);
+    waiting.forEach((steps, pool) => {
       let hosts = 0;
       let timelyHosts = 0;
       let lastingHosts = 0;
       let work = 0;
       steps.forEach((step) => {
+        const part = this.#demand.getPart(step);
+        if (part === 0) return;
         const tasks = step.units.reduce(
-          (sum, unit) => sum + (unit.isWaiting ? unit.indexes.length : 0),
+          (sum, unit) => sum + (unit.isWaiting ? part * unit.indexes.length : 0),
           0,
         );
         const request = computeResourceRequest(step.spec);
@@ -127,7 +148,7 @@
         );
         hosts += tasks * share;
         if (!this.#deadlines.isLate(step.occurrence, nowWallMs)) timelyHosts += tasks * share;
-        if (step.spec.isLasting) lastingHosts += PoolLoad.#countOverdue(step, now) * share;
+        if (step.spec.isLasting) lastingHosts += part * PoolLoad.#countOverdue(step, now) * share;
         const { queue } = step.occurrence.job;
         work += tasks * request.cpuMilli * this.#estimator.estimate(queue.name, step.spec);
       });
--- a/src/schedule/RunTracker.ts
+++ b/src/schedule/RunTracker.ts
@@ -5,6 +5,7 @@
 import type { FaultyHostDetector } from './FaultyHostDetector.js';
 import type { JobTable } from './JobTable.js';
 import type { ManagedHost } from './ManagedHost.js';
+import type { OrganisationUse } from './OrganisationUse.js';
 import { Run } from './Run.js';
 import type { RunTimeEstimator } from './RunTimeEstimator.js';
 import type { ScheduledJob } from './ScheduledJob.js';
@@ -29,6 +30,7 @@
   faultyHosts: FaultyHostDetector;
   output: ShardOutput;
   clock: Clock;
+  use: OrganisationUse;
   /** Maximum duration of a stop in ms. */
   stopMs: number;
 }
@@ -59,16 +61,19 @@
 
   readonly #stopMs: number;
 
+  readonly #use: OrganisationUse;
+
   /** Time of the last stop order for each run that a host lists and that no job needs. */
   readonly #unwantedStoppedAt = new Map<string, number>();
 
-  constructor({ jobs, estimator, faultyHosts, output, clock, stopMs }: RunTrackerParts) {
-    this.#clock = clock;
-    this.#stopMs = stopMs;
-    this.#jobs = jobs;
-    this.#estimator = estimator;
-    this.#faultyHosts = faultyHosts;
-    this.#output = output;
+  constructor(parts: RunTrackerParts) {
+    this.#clock = parts.clock;
+    this.#stopMs = parts.stopMs;
+    this.#jobs = parts.jobs;
+    this.#estimator = parts.estimator;
+    this.#faultyHosts = parts.faultyHosts;
+    this.#output = parts.output;
+    this.#use = parts.use;
   }
 
   /** Creates a run whose start is about to be ordered. */
@@ -76,6 +81,7 @@
     const run = new Run(unit, index, unit.step.formatTask(index), number, host, now);
     unit.runs.add(run);
     host.addRun(run, computeResourceRequest(unit.spec));
+    this.#use.add(run);
     this.#jobs.recordStart(unit);
     return run;
   }
@@ -86,7 +92,7 @@
     if (!host.runs.has(`${run.task}#${run.number}`)) return 'ok';
     if (outcome.type === 'unanswered' || outcome.type === 'unsent') {
       host.recordUnanswered();
-      if (outcome.type === 'unsent') RunTracker.#release(run, now, RETRY_PAUSE_MS);
+      if (outcome.type === 'unsent') this.#release(run, now, RETRY_PAUSE_MS);
       else run.markUncertain();
       return 'ok';
     }
@@ -101,12 +107,12 @@
       subject: run.task,
       inputs: { host: host.id, run: run.number, reason: outcome.reason },
     });
-    return RunTracker.#handleRefusal(run, outcome.reason, now);
+    return this.#handleRefusal(run, outcome.reason, now);
   }
 
   /** Discards a run whose start has not been ordered. */
-  static cancelStart(run: Run, now: number): void {
-    if (run.host.runs.has(`${run.task}#${run.number}`)) RunTracker.#release(run, now, 0);
+  cancelStart(run: Run, now: number): void {
+    if (run.host.runs.has(`${run.task}#${run.number}`)) this.#release(run, now, 0);
   }
 
   /** Orders the stop of a run, which continues to occupy resources until its end is known. */
@@ -162,15 +168,15 @@
     [...host.runs.values()].forEach((run) => {
       if (listed.has(run)) return;
       // The run ended with the former incarnation of the host.
-      if (host.isRestarting && run.isConfirmedBefore(sentAt)) RunTracker.#release(run, now, 0);
+      if (host.isRestarting && run.isConfirmedBefore(sentAt)) this.#release(run, now, 0);
       else this.#handleUnlisted(run, sentAt, now);
     });
     host.finishRestart();
   }
 
   /** Releases all runs of a host, once none of them can exist any more. */
-  static releaseAll(host: ManagedHost, now: number): void {
-    [...host.runs.values()].forEach((run) => RunTracker.#release(run, now, 0));
+  releaseAll(host: ManagedHost, now: number): void {
+    [...host.runs.values()].forEach((run) => this.#release(run, now, 0));
   }
 
   /** Repeats the unanswered stop orders for the runs of a host. */
@@ -189,11 +195,11 @@
     });
   }
 
-  static #handleRefusal(run: Run, reason: string, now: number): ReportResult {
+  #handleRefusal(run: Run, reason: string, now: number): ReportResult {
     const { host } = run;
     const isUncertain = run.state === 'uncertain';
     if (reason === 'fenced') return 'fenced';
-    if (!isUncertain || reason === 'superseded') RunTracker.#release(run, now, RETRY_PAUSE_MS);
+    if (!isUncertain || reason === 'superseded') this.#release(run, now, RETRY_PAUSE_MS);
     if (reason === 'no-room') host.suspend(now + NO_ROOM_PAUSE_MS);
     if (reason === 'unhealthy' || reason === 'invalid') {
       host.suspend(now + UNHEALTHY_PAUSE_MS);
@@ -270,13 +276,12 @@
     if (run.state === 'uncertain') {
       if (run.stopOrderedAt === undefined) this.stop(run, now, 'start-unanswered');
       else if (run.stopAnsweredAt !== undefined && sentAt > run.stopAnsweredAt) {
-        RunTracker.#release(run, now, 0);
+        this.#release(run, now, 0);
       }
       return;
     }
     if (run.recordMissedReport() < MIN_MISSED_REPORTS) return;
-    if (run.stopAnsweredAt !== undefined && sentAt > run.stopAnsweredAt)
-      RunTracker.#release(run, now, 0);
+    if (run.stopAnsweredAt !== undefined && sentAt > run.stopAnsweredAt) this.#release(run, now, 0);
     else this.stop(run, now, 'not-listed');
   }
 
@@ -297,7 +302,7 @@
     if (end.checkpoint !== '' && unit.spec.checkpoints) unit.checkpoint = end.checkpoint;
     if (end.outcome === 'done') this.#handleDone(host, unit, run, now);
     if (end.outcome === 'failed') this.#handleFailed(host, unit, end.run, now);
-    if (run !== undefined) RunTracker.#release(run, now, 0);
+    if (run !== undefined) this.#release(run, now, 0);
   }
 
   #handleDone(host: ManagedHost, unit: WorkUnit, run: Run | undefined, now: number): void {
@@ -332,8 +337,9 @@
       this.stopJob(job, now, 'job-failed');
   }
 
-  static #release(run: Run, now: number, pauseMs: number): void {
+  #release(run: Run, now: number, pauseMs: number): void {
     const { unit, host } = run;
+    this.#use.remove(run);
     host.removeRun(run, computeResourceRequest(unit.spec), now);
     unit.runs.delete(run);
     unit.notBefore = Math.max(unit.notBefore, now + pauseMs);
--- a/src/schedule/ScheduledJob.ts
+++ b/src/schedule/ScheduledJob.ts
@@ -111,15 +111,21 @@
       ...(this.endedAtMs === undefined ? {} : { endedAtMs: this.endedAtMs }),
       finishedBelow: this.#finishedBelow,
       finished: [...this.#finished],
-      occurrences:
-        this.finalState === undefined
-          ? [...this.occurrences.values()]
-              .filter(({ hasStarted }) => hasStarted)
-              .map((occurrence) => ScheduledJob.#describeOccurrence(occurrence))
-          : [],
+      occurrences: this.#listRecordedOccurrences().map((occurrence) =>
+        ScheduledJob.#describeOccurrence(occurrence),
+      ),
     };
   }
 
+  /**
+   * Lists the occurrences that have started. Those of a finished job are recorded only if it has an
+   * organisation: the runs that are still stopping count against its cap at a later owner, too.
+   */
+  #listRecordedOccurrences(): Occurrence[] {
+    if (this.finalState !== undefined && this.tracked.organisation === undefined) return [];
+    return [...this.occurrences.values()].filter(({ hasStarted }) => hasStarted);
+  }
+
   static #describeOccurrence({ number, steps }: Occurrence): JobProgress['occurrences'][number] {
     return {
       number,
--- a/src/schedule/Shard.ts
+++ b/src/schedule/Shard.ts
@@ -13,21 +13,23 @@
 } from '../port/mod.js';
 import { AdviceCache } from './AdviceCache.js';
 import { FaultyHostDetector } from './FaultyHostDetector.js';
+import { HostIncarnations } from './HostIncarnations.js';
 import { HostMonitor } from './HostMonitor.js';
 import { HostTable } from './HostTable.js';
 import { InterferenceControl } from './InterferenceControl.js';
 import type { SchedulingPolicy } from './SchedulingPolicy.js';
 import { JobTable } from './JobTable.js';
 import { LeastWorkFirst } from './LeastWorkFirst.js';
-import { MAX_CLOCK_DRIFT } from './_HostLease.js';
 import type { ManagedHost } from './ManagedHost.js';
 import { MachinePlanner } from './MachinePlanner.js';
+import { Organisations } from './Organisations.js';
 import { PackingPlacement } from './PackingPlacement.js';
 import type { PlacementPolicy } from './PlacementPolicy.js';
 import { PoolLoad } from './PoolLoad.js';
 import { PreviousOwners } from './PreviousOwners.js';
 import { DeadlineEstimator } from './DeadlineEstimator.js';
 import { RecentMachineOrders, type RecentMachineOrder } from './RecentMachineOrders.js';
+import { restoreQueue } from './restoreQueue.js';
 import type { Run } from './Run.js';
 import { RunTracker, type ReportResult, type OrderOutcome } from './RunTracker.js';
 import { RunTimeEstimator } from './RunTimeEstimator.js';
@@ -76,6 +78,8 @@
 
   readonly #hostMonitor: HostMonitor;
 
+  readonly #incarnations: HostIncarnations;
+
   readonly #startPlanner: StartPlanner;
 
   readonly #advice = new AdviceCache();
@@ -88,6 +92,9 @@
 
   readonly #previousOwners: PreviousOwners;
 
+  /** The organisations: their use, their caps and what they are entitled to. */
+  readonly organisations: Organisations;
+
   #isDetached = false;
 
   #pools = new Map<string, PoolConfig>();
@@ -104,6 +111,11 @@
       hosts: this.#hosts,
       startedAt,
     });
+    this.organisations = new Organisations(takeover, options, {
+      hosts: this.#hosts,
+      previousOwners: this.#previousOwners,
+      output: this.#output,
+    });
     this.#jobs = new JobTable(this.#output);
     this.#runTracker = new RunTracker({
       jobs: this.#jobs,
@@ -111,10 +123,26 @@
       faultyHosts: this.#faultyHosts,
       output: this.#output,
       clock: this.#clock,
+      use: this.organisations.use,
       stopMs: options.stopMs,
     });
     this.#hostMonitor = new HostMonitor(this.#runTracker, this.#output);
-    this.#load = new PoolLoad(this.#jobs, this.#hosts, this.#estimator, options.moveMs);
+    this.#incarnations = new HostIncarnations({
+      hosts: this.#hosts,
+      runTracker: this.#runTracker,
+      faultyHosts: this.#faultyHosts,
+      hostMonitor: this.#hostMonitor,
+      output: this.#output,
+      clock: this.#clock,
+      maxLeaseMs: options.maxLeaseMs,
+    });
+    this.#load = new PoolLoad({
+      jobs: this.#jobs,
+      hosts: this.#hosts,
+      estimator: this.#estimator,
+      demand: this.organisations.demand,
+      moveMs: options.moveMs,
+    });
     if (!takeover.isFirst) this.#load.reportDemand(startedAt);
     this.#machineOrders = new RecentMachineOrders({
       leaseMs: options.machineLeaseMs,
@@ -135,6 +163,7 @@
       machinePlanner: this.#machinePlanner,
       advice: this.#advice,
       deadlines: new DeadlineEstimator(this.#estimator),
+      organisations: this.organisations,
       schedulingPolicy: parts.schedulingPolicy ?? new LeastWorkFirst(this.#estimator),
       placementPolicy: parts.placementPolicy ?? new PackingPlacement(),
       output: this.#output,
@@ -155,6 +184,7 @@
    */
   setDetached(isDetached: boolean): void {
     this.#isDetached = isDetached;
+    this.#incarnations.setDetached(isDetached);
   }
 
   /** Sets the jobs whose tasks may be started from now on. */
@@ -164,11 +194,13 @@
 
   /** Discards a run whose start has not been ordered. */
   cancelStart(run: Run): void {
-    RunTracker.cancelStart(run, this.#now);
+    this.#runTracker.cancelStart(run, this.#now);
   }
 
   /** Applies the current configuration. */
-  applyConfiguration({ queues, pools }: Configuration): void {
+  applyConfiguration(configuration: Configuration): void {
+    const { queues, pools } = configuration;
+    this.organisations.applyConfiguration(configuration);
     this.#queues = new Map(queues.map((queue) => [queue.name, queue]));
     this.#pools = new Map(pools.map((pool) => [pool.name, pool]));
     this.#jobs.updateQueues((name) => this.#queues.get(name));
@@ -176,14 +208,16 @@
 
   /** Records the submission of a job from the work log, finished or not. */
   reportSubmission(tracked: TrackedJob): void {
+    const nowWallMs = this.#clock.readWall();
+    this.organisations.addJob(tracked, { now: this.#now, nowWallMs });
     // The clock of the node that accepted the job may be ahead.
-    const ageMs = Math.max(0, this.#clock.readWall() - tracked.submittedAtMs);
+    const ageMs = Math.max(0, nowWallMs - tracked.submittedAtMs);
     this.#load.reportSubmission(tracked, this.#now - ageMs);
   }
 
   /** Adds an accepted job. */
   addJob(tracked: TrackedJob): void {
-    const queue = this.#queues.get(tracked.queue) ?? Shard.#restoreQueue(tracked);
+    const queue = this.#queues.get(tracked.queue) ?? restoreQueue(tracked);
     const job = this.#jobs.add(tracked, queue, this.#clock.readWall());
     if (job === undefined) return;
     this.reportSubmission(tracked);
@@ -213,7 +247,7 @@
     const incarnation = known?.compareIncarnation(entry);
     if (known !== undefined && incarnation === 'former') return { host: known, isNew: false };
     if (known !== undefined && incarnation === 'later')
-      this.#startIncarnation(known, entry, 'entry');
+      this.#incarnations.start(known, entry, 'entry');
     const host = this.#hosts.update(entry, now);
     if (host.entry.state === 'draining') this.#stopLastingRuns(host, now);
     if (known === undefined && !this.#takeover.isFirst) {
@@ -229,7 +263,8 @@
     const host = this.#hosts.get(id);
     if (host === undefined) return;
     host.markUnlisted();
-    if (host.runs.size === 0 && host.isFenced) this.#endIncarnation(host, 'not-listed', this.#now);
+    if (host.runs.size === 0 && host.isFenced)
+      this.#incarnations.end(host, 'not-listed', this.#now);
   }
 
   /** Replaces the machine list with one that was requested at `readAt`. */
@@ -249,14 +284,14 @@
     [...this.#hosts.hosts].forEach((host) => {
       const { endClaimedAt } = host;
       if (endClaimedAt !== undefined && endClaimedAt < readAt) {
-        if (this.#hosts.isProvenEnded(host)) this.#endIncarnation(host, 'machine-ordered', now);
+        if (this.#hosts.isProvenEnded(host)) this.#incarnations.end(host, 'machine-ordered', now);
         else host.withdrawEndClaim();
         return;
       }
       const isSilent = host.silentCalls >= MAX_SILENT_CALLS || !host.isListed;
       const isOlder = Math.max(host.answeredAt, host.discoveredAt) < readAt;
       if (isSilent && isOlder && this.#hosts.isProvenEnded(host)) {
-        this.#endIncarnation(host, 'machine-list', now);
+        this.#incarnations.end(host, 'machine-list', now);
       }
     });
   }
@@ -298,7 +333,7 @@
     if (host.hasEnded) return 'ok';
     const incarnation = host.compareIncarnation(report);
     if (incarnation === 'former') return 'ok';
-    if (incarnation === 'later') this.#startIncarnation(host, report, 'report');
+    if (incarnation === 'later') this.#incarnations.start(host, report, 'report');
     // A later owner may have noticed the restart, too, and have started the tasks elsewhere.
     if (host.isRestarting && this.#isDetached) return 'ok';
     host.setClock(report.clockMs, now);
@@ -329,7 +364,7 @@
     // An unanswered order may be executed as late as now.
     if (answer.type === 'unanswered') this.reportMachineOrder(order.machine);
     const ended = this.#machinePlanner.reportResponse(order, answer, this.#now);
-    if (ended !== undefined) this.#endIncarnation(ended, 'machine-ordered', this.#now);
+    if (ended !== undefined) this.#incarnations.end(ended, 'machine-ordered', this.#now);
     return answer.type === 'fenced' ? 'fenced' : 'ok';
   }
 
@@ -373,7 +408,7 @@
   /** Makes all decisions that are due now and sends the resulting commands. */
   plan(): void {
     const now = this.#now;
-    this.#expireLeases(now);
+    this.#incarnations.expireLeases(now);
     if (!this.#isDetached) {
       this.#machinePlanner.planMaintenance(now, this.#clock.readWall(), this.#pools);
     }
@@ -390,9 +425,11 @@
   planStarts(): void {
     const now = this.#now;
     this.#jobs.openDueOccurrences(this.#clock.readWall());
-    this.#jobs.listWaiting().forEach((steps, pool) => {
+    const waiting = this.#jobs.listWaiting();
+    waiting.forEach((steps, pool) => {
       if (this.#pools.get(pool)?.isStandby !== true) this.#startPlanner.plan(pool, steps, now);
     });
+    this.organisations.report(waiting, now);
   }
 
   /** Returns the jobs whose progress has to be recorded, and clears the set. */
@@ -428,78 +465,11 @@
     return this.#clock.readMonotonic();
   }
 
-  /** Restores the queue configuration of a job whose queue is not in the current configuration. */
-  static #restoreQueue({ queue, pool, rule }: TrackedJob): QueueConfig {
-    return {
-      name: queue,
-      hostName: '',
-      pathPrefix: '',
-      pool,
-      timeoutMs: 0,
-      isPublic: false,
-      ...rule,
-    };
-  }
-
   #handleResult(host: ManagedHost, result: ReportResult): ReportResult {
-    if (result === 'other-life') this.#endIncarnation(host, 'other-life', this.#now);
+    if (result === 'other-life') this.#incarnations.end(host, 'other-life', this.#now);
     return result;
   }
 
-  /** Handles the news that a host has started again under its identifier. */
-  #startIncarnation(
-    host: ManagedHost,
-    { startedAtMs }: Pick<HostReport, 'startedAtMs'>,
-    source: 'entry' | 'report',
-  ): void {
-    this.#output.record({
-      decision: 'host-restarted',
-      subject: host.id,
-      inputs: { machine: host.machine, source, startedAtMs, runs: host.runs.size },
-    });
-    host.startIncarnation(
-      startedAtMs,
-      this.#now + this.#options.maxLeaseMs * (1 + MAX_CLOCK_DRIFT),
-    );
-    this.#faultyHosts.remove(host);
-    this.#hostMonitor.remove(host);
-  }
-
-  #endIncarnation(host: ManagedHost, proof: string, now: number): void {
-    if (host.hasEnded || this.#isDetached) return;
-    host.markEnded();
-    this.#output.record({
-      decision: 'host-ended',
-      subject: host.id,
-      inputs: { machine: host.machine, proof, runs: host.runs.size },
-    });
-    RunTracker.releaseAll(host, now);
-    this.#faultyHosts.remove(host);
-    this.#hostMonitor.remove(host);
-    this.#hosts.remove(host);
-  }
-
-  /** Releases runs whose leases have expired, ends unlisted hosts, and repeats unanswered stops. */
-  #expireLeases(now: number): void {
-    [...this.#hosts.hosts].forEach((host) => {
-      const isSilent = host.silentCalls > 0 || !host.isListed;
-      const hasExpired =
-        !this.#isDetached && host.computeLeaseExpiry(this.#options.maxLeaseMs) < now;
-      if (isSilent && host.runs.size > 0 && hasExpired) {
-        // Only the runs have ended: the host itself may respond again.
-        this.#output.record({
-          decision: 'leases-expired',
-          subject: host.id,
-          inputs: { runs: host.runs.size },
-        });
-        RunTracker.releaseAll(host, now);
-      }
-      if (!host.isListed && host.runs.size === 0 && host.reservedUntil < now) {
-        this.#endIncarnation(host, 'not-listed', now);
-      } else this.#runTracker.retryStops(host, now);
-    });
-  }
-
   /** Stops the long-running runs on a draining host, so that they are restarted on other hosts. */
   #stopLastingRuns(host: ManagedHost, now: number): void {
     host.runs.forEach((run) => {
--- a/src/schedule/StartPlanner.ts
+++ b/src/schedule/StartPlanner.ts
@@ -6,6 +6,7 @@
 import type { HostTable } from './HostTable.js';
 import type { MachinePlanner } from './MachinePlanner.js';
 import type { ManagedHost } from './ManagedHost.js';
+import type { Organisations } from './Organisations.js';
 import type { PlacementPolicy } from './PlacementPolicy.js';
 import { PlacementRound } from './PlacementRound.js';
 import type { PreviousOwners } from './PreviousOwners.js';
@@ -14,6 +15,7 @@
 import type { SchedulingPolicy } from './SchedulingPolicy.js';
 import type { ShardOptions } from './ShardOptions.js';
 import type { ShardOutput } from './ShardCommand.js';
+import { ShareRound } from './ShareRound.js';
 import type { Takeover } from './Takeover.js';
 import type { WorkUnit } from './WorkUnit.js';
 
@@ -31,6 +33,7 @@
   machinePlanner: MachinePlanner;
   advice: AdviceCache;
   deadlines: DeadlineEstimator;
+  organisations: Organisations;
   schedulingPolicy: SchedulingPolicy;
   placementPolicy: PlacementPolicy;
   output: ShardOutput;
@@ -57,6 +60,8 @@
 
   readonly #deadlines: DeadlineEstimator;
 
+  readonly #organisations: Organisations;
+
   readonly #schedulingPolicy: SchedulingPolicy;
 
   readonly #placementPolicy: PlacementPolicy;
@@ -81,6 +86,7 @@
     this.#machinePlanner = parts.machinePlanner;
     this.#advice = parts.advice;
     this.#deadlines = parts.deadlines;
+    this.#organisations = parts.organisations;
     this.#schedulingPolicy = parts.schedulingPolicy;
     this.#placementPolicy = parts.placementPolicy;
     this.#output = parts.output;
@@ -90,6 +96,7 @@
   /** Sets the jobs whose tasks may be started from now on. */
   setStartRule(rule: StartRule): void {
     this.#startRule = rule;
+    this.#organisations.guard.setDetached(rule !== 'all');
   }
 
   /** Starts the waiting tasks of a pool that fit on its available hosts. */
@@ -102,15 +109,23 @@
     const lateRound = isReleasing
       ? new PlacementRound(this.#placementPolicy, hostsForLateJobs, now)
       : round;
+    this.#organisations.prepareRound(pool, { steps, hosts }, now);
     const sorted = this.#schedulingPolicy.sort(steps, nowWallMs);
-    sorted.forEach((step) => {
+    const plan = (step: ScheduledStep): void => {
       const { tracked } = step.occurrence.job;
       if (!this.#canStart(tracked)) return;
       if (this.#previousOwners.canHaveStarted(tracked, pool, now)) return;
       // Lateness only matters while the pool has to release hosts.
       const isLate = isReleasing && this.#deadlines.isLate(step.occurrence, nowWallMs);
       this.#planStep(step, isLate ? lateRound : round, now);
-    });
+    };
+    if (!this.#organisations.isConfigured) sorted.forEach(plan);
+    else {
+      const { standing } = this.#organisations;
+      const isLate = (step: ScheduledStep): boolean =>
+        this.#deadlines.isLate(step.occurrence, nowWallMs);
+      new ShareRound({ standing, pool, isLate }).run(sorted, plan);
+    }
   }
 
   #canStart({ dataCentres }: TrackedJob): boolean {
@@ -122,9 +137,12 @@
     for (const unit of step.units) {
       if (!unit.isWaiting || unit.notBefore > now || this.#previousOwners.canRun(unit, now))
         continue;
+      // All units of a step need the same, so none of them may start.
+      if (!this.#organisations.canStart(unit, now)) return;
       const allowed = needsAdvice ? this.#advice.collectAllowed(step, now) : undefined;
       const placements = round.choose(unit, allowed);
       if (placements === undefined) {
+        this.#organisations.reportNoRoom(unit, now);
         if (needsAdvice) this.#askAdvice(step, round.hosts, now);
         else this.#preempt(unit, round, now);
         return;
--- a/src/schedule/mod.ts
+++ b/src/schedule/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 export * from './CallerStanding.js';
+export * from './CapGuard.js';
 export * from './FaultyHostDetector.js';
 export * from './HealthCheckPlanner.js';
 export * from './HostMonitor.js';
@@ -14,6 +15,8 @@
 export * from './MaintenancePlanner.js';
 export * from './ManagedHost.js';
 export * from './NoOrganisations.js';
+export * from './OrganisationStanding.js';
+export * from './Organisations.js';
 export * from './PackingPlacement.js';
 export * from './PlacementPolicy.js';
 export * from './PlacementRound.js';
@@ -34,3 +37,4 @@
 export * from './Takeover.js';
 export * from './canInterrupt.js';
 export * from './computeResourceRequest.js';
+export * from './findImpossibleStep.js';
