Refuse a job whose gang no cap lets start

Cause: a gang that needs more than the cap of its organisation plus the overshoot plus one task was accepted and waited for ever. Change: JobService answers such a submission with bad-request before it writes the record; the finding names the step and the cap. The organisation of the caller is a parameter of submit, which no caller sets yet.

--- a/src/node/JobService.ts
+++ b/src/node/JobService.ts
@@ -6,6 +6,7 @@
 import type { NodeContext } from './NodeContext.js';
 import type { OperatorState } from './OperatorFollower.js';
 import { QueueTable, type QueueMatch } from './QueueTable.js';
+import { refuseImpossible } from './refuseImpossible.js';
 import type { RelayClient } from './RelayClient.js';
 import { RelayApi } from './RelayRouter.js';
 import { RetryAdvisor } from './RetryAdvisor.js';
@@ -121,11 +122,14 @@
     queue: QueueConfig,
     spec: JobSpec,
     timeoutMs = queue.timeoutMs,
+    organisation?: string,
   ): Promise<CallResponse> {
     const startedAt = this.#context.clock.readMonotonic();
     const known = await this.#queryWorkLog(id);
     if (known.queue !== undefined) return this.#answerRepeated(id, known.queue, queue);
     const { dataCentre } = this.#context.settings;
+    const impossible = this.#refuseImpossible(spec, organisation);
+    if (impossible !== undefined) return impossible;
     const value = JSON.stringify({
       queue: queue.name,
       pool: queue.pool,
@@ -246,6 +250,15 @@
     return { state: hasOtherQueue ? undefined : state, isCurrent: true, hasOtherQueue };
   }
 
+  /** Refuses a job that the cap of its organisation never lets start. */
+  #refuseImpossible(spec: JobSpec, name: string | undefined): CallResponse | undefined {
+    const organisations = this.#operatorState?.configuration?.organisations;
+    const organisation = organisations?.find((one) => one.name === name);
+    if (organisation === undefined) return undefined;
+    const { capOvershoot: overshoot } = this.#context.settings.shard;
+    return refuseImpossible(spec, { organisation, overshoot });
+  }
+
   /** Answers the submission of a job whose identifier is known. */
   #answerRepeated(id: string, knownQueue: string, { name }: QueueConfig): CallResponse {
     this.#context.log.record('job-repeated', id, { queue: name, knownQueue });
