Record which pools have no capacity for jobs beyond the rate

Cause: an entry host could not tell whether a submission beyond the rate of its organisation can be served. Change: OwnerRecords adds the record pool-load to its appends when PoolLoadPublisher says that it is due: at most twice a second, when it changes or is about to expire, and only with organisations.

--- a/src/node/OwnerRecords.test.ts
+++ b/src/node/OwnerRecords.test.ts
@@ -17,8 +17,14 @@
   intervalMs: 0,
 };
 
-function openRecords(clock: ManualClock): OwnerRecords {
-  const shard = { token: 1, listUnrecorded: () => [], listMachineOrders: () => [] };
+function openRecords(clock: ManualClock, fullPools?: readonly string[]): OwnerRecords {
+  const organisations = { listFullPools: () => fullPools, removeJob: () => undefined };
+  const shard = {
+    token: 1,
+    organisations,
+    listUnrecorded: () => [],
+    listMachineOrders: () => [],
+  };
   const settings = { name: 'node', dataCentre: 'dc-1', retentionMs: 60_000 };
   const context = { clock, settings, session: 's' };
   return new OwnerRecords(context as unknown as NodeContext, shard as unknown as Shard);
@@ -72,4 +78,13 @@
     records.build({ ...UPDATE, intervalMs: 100 });
     assert.equal(records.announcedIntervalMs, 100);
   });
+
+  // Guards against records in deployments that have no organisations.
+  it('records the full pools only where there are organisations', () => {
+    const listKeys = (records: OwnerRecords): string[] =>
+      records.build(UPDATE).records.map(({ key }) => key);
+    const clock = new ManualClock();
+    assert.ok(!listKeys(openRecords(clock)).includes(WorkLogKey.poolLoad));
+    assert.ok(listKeys(openRecords(clock, ['studio'])).includes(WorkLogKey.poolLoad));
+  });
 });
--- a/src/node/ShardOwner.ts
+++ b/src/node/ShardOwner.ts
@@ -21,13 +21,9 @@
 import type { OperatorState } from './OperatorFollower.js';
 import { StartPolicy, type StartPermit } from './StartPolicy.js';
 import { OwnerWriter, type OwnerWriteResult } from './OwnerWriter.js';
+import { computeRecordInterval } from './computeRecordInterval.js';
 import { computeSilenceLimit } from './computeSilenceLimit.js';
 
-/**
- * Processor time in ms for which an owner may be busy between two of its records. A machine with a
- * small share of a core takes as much longer as its share is smaller.
- */
-const BUSY_MS = 60;
 /** Interval in ms between plans if there are no events. */
 const TICK_INTERVAL_MS = 50;
 /** Delay in ms before a plan, so that it covers events that arrive together. */
@@ -180,6 +176,7 @@
     this.#ownershipCheck = new OwnershipCheck(context.clock);
     this.#waveRecords = new Map(options.waves);
     if (operator !== undefined) this.#applyOperator(operator);
+    options.jobs.forEach((job) => this.#shard.organisations.recordSubmission(job));
     this.#applyEach('jobs', options.jobs, (job) => this.#addJob(job));
     options.earlyCancels.forEach((key) => this.#records.addEarlyCancel(key));
     this.#hostFollower = new HostFollower(context, (records) =>
@@ -240,6 +237,7 @@
 
   override close(): void {
     clearInterval(this.#tickTimer);
+    this.#output.close();
     this.#executor.close();
     this.#writer.close();
     this.#hostFollower.close();
@@ -550,7 +548,10 @@
       isHeartbeatDue,
       isRelease,
       readTo: this.#readTo,
-      intervalMs: this.#measureInterval(),
+      intervalMs: computeRecordInterval(this.#context.settings, [
+        this.#writer.latencyMs,
+        this.#lag.meanMs,
+      ]),
     });
     this.#isAppending = true;
     const { gaps } = this.#ownershipCheck;
@@ -563,13 +564,6 @@
     );
   }
 
-  /** Measures the interval in ms of this owner's records, as far as something is slow. */
-  #measureInterval(): number {
-    const { cores, ownerBeatMs } = this.#context.settings;
-    const slowestMs = Math.max(this.#writer.latencyMs, this.#lag.meanMs, BUSY_MS / cores);
-    return slowestMs < ownerBeatMs ? 0 : Math.round(2 * slowestMs);
-  }
-
   #handleAppendResult(result: OwnerWriteResult, batch: AppendBatch): void {
     this.#isAppending = false;
     if (result === 'fenced') {
--- a/src/node/_OwnerRecords.ts
+++ b/src/node/_OwnerRecords.ts
@@ -4,6 +4,7 @@
 import { WorkLogKey, type TrackedJob, type WaveRecord } from '../workLog/mod.js';
 import { buildJobTombstones } from './buildJobTombstones.js';
 import type { NodeContext } from './NodeContext.js';
+import { PoolLoadPublisher } from './PoolLoadPublisher.js';
 
 /** Interval in ms at which the ages of the machine orders are recorded again. */
 const MACHINE_ORDERS_REFRESH_MS = 500;
@@ -45,6 +46,8 @@
    */
   readonly #earlyCancels = new Map<string, number>();
 
+  readonly #poolLoad: PoolLoadPublisher;
+
   #machineOrdersRecordedAt = -Infinity;
 
   /** The last record of machine orders was not empty. */
@@ -55,6 +58,7 @@
   constructor(context: NodeContext, shard: Shard) {
     this.#context = context;
     this.#shard = shard;
+    this.#poolLoad = new PoolLoadPublisher(shard.token);
   }
 
   /**
@@ -93,6 +97,7 @@
         value: JSON.stringify(record),
       })),
       ...this.#buildMachineOrders(update.hasNewMachineOrders),
+      ...this.#buildPoolLoad(),
       ...this.#collectTombstones(),
     ];
     const announcedMs = this.#announcedIntervalMs;
@@ -122,6 +127,17 @@
     return [{ key: WorkLogKey.machineOrders, value: JSON.stringify({ orders }) }];
   }
 
+  /** Builds the record of the full pools if it is due; it is written only with other records. */
+  #buildPoolLoad(): KeyedValue[] {
+    const now = this.#context.clock.readMonotonic();
+    const nowWallMs = this.#context.clock.readWall();
+    const fullPools = this.#shard.organisations.listFullPools(now);
+    const record = this.#poolLoad.take(fullPools, { now, nowWallMs });
+    return record === undefined
+      ? []
+      : [{ key: WorkLogKey.poolLoad, value: JSON.stringify(record) }];
+  }
+
   #buildOwner({ readTo, intervalMs, isRelease }: OwnerUpdate): KeyedValue {
     const { settings, session } = this.#context;
     return {
@@ -144,7 +160,9 @@
     const tombstones: KeyedValue[] = [];
     while ((this.#finishedJobs[0]?.endedAtMs ?? Infinity) < before) {
       const finished = this.#finishedJobs.shift();
-      if (finished !== undefined) tombstones.push(...buildJobTombstones(finished.job));
+      if (finished === undefined) continue;
+      this.#shard.organisations.removeJob(finished.job.id);
+      tombstones.push(...buildJobTombstones(finished.job));
     }
     for (const [key, readAtMs] of this.#earlyCancels) {
       if (readAtMs >= before) break;
