Bound the arrival rate of an organisation by its cap, and test the caps

Cause: the arrivals of an organisation counted as rising demand beyond the CPU that its cap lets it use, and moved hosts. An organisation that used exactly its fair part was not above it, so that a burst took one task more than its part. Change: ArrivalMeter measures the rate by organisation, up to its cap; an organisation that uses its whole part counts as above it.

--- a/src/schedule/CallerStanding.ts
+++ b/src/schedule/CallerStanding.ts
@@ -15,7 +15,7 @@
   abstract isWithinRate(job: ScheduledJob): boolean;
 
   /**
-   * Checks whether the organisation of a job uses more of a pool than its fair part by weight, while
+   * Checks whether the organisation of a job uses its whole fair part of a pool by weight or more, while
    * other organisations have waiting work there.
    */
   abstract isAboveShare(job: ScheduledJob, pool: string): boolean;
--- a/src/schedule/EntitledDemand.ts
+++ b/src/schedule/EntitledDemand.ts
@@ -45,6 +45,12 @@
     return organisation === undefined || this.#rate.isWithin(id);
   }
 
+  /** Returns the millicores that an organisation may use in all pools; `Infinity` without a cap. */
+  getCpuLimit(organisation: string | undefined): number {
+    const cap = organisation === undefined ? undefined : this.#guard.getCap(organisation);
+    return cap === undefined || cap.cpuMilli === 0 ? Infinity : cap.cpuMilli;
+  }
+
   /** Measures the waiting work of all organisations, by pool. */
   update(waiting: ReadonlyMap<string, readonly ScheduledStep[]>): void {
     this.#waiting = new Map();
--- a/src/schedule/OrganisationStanding.ts
+++ b/src/schedule/OrganisationStanding.ts
@@ -6,6 +6,9 @@
 import type { OrganisationUse } from './OrganisationUse.js';
 import type { ScheduledJob } from './ScheduledJob.js';
 
+/** Relative tolerance of the comparison of fractions. */
+const ROUNDING = 1e-9;
+
 /** Collaborators of an `OrganisationStanding`. */
 export interface OrganisationStandingParts {
   use: OrganisationUse;
@@ -23,7 +26,8 @@
 /**
  * Standing by rate and by weighted dominant resource fairness: the share of an organisation in a
  * pool is the largest fraction that it uses of any resource of the pool. Its fair part is its weight
- * among the organisations that have waiting work there. Jobs without an organisation are always
+ * among the organisations that have waiting work there; an organisation that uses all of it counts as
+ * above it, since each further start is at the expense of the others. Jobs without an organisation are always
  * within the rate and never above a share.
  */
 export class OrganisationStanding extends CallerStanding {
@@ -66,7 +70,7 @@
     const weight = organisation === undefined ? undefined : this.#weights.get(organisation);
     const total = this.#pools.get(pool)?.weight ?? 0;
     if (organisation === undefined || weight === undefined || total === 0) return false;
-    return this.measureShare(organisation, pool) * total > weight;
+    return this.measureShare(organisation, pool) * total >= weight * (1 - ROUNDING);
   }
 
   /** Measures the share of a pool that an organisation uses, as a fraction. */
--- a/src/schedule/PoolLoad.ts
+++ b/src/schedule/PoolLoad.ts
@@ -83,7 +83,11 @@
     const part = this.#demand.addArrival(tracked);
     if (part === 0) return;
     this.reportDemand(now);
-    this.#arrivals.report(queue.pool, part * this.#estimator.estimateTotalWork(tracked), now);
+    this.#arrivals.report(queue.pool, {
+      at: now,
+      work: part * this.#estimator.estimateTotalWork(tracked),
+      organisation: tracked.organisation,
+    });
   }
 
   /** Records the submission of a job, finished or not, at a monotonic time. */
@@ -116,7 +120,7 @@
 
   /** Measures how many additional hosts the arriving work of a pool would keep busy. */
   measureRisingHosts(pool: string, now: number): number {
-    const rate = this.#arrivals.measureRate(pool, now);
+    const rate = this.#arrivals.measureRate(pool, now, (one) => this.#demand.getCpuLimit(one));
     if (rate === 0) return 0;
     const freeCpuMilli = this.measureCapacity(pool, now) - this.#measureLastingCpu(pool);
     return Math.max(0, (rate - freeCpuMilli) / this.#findLargestHost().cpuMilli);
--- a/src/testing/ScheduleRig.ts
+++ b/src/testing/ScheduleRig.ts
@@ -2,9 +2,11 @@
 import { WorkLogKey, type TrackedJob } from '../workLog/mod.js';
 import { ManualClock } from '../clock/mod.js';
 import type {
+  Configuration,
   HostEntry,
   HostReport,
   EndedRun,
+  OrganisationConfig,
   PoolConfig,
   QueueConfig,
   RunOutcome,
@@ -104,6 +106,8 @@
 
   readonly shard: Shard;
 
+  readonly #configuration: Configuration;
+
   readonly #endSequences = new Map<string, number>();
 
   constructor(
@@ -135,7 +139,7 @@
       },
     );
     const pools = [...new Set(queues.map(({ pool }) => pool))];
-    this.shard.applyConfiguration({
+    this.#configuration = {
       version: 1,
       queues,
       pools: [
@@ -148,7 +152,19 @@
         headerTimeoutMs: 3_000,
         idleTimeoutMs: 15_000,
       },
-    });
+    };
+    this.shard.applyConfiguration(this.#configuration);
+  }
+
+  /** Applies a configuration with organisations; `caps` are in millicores, by name. */
+  setCaps(caps: Record<string, number>, jobsPerS = 1_000): void {
+    const organisations = Object.entries(caps).map(([name, cpuMilli]): OrganisationConfig => ({
+      name,
+      apiKeys: [],
+      jobsPerS,
+      cap: { cpuMilli, memoryMb: 0, accelerators: 0 },
+    }));
+    this.shard.applyConfiguration({ ...this.#configuration, organisations });
   }
 
   /** Adds a host and reports the response to its first hold. */
