Decide holds at the cap once per size and round

Cause: a round with 1,500 waiting jobs of 20 organisations, 10 of them capped, took 10 ms instead of 3 ms without organisations: each waiting task was compared with the cap, and each step with the share. Change: CapRound remembers what was held in the round, ShareRound asks for the share of an organisation once before the round, and the measurements of a share allocate nothing.

--- a/src/schedule/OrganisationLog.ts
+++ b/src/schedule/OrganisationLog.ts
@@ -31,16 +31,15 @@
   }
 
   /** Records that a job is held at the cap of its organisation. */
-  recordHold(job: ScheduledJob, { organisation, ...inputs }: CapHold, now: number): void {
-    if (OrganisationLog.#mark(this.#held, organisation, now))
-      this.#output.record({ decision: 'organisation-held', subject: organisation, inputs });
+  recordHold(job: ScheduledJob, hold: CapHold, now: number): void {
+    const { organisation } = hold;
+    const hasBegun = OrganisationLog.#mark(this.#held, organisation, now);
+    if (!hasBegun && this.#heldJobs.has(job)) return;
+    const { organisation: subject, ...inputs } = hold;
+    if (hasBegun) this.#output.record({ decision: 'organisation-held', subject, inputs });
     if (this.#heldJobs.has(job)) return;
     this.#heldJobs.add(job);
-    this.#output.record({
-      decision: 'job-held',
-      subject: job.id,
-      inputs: { organisation, ...inputs },
-    });
+    this.#output.record({ decision: 'job-held', subject: job.id, inputs: { ...hold } });
   }
 
   /** Records that an organisation has submitted a job beyond its rate in jobs a second. */
@@ -62,7 +61,8 @@
   /** Extends a phase, or begins one and returns true. */
   static #mark(phases: Map<string, Phase>, organisation: string, now: number): boolean {
     const phase = phases.get(organisation);
-    phases.set(organisation, { since: phase?.since ?? now, lastAt: now });
+    if (phase === undefined) phases.set(organisation, { since: now, lastAt: now });
+    else phase.lastAt = now;
     return phase === undefined;
   }
 
--- a/src/schedule/OrganisationStanding.ts
+++ b/src/schedule/OrganisationStanding.ts
@@ -75,11 +75,12 @@
 
   /** Measures the share of a pool that an organisation uses, as a fraction. */
   measureShare(organisation: string, pool: string): number {
-    const { capacity } = this.#pools.get(pool) ?? { capacity: NO_RESOURCES };
+    const capacity = this.#pools.get(pool)?.capacity ?? NO_RESOURCES;
     const used = this.#use.measureInPool(organisation, pool);
-    return Math.max(
-      0,
-      ...RESOURCES.map((one) => (capacity[one] > 0 ? used[one] / capacity[one] : 0)),
-    );
+    let share = 0;
+    RESOURCES.forEach((one) => {
+      if (capacity[one] > 0) share = Math.max(share, used[one] / capacity[one]);
+    });
+    return share;
   }
 }
--- a/src/schedule/Organisations.ts
+++ b/src/schedule/Organisations.ts
@@ -2,6 +2,7 @@
 import type { Configuration, OrganisationConfig } from '../port/mod.js';
 import type { TrackedJob } from '../workLog/mod.js';
 import { CapGuard } from './CapGuard.js';
+import { CapRound } from './CapRound.js';
 import { EntitledDemand } from './EntitledDemand.js';
 import { FullPools } from './FullPools.js';
 import type { HostTable } from './HostTable.js';
@@ -51,6 +52,8 @@
 
   readonly #meter: OrganisationMeter;
 
+  #capRound: CapRound;
+
   /** Undefined if the deployment has no organisations. */
   #organisations: readonly OrganisationConfig[] | undefined;
 
@@ -67,6 +70,7 @@
     this.#rate = rate;
     this.#inherited = inherited;
     this.guard = guard;
+    this.#capRound = new CapRound(guard);
     this.standing = new OrganisationStanding({ use, rate });
     this.demand = new EntitledDemand({ guard, rate });
     this.#log = new OrganisationLog(output);
@@ -115,6 +119,7 @@
   ): void {
     if (!this.isConfigured) return;
     this.#inherited.update(now);
+    this.#capRound = new CapRound(this.guard);
     const waiting = new Set<string>();
     steps.forEach(({ occurrence }) => {
       const { organisation } = occurrence.job.tracked;
@@ -125,7 +130,7 @@
 
   /** Checks whether the cap of its organisation lets a unit start, and logs a hold. */
   canStart(unit: WorkUnit, now: number): boolean {
-    const hold = this.guard.findHold(unit);
+    const hold = this.#capRound.findHold(unit);
     if (hold !== undefined) this.#log.recordHold(unit.step.occurrence.job, hold, now);
     return hold === undefined;
   }
--- a/src/schedule/ShareRound.ts
+++ b/src/schedule/ShareRound.ts
@@ -29,22 +29,36 @@
 
   /** Plans sorted steps one after the other. */
   run(sorted: readonly ScheduledStep[], plan: (step: ScheduledStep) => void): void {
-    const wasAbove = new Set(sorted.filter((step) => this.#isAbove(step)));
+    const above = this.#listAbove(sorted);
+    const wasAbove = ({ occurrence }: ScheduledStep): boolean =>
+      above.has(occurrence.job.tracked.organisation);
     let deferred: ScheduledStep[] = [];
     sorted.forEach((step) => {
       const [first] = deferred;
-      const isSameClass =
-        first !== undefined && !wasAbove.has(step) && this.#isEqualClass(first, step);
+      const isSameClass = first !== undefined && !wasAbove(step) && this.#isEqualClass(first, step);
       if (first !== undefined && !isSameClass) {
         deferred.forEach(plan);
         deferred = [];
       }
-      if (!wasAbove.has(step) && this.#isAbove(step)) deferred.push(step);
+      if (!wasAbove(step) && this.#isAbove(step)) deferred.push(step);
       else plan(step);
     });
     deferred.forEach(plan);
   }
 
+  /** Lists the organisations that are above their share before the round. */
+  #listAbove(steps: readonly ScheduledStep[]): Set<string | undefined> {
+    const seen = new Set<string | undefined>([undefined]);
+    const above = new Set<string | undefined>();
+    steps.forEach((step) => {
+      const { organisation } = step.occurrence.job.tracked;
+      if (seen.has(organisation)) return;
+      seen.add(organisation);
+      if (this.#isAbove(step)) above.add(organisation);
+    });
+    return above;
+  }
+
   #isAbove({ occurrence }: ScheduledStep): boolean {
     return this.#standing.isAboveShare(occurrence.job, this.#pool);
   }
