--- a/src/metrics/formatMetrics.ts
+++ b/src/metrics/formatMetrics.ts
@@ -16,7 +16,8 @@
   const pairs = Object.entries(labels).map(
     ([label, text]) => `${formatName(label)}=${JSON.stringify(text)}`,
   );
-  return `buckthornreach_${formatName(name)}{${pairs.join(',')}} ${value}`;
+  const text = value === Infinity ? '+Inf' : String(value);
+  return `buckthornreach_${formatName(name)}{${pairs.join(',')}} ${text}`;
 }
 
 /**
--- a/src/schedule/OrganisationLog.ts
+++ b/src/schedule/OrganisationLog.ts
@@ -8,6 +8,12 @@
  */
 const END_AFTER_MS = 1_000;
 
+/**
+ * Time in ms for which a job must be held before that is logged, so that a burst of jobs that start
+ * shortly after does not use up the permitted number of log lines.
+ */
+const JOB_HELD_AFTER_MS = 500;
+
 interface Phase {
   since: number;
   lastAt: number;
@@ -23,8 +29,8 @@
   /** Organisations that submit beyond their rate. */
   readonly #beyondRate = new Map<string, Phase>();
 
-  /** Jobs whose hold has been logged. */
-  readonly #heldJobs = new WeakSet<ScheduledJob>();
+  /** Monotonic time in ms at which a job was first held; `Infinity` once that has been logged. */
+  readonly #heldSince = new WeakMap<ScheduledJob, number>();
 
   constructor(output: ShardOutput) {
     this.#output = output;
@@ -32,13 +38,13 @@
 
   /** Records that a job is held at the cap of its organisation. */
   recordHold(job: ScheduledJob, hold: CapHold, now: number): void {
-    const { organisation } = hold;
-    const hasBegun = OrganisationLog.#mark(this.#held, organisation, now);
-    if (!hasBegun && this.#heldJobs.has(job)) return;
-    const { organisation: subject, ...inputs } = hold;
-    if (hasBegun) this.#output.record({ decision: 'organisation-held', subject, inputs });
-    if (this.#heldJobs.has(job)) return;
-    this.#heldJobs.add(job);
+    const { organisation, ...inputs } = hold;
+    if (OrganisationLog.#mark(this.#held, organisation, now))
+      this.#output.record({ decision: 'organisation-held', subject: organisation, inputs });
+    const since = this.#heldSince.get(job);
+    if (since === undefined) this.#heldSince.set(job, now);
+    if (now - (since ?? now) < JOB_HELD_AFTER_MS) return;
+    this.#heldSince.set(job, Infinity);
     this.#output.record({ decision: 'job-held', subject: job.id, inputs: { ...hold } });
   }
 
--- a/src/schedule/caps.test.ts
+++ b/src/schedule/caps.test.ts
@@ -64,6 +64,10 @@
     rig.shard.addJob(buildTrackedJob('c', [{ count: 2, cpuMilli: 1_000 }]));
     const tasks = listTasks(rig.plan()).map((task) => task[0]);
     assert.deepEqual(tasks.join('').split('').sort().join(''), 'aabbbbbcc');
+    for (let round = 0; round < 20; round += 1) {
+      rig.clock.advance(50);
+      rig.plan();
+    }
     const held = rig.output.decisionRecords.filter(({ decision }) => decision.endsWith('-held'));
     assert.deepEqual(
       held.map(({ subject }) => subject),
