Hold jobs of organisations before the first configuration

Cause: an owner that had read no configuration knew no caps and started without limit; the first owner of a shard held jobs that were accepted before its claim until it had a machine list, although nobody can have started them. Verdicts on the rate could change while the jobs of a takeover were added. Change: Organisations starts nothing of an organisation before the first configuration, PreviousOwners knows no unrecorded starts for a first owner, and submissions are recorded in order of time before their jobs are added.

--- a/src/node/ShardOwner.ts
+++ b/src/node/ShardOwner.ts
@@ -176,7 +176,7 @@
     this.#ownershipCheck = new OwnershipCheck(context.clock);
     this.#waveRecords = new Map(options.waves);
     if (operator !== undefined) this.#applyOperator(operator);
-    options.jobs.forEach((job) => this.#shard.organisations.recordSubmission(job));
+    this.#shard.organisations.recordSubmissions(options.jobs);
     this.#applyEach('jobs', options.jobs, (job) => this.#addJob(job));
     options.earlyCancels.forEach((key) => this.#records.addEarlyCancel(key));
     this.#hostFollower = new HostFollower(context, (records) =>
--- a/src/schedule/Organisations.ts
+++ b/src/schedule/Organisations.ts
@@ -54,6 +54,9 @@
 
   #capRound: CapRound;
 
+  /** Before the first configuration no cap is known. */
+  #hasConfiguration = false;
+
   /** Undefined if the deployment has no organisations. */
   #organisations: readonly OrganisationConfig[] | undefined;
 
@@ -84,22 +87,26 @@
 
   /** Applies the current configuration. */
   applyConfiguration({ organisations }: Configuration): void {
+    this.#hasConfiguration = true;
     this.#organisations = organisations;
     this.guard.setCaps(organisations ?? []);
     this.standing.setWeights(organisations ?? []);
     organisations?.forEach(({ name, jobsPerS }) => this.#rate.setRate(name, jobsPerS));
   }
 
-  /** Records the submission of a job, so that the verdicts on other submissions are known. */
-  recordSubmission({ organisation, id, submittedAtMs }: TrackedJob): void {
-    if (organisation !== undefined) this.#rate.record(organisation, id, submittedAtMs);
+  /** Records submissions before their jobs are added, so that no verdict on them changes later. */
+  recordSubmissions(jobs: readonly TrackedJob[]): void {
+    // Each submission in order of time takes constant time.
+    [...jobs]
+      .sort((one, other) => one.submittedAtMs - other.submittedAtMs)
+      .forEach((job) => this.#recordSubmission(job));
   }
 
   /** Adds a job of the work log, finished or not. */
   addJob(tracked: TrackedJob, { now, nowWallMs }: { now: number; nowWallMs: number }): void {
     const { organisation, acceptedOffset } = tracked;
     if (organisation === undefined) return;
-    this.recordSubmission(tracked);
+    this.#recordSubmission(tracked);
     this.#inherited.addJob(tracked, nowWallMs);
     if (this.demand.isWithinRate(tracked) || acceptedOffset <= this.#claimOffset) return;
     const config = this.#organisations?.find(({ name }) => name === organisation);
@@ -117,9 +124,9 @@
     { steps, hosts }: { steps: readonly ScheduledStep[]; hosts: readonly ManagedHost[] },
     now: number,
   ): void {
-    if (!this.isConfigured) return;
     this.#inherited.update(now);
     this.#capRound = new CapRound(this.guard);
+    if (!this.isConfigured) return;
     const waiting = new Set<string>();
     steps.forEach(({ occurrence }) => {
       const { organisation } = occurrence.job.tracked;
@@ -130,6 +137,8 @@
 
   /** Checks whether the cap of its organisation lets a unit start, and logs a hold. */
   canStart(unit: WorkUnit, now: number): boolean {
+    const { organisation } = unit.step.occurrence.job.tracked;
+    if (organisation !== undefined && !this.#hasConfiguration) return false;
     const hold = this.#capRound.findHold(unit);
     if (hold !== undefined) this.#log.recordHold(unit.step.occurrence.job, hold, now);
     return hold === undefined;
@@ -153,4 +162,8 @@
     this.#log.update(now);
     this.#meter.publish(this.#organisations, waiting, now);
   }
+
+  #recordSubmission({ organisation, id, submittedAtMs }: TrackedJob): void {
+    if (organisation !== undefined) this.#rate.record(organisation, id, submittedAtMs);
+  }
 }
--- a/src/schedule/PreviousOwners.ts
+++ b/src/schedule/PreviousOwners.ts
@@ -71,8 +71,8 @@
    * had read when it lost contact with the store is a part of what this owner has read.
    */
   hasUnrecordedStarts({ acceptedOffset, dataCentres }: TrackedJob): boolean {
-    const { claimOffset, unrecorded } = this.#takeover;
-    if (acceptedOffset >= claimOffset) return false;
+    const { claimOffset, isFirst, unrecorded } = this.#takeover;
+    if (isFirst || acceptedOffset >= claimOffset) return false;
     return (
       unrecorded.includes(ANY_DATA_CENTRE) || dataCentres.some((one) => unrecorded.includes(one))
     );
--- a/src/schedule/caps.test.ts
+++ b/src/schedule/caps.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import { ManualClock } from '../clock/mod.js';
 import type { Machine } from '../port/mod.js';
 import { JobSpec } from '../task/mod.js';
 import {
@@ -8,8 +9,9 @@
   buildTrackedJob,
   ScheduleRig,
 } from '../testing/ScheduleRig.js';
+import { RecordingShardOutput } from '../testing/RecordingShardOutput.js';
 import type { TrackedJob } from '../workLog/mod.js';
-import { findImpossibleStep } from './mod.js';
+import { findImpossibleStep, Shard, ShardOptions } from './mod.js';
 import type { Run, ShardCommand } from './mod.js';
 
 type Steps = Parameters<typeof buildTrackedJob>[1];
@@ -162,6 +164,34 @@
     assert.equal(find(1, 9_000, true), undefined);
   });
 
+  // Guards against jobs that wait for a machine list although nobody can have started them.
+  it('starts the jobs that were accepted before the first owner of a shard', () => {
+    const rig = new ScheduleRig({ claimOffset: 200 });
+    rig.setCaps({ acme: 4_000 });
+    rig.addHost('h1');
+    rig.shard.addJob(buildJob('a', 'acme', [{ count: 4, cpuMilli: 1_000 }]));
+    assert.equal(listTasks(rig.plan()).length, 4);
+  });
+
+  // Guards against an owner that starts without limit before it has read the caps.
+  it('starts no job of an organisation before the first configuration', () => {
+    const output = new RecordingShardOutput();
+    const takeover = { token: 1, claimOffset: 0, isFirst: true, isHandover: false, sequence: 0 };
+    const options = { maxLeaseMs: 10_000, leaseMs: 5_000, moveMs: 1_500, machineLeaseMs: 3_000 };
+    const shard = new Shard(
+      { ...takeover, unrecorded: [], machineOrders: [] },
+      ShardOptions.parse({ ...options, detachedLimitMs: 20_000 }),
+      { clock: new ManualClock(), output },
+    );
+    const { host } = shard.updateHost(buildHostEntry('h1'));
+    const report = { clockMs: 0, startedAtMs: undefined, running: [], ended: [] };
+    shard.reportHold(host, { ...report, hasMoreEnds: false }, 0);
+    shard.addJob(buildJob('a', 'acme', [{ count: 1, cpuMilli: 1_000 }]));
+    shard.addJob(buildTrackedJob('b', [{ count: 1, cpuMilli: 1_000 }]));
+    shard.plan();
+    assert.deepEqual(listTasks(output.commands), ['b.0.0.0']);
+  });
+
   // Guards against runs that are stopped, or tasks that go on being started, when a cap is lowered.
   it('starts nothing above a cap that was lowered below what is running', () => {
     const rig = openRig({ acme: 10_000 });
