Let organisations that use their whole share follow the others in each round

Cause: only organisations that rose above their share during a round were deferred, and a step with many tasks took the whole pool before its organisation was compared. Change: ShareRound defers every step of an organisation that uses its whole share behind the others of equal priority, rate and lateness, and a step yields as soon as the share is used. OrganisationStanding remembers the comparison until the use changes.

--- a/src/schedule/OrganisationStanding.ts
+++ b/src/schedule/OrganisationStanding.ts
@@ -21,6 +21,9 @@
   capacity: Capacity;
   /** Sum of the weights of the organisations with waiting work. */
   weight: number;
+  /** Organisations by whether they are above their share, at a version of their use. */
+  above: Map<string, boolean>;
+  useVersion: number;
 }
 
 /**
@@ -58,6 +61,8 @@
     this.#pools.set(pool, {
       capacity: hosts.reduce((sum, host) => addResources(sum, host.capacity), NO_RESOURCES),
       weight: [...waiting].reduce((sum, one) => sum + (this.#weights.get(one) ?? 0), 0),
+      above: new Map(),
+      useVersion: this.#use.version,
     });
   }
 
@@ -67,10 +72,22 @@
 
   override isAboveShare({ tracked }: ScheduledJob, pool: string): boolean {
     const { organisation } = tracked;
-    const weight = organisation === undefined ? undefined : this.#weights.get(organisation);
-    const total = this.#pools.get(pool)?.weight ?? 0;
-    if (organisation === undefined || weight === undefined || total === 0) return false;
-    return this.measureShare(organisation, pool) * total >= weight * (1 - ROUNDING);
+    const demand = this.#pools.get(pool);
+    if (organisation === undefined || demand === undefined) return false;
+    if (demand.useVersion !== this.#use.version) {
+      demand.above.clear();
+      demand.useVersion = this.#use.version;
+    }
+    let isAbove = demand.above.get(organisation);
+    if (isAbove === undefined) {
+      const weight = this.#weights.get(organisation);
+      isAbove =
+        weight !== undefined &&
+        demand.weight > 0 &&
+        this.measureShare(organisation, pool) * demand.weight >= weight * (1 - ROUNDING);
+      demand.above.set(organisation, isAbove);
+    }
+    return isAbove;
   }
 
   /** Measures the share of a pool that an organisation uses, as a fraction. */
--- a/src/schedule/OrganisationUse.ts
+++ b/src/schedule/OrganisationUse.ts
@@ -29,6 +29,13 @@
   /** Totals of each organisation by pool. */
   readonly #poolTotals = new Map<string, Map<string, Total>>();
 
+  #version = 0;
+
+  /** Changes whenever the use of an organisation changes. */
+  get version(): number {
+    return this.#version;
+  }
+
   /** Adds a run that has been created. */
   add(run: Run): void {
     if (run.unit.step.occurrence.job.tracked.organisation === undefined) return;
@@ -62,6 +69,7 @@
   #change({ unit }: Run, pool: string, sign: 1 | -1): void {
     const { organisation } = unit.step.occurrence.job.tracked;
     if (organisation === undefined) return;
+    this.#version += 1;
     const amount = computeTaskUse(unit.spec);
     const inPool = this.#poolTotals.get(pool) ?? new Map<string, Total>();
     this.#poolTotals.set(pool, inPool);
--- a/src/schedule/ShareRound.ts
+++ b/src/schedule/ShareRound.ts
@@ -8,11 +8,19 @@
   isLate: (step: ScheduledStep) => boolean;
 }
 
+/** What precedes the share of an organisation in the order of steps. */
+interface StepClass {
+  priority: number;
+  isLasting: boolean;
+  isWithinRate: boolean;
+  isLate: boolean;
+}
+
 /**
- * One round of starts in a pool, in the order of the scheduling policy. The policy sorts before the
- * round, but an organisation may rise above its share during the round; its remaining steps then
- * follow those of the other organisations with equal priority, rate and lateness. Without this an
- * organisation with many waiting jobs would take all of the capacity that becomes free at once.
+ * One round of starts in a pool, in the order of the scheduling policy, except that steps of an
+ * organisation that uses its whole share follow those of the others with equal priority, rate and
+ * lateness. The policy sorts before the round, so without this an organisation with many waiting
+ * jobs would take all of the capacity that becomes free at once.
  */
 export class ShareRound {
   readonly #standing: CallerStanding;
@@ -27,49 +35,60 @@
     this.#isLate = isLate;
   }
 
-  /** Plans sorted steps one after the other. */
-  run(sorted: readonly ScheduledStep[], plan: (step: ScheduledStep) => void): void {
-    const above = this.#listAbove(sorted);
-    const wasAbove = ({ occurrence }: ScheduledStep): boolean =>
-      above.has(occurrence.job.tracked.organisation);
+  /**
+   * Plans sorted steps one after the other. If `isYielding` is true, the plan of a step ends as soon
+   * as `isAboveShare` holds for it; the step is planned again after the others.
+   */
+  run(
+    sorted: readonly ScheduledStep[],
+    plan: (step: ScheduledStep, isYielding: boolean) => void,
+  ): void {
     let deferred: ScheduledStep[] = [];
+    let firstClass: StepClass | undefined;
     sorted.forEach((step) => {
-      const [first] = deferred;
-      const isSameClass = first !== undefined && !wasAbove(step) && this.#isEqualClass(first, step);
-      if (first !== undefined && !isSameClass) {
-        deferred.forEach(plan);
-        deferred = [];
+      if (!this.isAboveShare(step)) {
+        // Classes are compared only here, since lateness takes long to compute.
+        if (firstClass !== undefined && !this.#isInClass(step, firstClass)) {
+          const stepClass = this.#describeClass(step);
+          const isBehind = (one: ScheduledStep): boolean => this.#isInClass(one, stepClass);
+          deferred.filter((one) => !isBehind(one)).forEach((one) => plan(one, false));
+          deferred = deferred.filter(isBehind);
+          firstClass = deferred.length > 0 ? stepClass : undefined;
+        }
+        plan(step, true);
+        if (!this.isAboveShare(step)) return;
       }
-      if (!wasAbove(step) && this.#isAbove(step)) deferred.push(step);
-      else plan(step);
+      deferred.push(step);
+      firstClass ??= this.#describeClass(step);
     });
-    deferred.forEach(plan);
+    deferred.forEach((step) => plan(step, false));
   }
 
-  /** Lists the organisations that are above their share before the round. */
-  #listAbove(steps: readonly ScheduledStep[]): Set<string | undefined> {
-    const seen = new Set<string | undefined>([undefined]);
-    const above = new Set<string | undefined>();
-    steps.forEach((step) => {
-      const { organisation } = step.occurrence.job.tracked;
-      if (seen.has(organisation)) return;
-      seen.add(organisation);
-      if (this.#isAbove(step)) above.add(organisation);
-    });
-    return above;
+  /** Checks whether the organisation of a step uses its whole share now. */
+  isAboveShare({ occurrence }: ScheduledStep): boolean {
+    return this.#standing.isAboveShare(occurrence.job, this.#pool);
   }
 
-  #isAbove({ occurrence }: ScheduledStep): boolean {
-    return this.#standing.isAboveShare(occurrence.job, this.#pool);
+  #describeClass(step: ScheduledStep): StepClass {
+    const { job } = step.occurrence;
+    return {
+      priority: job.queue.priority,
+      isLasting: step.spec.isLasting,
+      isWithinRate: this.#standing.isWithinRate(job),
+      isLate: this.#isLate(step),
+    };
   }
 
-  #isEqualClass(one: ScheduledStep, other: ScheduledStep): boolean {
-    const [job, otherJob] = [one.occurrence.job, other.occurrence.job];
+  #isInClass(
+    step: ScheduledStep,
+    { priority, isLasting, isWithinRate, isLate }: StepClass,
+  ): boolean {
+    const { job } = step.occurrence;
     return (
-      job.queue.priority === otherJob.queue.priority &&
-      one.spec.isLasting === other.spec.isLasting &&
-      this.#standing.isWithinRate(job) === this.#standing.isWithinRate(otherJob) &&
-      this.#isLate(one) === this.#isLate(other)
+      job.queue.priority === priority &&
+      step.spec.isLasting === isLasting &&
+      this.#standing.isWithinRate(job) === isWithinRate &&
+      this.#isLate(step) === isLate
     );
   }
 }
--- a/src/schedule/StartPlanner.ts
+++ b/src/schedule/StartPlanner.ts
@@ -40,6 +40,14 @@
   clock: Clock;
 }
 
+/** Circumstances under which the units of a step are started. */
+interface StepRound {
+  round: PlacementRound;
+  now: number;
+  /** Checks whether the remaining units have to wait for the steps of others. */
+  mustYield: () => boolean;
+}
+
 /** Decides which waiting tasks of a pool start now, on which hosts, and which runs they preempt. */
 export class StartPlanner {
   readonly #token: number;
@@ -111,28 +119,34 @@
       : round;
     this.#organisations.prepareRound(pool, { steps, hosts }, now);
     const sorted = this.#schedulingPolicy.sort(steps, nowWallMs);
-    const plan = (step: ScheduledStep): void => {
+    const { standing } = this.#organisations;
+    const shareRound = new ShareRound({
+      standing,
+      pool,
+      isLate: ({ occurrence }) => this.#deadlines.isLate(occurrence, nowWallMs),
+    });
+    const plan = (step: ScheduledStep, isYielding: boolean): void => {
       const { tracked } = step.occurrence.job;
       if (!this.#canStart(tracked)) return;
       if (this.#previousOwners.canHaveStarted(tracked, pool, now)) return;
       // Lateness only matters while the pool has to release hosts.
       const isLate = isReleasing && this.#deadlines.isLate(step.occurrence, nowWallMs);
-      this.#planStep(step, isLate ? lateRound : round, now);
+      this.#planStep(step, {
+        round: isLate ? lateRound : round,
+        now,
+        mustYield: () => isYielding && shareRound.isAboveShare(step),
+      });
     };
-    if (!this.#organisations.isConfigured) sorted.forEach(plan);
-    else {
-      const { standing } = this.#organisations;
-      const isLate = (step: ScheduledStep): boolean =>
-        this.#deadlines.isLate(step.occurrence, nowWallMs);
-      new ShareRound({ standing, pool, isLate }).run(sorted, plan);
-    }
+    if (this.#organisations.isConfigured) shareRound.run(sorted, plan);
+    else sorted.forEach((step) => plan(step, false));
   }
 
   #canStart({ dataCentres }: TrackedJob): boolean {
     return this.#startRule === 'all' || dataCentres.includes(this.#dataCentre);
   }
 
-  #planStep(step: ScheduledStep, round: PlacementRound, now: number): void {
+  /** Starts the waiting units of a step, up to the first one that may not or cannot start. */
+  #planStep(step: ScheduledStep, { round, now, mustYield }: StepRound): void {
     const needsAdvice = step.occurrence.job.queue.advice !== undefined;
     for (const unit of step.units) {
       if (!unit.isWaiting || unit.notBefore > now || this.#previousOwners.canRun(unit, now))
@@ -149,6 +163,7 @@
       }
       const number = unit.takeRunNumber((this.#token - 1) * RUNS_PER_TOKEN);
       placements.forEach(({ index, host }) => this.#start(unit, index, host, number));
+      if (mustYield()) return;
     }
   }
 
--- a/src/schedule/caps.test.ts
+++ b/src/schedule/caps.test.ts
@@ -316,6 +316,16 @@
     );
   });
 
+  // Guards against a large job that takes the whole pool before its organisation is compared.
+  it('divides the capacity between the tasks of large jobs and others', () => {
+    const rig = openRig({ acme: 0, umbra: 0 });
+    rig.shard.addJob(buildJob('a', 'acme', [{ count: 40, cpuMilli: 1_000, estimateMs: 1 }]));
+    rig.shard.addJob(buildJob('b', 'umbra', [{ count: 40, cpuMilli: 1_000, estimateMs: 2 }]));
+    const tasks = listTasks(rig.plan()).map((task) => task[0]);
+    assert.equal(tasks.filter((task) => task === 'a').length, 8);
+    assert.equal(tasks.filter((task) => task === 'b').length, 8);
+  });
+
   // Guards against hosts that are paid for to run work to which no organisation is entitled.
   it('leaves jobs beyond the rate out of the demand for hosts, and starts them in idle hosts', () => {
     const rig = openRig({ acme: 0 });
