--- a/src/node/JobService.ts
+++ b/src/node/JobService.ts
@@ -15,6 +15,7 @@
 import type { NodeContext } from './NodeContext.js';
 import type { OperatorState } from './OperatorFollower.js';
 import { QueueTable, type QueueMatch } from './QueueTable.js';
+import { refuseImpossible } from './refuseImpossible.js';
 import type { RelayClient } from './RelayClient.js';
 import { RelayApi, type PeerJobState } from './RelayRouter.js';
 import { RetryAdvisor } from './RetryAdvisor.js';
@@ -183,6 +184,8 @@
       if (refusal !== undefined) return refusal;
       if (access.isForeign(known.organisation)) return { type: 'forbidden' };
       if (known.queue !== undefined) return this.#answerRepeated(id, known.queue, queue);
+      const impossible = this.#refuseImpossible(spec, access.organisation);
+      if (impossible !== undefined) return impossible;
       if (overLimit !== undefined) return overLimit;
       const job = this.#buildJob(queue, spec, access);
       const record = {
@@ -314,6 +317,15 @@
     return { type: 'over-limit', reason, retryAfterMs };
   }
 
+  /** Refuses a job that the cap of its organisation never lets start. */
+  #refuseImpossible(spec: JobSpec, name: string | undefined): CallResponse | undefined {
+    const organisations = this.#operatorState?.configuration?.organisations;
+    const organisation = organisations?.find((one) => one.name === name);
+    if (organisation === undefined) return undefined;
+    const { capOvershoot: overshoot } = this.#context.settings.shard;
+    return refuseImpossible(spec, { organisation, overshoot });
+  }
+
   /** Answers the submission of a job whose identifier is known. */
   #answerRepeated(id: string, knownQueue: string, { name }: QueueConfig): CallResponse {
     this.#context.log.record('job-repeated', id, { queue: name, knownQueue });
--- a/src/schedule/StartPlanner.ts
+++ b/src/schedule/StartPlanner.ts
@@ -6,6 +6,7 @@
 import type { HostTable } from './HostTable.js';
 import type { MachinePlanner } from './MachinePlanner.js';
 import type { ManagedHost } from './ManagedHost.js';
+import type { Organisations } from './Organisations.js';
 import type { PlacementPolicy } from './PlacementPolicy.js';
 import { PlacementRound } from './PlacementRound.js';
 import type { PreviousOwners } from './PreviousOwners.js';
@@ -14,6 +15,7 @@
 import type { SchedulingPolicy } from './SchedulingPolicy.js';
 import type { ShardOptions } from './ShardOptions.js';
 import type { ShardOutput } from './ShardCommand.js';
+import { ShareRound } from './ShareRound.js';
 import type { Takeover } from './Takeover.js';
 import type { WorkUnit } from './WorkUnit.js';
 
@@ -31,12 +33,21 @@
   machinePlanner: MachinePlanner;
   advice: AdviceCache;
   deadlines: DeadlineEstimator;
+  organisations: Organisations;
   schedulingPolicy: SchedulingPolicy;
   placementPolicy: PlacementPolicy;
   output: ShardOutput;
   clock: Clock;
 }
 
+/** Circumstances under which the units of a step are started. */
+interface StepRound {
+  round: PlacementRound;
+  now: number;
+  /** Checks whether the remaining units have to wait for the steps of others. */
+  mustYield: () => boolean;
+}
+
 /** Decides which waiting tasks of a pool start now, on which hosts, and which runs they preempt. */
 export class StartPlanner {
   readonly #token: number;
@@ -57,6 +68,8 @@
 
   readonly #deadlines: DeadlineEstimator;
 
+  readonly #organisations: Organisations;
+
   readonly #schedulingPolicy: SchedulingPolicy;
 
   readonly #placementPolicy: PlacementPolicy;
@@ -81,6 +94,7 @@
     this.#machinePlanner = parts.machinePlanner;
     this.#advice = parts.advice;
     this.#deadlines = parts.deadlines;
+    this.#organisations = parts.organisations;
     this.#schedulingPolicy = parts.schedulingPolicy;
     this.#placementPolicy = parts.placementPolicy;
     this.#output = parts.output;
@@ -90,6 +104,7 @@
   /** Sets the jobs whose tasks may be started from now on. */
   setStartRule(rule: StartRule): void {
     this.#startRule = rule;
+    this.#organisations.guard.setDetached(rule !== 'all');
   }
 
   /** Starts the waiting tasks of a pool that fit on its available hosts. */
@@ -102,35 +117,53 @@
     const lateRound = isReleasing
       ? new PlacementRound(this.#placementPolicy, hostsForLateJobs, now)
       : round;
+    this.#organisations.prepareRound(pool, { steps, hosts }, now);
     const sorted = this.#schedulingPolicy.sort(steps, nowWallMs);
-    sorted.forEach((step) => {
+    const { standing } = this.#organisations;
+    const shareRound = new ShareRound({
+      standing,
+      pool,
+      isLate: ({ occurrence }) => this.#deadlines.isLate(occurrence, nowWallMs),
+    });
+    const plan = (step: ScheduledStep, isYielding: boolean): void => {
       const { tracked } = step.occurrence.job;
       if (!this.#canStart(tracked)) return;
       if (this.#previousOwners.canHaveStarted(tracked, pool, now)) return;
       // Lateness only matters while the pool has to release hosts.
       const isLate = isReleasing && this.#deadlines.isLate(step.occurrence, nowWallMs);
-      this.#planStep(step, isLate ? lateRound : round, now);
-    });
+      this.#planStep(step, {
+        round: isLate ? lateRound : round,
+        now,
+        mustYield: () => isYielding && shareRound.isAboveShare(step),
+      });
+    };
+    if (this.#organisations.isConfigured) shareRound.run(sorted, plan);
+    else sorted.forEach((step) => plan(step, false));
   }
 
   #canStart({ dataCentres }: TrackedJob): boolean {
     return this.#startRule === 'all' || dataCentres.includes(this.#dataCentre);
   }
 
-  #planStep(step: ScheduledStep, round: PlacementRound, now: number): void {
+  /** Starts the waiting units of a step, up to the first one that may not or cannot start. */
+  #planStep(step: ScheduledStep, { round, now, mustYield }: StepRound): void {
     const needsAdvice = step.occurrence.job.queue.advice !== undefined;
     for (const unit of step.units) {
       if (!unit.isWaiting || unit.notBefore > now || this.#previousOwners.canRun(unit, now))
         continue;
+      // All units of a step need the same, so none of them may start.
+      if (!this.#organisations.canStart(unit, now)) return;
       const allowed = needsAdvice ? this.#advice.collectAllowed(step, now) : undefined;
       const placements = round.choose(unit, allowed);
       if (placements === undefined) {
+        this.#organisations.reportNoRoom(unit, now);
         if (needsAdvice) this.#askAdvice(step, round.hosts, now);
         else this.#preempt(unit, round, now);
         return;
       }
       const number = unit.takeRunNumber((this.#token - 1) * RUNS_PER_TOKEN);
       placements.forEach(({ index, host }) => this.#start(unit, index, host, number));
+      if (mustYield()) return;
     }
   }
 
