Define how the submitter of a job stands with respect to its rate and share

Cause: the ordering policy has to know whether a job is within the rate of its organisation and whether the organisation is above its share of a pool. Change: CallerStanding is the interface of that decision; NoOrganisations is its implementation for deployments without organisations. Result: nothing uses the classes yet, so no behaviour changes.

--- a/src/schedule/mod.ts
+++ b/src/schedule/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from './CallerStanding.js';
 export * from './FaultyHostDetector.js';
 export * from './HealthCheckPlanner.js';
 export * from './HostMonitor.js';
@@ -12,6 +13,7 @@
 export * from './LeastWorkFirst.js';
 export * from './MaintenancePlanner.js';
 export * from './ManagedHost.js';
+export * from './NoOrganisations.js';
 export * from './PackingPlacement.js';
 export * from './PlacementPolicy.js';
 export * from './PlacementRound.js';
