--- a/src/schedule/Shard.ts
+++ b/src/schedule/Shard.ts
@@ -44,6 +44,8 @@
 export interface ShardParts {
   clock: Clock;
   output: ShardOutput;
+  /** Estimator that the policies share with the shard. */
+  estimator?: RunTimeEstimator;
   schedulingPolicy?: SchedulingPolicy;
   placementPolicy?: PlacementPolicy;
 }
@@ -70,7 +72,7 @@
 
   readonly #runTracker: RunTracker;
 
-  readonly #estimator = new RunTimeEstimator();
+  readonly #estimator: RunTimeEstimator;
 
   readonly #faultyHosts = new FaultyHostDetector();
 
@@ -99,6 +101,7 @@
     this.#options = options;
     this.#clock = parts.clock;
     this.#output = parts.output;
+    this.#estimator = parts.estimator ?? new RunTimeEstimator();
     const startedAt = this.#clock.readMonotonic();
     this.#previousOwners = new PreviousOwners(takeover, options, {
       hosts: this.#hosts,
--- a/src/testing/ScheduleRig.ts
+++ b/src/testing/ScheduleRig.ts
@@ -12,8 +12,8 @@
 import {
   Shard,
   type Run,
-  type SchedulingPolicy,
   type ShardCommand,
+  type ShardParts,
   type Takeover,
 } from '../schedule/mod.js';
 import { JobSpec } from '../task/mod.js';
@@ -110,7 +110,7 @@
     takeover: Partial<Takeover> = {},
     queues: QueueConfig[] = [buildQueueConfig()],
     poolFields: Partial<PoolConfig> = {},
-    schedulingPolicy?: SchedulingPolicy,
+    parts: Partial<ShardParts> = {},
   ) {
     this.shard = new Shard(
       { ...FIRST_TAKEOVER, ...takeover },
@@ -128,11 +128,7 @@
         keepHosts: 2,
         dataCentre: 'dc-1',
       },
-      {
-        clock: this.clock,
-        output: this.output,
-        ...(schedulingPolicy === undefined ? {} : { schedulingPolicy }),
-      },
+      { clock: this.clock, output: this.output, ...parts },
     );
     const pools = [...new Set(queues.map(({ pool }) => pool))];
     this.shard.applyConfiguration({
