--- a/src/schedule/Shard.ts
+++ b/src/schedule/Shard.ts
@@ -19,7 +19,7 @@
 import { InterferenceControl } from './InterferenceControl.js';
 import type { SchedulingPolicy } from './SchedulingPolicy.js';
 import { JobTable } from './JobTable.js';
-import { LeastWorkFirst } from './LeastWorkFirst.js';
+import { LeastCostFirst } from './LeastCostFirst.js';
 import type { ManagedHost } from './ManagedHost.js';
 import { MachinePlanner } from './MachinePlanner.js';
 import { Organisations } from './Organisations.js';
@@ -27,7 +27,8 @@
 import type { PlacementPolicy } from './PlacementPolicy.js';
 import { PoolLoad } from './PoolLoad.js';
 import { PreviousOwners } from './PreviousOwners.js';
-import { DeadlineEstimator } from './DeadlineEstimator.js';
+import type { CallerStanding } from './CallerStanding.js';
+import { DelayCost } from './DelayCost.js';
 import { RecentMachineOrders, type RecentMachineOrder } from './RecentMachineOrders.js';
 import { restoreQueue } from './restoreQueue.js';
 import type { Run } from './Run.js';
@@ -46,7 +47,11 @@
 export interface ShardParts {
   clock: Clock;
   output: ShardOutput;
+  /** Estimator that the policies share with the shard. */
+  estimator?: RunTimeEstimator;
   schedulingPolicy?: SchedulingPolicy;
+  /** How the submitters of jobs stand; by default, all jobs are equal. */
+  standing?: CallerStanding;
   placementPolicy?: PlacementPolicy;
 }
 
@@ -72,7 +77,7 @@
 
   readonly #runTracker: RunTracker;
 
-  readonly #estimator = new RunTimeEstimator();
+  readonly #estimator: RunTimeEstimator;
 
   readonly #faultyHosts = new FaultyHostDetector();
 
@@ -106,6 +111,7 @@
     this.#options = options;
     this.#clock = parts.clock;
     this.#output = parts.output;
+    this.#estimator = parts.estimator ?? new RunTimeEstimator();
     const startedAt = this.#clock.readMonotonic();
     this.#previousOwners = new PreviousOwners(takeover, options, {
       hosts: this.#hosts,
@@ -156,15 +162,19 @@
       output: this.#output,
       orders: this.#machineOrders,
     });
+    const cost = new DelayCost(this.#estimator, {
+      standing: parts.standing ?? this.organisations.standing,
+      largeJobFactor: options.largeJobFactor,
+    });
     this.#startPlanner = new StartPlanner(takeover, options, {
       hosts: this.#hosts,
       runTracker: this.#runTracker,
       previousOwners: this.#previousOwners,
       machinePlanner: this.#machinePlanner,
       advice: this.#advice,
-      deadlines: new DeadlineEstimator(this.#estimator),
       organisations: this.organisations,
-      schedulingPolicy: parts.schedulingPolicy ?? new LeastWorkFirst(this.#estimator),
+      cost,
+      schedulingPolicy: parts.schedulingPolicy ?? new LeastCostFirst(cost),
       placementPolicy: parts.placementPolicy ?? new PackingPlacement(),
       output: this.#output,
       clock: this.#clock,
--- a/src/schedule/ShareRound.ts
+++ b/src/schedule/ShareRound.ts
@@ -1,11 +1,12 @@
 import type { CallerStanding } from './CallerStanding.js';
+import type { Lateness } from './DelayCost.js';
 import type { ScheduledStep } from './ScheduledStep.js';
 
 /** Collaborators of a `ShareRound`. */
 export interface ShareRoundParts {
   standing: CallerStanding;
   pool: string;
-  isLate: (step: ScheduledStep) => boolean;
+  computeLateness: (step: ScheduledStep) => Lateness;
 }
 
 /** What precedes the share of an organisation in the order of steps. */
@@ -13,7 +14,7 @@
   priority: number;
   isLasting: boolean;
   isWithinRate: boolean;
-  isLate: boolean;
+  lateness: Lateness;
 }
 
 /**
@@ -27,12 +28,12 @@
 
   readonly #pool: string;
 
-  readonly #isLate: (step: ScheduledStep) => boolean;
+  readonly #computeLateness: (step: ScheduledStep) => Lateness;
 
-  constructor({ standing, pool, isLate }: ShareRoundParts) {
+  constructor({ standing, pool, computeLateness }: ShareRoundParts) {
     this.#standing = standing;
     this.#pool = pool;
-    this.#isLate = isLate;
+    this.#computeLateness = computeLateness;
   }
 
   /**
@@ -75,20 +76,20 @@
       priority: job.queue.priority,
       isLasting: step.spec.isLasting,
       isWithinRate: this.#standing.isWithinRate(job),
-      isLate: this.#isLate(step),
+      lateness: this.#computeLateness(step),
     };
   }
 
   #isInClass(
     step: ScheduledStep,
-    { priority, isLasting, isWithinRate, isLate }: StepClass,
+    { priority, isLasting, isWithinRate, lateness }: StepClass,
   ): boolean {
     const { job } = step.occurrence;
     return (
       job.queue.priority === priority &&
       step.spec.isLasting === isLasting &&
       this.#standing.isWithinRate(job) === isWithinRate &&
-      this.#isLate(step) === isLate
+      this.#computeLateness(step) === lateness
     );
   }
 }
--- a/src/schedule/StartPlanner.ts
+++ b/src/schedule/StartPlanner.ts
@@ -2,7 +2,7 @@
 import type { TrackedJob } from '../workLog/mod.js';
 import type { AdviceCache } from './AdviceCache.js';
 import { canInterrupt } from './canInterrupt.js';
-import type { DeadlineEstimator } from './DeadlineEstimator.js';
+import type { DelayCost } from './DelayCost.js';
 import type { HostTable } from './HostTable.js';
 import type { MachinePlanner } from './MachinePlanner.js';
 import type { ManagedHost } from './ManagedHost.js';
@@ -16,6 +16,7 @@
 import type { ShardOptions } from './ShardOptions.js';
 import type { ShardOutput } from './ShardCommand.js';
 import { ShareRound } from './ShareRound.js';
+import { StartOrderLog } from './StartOrderLog.js';
 import type { Takeover } from './Takeover.js';
 import type { WorkUnit } from './WorkUnit.js';
 
@@ -32,8 +33,8 @@
   previousOwners: PreviousOwners;
   machinePlanner: MachinePlanner;
   advice: AdviceCache;
-  deadlines: DeadlineEstimator;
   organisations: Organisations;
+  cost: DelayCost;
   schedulingPolicy: SchedulingPolicy;
   placementPolicy: PlacementPolicy;
   output: ShardOutput;
@@ -66,7 +67,9 @@
 
   readonly #advice: AdviceCache;
 
-  readonly #deadlines: DeadlineEstimator;
+  readonly #cost: DelayCost;
+
+  readonly #orderLog: StartOrderLog;
 
   readonly #organisations: Organisations;
 
@@ -93,8 +96,9 @@
     this.#previousOwners = parts.previousOwners;
     this.#machinePlanner = parts.machinePlanner;
     this.#advice = parts.advice;
-    this.#deadlines = parts.deadlines;
     this.#organisations = parts.organisations;
+    this.#cost = parts.cost;
+    this.#orderLog = new StartOrderLog(parts.cost, parts.output);
     this.#schedulingPolicy = parts.schedulingPolicy;
     this.#placementPolicy = parts.placementPolicy;
     this.#output = parts.output;
@@ -123,22 +127,23 @@
     const shareRound = new ShareRound({
       standing,
       pool,
-      isLate: ({ occurrence }) => this.#deadlines.isLate(occurrence, nowWallMs),
+      computeLateness: ({ occurrence }) => this.#cost.computeLateness(occurrence, nowWallMs),
     });
     const plan = (step: ScheduledStep, isYielding: boolean): void => {
       const { tracked } = step.occurrence.job;
       if (!this.#canStart(tracked)) return;
       if (this.#previousOwners.canHaveStarted(tracked, pool, now)) return;
-      // Lateness only matters while the pool has to release hosts.
-      const isLate = isReleasing && this.#deadlines.isLate(step.occurrence, nowWallMs);
+      // It only matters while the pool has to release hosts.
+      const isDeferrable = isReleasing && this.#cost.isDeferrable(step.occurrence, nowWallMs);
       this.#planStep(step, {
-        round: isLate ? lateRound : round,
+        round: isDeferrable ? lateRound : round,
         now,
         mustYield: () => isYielding && shareRound.isAboveShare(step),
       });
     };
     if (this.#organisations.isConfigured) shareRound.run(sorted, plan);
     else sorted.forEach((step) => plan(step, false));
+    this.#orderLog.report(pool, sorted, { now, nowWallMs });
   }
 
   #canStart({ dataCentres }: TrackedJob): boolean {
@@ -189,7 +194,10 @@
     if (hostIds !== undefined) this.#output.send({ type: 'ask-advice', step: step.id, hostIds });
   }
 
-  /** Preempts a run of lower priority to free resources for a unit of higher priority. */
+  /**
+   * Preempts the run of lower priority whose interruption costs its caller least, to free resources
+   * for a unit of higher priority.
+   */
   #preempt(unit: WorkUnit, round: PlacementRound, now: number): void {
     const { priority } = unit.step.occurrence.job.queue;
     if (!round.hasLowerPriorityRun(priority)) return;
@@ -205,7 +213,7 @@
     const candidates = victims
       .filter(({ state, unit: other }) => state === 'running' && other.spec.checkpoints)
       .filter(({ unit: other }) => other.spec.cpuMilli >= unit.spec.cpuMilli);
-    const [victim] = candidates.sort((one, other) => (other.startedAt ?? 0) - (one.startedAt ?? 0));
+    const victim = this.#cost.chooseVictim(candidates, { now, nowWallMs: this.#clock.readWall() });
     if (victim !== undefined) this.#runTracker.stop(victim, now, 'preempted');
   }
 }
--- a/src/testing/ScheduleRig.ts
+++ b/src/testing/ScheduleRig.ts
@@ -14,8 +14,8 @@
 import {
   Shard,
   type Run,
-  type SchedulingPolicy,
   type ShardCommand,
+  type ShardParts,
   type Takeover,
 } from '../schedule/mod.js';
 import { JobSpec } from '../task/mod.js';
@@ -114,7 +114,7 @@
     takeover: Partial<Takeover> = {},
     queues: QueueConfig[] = [buildQueueConfig()],
     poolFields: Partial<PoolConfig> = {},
-    schedulingPolicy?: SchedulingPolicy,
+    parts: Partial<ShardParts> = {},
   ) {
     this.shard = new Shard(
       { ...FIRST_TAKEOVER, ...takeover },
@@ -127,16 +127,13 @@
         detachedLimitMs: 20_000,
         rateWindowMs: 5_000,
         capOvershoot: 0.1,
+        largeJobFactor: 1,
         borrowAboveMs: 400,
         parkAfterMs: 1_500,
         keepHosts: 2,
         dataCentre: 'dc-1',
       },
-      {
-        clock: this.clock,
-        output: this.output,
-        ...(schedulingPolicy === undefined ? {} : { schedulingPolicy }),
-      },
+      { clock: this.clock, output: this.output, ...parts },
     );
     const pools = [...new Set(queues.map(({ pool }) => pool))];
     this.#configuration = {
