Send no new record to a store that does not answer

Cause: WorkLogWriter rejected new records only while an unanswered append was pending. As soon as its caller's deadline had passed, the next submission was appended and became unknown, too, and appends were repeated every 60 ms for as long as the outage lasted.

Change: StoreHealth is a circuit breaker of the appends of a node. While it is open, records that were never sent are refused at once, which is true; those sent before are repeated alone, together with cancellations of the same job. WriteLimit bounds the records that wait, by number, bytes and the time that recent appends suggest. RetryBackoff replaces the fixed delays of appends and reads. The queue and the uncertain records are classes of their own. The emulated store can reset connections and execute appends one at a time.

--- a/src/emulator/EmulatedStore.ts
+++ b/src/emulator/EmulatedStore.ts
@@ -23,7 +23,18 @@
   /** Neither executes nor answers calls. */
   | 'silent'
   /** Executes every call but does not answer appends. */
-  | 'losing-answers';
+  | 'losing-answers'
+  /** Resets the connection of every call without executing it, and of the reads that wait. */
+  | 'resetting';
+
+/** A store that is slow answers an append with an error if those before it take longer, in ms. */
+const MAX_QUEUE_MS = 2_000;
+
+/** An append that a node has sent, whatever became of it. */
+export interface SentAppend {
+  node: string;
+  keys: readonly string[];
+}
 
 interface WriterState {
   epoch: number;
@@ -61,6 +72,14 @@
 
   #mode: StoreMode = 'normal';
 
+  #latencyMs = 0;
+
+  /** Monotonic time in ms at which all appends that have been received are executed. */
+  #appendsDoneAt = -Infinity;
+
+  /** All appends that nodes have sent, oldest first. */
+  readonly sent: SentAppend[] = [];
+
   constructor(clock: Clock) {
     this.#clock = clock;
   }
@@ -78,6 +97,8 @@
   setMode(mode: StoreMode, node?: string): void {
     if (node === undefined) this.#mode = mode;
     else this.#nodeModes.set(node, mode);
+    if (mode !== 'resetting') return;
+    Object.values(this.#logs).forEach((log) => [...log.waiting].forEach((wake) => wake()));
   }
 
   /** Executes the next append of a node after a delay in ms, without an answer. */
@@ -92,6 +113,25 @@
     return delayMs;
   }
 
+  /** Latency in ms of reads and of an append that does not wait for others. */
+  get latencyMs(): number {
+    return this.#latencyMs;
+  }
+
+  /** Sets the latency in ms; appends are executed one at a time and each takes this long. */
+  setLatency(latencyMs: number): void {
+    this.#latencyMs = latencyMs;
+  }
+
+  /** Adds an append to those that wait; returns its time in ms, or undefined if too many wait. */
+  reserveAppend(): number | undefined {
+    const now = this.#clock.readMonotonic();
+    const queuedMs = Math.max(0, this.#appendsDoneAt - now);
+    if (queuedMs > MAX_QUEUE_MS) return undefined;
+    this.#appendsDoneAt = now + queuedMs + this.#latencyMs;
+    return queuedMs + this.#latencyMs;
+  }
+
   /** Returns the fault mode for a node. */
   getMode(node: string): StoreMode {
     const nodeMode = this.#nodeModes.get(node) ?? 'normal';
--- a/src/emulator/NodeCluster.ts
+++ b/src/emulator/NodeCluster.ts
@@ -27,6 +27,8 @@
   machines: number;
   /** Number of machines in the standby pool; 0 by default. */
   standbyMachines?: number;
+  /** Time in ms that a node has for its stop. */
+  stopGraceMs?: number;
 }
 
 /** A cluster of nodes on an emulated platform, all in one process. */
@@ -48,9 +50,12 @@
 
   readonly #nodes = new Map<string, RunningNode>();
 
+  readonly #stopGraceMs: number;
+
   #sessionCount = 0;
 
   constructor(options: NodeClusterOptions) {
+    this.#stopGraceMs = options.stopGraceMs ?? 2_000;
     this.fleet = new EmulatedFleet({ clock: this.clock, store: this.store, ...options });
     const configuration = {
       version: 1,
@@ -99,7 +104,7 @@
         peerAddress: '127.0.0.1:0',
         // Each node has a data centre of its own.
         dataCentre: `dc-of-${name}`,
-        stopGraceMs: 2_000,
+        stopGraceMs: this.#stopGraceMs,
         retentionMs: 60_000,
         ownerSilenceMs: 500,
         ownerBeatMs: 100,
@@ -123,6 +128,12 @@
     node.open().catch((error: unknown) => log.reportFault('open', error as Error));
   }
 
+  /** Stops a node, which hands the shard over if it owns it, and closes it. */
+  async stop(name: string): Promise<void> {
+    await this.get(name)?.stop();
+    this.kill(name);
+  }
+
   /** Closes a node abruptly, like a killed process. */
   kill(name: string): void {
     const running = this.#nodes.get(name);
--- a/src/emulator/_StoreConnection.ts
+++ b/src/emulator/_StoreConnection.ts
@@ -14,6 +14,8 @@
 
 /** Time in ms after which an unanswered call fails. */
 const UNANSWERED_TIMEOUT_MS = 300;
+/** Timeout in ms of an append whose caller sets none. */
+const CALL_TIMEOUT_MS = 1_000;
 
 /** Connection of one node to an emulated store. */
 export class StoreConnection extends Store {
@@ -31,7 +33,9 @@
     records: readonly KeyedValue[],
     options: AppendOptions = {},
   ): Promise<AppendResponse> {
+    this.#store.sent.push({ node: this.#node, keys: records.map(({ key }) => key) });
     await this.#applyMode();
+    if (this.#store.latencyMs > 0) return this.#appendSlowly(records, options);
     const delayMs = this.#store.takeAppendDelay(this.#node);
     if (delayMs !== undefined) {
       setTimeout(() => this.#store.append(records, options), delayMs);
@@ -46,6 +50,25 @@
     return answer;
   }
 
+  /** Appends after those that wait; the append is executed also if the node has given up on it. */
+  async #appendSlowly(
+    records: readonly KeyedValue[],
+    options: AppendOptions,
+  ): Promise<AppendResponse> {
+    const takesMs = this.#store.reserveAppend();
+    if (takesMs === undefined) {
+      await StoreConnection.#wait(this.#store.latencyMs);
+      return { type: 'refused', reason: 'too many appends wait' };
+    }
+    const executed = StoreConnection.#wait(takesMs).then(() =>
+      this.#store.append(records, options),
+    );
+    const timeoutMs = options.timeoutMs ?? CALL_TIMEOUT_MS;
+    if (takesMs <= timeoutMs) return executed;
+    await StoreConnection.#wait(timeoutMs);
+    throw new StoreUnansweredError('the store is slow');
+  }
+
   override async read(
     topic: StoreTopic,
     from: number,
@@ -53,6 +76,7 @@
   ): Promise<ReadResponse> {
     await this.#applyMode();
     const answer = await this.#store.read(topic, from, waitMs);
+    await StoreConnection.#wait(this.#store.latencyMs);
     await this.#applyMode();
     return answer;
   }
@@ -78,6 +102,7 @@
   async #applyMode(): Promise<void> {
     await StoreConnection.#wait(1);
     const mode = this.#store.getMode(this.#node);
+    if (mode === 'resetting') throw new StoreUnansweredError('the connection was reset');
     if (mode === 'refusing') throw new StoreRefusedError('the store refuses calls');
     if (mode === 'silent') {
       await StoreConnection.#wait(UNANSWERED_TIMEOUT_MS);
--- a/src/node/AppendLatency.ts
+++ b/src/node/AppendLatency.ts
@@ -27,11 +27,19 @@
 
   #timeoutMs = MIN_TIMEOUT_MS;
 
+  /** Time limit in ms of the last append if it was not answered, otherwise 0. */
+  #waitedMs = 0;
+
   /** Latency in ms of recent appends; it rises at once and falls with the following appends. */
   get averageMs(): number {
     return this.#averageMs;
   }
 
+  /** Expected latency in ms of the next append: at least the time that the last one waited in vain. */
+  get expectedMs(): number {
+    return Math.max(this.#averageMs, this.#waitedMs);
+  }
+
   /** Timeout in ms for the next append. */
   get timeoutMs(): number {
     return this.#timeoutMs;
@@ -39,6 +47,7 @@
 
   /** Records the latency in ms of an answered append. */
   recordAnswer(latencyMs: number): void {
+    this.#waitedMs = 0;
     const weight = latencyMs > this.#averageMs ? 1 : DECAY_WEIGHT;
     this.#averageMs += weight * (latencyMs - this.#averageMs);
     this.#setTimeout(TIMEOUT_FACTOR * this.#averageMs);
@@ -46,6 +55,7 @@
 
   /** Records an append that was not answered within its timeout. */
   recordTimeout(): void {
+    this.#waitedMs = this.#timeoutMs;
     this.#setTimeout(2 * this.#timeoutMs);
   }
 
--- a/src/node/Node.ts
+++ b/src/node/Node.ts
@@ -71,6 +71,7 @@
       (changes, view, state) => {
         this.#workLogFreshAt = state.freshAt;
         this.#isWorkLogCurrent = state.isCurrent;
+        this.#writer.send({ type: 'read', isAnswered: state.isSilent !== true });
         const nodeChanges = changes.filter((change) => change.type === 'node');
         nodeChanges.forEach(({ name, node }) => this.#relay.setPeer(name, node));
         if (nodeChanges.length > 0) this.#updateStandby(view);
--- /dev/null
+++ b/src/node/StoreHealth.ts
@@ -0,0 +1,137 @@
+import { RetryBackoff } from './RetryBackoff.js';
+
+/** Maximum delay in ms between repeated appends; the end of an outage is found within 0.5 s. */
+const MAX_RETRY_DELAY_MS = 450;
+/** An unanswered read counts only if the store has answered no append for this time in ms. */
+const ANSWER_VALID_MS = 200;
+/**
+ * An append without an answer for this time in ms opens the breaker even if reads succeed: a store
+ * that is slow refuses appends that would have to wait longer than 2 s.
+ */
+const SILENT_APPEND_MS = 2_400;
+
+/** State of the circuit breaker. */
+export type BreakerState =
+  /** Appends are sent. */
+  | 'closed'
+  /** The store does not answer; no record is sent that has not been sent before. */
+  | 'open'
+  /** One append is sent to find out whether the store answers again. */
+  | 'probing';
+
+/** How an append without an answer ended. */
+export interface AppendFailure {
+  /** Time in ms from sending the append to its failure. */
+  waitedMs: number;
+  /** Time limit of the append in ms. */
+  timeoutMs: number;
+}
+
+/**
+ * Circuit breaker of the appends of one node: decides whether the store answers.
+ *
+ * An append that is sent while the store does not answer leaves its caller without an outcome. A
+ * caller whose record was not sent can be refused at once, and this refusal is true. The breaker
+ * opens when an append fails before its time limit (the connection was reset), when it
+ * exceeds the limit while reads are not answered, or when it has waited longer than a slow store lets an append
+ * wait. A time limit alone does not open it: an append often exceeds the limit when the store has
+ * just become slow. It also opens when reads are not answered while no append is. Calls that the
+ * store refuses, or that cannot be sent, do not open it, since their outcome is known.
+ *
+ * Records that were sent before are repeated and thereby probe the store. Without such a record, a
+ * new one is sent as a probe, but only after the last read was answered.
+ *
+ * @example
+ * ```ts
+ * const health = new StoreHealth();
+ * health.recordFailure({ waitedMs: 3, timeoutMs: 700 }, now); // the connection was reset
+ * health.canSend(now); // false
+ * health.recordAnswer(now);
+ * health.canSend(now); // true
+ * ```
+ */
+export class StoreHealth {
+  readonly #backoff: RetryBackoff;
+
+  #state: BreakerState = 'closed';
+
+  /** The breaker was opened by an append, not only by reads. */
+  #hasAppendFailed = false;
+
+  #isReadable = true;
+
+  #answeredAt = -Infinity;
+
+  #retryAt = -Infinity;
+
+  constructor(random: () => number = Math.random) {
+    this.#backoff = new RetryBackoff({ maxMs: MAX_RETRY_DELAY_MS, random });
+  }
+
+  get state(): BreakerState {
+    return this.#state;
+  }
+
+  /** Monotonic time in ms before which no append is sent. */
+  get retryAt(): number {
+    return this.#retryAt;
+  }
+
+  /** Checks whether a record that was not sent before may be sent at a monotonic time in ms. */
+  canSend(now: number): boolean {
+    if (this.#state === 'closed') return true;
+    return this.#state === 'open' && this.#isReadable && now >= this.#retryAt;
+  }
+
+  /** Records that an append is sent; while the breaker is open it is the probe. */
+  recordSent(): void {
+    if (this.#state === 'open') this.#state = 'probing';
+  }
+
+  /** Records an answered append at a monotonic time in ms. */
+  recordAnswer(now: number): void {
+    this.#close(now);
+    this.#backoff.reset();
+    this.#retryAt = -Infinity;
+  }
+
+  /** Records an append that the store answered with a refusal: it is available but overloaded. */
+  recordRefusal(now: number): void {
+    this.#close(now);
+    this.#retryAt = now + this.#backoff.computeDelay();
+  }
+
+  /** Records an append that was not sent since the connection failed; its outcome is known. */
+  recordUnsent(now: number): void {
+    if (this.#state === 'probing') this.#state = 'open';
+    this.#retryAt = now + this.#backoff.computeDelay();
+  }
+
+  /** Records an append that was not answered, at a monotonic time in ms. */
+  recordFailure({ waitedMs, timeoutMs }: AppendFailure, now: number): void {
+    this.#retryAt = now + this.#backoff.computeDelay();
+    const isTimeout = waitedMs >= timeoutMs;
+    const isSlow = isTimeout && this.#isReadable && waitedMs < SILENT_APPEND_MS;
+    if (isSlow && this.#state === 'closed') return;
+    this.#hasAppendFailed = true;
+    this.#state = 'open';
+  }
+
+  /** Records whether the last read was answered, at a monotonic time in ms. */
+  recordRead(isAnswered: boolean, now: number): void {
+    const isRegained = isAnswered && !this.#isReadable;
+    this.#isReadable = isAnswered;
+    if (isRegained) {
+      if (this.#state === 'open' && !this.#hasAppendFailed) this.#close(this.#answeredAt);
+      this.#retryAt = Math.min(this.#retryAt, now);
+    }
+    if (isAnswered || this.#state !== 'closed') return;
+    if (now - this.#answeredAt > ANSWER_VALID_MS) this.#state = 'open';
+  }
+
+  #close(answeredAt: number): void {
+    this.#state = 'closed';
+    this.#hasAppendFailed = false;
+    this.#answeredAt = answeredAt;
+  }
+}
--- a/src/node/TopicFollower.ts
+++ b/src/node/TopicFollower.ts
@@ -1,11 +1,18 @@
 import { Actor } from '../actor/mod.js';
-import type { NewestPage, ReadResponse, StoreRecord, StoreTopic } from '../port/mod.js';
+import {
+  StoreRefusedError,
+  type NewestPage,
+  type ReadResponse,
+  type StoreRecord,
+  type StoreTopic,
+} from '../port/mod.js';
 import type { NodeContext } from './NodeContext.js';
+import { RetryBackoff } from './RetryBackoff.js';
 
 /** Long polling: maximum time in ms that a read waits at the store for a record. */
 const LONG_POLL_MS = 1_000;
-/** Delay in ms after a failed read. */
-const RETRY_DELAY_MS = 150;
+/** Maximum delay in ms after a failed read; short, so that the end of an outage is found soon. */
+const MAX_RETRY_DELAY_MS = 300;
 
 /** Messages of every topic follower. */
 export type FollowerMessage =
@@ -38,6 +45,8 @@
   freshAt: number;
   /** The last read succeeded. */
   isInContact: boolean;
+  /** The last read was reset or timed out; a refused one was answered or not sent. */
+  isSilent?: boolean;
   /** Monotonic time in ms since which all reads have succeeded. */
   contactSince: number;
 }
@@ -63,6 +72,10 @@
 
   #isInContact = false;
 
+  #isSilent = false;
+
+  readonly #backoff = new RetryBackoff({ maxMs: MAX_RETRY_DELAY_MS });
+
   #timer: NodeJS.Timeout | undefined;
 
   #isReading = false;
@@ -88,6 +101,7 @@
       isCurrent: this.#isCurrent,
       freshAt: this.#freshAt,
       isInContact: this.#isInContact,
+      isSilent: this.#isSilent,
       contactSince: this.#contactSince,
     };
   }
@@ -222,7 +236,9 @@
       this.#context.log.record('store-lost', this.#topic, { error: error.message });
     }
     this.#isInContact = false;
-    this.#applyThenSchedule([], { isSnapshot: false, delayMs: RETRY_DELAY_MS });
+    this.#isSilent = !(error instanceof StoreRefusedError);
+    const delayMs = this.#backoff.computeDelay();
+    this.#applyThenSchedule([], { isSnapshot: false, delayMs });
   }
 
   /** Applies records and schedules the next read, also if applying them throws. */
@@ -240,6 +256,8 @@
   #recordContact(): void {
     if (this.#isInContact) return;
     this.#isInContact = true;
+    this.#isSilent = false;
+    this.#backoff.reset();
     this.#contactSince = this.#context.clock.readMonotonic();
     this.#context.log.record('store-regained', this.#topic, { next: this.#nextOffset });
   }
--- a/src/node/WorkLogWriter.ts
+++ b/src/node/WorkLogWriter.ts
@@ -2,6 +2,10 @@
 import { StoreRefusedError, type KeyedValue } from '../port/mod.js';
 import { AppendLatency } from './AppendLatency.js';
 import type { NodeContext } from './NodeContext.js';
+import { StoreHealth } from './StoreHealth.js';
+import { WriteLimit } from './WriteLimit.js';
+import { UncertainRecords } from './_UncertainRecords.js';
+import { isRelated, isUnanswered, WriteQueue, type PendingWrite } from './_WriteQueue.js';
 
 /** Maximum number of records in one append. */
 const MAX_BATCH_RECORDS = 200;
@@ -11,11 +15,6 @@
 const MAX_REFUSALS = 3;
 /** After a failed append the writer reports for this time in ms that it cannot write. */
 const UNAVAILABLE_AFTER_FAILURE_MS = 500;
-/** Delay in ms after a refused or unanswered append. */
-const RETRY_DELAY_MS = 60;
-/** Time in ms after the last append of a record in which the store may still execute it. */
-const LATE_EXECUTION_MS = 10_000;
-
 /** Outcome of a write. */
 export type WriteOutcome =
   | 'stored'
@@ -36,48 +35,65 @@
   | { type: 'can-write'; reply: (canWrite: boolean) => void }
   /** Asks whether a record with the key may still be stored by a write of this node. */
   | { type: 'is-open'; key: string; reply: (isOpen: boolean) => void }
-  | { type: 'answered'; outcome: 'stored' | 'refused' | 'unanswered'; reason: string }
+  /** Reports whether the last read of the work log was answered. */
+  | { type: 'read'; isAnswered: boolean }
+  | ({ type: 'answered' } & AppendResult)
   | { type: 'send' };
 
-interface PendingWrite {
-  record: KeyedValue;
-  reply: (outcome: WriteOutcome) => void;
-  deadline: number;
-  /** Results of the failed appends of the record, in order. */
-  failures: ('refused' | 'unanswered')[];
+/** Result of an append; the store did not receive an `unsent` one. */
+interface AppendResult {
+  outcome: 'stored' | 'refused' | 'unsent' | 'unanswered';
+  reason: string;
+  /** Time in ms that the append took, and its time limit. */
+  waitedMs: number;
+  timeoutMs: number;
 }
 
 /**
  * Appends the records of callers to the work log in batches, one append at a time.
  *
  * A record of an unanswered append is appended again, which is idempotent since records are keyed;
- * it is never reported as not stored. While the store does not answer, new records are rejected
- * immediately instead of being queued.
+ * it is never reported as not stored. Such a record is sent again before any that has not been sent
+ * yet. While the store does not answer, records that were never sent are rejected immediately (see
+ * `StoreHealth`), and so are those that cannot be stored in time (see `WriteLimit`).
  */
 export class WorkLogWriter extends Actor<WorkLogWriterMessage> {
   readonly #context: NodeContext;
 
+  readonly #onLatency: (latencyMs: number) => void;
+
   readonly #latency = new AppendLatency();
 
-  #queue: PendingWrite[] = [];
+  readonly #health = new StoreHealth();
+
+  readonly #limit = new WriteLimit({
+    batchRecords: MAX_BATCH_RECORDS,
+    batchBytes: MAX_BATCH_BYTES,
+  });
+
+  readonly #queue = new WriteQueue();
 
   #inFlight: PendingWrite[] = [];
 
-  /**
-   * Monotonic time in ms until which an unanswered append of a key may be executed; `Infinity` while
-   * it is repeated.
-   */
-  readonly #openUntil = new Map<string, number>();
+  /** Monotonic time in ms at which the append in flight was sent. */
+  #sentAt = 0;
+
+  readonly #uncertain = new UncertainRecords();
+
+  /** Monotonic time in ms at which the breaker opened, and the writes refused since then. */
+  #openedAt = 0;
 
-  #isFailing = false;
+  #refusedCount = 0;
 
   #failedAt = -Infinity;
 
   #timer: NodeJS.Timeout | undefined;
 
-  constructor(context: NodeContext) {
+  /** @param onLatency Called after each append with the expected latency in ms of the next one. */
+  constructor(context: NodeContext, onLatency: (latencyMs: number) => void = () => undefined) {
     super(context.scope, 'work-writer');
     this.#context = context;
+    this.#onLatency = onLatency;
   }
 
   protected override receive(message: WorkLogWriterMessage): void {
@@ -94,8 +110,12 @@
       case 'can-write':
         message.reply(this.#canWrite());
         break;
+      case 'read':
+        this.#changeHealth((now) => this.#health.recordRead(message.isAnswered, now));
+        this.#flush();
+        break;
       default:
-        this.#handleAppendResult(message.outcome, message.reason);
+        this.#handleAppendResult(message);
     }
   }
 
@@ -104,107 +124,202 @@
     super.close();
   }
 
-  /** Queues a write; while the store does not answer, it ends at once. */
+  /** Queues a write; one that cannot be stored at present ends at once. */
   #addWrite({ record, reply, deadline }: WorkLogWriterMessage & { type: 'write' }): void {
     // An earlier append of the record may still be executed, so this write cannot end as not stored.
     const isUncertain = this.#isUncertain(record.key);
-    if (this.#isFailing) {
-      reply(isUncertain ? 'unknown' : 'not-stored');
+    const write: PendingWrite = { record, reply, deadline, failures: [] };
+    if (isUncertain) write.failures.push('unanswered');
+    const cause = this.#findRefusal(write);
+    if (cause !== undefined) {
+      this.#refuse(write, cause);
       return;
     }
-    this.#queue.push({ record, reply, deadline, failures: isUncertain ? ['unanswered'] : [] });
+    this.#queue.add(write);
     this.#flush();
   }
 
+  /** Finds the cause for which a write is refused at once; undefined if it is queued. */
+  #findRefusal(write: PendingWrite): 'outage' | 'slow' | undefined {
+    const now = this.#context.clock.readMonotonic();
+    const isIdle = this.#inFlight.length === 0 && this.#queue.length === 0;
+    // With nothing pending, a record that may already have been sent can serve as the probe.
+    const canProbe = isIdle && (isUnanswered(write) || this.#health.canSend(now));
+    // The cancellation of a job whose append is repeated is sent together with it.
+    const isAllowed = canProbe || (!isUnanswered(write) && this.#isRelatedToRepeated(write));
+    if (this.#health.state !== 'closed' && !isAllowed) return 'outage';
+    const backlog = {
+      records: this.#queue.length,
+      bytes: this.#queue.bytes,
+      inFlightMs: this.#inFlight.length === 0 ? undefined : now - this.#sentAt,
+    };
+    const latencyMs = this.#latency.expectedMs;
+    const remainingMs = write.deadline - now;
+    return this.#limit.canAdmit(backlog, { latencyMs, remainingMs }) ? undefined : 'slow';
+  }
+
+  #isRelatedToRepeated(write: PendingWrite): boolean {
+    const writes = [...this.#inFlight, ...this.#queue.writes];
+    return writes.some((other) => isUnanswered(other) && isRelated(other, write));
+  }
+
+  #refuse(write: PendingWrite, cause: 'outage' | 'slow'): void {
+    if (cause === 'outage') this.#refusedCount += 1;
+    this.#context.log.record(`write-refused-${cause}`, write.record.key, {
+      queued: this.#queue.length,
+      latencyMs: Math.round(this.#latency.expectedMs),
+    });
+    write.reply(isUnanswered(write) ? 'unknown' : 'not-stored');
+  }
+
   #isOpen(key: string): boolean {
-    const isPending = [...this.#inFlight, ...this.#queue].some(({ record }) => record.key === key);
-    return isPending || this.#isUncertain(key);
+    const writes = [...this.#inFlight, ...this.#queue.writes];
+    return writes.some(({ record }) => record.key === key) || this.#isUncertain(key);
   }
 
   /** Checks whether an unanswered append of a key may still be executed. */
   #isUncertain(key: string): boolean {
-    return (this.#openUntil.get(key) ?? -Infinity) > this.#context.clock.readMonotonic();
+    return this.#uncertain.has(key, this.#context.clock.readMonotonic());
   }
 
   #flush(): void {
-    if (this.#inFlight.length > 0 || this.#queue.length === 0) return;
-    let bytes = 0;
-    let count = 0;
-    while (count < this.#queue.length && count < MAX_BATCH_RECORDS && bytes < MAX_BATCH_BYTES) {
-      bytes += this.#queue[count]?.record.value?.length ?? 0;
-      count += 1;
+    if (this.#inFlight.length > 0) return;
+    this.#refuseLate();
+    if (this.#queue.length === 0) return;
+    const now = this.#context.clock.readMonotonic();
+    if (now < this.#health.retryAt) {
+      clearTimeout(this.#timer);
+      this.#timer = setTimeout(() => this.send({ type: 'send' }), this.#health.retryAt - now);
+      return;
     }
-    this.#inFlight = this.#queue.splice(0, count);
-    this.#append(this.#inFlight.map(({ record }) => record)).then((message) => this.send(message));
+    this.#inFlight = this.#takeBatch();
+    this.#sentAt = now;
+    this.#health.recordSent();
+    this.#append(this.#inFlight.map(({ record }) => record)).then((result) =>
+      this.send({ type: 'answered', ...result }),
+    );
   }
 
-  async #append(records: KeyedValue[]): Promise<WorkLogWriterMessage> {
-    const sentAt = this.#context.clock.readMonotonic();
+  /** Takes the records of the next append; a probe with a new record contains no other one. */
+  #takeBatch(): PendingWrite[] {
+    const isProbe = this.#health.state !== 'closed' && !this.#queue.writes.some(isUnanswered);
+    return this.#queue.takeBatch({
+      records: isProbe ? 1 : MAX_BATCH_RECORDS,
+      bytes: MAX_BATCH_BYTES,
+    });
+  }
+
+  /** Refuses the queued writes that were never sent and cannot be stored before their deadline. */
+  #refuseLate(): void {
+    const now = this.#context.clock.readMonotonic();
+    const latencyMs = this.#latency.expectedMs;
+    const late = this.#queue.takeIf(
+      ({ failures, deadline }) =>
+        failures.length === 0 && !WriteLimit.canStore(deadline - now, latencyMs),
+    );
+    late.forEach((write) => this.#refuse(write, 'slow'));
+  }
+
+  async #append(records: KeyedValue[]): Promise<AppendResult> {
+    const { timeoutMs } = this.#latency;
+    const result = await this.#tryAppend(records, timeoutMs);
+    const waitedMs = this.#context.clock.readMonotonic() - this.#sentAt;
+    return { ...result, waitedMs, timeoutMs };
+  }
+
+  async #tryAppend(
+    records: KeyedValue[],
+    timeoutMs: number,
+  ): Promise<Pick<AppendResult, 'outcome' | 'reason'>> {
     try {
-      const { timeoutMs } = this.#latency;
       const answer = await this.#context.store.append(records, { timeoutMs });
-      this.#latency.recordAnswer(this.#context.clock.readMonotonic() - sentAt);
-      if (answer.type === 'appended') return { type: 'answered', outcome: 'stored', reason: '' };
-      const reason = answer.type === 'refused' ? answer.reason : answer.type;
-      return { type: 'answered', outcome: 'refused', reason };
+      if (answer.type === 'appended') return { outcome: 'stored', reason: '' };
+      return {
+        outcome: 'refused',
+        reason: answer.type === 'refused' ? answer.reason : answer.type,
+      };
     } catch (error) {
-      const outcome = error instanceof StoreRefusedError ? 'refused' : 'unanswered';
-      if (outcome === 'unanswered') this.#latency.recordTimeout();
-      return { type: 'answered', outcome, reason: String(error) };
+      const outcome = error instanceof StoreRefusedError ? 'unsent' : 'unanswered';
+      return { outcome, reason: String(error) };
     }
   }
 
-  #handleAppendResult(outcome: 'stored' | 'refused' | 'unanswered', reason: string): void {
+  #handleAppendResult(result: AppendResult): void {
+    const { outcome, reason, waitedMs } = result;
     const writes = this.#inFlight;
     this.#inFlight = [];
     if (outcome === 'stored') {
-      this.#isFailing = false;
       this.#failedAt = -Infinity;
       writes.forEach(({ record, reply }) => {
-        this.#openUntil.delete(record.key);
+        this.#uncertain.remove(record.key);
         reply('stored');
       });
+      this.#recordHealth(result);
       this.#flush();
       return;
     }
-    this.#context.log.record('append-failed', 'work', { outcome, reason, records: writes.length });
-    if (outcome === 'unanswered') this.#isFailing = true;
+    this.#context.log.record('append-failed', 'work', {
+      outcome,
+      reason,
+      records: writes.length,
+      waitedMs: Math.round(waitedMs),
+    });
     const now = this.#context.clock.readMonotonic();
     this.#failedAt = now;
-    if (outcome === 'unanswered') this.#markUncertain(writes, now);
-    const retried = writes.filter((write) => !WorkLogWriter.#recordFailure(write, outcome, now));
+    if (outcome === 'unanswered') this.#markUncertain(writes);
+    const failure = outcome === 'unanswered' ? 'unanswered' : 'refused';
+    const retried = writes.filter((write) => !WorkLogWriter.#recordFailure(write, failure, now));
     // Records that are still pending are retried before those that have not been sent yet.
-    this.#queue = [...retried, ...this.#queue];
-    this.#expireUncertain(now);
-    if (this.#queue.length === 0) this.#isFailing = false;
-    clearTimeout(this.#timer);
-    this.#timer = setTimeout(() => this.send({ type: 'send' }), RETRY_DELAY_MS);
+    this.#queue.addFirst(retried);
+    const pending = new Set(this.#queue.writes.map(({ record }) => record.key));
+    this.#uncertain.expire(now, (key) => pending.has(key));
+    this.#recordHealth(result);
+    this.#flush();
   }
 
-  /** Marks the records of an unanswered append, also for queued writes of the same records. */
-  #markUncertain(writes: readonly PendingWrite[], now: number): void {
-    this.#openUntil.forEach((until, key) => {
-      if (until <= now) this.#openUntil.delete(key);
+  #recordHealth({ outcome, waitedMs, timeoutMs }: AppendResult): void {
+    // A refusal is faster than an append, so it does not show the latency of appends.
+    if (outcome === 'stored') this.#latency.recordAnswer(waitedMs);
+    if (outcome === 'unanswered' && waitedMs >= timeoutMs) this.#latency.recordTimeout();
+    this.#changeHealth((now) => {
+      if (outcome === 'stored') this.#health.recordAnswer(now);
+      else if (outcome === 'refused') this.#health.recordRefusal(now);
+      else if (outcome === 'unsent') this.#health.recordUnsent(now);
+      else this.#health.recordFailure({ waitedMs, timeoutMs }, now);
     });
-    writes.forEach(({ record }) => this.#openUntil.set(record.key, Infinity));
-    this.#queue
-      .filter(({ record }) => this.#openUntil.has(record.key))
-      .forEach(({ failures }) => failures.push('unanswered'));
+    this.#onLatency(this.#latency.expectedMs);
   }
 
-  /** Sets the time until which records count as open whose writes have ended without an answer. */
-  #expireUncertain(now: number): void {
-    const pending = new Set(this.#queue.map(({ record }) => record.key));
-    this.#openUntil.forEach((until, key) => {
-      if (until === Infinity && !pending.has(key)) {
-        this.#openUntil.set(key, now + LATE_EXECUTION_MS);
-      }
-    });
+  /** Changes the state of the breaker, and refuses the records that were never sent if it opens. */
+  #changeHealth(change: (now: number) => void): void {
+    const now = this.#context.clock.readMonotonic();
+    const wasClosed = this.#health.state === 'closed';
+    change(now);
+    const isClosed = this.#health.state === 'closed';
+    if (wasClosed === isClosed) return;
+    if (isClosed) {
+      const openMs = Math.round(now - this.#openedAt);
+      this.#context.log.record('breaker-closed', 'work', { openMs, refused: this.#refusedCount });
+      return;
+    }
+    this.#openedAt = now;
+    this.#refusedCount = 0;
+    this.#context.log.record('breaker-opened', 'work', { queued: this.#queue.length });
+    this.#queue.takeUnsent().forEach((write) => this.#refuse(write, 'outage'));
+  }
+
+  /** Marks the records of an unanswered append, also for queued writes of the same records. */
+  #markUncertain(writes: readonly PendingWrite[]): void {
+    const keys = new Set(writes.map(({ record }) => record.key));
+    keys.forEach((key) => this.#uncertain.add(key));
+    this.#queue.writes
+      .filter(({ record }) => keys.has(record.key))
+      .forEach(({ failures }) => failures.push('unanswered'));
   }
 
   #canWrite(): boolean {
     return (
-      !this.#isFailing &&
+      this.#health.state === 'closed' &&
       this.#context.clock.readMonotonic() - this.#failedAt > UNAVAILABLE_AFTER_FAILURE_MS
     );
   }
