Hand the shard over to a named successor and spread the other claims by rank

Cause: after a release, a silence or an end of the owner all nodes claimed within 250 ms. A slow store executes appends one at a time, so that the lost claims delayed the first one, the owner's appends and those of callers; a refused claim counted as lost and was repeated at once. A release was given up after 1 s, although the process serves its calls for some seconds longer.

Change: the last record of an owner names its successor, chosen by processor share among the nodes that respond; it claims as soon as it has read the record. ClaimSchedule lets the other nodes follow by rank, in groups that double, at intervals derived from the announced and the own latency of appends. A refused claim is repeated with a growing delay, the timeout of a claim follows the latency, and a release waits as long as the grace period permits. A claim that succeeds during a stop is released at once, and no machine order is sent after a release.

--- a/src/node/JobService.ts
+++ b/src/node/JobService.ts
@@ -74,6 +74,8 @@
 
   #queueTable: QueueTable | undefined;
 
+  #refusesRelays = false;
+
   constructor(
     context: NodeContext,
     { workLog, writer, relay, checkStoreContact }: JobServiceOptions,
@@ -267,7 +269,13 @@
     return this.#workLog.ask<JobLookup>((reply) => ({ type: 'find', id, reply }));
   }
 
+  /** Makes this node report to others that it appends nothing for them, since it is stopping. */
+  refuseRelays(): void {
+    this.#refusesRelays = true;
+  }
+
   override async canWrite(): Promise<boolean> {
+    if (this.#refusesRelays) return false;
     const canWrite = await this.#writer.ask<boolean>((reply) => ({ type: 'can-write', reply }));
     const { isInContact } = await this.#workLog.ask<FollowerState>((reply) => ({
       type: 'get-state',
--- a/src/node/Node.ts
+++ b/src/node/Node.ts
@@ -2,6 +2,7 @@
 import { WorkLogFollower } from './WorkLogFollower.js';
 import { JobService } from './JobService.js';
 import { ShardCandidate } from './ShardCandidate.js';
+import { computeReleaseLimit } from './computeReleaseLimit.js';
 import { isStandby } from './isStandby.js';
 import type { NodeContext } from './NodeContext.js';
 import { OperatorFollower, type OperatorState } from './OperatorFollower.js';
@@ -54,7 +55,9 @@
 
   constructor(context: NodeContext) {
     this.#context = context;
-    this.#writer = new WorkLogWriter(context);
+    this.#writer = new WorkLogWriter(context, (latencyMs) =>
+      this.#shardCandidate.send({ type: 'latency', latencyMs }),
+    );
     this.#registration = new Registration(context, this.#writer);
     this.#relay = new RelayClient({
       name: context.settings.name,
@@ -66,6 +69,7 @@
       onOwnershipChange: (isOwner) => this.#workLog.send({ type: 'ownership-changed', isOwner }),
       requestRead: () => this.#workLog.send({ type: 'read-now' }),
       isStoreUnreachable: (token) => this.#relay.isStoreUnreachable(token),
+      findResponsive: (names) => this.#relay.findResponsive(names),
     });
     this.#workLog = new WorkLogFollower(context, [
       (changes, view, state) => {
@@ -128,7 +132,9 @@
   /** Reports that the node is not ready and releases the shard. Calls are still served. */
   async stop(): Promise<void> {
     this.#isStopping = true;
-    await this.#shardCandidate.ask<boolean>((reply) => ({ type: 'stop', reply }), 2_000);
+    this.#jobService.refuseRelays();
+    const limitMs = computeReleaseLimit(this.#context.settings.stopGraceMs);
+    await this.#shardCandidate.ask<boolean>((reply) => ({ type: 'stop', reply }), limitMs);
   }
 
   async close(): Promise<void> {
--- a/src/node/OwnerWriter.ts
+++ b/src/node/OwnerWriter.ts
@@ -1,13 +1,15 @@
 import { StoreRefusedError, type KeyedValue } from '../port/mod.js';
 import { AppendLatency } from './AppendLatency.js';
 import type { NodeContext } from './NodeContext.js';
+import { RetryBackoff } from './RetryBackoff.js';
 
 /** Writer name that all owners share; the fencing token is the epoch. */
 const WRITER_NAME = 'owner';
-/** Timeout of a claim in ms. */
-const CLAIM_TIMEOUT_MS = 1_500;
-/** Delay in ms after an append that was refused or not answered. */
-const RETRY_DELAY_MS = 80;
+/** Maximum delay in ms before an append is repeated; only one node repeats the owner's appends. */
+const MAX_RETRY_DELAY_MS = 250;
+
+/** Result of a claim; a refused one may succeed later, a lost one cannot. */
+export type ClaimResult = 'claimed' | 'lost' | 'refused' | 'unknown';
 
 /** Result of an append; `fenced` means that a later owner has written. */
 export type OwnerWriteResult = 'stored' | 'fenced';
@@ -23,6 +25,8 @@
 
   readonly #latency = new AppendLatency();
 
+  readonly #backoff = new RetryBackoff({ maxMs: MAX_RETRY_DELAY_MS });
+
   #sequence: number;
 
   #isClosed = false;
@@ -46,16 +50,18 @@
    */
   static async claim(
     context: NodeContext,
-    { record, token, sequence }: { record: KeyedValue; token: number; sequence: number },
-  ): Promise<'claimed' | 'lost' | 'unknown'> {
+    claim: { record: KeyedValue; token: number; sequence: number; timeoutMs: number },
+  ): Promise<ClaimResult> {
+    const { record, token, sequence, timeoutMs } = claim;
     try {
       const answer = await context.store.append([record], {
         writer: { name: WRITER_NAME, epoch: token, sequence },
-        timeoutMs: CLAIM_TIMEOUT_MS,
+        timeoutMs,
       });
+      if (answer.type === 'refused') return 'refused';
       return answer.type === 'appended' ? 'claimed' : 'lost';
     } catch (error) {
-      return error instanceof StoreRefusedError ? 'lost' : 'unknown';
+      return error instanceof StoreRefusedError ? 'refused' : 'unknown';
     }
   }
 
@@ -65,11 +71,12 @@
       const result = await this.#tryAppend(records);
       if (result === 'stored') {
         this.#sequence += 1;
+        this.#backoff.reset();
         return 'stored';
       }
       if (result === 'fenced' || this.#isClosed) return 'fenced';
       await new Promise((resolve) => {
-        setTimeout(resolve, RETRY_DELAY_MS);
+        setTimeout(resolve, this.#backoff.computeDelay());
       });
     }
   }
@@ -87,7 +94,9 @@
         writer,
         timeoutMs: this.#latency.timeoutMs,
       });
-      this.#latency.recordAnswer(this.#context.clock.readMonotonic() - sentAt);
+      // A refusal is faster than an append, so it does not show the latency of appends.
+      if (answer.type !== 'refused')
+        this.#latency.recordAnswer(this.#context.clock.readMonotonic() - sentAt);
       if (answer.type === 'appended') return 'stored';
       if (answer.type === 'fenced') return 'fenced';
       if (answer.type === 'sequence' && answer.expected === this.#sequence + 1) return 'stored';
--- a/src/node/RelayClient.ts
+++ b/src/node/RelayClient.ts
@@ -16,6 +16,8 @@
 const RESPONSE_MARGIN_MS = 300;
 /** Time in ms for which a peer that could not serve a call is tried last. */
 const DEPRIORITIZE_MS = 1_000;
+/** Maximum number of peers that are asked whether they can take over the shard. */
+const MAX_SUCCESSOR_PROBES = 8;
 const FIND_TIMEOUT_MS = 400;
 /** Timeout in ms of the check whether a peer is in contact with the store. */
 const CONTACT_TIMEOUT_MS = 250;
@@ -109,6 +111,24 @@
     return settled.every((answer) => answer.status === 'fulfilled' && answer.value);
   }
 
+  /**
+   * Finds the first of the given peers that can append records, or the first one that responds if
+   * none of them can; undefined if none responds.
+   */
+  async findResponsive(names: readonly string[]): Promise<string | undefined> {
+    const peers = names.flatMap((name) => {
+      const peer = this.#peers.get(name);
+      return peer === undefined ? [] : [{ name, peer }];
+    });
+    const probed = peers.slice(0, MAX_SUCCESSOR_PROBES).map(async ({ name, peer }) => {
+      const signal = AbortSignal.timeout(PROBE_TIMEOUT_MS);
+      return { name, canWrite: await peer.client.ready.query(undefined, { signal }) };
+    });
+    const settled = await Promise.allSettled(probed);
+    const answers = settled.flatMap((one) => (one.status === 'fulfilled' ? [one.value] : []));
+    return (answers.find(({ canWrite }) => canWrite) ?? answers[0])?.name;
+  }
+
   /** Queries peers for the state of a job; undefined if none of them has a current state. */
   async findState(id: string): Promise<{ state: string | null; queue: string | null } | undefined> {
     for (const peer of this.#choosePeers()) {
--- a/src/node/ShardCandidate.ts
+++ b/src/node/ShardCandidate.ts
@@ -1,19 +1,23 @@
 import { Actor } from '../actor/mod.js';
-import { WorkLogKey, type WorkLogChange, type WorkLogView } from '../workLog/mod.js';
+import {
+  WorkLogKey,
+  type Successor,
+  type WorkLogChange,
+  type WorkLogView,
+} from '../workLog/mod.js';
 import type { RecentMachineOrder } from '../schedule/mod.js';
+import { AppendLatency } from './AppendLatency.js';
+import { ClaimRanking } from './ClaimRanking.js';
+import { ClaimSchedule } from './ClaimSchedule.js';
+import { computeReleaseLimit } from './computeReleaseLimit.js';
 import type { FollowerState } from './TopicFollower.js';
 import type { NodeContext } from './NodeContext.js';
-import { OwnerWriter } from './OwnerWriter.js';
+import { OwnerWriter, type ClaimResult } from './OwnerWriter.js';
 import type { OperatorState } from './OperatorFollower.js';
-import { computeClaimDelay } from './computeClaimDelay.js';
-import { computeSilenceLimit } from './computeSilenceLimit.js';
+import { RetryBackoff } from './RetryBackoff.js';
 import { ShardOwner } from './ShardOwner.js';
 import { UnrecordedStarts } from './UnrecordedStarts.js';
 
-/** Maximum random delay in ms before a claim, so that the nodes do not claim simultaneously. */
-const CLAIM_JITTER_MS = 250;
-/** Maximum random delay in ms if there is no owner. */
-const UNOWNED_CLAIM_JITTER_MS = 30;
 /**
  * A node that handed the shard over because it could not keep up does so again only after this time
  * in ms, and only to a node with this multiple of its processor share.
@@ -22,6 +26,16 @@
 const HAND_OVER_FACTOR = 1.5;
 /** Minimum delay in ms before a claim with an unknown outcome is retried. */
 const CLAIM_RETRY_DELAY_MS = 300;
+/** Maximum delay in ms before a claim that the store refused is retried. */
+const MAX_REFUSED_DELAY_MS = 1_000;
+/** Minimum timeout in ms of a claim. */
+const MIN_CLAIM_TIMEOUT_MS = 1_500;
+/** Time in ms for reading the claims of other nodes before an own one that has waited. */
+const REFRESH_MS = 30;
+/** Time in ms for which the latency of the last append of this node counts. */
+const LATENCY_VALID_MS = 5_000;
+/** Time in ms for the reply of an owner that has released the shard. */
+const RELEASE_MARGIN_MS = 100;
 
 /** Upper bound of the random sequence numbers that distinguish two claims with the same token. */
 const MAX_FIRST_SEQUENCE = 1_000_000_000;
@@ -35,7 +49,9 @@
 
 /** Messages of a `ShardCandidate`. */
 export type ShardCandidateMessage =
-  | { type: 'claimed'; result: 'claimed' | 'lost' | 'unknown'; token: number }
+  | { type: 'claimed'; result: ClaimResult; token: number; tookMs: number }
+  /** Reports the expected latency in ms of the appends of this node. */
+  | { type: 'latency'; latencyMs: number }
   | { type: 'lost' }
   | { type: 'reconsider' }
   | { type: 'stop'; reply: (isDone: boolean) => void };
@@ -49,6 +65,8 @@
   requestRead: () => void;
   /** Checks whether all other nodes respond and none of them is in contact with the store. */
   isStoreUnreachable: (token: number) => Promise<boolean>;
+  /** Finds the first of the given nodes that responds and can append; undefined if none responds. */
+  findResponsive: (names: readonly string[]) => Promise<string | undefined>;
 }
 
 /**
@@ -69,7 +87,17 @@
 
   #ownerSeenAt: number;
 
-  #jitterMs: number;
+  readonly #schedule: ClaimSchedule;
+
+  readonly #claimLatency = new AppendLatency();
+
+  readonly #claimBackoff = new RetryBackoff({ maxMs: MAX_REFUSED_DELAY_MS });
+
+  /** Expected latency in ms of the appends of this node, and when it was measured. */
+  #latency = { ms: 0, at: -Infinity };
+
+  /** The log has been read again since this node began to wait with its claim. */
+  #isRefreshed = false;
 
   #isClaiming = false;
 
@@ -102,7 +130,10 @@
     this.#context = context;
     this.#options = options;
     this.#ownerSeenAt = context.clock.readMonotonic();
-    this.#jitterMs = options.random() * CLAIM_JITTER_MS;
+    const { name, cores, ownerSilenceMs } = context.settings;
+    const { random } = options;
+    const { session } = context;
+    this.#schedule = new ClaimSchedule({ name, cores, session, ownerSilenceMs, random });
     this.#unrecordedStarts = new UnrecordedStarts(context.session);
   }
 
@@ -145,26 +176,29 @@
   protected override async receive(message: ShardCandidateMessage): Promise<void> {
     switch (message.type) {
       case 'claimed':
-        this.#isClaiming = false;
-        this.#claimNotBefore = this.#context.clock.readMonotonic() + CLAIM_RETRY_DELAY_MS;
-        if (message.result === 'lost') this.#claimNotBefore = 0;
-        this.#context.log.record('claim', String(message.token), { result: message.result });
-        this.#options.requestRead();
+        this.#handleClaimResult(message);
+        break;
+      case 'latency':
+        this.#latency = { ms: message.latencyMs, at: this.#context.clock.readMonotonic() };
         break;
       case 'lost':
         this.#owner = undefined;
         this.#options.onOwnershipChange(false);
         break;
       case 'reconsider':
-        if (this.#lastRead !== undefined) {
+        if (!this.#isRefreshed) {
+          // The claim of another node may be stored and not read yet.
+          this.#isRefreshed = true;
+          this.#options.requestRead();
+          this.#scheduleReconsideration(REFRESH_MS);
+        } else if (this.#lastRead !== undefined) {
           const { view, state } = this.#lastRead;
           this.#considerClaim(view, state, this.#context.clock.readMonotonic());
         }
         break;
       default:
         this.#isStopping = true;
-        await this.#releaseShard();
-        message.reply(true);
+        message.reply(await this.#releaseShard());
     }
   }
 
@@ -181,7 +215,7 @@
     if (!state.isCurrent || !state.isInContact) return;
     if (now < this.#claimNotBefore) return;
     const { owner } = view;
-    if (!this.#isClaimable(view, state, now)) return;
+    if (!this.#isClaimDue(view, state, now)) return;
     const token = (owner?.token ?? 0) + 1;
     this.#isClaiming = true;
     if (token !== this.#claimedToken)
@@ -203,43 +237,54 @@
         readTo: state.end,
       }),
     };
-    OwnerWriter.claim(this.#context, { record, token, sequence: this.#claimSequence }).then(
-      (result) => this.send({ type: 'claimed', result, token }),
-    );
+    OwnerWriter.claim(this.#context, {
+      record,
+      token,
+      sequence: this.#claimSequence,
+      timeoutMs: Math.max(MIN_CLAIM_TIMEOUT_MS, this.#claimLatency.timeoutMs),
+    }).then((result) => {
+      const tookMs = this.#context.clock.readMonotonic() - now;
+      this.send({ type: 'claimed', result, token, tookMs });
+    });
   }
 
-  #isClaimable(view: WorkLogView, state: FollowerState, now: number): boolean {
-    const { owner } = view;
-    const delayMs = this.#computeClaimDelay(view);
-    if (owner === undefined || owner.isReleased) {
-      const jitterMs =
-        owner === undefined ? (this.#jitterMs / CLAIM_JITTER_MS) * UNOWNED_CLAIM_JITTER_MS : 0;
-      const since = Math.max(state.contactSince, owner === undefined ? 0 : this.#ownerSeenAt);
-      const remainingMs = since + jitterMs + delayMs - now;
-      if (remainingMs > 0) this.#scheduleReconsideration(remainingMs);
-      return remainingMs <= 0;
+  #handleClaimResult({ result, token, tookMs }: ShardCandidateMessage & { type: 'claimed' }): void {
+    const now = this.#context.clock.readMonotonic();
+    this.#isClaiming = false;
+    if (result === 'unknown') this.#claimLatency.recordTimeout();
+    if (result === 'claimed' || result === 'lost') {
+      this.#claimLatency.recordAnswer(tookMs);
+      this.#latency = { ms: tookMs, at: now };
+      this.#claimBackoff.reset();
     }
-    // This process owned the shard and lost it, for example because it was suspended.
-    if (owner.session === this.#context.session) return true;
-    if (view.hasOwnerEnded) return true;
-    // Silence is only known up to the time at which the state was current: a node that was suspended
-    // has not read what the owner wrote meanwhile.
-    const silentMs = state.freshAt - Math.max(this.#ownerSeenAt, state.contactSince);
-    const { ownerSilenceMs } = this.#context.settings;
-    const limitMs = computeSilenceLimit(ownerSilenceMs, owner.intervalMs);
-    return silentMs > limitMs + this.#jitterMs + delayMs;
+    this.#claimNotBefore = now + Math.max(CLAIM_RETRY_DELAY_MS, this.#claimLatency.averageMs);
+    // Another node has claimed the shard, or the claim of this one is read next.
+    if (result === 'lost') this.#claimNotBefore = 0;
+    if (result === 'refused') this.#claimNotBefore = now + this.#claimBackoff.computeDelay();
+    this.#context.log.record('claim', String(token), { result, tookMs: Math.round(tookMs) });
+    this.#options.requestRead();
+    if (result === 'refused') this.#scheduleReconsideration(this.#claimNotBefore - now);
   }
 
-  #computeClaimDelay(view: WorkLogView): number {
-    const { name, cores } = this.#context.settings;
-    return computeClaimDelay(cores, ShardCandidate.#listCores(view, name));
+  /** Expected latency in ms of the appends of this node; 0 if there were none recently. */
+  get #recentLatencyMs(): number {
+    const { ms, at } = this.#latency;
+    return this.#context.clock.readMonotonic() - at <= LATENCY_VALID_MS ? ms : 0;
   }
 
-  /** Lists the processor shares of the other registered nodes. */
-  static #listCores(view: WorkLogView, name: string): number[] {
-    return [...view.nodes].flatMap(([other, { cores }]) =>
-      other === name || cores === undefined ? [] : [cores],
-    );
+  #isClaimDue(view: WorkLogView, state: FollowerState, now: number): boolean {
+    const waitMs = this.#schedule.computeWait(view, state, {
+      now,
+      ownerSeenAt: this.#ownerSeenAt,
+      latencyMs: Math.max(this.#recentLatencyMs, state.latencyMs ?? 0),
+    });
+    if (waitMs === undefined) return false;
+    if (waitMs > 0) {
+      this.#isRefreshed = false;
+      this.#scheduleReconsideration(waitMs);
+      return false;
+    }
+    return true;
   }
 
   #scheduleReconsideration(delayMs: number): void {
@@ -247,16 +292,29 @@
     this.#reconsiderTimer = setTimeout(() => this.send({ type: 'reconsider' }), delayMs);
   }
 
-  /** Checks whether the owner may hand the shard over since a faster node is registered. */
-  #canHandOver(view: WorkLogView): boolean {
-    const { name, cores } = this.#context.settings;
+  /** Finds a faster node to which the owner may hand the shard over; undefined if there is none. */
+  #findFasterNode(view: WorkLogView): Successor | undefined {
+    const { cores } = this.#context.settings;
     const now = this.#context.clock.readMonotonic();
-    if (now - this.#handedOverAt < HAND_OVER_INTERVAL_MS) return false;
-    if (!ShardCandidate.#listCores(view, name).some((other) => other >= HAND_OVER_FACTOR * cores)) {
-      return false;
-    }
+    if (now - this.#handedOverAt < HAND_OVER_INTERVAL_MS) return undefined;
+    const [fastest] = this.#listSuccessors(view);
+    const fastestCores = fastest === undefined ? 0 : (view.nodes.get(fastest.node)?.cores ?? 0);
+    if (fastestCores < HAND_OVER_FACTOR * cores) return undefined;
     this.#handedOverAt = now;
-    return true;
+    return fastest;
+  }
+
+  #listSuccessors({ nodes }: WorkLogView): Successor[] {
+    const { name, dataCentre } = this.#context.settings;
+    return new ClaimRanking({ nodes, owner: name }).listSuccessors(dataCentre);
+  }
+
+  /** Chooses the node to which a stopping owner hands the shard over, among those that respond. */
+  async #chooseSuccessor(): Promise<Successor | undefined> {
+    if (this.#lastRead === undefined) return undefined;
+    const successors = this.#listSuccessors(this.#lastRead.view);
+    const name = await this.#options.findResponsive(successors.map(({ node }) => node));
+    return successors.find(({ node }) => node === name);
   }
 
   #handleClaim(
@@ -264,7 +322,6 @@
     view: WorkLogView,
   ): void {
     this.#context.log.record('owner', String(owner.token), { node: owner.node, offset });
-    this.#jitterMs = this.#options.random() * CLAIM_JITTER_MS;
     if (owner.session !== this.#context.session || owner.token !== this.#claimedToken) return;
     if (this.#owner !== undefined || this.isClosed) return;
     this.#owner = new ShardOwner(this.#context, {
@@ -283,10 +340,12 @@
       operator: this.#operatorState,
       onLost: () => this.send({ type: 'lost' }),
       isStoreUnreachable: () => this.#options.isStoreUnreachable(owner.token),
-      canHandOver: () => this.#canHandOver(view),
+      findFasterNode: () => this.#findFasterNode(view),
       onUnrecordedStarts: () => this.#unrecordedStarts.confirm(owner.token),
     });
     this.#options.onOwnershipChange(true);
+    // The claim was sent before the stop; the shard is released before any order is given.
+    if (this.#isStopping) this.#owner.send({ type: 'release', reply: () => undefined });
   }
 
   /** Lists the recorded machine orders with a lower bound of their current age. */
@@ -295,15 +354,26 @@
     return view.machineOrders.map(({ machine, ageMs }) => ({ machine, ageMs: ageMs + sinceRead }));
   }
 
-  async #releaseShard(): Promise<void> {
+  /** Releases the shard; returns false if the release is not known to be stored. */
+  async #releaseShard(): Promise<boolean> {
     const owner = this.#owner;
-    if (owner === undefined) return;
+    if (owner === undefined || owner.isClosed) return true;
+    const limitMs = computeReleaseLimit(this.#context.settings.stopGraceMs);
+    const startedAt = this.#context.clock.readMonotonic();
+    const successor = await this.#chooseSuccessor();
+    this.#context.log.record('hand-over', String(owner.token), { successor: successor?.node });
+    let isDone = false;
     try {
-      await owner.ask<boolean>((reply) => ({ type: 'release', reply }), 1_000);
+      isDone = await owner.ask<boolean>(
+        (reply) => ({ type: 'release', successor, reply }),
+        limitMs - RELEASE_MARGIN_MS - (this.#context.clock.readMonotonic() - startedAt),
+      );
     } catch (error) {
       this.#context.log.record('hand-over-failed', String(owner.token), { error: String(error) });
-      owner.close();
     }
+    // The release may still be stored; in any case this process gives no more orders.
+    owner.close();
     this.#owner = undefined;
+    return isDone;
   }
 }
--- a/src/node/ShardOwner.ts
+++ b/src/node/ShardOwner.ts
@@ -1,5 +1,5 @@
 import { Actor } from '../actor/mod.js';
-import type { WorkLogChange, TrackedJob, WaveRecord } from '../workLog/mod.js';
+import type { Successor, WorkLogChange, TrackedJob, WaveRecord } from '../workLog/mod.js';
 import type { HostRecord } from '../port/mod.js';
 import {
   Shard,
@@ -9,12 +9,14 @@
   type Takeover,
 } from '../schedule/mod.js';
 import type { ScheduledJob } from '../schedule/ScheduledJob.js';
-import { CommandExecutor, type MachineCommand, type StartCommand } from './_CommandExecutor.js';
+import { CommandExecutor, type MachineCommand } from './_CommandExecutor.js';
 import { HostFollower } from './HostFollower.js';
 import { HostLink, type HoldOutcome } from './HostLink.js';
 import { HoldScheduler } from './HoldScheduler.js';
 import { LagMeter } from './LagMeter.js';
 import { OwnerOutput } from './_OwnerOutput.js';
+import { MachineLister } from './_MachineLister.js';
+import { PendingOrders } from './_PendingOrders.js';
 import { OwnerRecords, type OwnerAppend } from './_OwnerRecords.js';
 import { OwnershipCheck } from './OwnershipCheck.js';
 import type { NodeContext } from './NodeContext.js';
@@ -39,8 +41,8 @@
 const SHED_ABOVE_LAG_MS = 20;
 /** Delay in ms before an append, so that it covers ends that arrive together. */
 const FLUSH_DELAY_MS = 4;
-/** Interval in ms at which the machines are listed while the list is needed. */
-const MACHINE_LIST_INTERVAL_MS = 600;
+/** Reason of the end of an ownership whose release is stored. */
+const RELEASED = 'the shard was released';
 
 /** Messages of a `ShardOwner`. */
 export type ShardOwnerMessage =
@@ -54,7 +56,8 @@
   | { type: 'hold-result'; host: ManagedHost; outcome: HoldOutcome; sentAt: number }
   | { type: 'apply-outcome'; apply: (shard: Shard) => ReportResult }
   | { type: 'append-result'; result: OwnerWriteResult; batch: AppendBatch }
-  | { type: 'release'; reply: (isDone: boolean) => void };
+  /** Releases the shard to the successor, if one is known; no order is given afterwards. */
+  | { type: 'release'; successor?: Successor | undefined; reply: (isDone: boolean) => void };
 
 /** Ends of a host up to a sequence number, in the incarnation after its restarts so far. */
 interface RecordedEnd {
@@ -88,8 +91,8 @@
   onLost: (reason: string) => void;
   /** Checks whether all other nodes respond and none of them is in contact with the store. */
   isStoreUnreachable: () => Promise<boolean>;
-  /** Checks whether an owner that does not keep up may hand the shard over to a faster node. */
-  canHandOver: () => boolean;
+  /** Finds a faster node to which an owner that does not keep up may hand the shard over. */
+  findFasterNode: () => Successor | undefined;
   /** Called when tasks of all jobs may be started without being recorded. */
   onUnrecordedStarts: () => void;
 }
@@ -130,27 +133,16 @@
 
   readonly #startPolicy: StartPolicy;
 
-  #permit: StartPermit = { isRecorded: true, rule: 'all' };
+  readonly #orders: PendingOrders;
 
-  /** Starts that are not recorded yet and therefore not ordered yet. */
-  #unrecordedStarts: StartCommand[] = [];
-
-  /** Starts that the append in flight records. */
-  #startsBeingRecorded: StartCommand[] = [];
-
-  /** Machine orders that are not recorded yet and therefore not sent yet. */
-  #unrecordedMachineOrders: MachineCommand[] = [];
-
-  #isListingMachines = false;
-
-  #machinesListedAt = -Infinity;
+  readonly #machineLister: MachineLister;
 
   #lastAppendAt: number;
 
   /** Offset up to which the work log has been read. */
   #readTo: number;
 
-  #replyToRelease: ((isDone: boolean) => void) | undefined;
+  #release: (ShardOwnerMessage & { type: 'release' }) | undefined;
 
   constructor(context: NodeContext, options: ShardOwnerOptions) {
     super(context.scope, 'shard-owner');
@@ -172,6 +164,14 @@
       canOrderMachine: (command) => this.#canOrderMachine(command),
       applyOutcome: (apply) => this.send({ type: 'apply-outcome', apply }),
     });
+    this.#orders = new PendingOrders(this.#shard, context.settings.dataCentre);
+    this.#machineLister = new MachineLister(context, (machines, listedAt) => {
+      const apply = (shard: Shard): ReportResult => {
+        shard.updateMachines(machines, listedAt);
+        return 'ok';
+      };
+      this.send({ type: 'apply-outcome', apply });
+    });
     this.#startPolicy = new StartPolicy({
       readClock: () => context.clock.readMonotonic(),
       isStoreUnreachable: options.isStoreUnreachable,
@@ -232,7 +232,7 @@
         this.#handleAppendResult(message.result, message.batch);
         break;
       default:
-        this.#replyToRelease = message.reply;
+        this.#release = message;
         this.#flush();
     }
     this.#schedulePlan();
@@ -264,13 +264,14 @@
     if (this.isClosed) return;
     this.#context.log.record('ownership-lost', String(this.token), { reason });
     this.close();
+    this.#release?.reply(reason === RELEASED);
     this.#options.onLost(reason);
   }
 
   #handleTick(): void {
     this.#lag.recordTick(this.#context.clock.readMonotonic());
     if (this.#lag.isOverloaded) this.#releaseIfPossible();
-    this.#listMachines();
+    this.#machineLister.listIfNeeded(this.#shard);
     this.#plan('all');
     this.#flush();
   }
@@ -286,10 +287,11 @@
 
   /** Releases the shard if a faster node can own it. */
   #releaseIfPossible(): void {
-    if (this.#replyToRelease !== undefined || !this.#options.canHandOver()) return;
+    const successor = this.#release === undefined ? this.#options.findFasterNode() : undefined;
+    if (successor === undefined) return;
     const lagMs = Math.round(this.#lag.meanMs);
     this.#context.log.record('owner-overloaded', String(this.token), { lagMs });
-    this.send({ type: 'release', reply: () => undefined });
+    this.send({ type: 'release', successor, reply: () => undefined });
   }
 
   #schedulePlan(): void {
@@ -300,7 +302,7 @@
   }
 
   #plan(scope: 'all' | 'starts'): void {
-    if (this.#replyToRelease !== undefined || !this.#ownershipCheck.isConfirmed) return;
+    if (this.#release !== undefined || !this.#ownershipCheck.isConfirmed) return;
     const startedAt = this.#context.clock.readMonotonic();
     const sinceAppendMs = startedAt - this.#lastAppendAt;
     const { ownerSilenceMs } = this.#context.settings;
@@ -314,28 +316,21 @@
     this.#runCommands();
     // A start is ordered only after it was recorded, so it is flushed now; ends can wait. The plan
     // delay has already batched the events that arrived together.
-    if (this.#unrecordedStarts.length > 0) this.#flush();
+    if (this.#orders.hasStarts) this.#flush();
     else this.#scheduleFlush();
   }
 
   #setPermit(permit: StartPermit): void {
-    if (permit.isRecorded !== this.#permit.isRecorded || permit.rule !== this.#permit.rule) {
+    const { isRecorded, rule } = this.#orders.permit;
+    if (permit.isRecorded !== isRecorded || permit.rule !== rule) {
       this.#context.log.record('start-permit', String(this.token), { ...permit });
     }
-    this.#permit = permit;
-    this.#shard.setStartRule(permit.rule);
-    if (permit.isRecorded) return;
     // Pending starts are ordered without a record, or keep waiting if that is not permitted.
-    const starts = [...this.#startsBeingRecorded.splice(0), ...this.#unrecordedStarts.splice(0)];
-    this.#takeWantedStarts(starts).forEach((start) => this.#runCommand(start));
+    this.#orders.setPermit(permit).forEach((start) => this.#runCommand(start));
   }
 
   get #hasPendingRecords(): boolean {
-    return (
-      this.#shard.hasDirtyRecords ||
-      this.#unrecordedMachineOrders.length > 0 ||
-      this.#unrecordedStarts.length > 0
-    );
+    return this.#shard.hasDirtyRecords || this.#orders.hasUnrecorded;
   }
 
   #scheduleFlush(): void {
@@ -350,49 +345,31 @@
   }
 
   #runCommand(command: ShardCommand): void {
-    if (command.type === 'start' && !this.#canStartUnrecorded(command)) {
-      this.#unrecordedStarts.push(command);
-    } else if (command.type === 'move' || command.type === 'maintain') {
-      // The order is recorded before it is sent, so that a successor knows about it.
-      this.#unrecordedMachineOrders.push(command);
-    } else this.#executor.run(command);
+    if (command.type === 'start' && this.#orders.addStart(command)) return;
+    // The order is recorded before it is sent, so that a successor knows about it.
+    if (command.type === 'move' || command.type === 'maintain')
+      this.#orders.addMachineOrder(command);
+    else this.#executor.run(command);
   }
 
   /** Sends the recorded orders; they wait for the next append if a gap has followed their own. */
   #orderRecorded(machineOrders: readonly MachineCommand[]): void {
-    const starts = this.#startsBeingRecorded.splice(0);
     if (!this.#ownershipCheck.isConfirmed) {
-      this.#unrecordedStarts.unshift(...starts);
-      this.#unrecordedMachineOrders.unshift(...machineOrders);
+      this.#orders.restoreRecorded(machineOrders);
       return;
     }
-    this.#takeWantedStarts(starts).forEach((start) => this.#executor.run(start));
+    this.#orders.takeRecordedStarts().forEach((start) => this.#executor.run(start));
     machineOrders.forEach((one) => this.#executor.run(one));
   }
 
   /**
-   * Checks whether a machine order may be sent now: nobody may have claimed the shard, and the
-   * machine has not changed since the order was planned.
+   * Checks whether a machine order may be sent now: nobody may have claimed the shard, it is not being
+   * released, and the machine has not changed since the order was planned.
    */
   #canOrderMachine(command: MachineCommand): boolean {
     this.#recordActivity();
-    return this.#ownershipCheck.isConfirmed && this.#shard.isMachineOrderWanted(command);
-  }
-
-  #canStartUnrecorded({ run }: StartCommand): boolean {
-    const { isRecorded, rule } = this.#permit;
-    if (isRecorded) return false;
-    const { dataCentres } = run.unit.step.occurrence.job.tracked;
-    return rule === 'all' || dataCentres.includes(this.#context.settings.dataCentre);
-  }
-
-  /** Returns the starts whose runs are still wanted and cancels the others. */
-  #takeWantedStarts(starts: readonly StartCommand[]): StartCommand[] {
-    return starts.filter(({ run }) => {
-      const isWanted = run.state === 'starting';
-      if (!isWanted) this.#shard.cancelStart(run);
-      return isWanted;
-    });
+    if (this.#release !== undefined || !this.#ownershipCheck.isConfirmed) return false;
+    return this.#shard.isMachineOrderWanted(command);
   }
 
   #handleLedgerResult(result: ReportResult): void {
@@ -500,29 +477,6 @@
     } else this.#shard.addJob(job);
   }
 
-  #listMachines(): void {
-    const now = this.#context.clock.readMonotonic();
-    if (this.#isListingMachines || now - this.#machinesListedAt < MACHINE_LIST_INTERVAL_MS) return;
-    if (!this.#shard.needsMachineList) return;
-    this.#isListingMachines = true;
-    this.#machinesListedAt = now;
-    this.#context.machines.listMachines().then(
-      (machines) =>
-        this.send({
-          type: 'apply-outcome',
-          apply: (shard) => {
-            this.#isListingMachines = false;
-            shard.updateMachines(machines, now);
-            return 'ok';
-          },
-        }),
-      (error: unknown) => {
-        this.#isListingMachines = false;
-        this.#context.log.record('machines-unread', 'list', { error: String(error) });
-      },
-    );
-  }
-
   get #isHeartbeatDue(): boolean {
     const sinceAppendMs = this.#context.clock.readMonotonic() - this.#lastAppendAt;
     return !this.#ownershipCheck.isConfirmed || sinceAppendMs >= this.#context.settings.ownerBeatMs;
@@ -530,13 +484,12 @@
 
   #flush(): void {
     if (this.#isAppending || this.isClosed) return;
-    const isRelease = this.#replyToRelease !== undefined;
+    const isRelease = this.#release !== undefined;
     const isHeartbeatDue = this.#isHeartbeatDue;
     if (!this.#hasPendingRecords && !isHeartbeatDue && !isRelease) return;
     const jobs = this.#shard.takeDirtyJobs();
     const waves = this.#shard.takeDirtyWaves();
-    const machineOrders = this.#unrecordedMachineOrders.splice(0);
-    this.#startsBeingRecorded = this.#unrecordedStarts.splice(0);
+    const machineOrders = this.#orders.takeUnrecorded();
     const ends = [...this.#holdSchedulers.keys()]
       .filter((host) => host.processedEnd > host.acknowledgedEnd)
       .map((host): RecordedEnd => {
@@ -551,6 +504,8 @@
       isRelease,
       readTo: this.#readTo,
       intervalMs: this.#measureInterval(),
+      storeLatencyMs: Math.round(this.#writer.latencyMs),
+      successor: this.#release?.successor,
     });
     this.#isAppending = true;
     const { gaps } = this.#ownershipCheck;
@@ -588,9 +543,7 @@
       this.#holdSchedulers.get(host)?.acknowledge();
     });
     if (batch.isRelease) {
-      const reply = this.#replyToRelease;
-      this.#endOwnership('the shard was released');
-      reply?.(true);
+      this.#endOwnership(RELEASED);
       return;
     }
     this.#scheduleFlush();
--- a/src/node/TopicFollower.ts
+++ b/src/node/TopicFollower.ts
@@ -47,6 +47,8 @@
   isInContact: boolean;
   /** The last read was reset or timed out; a refused one was answered or not sent. */
   isSilent?: boolean;
+  /** Latency in ms of recent reads, as far as it is known from empty ones. */
+  latencyMs?: number;
   /** Monotonic time in ms since which all reads have succeeded. */
   contactSince: number;
 }
@@ -74,6 +76,8 @@
 
   #isSilent = false;
 
+  #latencyMs = 0;
+
   readonly #backoff = new RetryBackoff({ maxMs: MAX_RETRY_DELAY_MS });
 
   #timer: NodeJS.Timeout | undefined;
@@ -102,6 +106,7 @@
       freshAt: this.#freshAt,
       isInContact: this.#isInContact,
       isSilent: this.#isSilent,
+      latencyMs: this.#latencyMs,
       contactSince: this.#contactSince,
     };
   }
@@ -218,6 +223,10 @@
       return;
     }
     const last = answer.records.at(-1);
+    const tookMs = this.#context.clock.readMonotonic() - sentAt;
+    // A read with records may have waited for them, so it shows only that the latency is not higher.
+    this.#latencyMs =
+      last === undefined ? Math.max(0, tookMs - LONG_POLL_MS) : Math.min(this.#latencyMs, tookMs);
     this.#nextOffset = last === undefined ? this.#nextOffset : last.offset + 1;
     const isEmpty = last === undefined;
     const isBehind = !isEmpty && (this.#nextOffset ?? 0) < answer.end;
--- a/src/node/_OwnerRecords.ts
+++ b/src/node/_OwnerRecords.ts
@@ -1,7 +1,7 @@
 import type { KeyedValue } from '../port/mod.js';
 import type { RecentMachineOrder, Shard } from '../schedule/mod.js';
 import type { ScheduledJob } from '../schedule/ScheduledJob.js';
-import { WorkLogKey, type TrackedJob, type WaveRecord } from '../workLog/mod.js';
+import { WorkLogKey, type Successor, type TrackedJob, type WaveRecord } from '../workLog/mod.js';
 import { buildJobTombstones } from './buildJobTombstones.js';
 import type { NodeContext } from './NodeContext.js';
 
@@ -22,6 +22,10 @@
   readTo: number;
   /** Interval in ms of the owner's records, as far as something is slow. */
   intervalMs: number;
+  /** Latency in ms of recent appends. */
+  storeLatencyMs?: number;
+  /** With a release: the node that claims the shard first. */
+  successor?: Successor | undefined;
 }
 
 /** Records of an append, and the interval that they announce if they contain the owner's record. */
@@ -122,7 +126,7 @@
     return [{ key: WorkLogKey.machineOrders, value: JSON.stringify({ orders }) }];
   }
 
-  #buildOwner({ readTo, intervalMs, isRelease }: OwnerUpdate): KeyedValue {
+  #buildOwner({ readTo, intervalMs, isRelease, ...update }: OwnerUpdate): KeyedValue {
     const { settings, session } = this.#context;
     return {
       key: WorkLogKey.owner,
@@ -134,7 +138,9 @@
         unrecorded: this.#shard.listUnrecorded(),
         readTo,
         intervalMs,
+        storeLatencyMs: update.storeLatencyMs,
         isReleased: isRelease,
+        successor: update.successor,
       }),
     };
   }
--- a/src/workLog/WorkLogRecord.ts
+++ b/src/workLog/WorkLogRecord.ts
@@ -75,6 +75,10 @@
 /** Wildcard for all data centres, in lists of data centres. */
 export const ANY_DATA_CENTRE = '*';
 
+/** The node to which a stopping owner hands the shard over, and the run of its process. */
+export const Successor = z.object({ node: z.string(), session: z.string() });
+export type Successor = z.infer<typeof Successor>;
+
 /** The current owner of the shard, stored under `owner`. */
 export const OwnerRecord = z.object({
   /** Fencing token: incremented with each claim, it invalidates the orders of earlier owners. */
@@ -93,8 +97,12 @@
    * counts as silent only after a multiple of it.
    */
   intervalMs: z.number().nonnegative().max(60_000).default(0),
+  /** Latency in ms of recent appends of the owner; others wait the longer for its effects. */
+  storeLatencyMs: z.number().nonnegative().max(60_000).default(0),
   /** The owner has released the shard. */
   isReleased: z.boolean().default(false),
+  /** The node that claims a released shard first; undefined if the owner knows none. */
+  successor: Successor.optional(),
 });
 export type OwnerRecord = z.infer<typeof OwnerRecord>;
 
