--- a/src/node/ClaimSchedule.ts
+++ b/src/node/ClaimSchedule.ts
@@ -81,12 +81,12 @@
   computeWait(view: OwnershipView, state: FollowerState, times: ClaimTimes): number | undefined {
     const { owner } = view;
     const { now, ownerSeenAt } = times;
-    const delayMs = this.#computeDelay(view, times);
     if (owner === undefined) {
-      return Math.max(0, state.contactSince + this.#unownedJitterMs + delayMs - now);
+      const waitMs = this.#unownedJitterMs + this.#computeDelay(view, times);
+      return Math.max(0, state.contactSince + waitMs - now);
     }
     if (owner.isReleased) {
-      const waitMs = this.#isSuccessor(owner) ? 0 : delayMs;
+      const waitMs = this.#isSuccessor(owner) ? 0 : this.#computeDelay(view, times);
       return Math.max(0, Math.max(state.contactSince, ownerSeenAt) + waitMs - now);
     }
     // This process owned the shard and lost it, for example because it was suspended.
@@ -96,7 +96,8 @@
     const silentMs = state.freshAt - Math.max(ownerSeenAt, state.contactSince);
     const limitMs = computeSilenceLimit(this.#options.ownerSilenceMs, owner.intervalMs);
     if (!view.hasOwnerEnded && silentMs <= limitMs) return undefined;
-    return Math.max(0, this.#markGone(owner, { now, ownerSeenAt }) + delayMs - now);
+    const goneAt = this.#markGone(owner, { now, ownerSeenAt });
+    return Math.max(0, goneAt + this.#computeDelay(view, times) - now);
   }
 
   /**
--- a/src/node/Node.ts
+++ b/src/node/Node.ts
@@ -13,6 +13,8 @@
 
 /** A node whose work log state is older than this, in ms, reports that it is not ready. */
 const MAX_READY_STATE_AGE_MS = 2_500;
+/** Time in ms that the release of the shard may take in addition to its own limit. */
+const STOP_MARGIN_MS = 500;
 
 /**
  * One node of the system: it serves callers, follows the logs of the store and may own the shard.
@@ -134,7 +136,10 @@
     this.#isStopping = true;
     this.#jobService.refuseRelays();
     const limitMs = computeReleaseLimit(this.#context.settings.stopGraceMs);
-    await this.#shardCandidate.ask<boolean>((reply) => ({ type: 'stop', reply }), limitMs);
+    await this.#shardCandidate.ask<boolean>(
+      (reply) => ({ type: 'stop', reply }),
+      limitMs + STOP_MARGIN_MS,
+    );
   }
 
   async close(): Promise<void> {
--- a/src/node/ShardCandidate.ts
+++ b/src/node/ShardCandidate.ts
@@ -1,20 +1,13 @@
 import { Actor } from '../actor/mod.js';
-import {
-  WorkLogKey,
-  type Successor,
-  type WorkLogChange,
-  type WorkLogView,
-} from '../workLog/mod.js';
+import type { Successor, WorkLogChange, WorkLogView } from '../workLog/mod.js';
 import type { RecentMachineOrder } from '../schedule/mod.js';
-import { AppendLatency } from './AppendLatency.js';
 import { ClaimRanking } from './ClaimRanking.js';
 import { ClaimSchedule } from './ClaimSchedule.js';
 import { computeReleaseLimit } from './computeReleaseLimit.js';
 import type { FollowerState } from './TopicFollower.js';
 import type { NodeContext } from './NodeContext.js';
-import { OwnerWriter, type ClaimResult } from './OwnerWriter.js';
 import type { OperatorState } from './OperatorFollower.js';
-import { RetryBackoff } from './RetryBackoff.js';
+import { ShardClaimer, type SettledClaim } from './_ShardClaimer.js';
 import { ShardOwner } from './ShardOwner.js';
 import { UnrecordedStarts } from './UnrecordedStarts.js';
 
@@ -24,21 +17,8 @@
  */
 const HAND_OVER_INTERVAL_MS = 30_000;
 const HAND_OVER_FACTOR = 1.5;
-/** Minimum delay in ms before a claim with an unknown outcome is retried. */
-const CLAIM_RETRY_DELAY_MS = 300;
-/** Maximum delay in ms before a claim that the store refused is retried. */
-const MAX_REFUSED_DELAY_MS = 1_000;
-/** Minimum timeout in ms of a claim. */
-const MIN_CLAIM_TIMEOUT_MS = 1_500;
 /** Time in ms for reading the claims of other nodes before an own one that has waited. */
 const REFRESH_MS = 30;
-/** Time in ms for which the latency of the last append of this node counts. */
-const LATENCY_VALID_MS = 5_000;
-/** Time in ms for the reply of an owner that has released the shard. */
-const RELEASE_MARGIN_MS = 100;
-
-/** Upper bound of the random sequence numbers that distinguish two claims with the same token. */
-const MAX_FIRST_SEQUENCE = 1_000_000_000;
 
 /** Changes that records of the owner make. */
 const OWNER_CHANGES: ReadonlySet<WorkLogChange['type']> = new Set([
@@ -49,7 +29,7 @@
 
 /** Messages of a `ShardCandidate`. */
 export type ShardCandidateMessage =
-  | { type: 'claimed'; result: ClaimResult; token: number; tookMs: number }
+  | { type: 'claimed'; claim: SettledClaim }
   /** Reports the expected latency in ms of the appends of this node. */
   | { type: 'latency'; latencyMs: number }
   | { type: 'lost' }
@@ -89,26 +69,11 @@
 
   readonly #schedule: ClaimSchedule;
 
-  readonly #claimLatency = new AppendLatency();
-
-  readonly #claimBackoff = new RetryBackoff({ maxMs: MAX_REFUSED_DELAY_MS });
-
-  /** Expected latency in ms of the appends of this node, and when it was measured. */
-  #latency = { ms: 0, at: -Infinity };
+  readonly #claimer: ShardClaimer;
 
   /** The log has been read again since this node began to wait with its claim. */
   #isRefreshed = false;
 
-  #isClaiming = false;
-
-  #claimNotBefore = 0;
-
-  /** Token of the last claim. */
-  #claimedToken: number | undefined;
-
-  /** Sequence number of the last claim. */
-  #claimSequence = 0;
-
   readonly #unrecordedStarts: UnrecordedStarts;
 
   #isInContact = false;
@@ -134,6 +99,7 @@
     const { random } = options;
     const { session } = context;
     this.#schedule = new ClaimSchedule({ name, cores, session, ownerSilenceMs, random });
+    this.#claimer = new ShardClaimer(context, random);
     this.#unrecordedStarts = new UnrecordedStarts(context.session);
   }
 
@@ -176,10 +142,10 @@
   protected override async receive(message: ShardCandidateMessage): Promise<void> {
     switch (message.type) {
       case 'claimed':
-        this.#handleClaimResult(message);
+        this.#handleClaimResult(message.claim);
         break;
       case 'latency':
-        this.#latency = { ms: message.latencyMs, at: this.#context.clock.readMonotonic() };
+        this.#claimer.recordLatency(message.latencyMs);
         break;
       case 'lost':
         this.#owner = undefined;
@@ -211,72 +177,30 @@
 
   /** Claims the shard if it is claimable and this node is in contact with the store. */
   #considerClaim(view: WorkLogView, state: FollowerState, now: number): void {
-    if (this.#owner !== undefined || this.#isClaiming || this.#isStopping) return;
+    if (this.#owner !== undefined || this.#isStopping || !this.#claimer.canClaim(now)) return;
     if (!state.isCurrent || !state.isInContact) return;
-    if (now < this.#claimNotBefore) return;
-    const { owner } = view;
     if (!this.#isClaimDue(view, state, now)) return;
-    const token = (owner?.token ?? 0) + 1;
-    this.#isClaiming = true;
-    if (token !== this.#claimedToken)
-      this.#claimSequence = Math.floor(this.#options.random() * MAX_FIRST_SEQUENCE);
-    this.#claimedToken = token;
-    this.#context.log.record('claim-begun', String(token), {
-      before: owner?.node,
-      silentMs: Math.round(now - this.#ownerSeenAt),
-      end: state.end,
-    });
-    const record = {
-      key: WorkLogKey.owner,
-      value: JSON.stringify({
-        token,
-        node: this.#context.settings.name,
-        session: this.#context.session,
-        dataCentre: this.#context.settings.dataCentre,
-        unrecorded: owner === undefined ? [] : this.#unrecordedStarts.list(owner),
-        readTo: state.end,
-      }),
-    };
-    OwnerWriter.claim(this.#context, {
-      record,
-      token,
-      sequence: this.#claimSequence,
-      timeoutMs: Math.max(MIN_CLAIM_TIMEOUT_MS, this.#claimLatency.timeoutMs),
-    }).then((result) => {
-      const tookMs = this.#context.clock.readMonotonic() - now;
-      this.send({ type: 'claimed', result, token, tookMs });
-    });
+    const { owner } = view;
+    const unrecorded = owner === undefined ? [] : this.#unrecordedStarts.list(owner);
+    const silentMs = now - this.#ownerSeenAt;
+    this.#claimer
+      .claim({ owner, unrecorded, readTo: state.end, silentMs })
+      .then((claim) => this.send({ type: 'claimed', claim }));
   }
 
-  #handleClaimResult({ result, token, tookMs }: ShardCandidateMessage & { type: 'claimed' }): void {
-    const now = this.#context.clock.readMonotonic();
-    this.#isClaiming = false;
-    if (result === 'unknown') this.#claimLatency.recordTimeout();
-    if (result === 'claimed' || result === 'lost') {
-      this.#claimLatency.recordAnswer(tookMs);
-      this.#latency = { ms: tookMs, at: now };
-      this.#claimBackoff.reset();
-    }
-    this.#claimNotBefore = now + Math.max(CLAIM_RETRY_DELAY_MS, this.#claimLatency.averageMs);
-    // Another node has claimed the shard, or the claim of this one is read next.
-    if (result === 'lost') this.#claimNotBefore = 0;
-    if (result === 'refused') this.#claimNotBefore = now + this.#claimBackoff.computeDelay();
-    this.#context.log.record('claim', String(token), { result, tookMs: Math.round(tookMs) });
+  #handleClaimResult(claim: SettledClaim): void {
+    const delayMs = this.#claimer.settle(claim);
     this.#options.requestRead();
-    if (result === 'refused') this.#scheduleReconsideration(this.#claimNotBefore - now);
-  }
-
-  /** Expected latency in ms of the appends of this node; 0 if there were none recently. */
-  get #recentLatencyMs(): number {
-    const { ms, at } = this.#latency;
-    return this.#context.clock.readMonotonic() - at <= LATENCY_VALID_MS ? ms : 0;
+    if (claim.result !== 'refused') return;
+    this.#isRefreshed = false;
+    this.#scheduleReconsideration(delayMs);
   }
 
   #isClaimDue(view: WorkLogView, state: FollowerState, now: number): boolean {
     const waitMs = this.#schedule.computeWait(view, state, {
       now,
       ownerSeenAt: this.#ownerSeenAt,
-      latencyMs: Math.max(this.#recentLatencyMs, state.latencyMs ?? 0),
+      latencyMs: Math.max(this.#claimer.latencyMs, state.latencyMs ?? 0),
     });
     if (waitMs === undefined) return false;
     if (waitMs > 0) {
@@ -322,7 +246,7 @@
     view: WorkLogView,
   ): void {
     this.#context.log.record('owner', String(owner.token), { node: owner.node, offset });
-    if (owner.session !== this.#context.session || owner.token !== this.#claimedToken) return;
+    if (owner.session !== this.#context.session || owner.token !== this.#claimer.token) return;
     if (this.#owner !== undefined || this.isClosed) return;
     this.#owner = new ShardOwner(this.#context, {
       takeover: {
@@ -330,7 +254,7 @@
         claimOffset: offset,
         isFirst: before === undefined,
         isHandover: before?.isReleased ?? false,
-        sequence: this.#claimSequence,
+        sequence: this.#claimer.sequence,
         machineOrders: this.#listRecentMachineOrders(view),
         unrecorded: owner.unrecorded,
       },
@@ -366,7 +290,7 @@
     try {
       isDone = await owner.ask<boolean>(
         (reply) => ({ type: 'release', successor, reply }),
-        limitMs - RELEASE_MARGIN_MS - (this.#context.clock.readMonotonic() - startedAt),
+        limitMs - (this.#context.clock.readMonotonic() - startedAt),
       );
     } catch (error) {
       this.#context.log.record('hand-over-failed', String(owner.token), { error: String(error) });
--- a/src/node/StoreHealth.ts
+++ b/src/node/StoreHealth.ts
@@ -10,6 +10,9 @@
  */
 const SILENT_APPEND_MS = 2_400;
 
+/** A timer of Node.js may fire up to 1 ms early; a process under load measures other differences. */
+const TIMER_TOLERANCE_MS = 10;
+
 /** State of the circuit breaker. */
 export type BreakerState =
   /** Appends are sent. */
@@ -72,6 +75,11 @@
     return this.#state;
   }
 
+  /** Checks whether an append without an answer exceeded its time limit; otherwise it was reset. */
+  static isTimeout({ waitedMs, timeoutMs }: AppendFailure): boolean {
+    return waitedMs >= timeoutMs - TIMER_TOLERANCE_MS;
+  }
+
   /** Monotonic time in ms before which no append is sent. */
   get retryAt(): number {
     return this.#retryAt;
@@ -110,7 +118,7 @@
   /** Records an append that was not answered, at a monotonic time in ms. */
   recordFailure({ waitedMs, timeoutMs }: AppendFailure, now: number): void {
     this.#retryAt = now + this.#backoff.computeDelay();
-    const isTimeout = waitedMs >= timeoutMs;
+    const isTimeout = StoreHealth.isTimeout({ waitedMs, timeoutMs });
     const isSlow = isTimeout && this.#isReadable && waitedMs < SILENT_APPEND_MS;
     if (isSlow && this.#state === 'closed') return;
     this.#hasAppendFailed = true;
--- a/src/node/WorkLogWriter.test.ts
+++ b/src/node/WorkLogWriter.test.ts
@@ -70,6 +70,16 @@
       assert.equal(await first, 'stored');
     }));
 
+  // Guards against callers without an outcome whose records were sent with a repeated append.
+  it('repeats an unanswered append without the records that were never sent', () =>
+    withWriter(['unanswered', 'unanswered'], async (writer, appended) => {
+      const first = write(writer, RECORD, 60_000);
+      const second = write(writer, OTHER_RECORD, 60_000);
+      assert.equal(await second, 'not-stored');
+      assert.equal(await first, 'stored');
+      assert.deepEqual(appended, Array(3).fill([RECORD.key]));
+    }));
+
   // Guards against a caller that is told that there is no such job before its write has ended.
   it('counts a record as open until it is stored', () =>
     withWriter(['unanswered'], async (writer) => {
--- a/src/node/WorkLogWriter.ts
+++ b/src/node/WorkLogWriter.ts
@@ -213,10 +213,13 @@
   #refuseLate(): void {
     const now = this.#context.clock.readMonotonic();
     const latencyMs = this.#latency.expectedMs;
-    const late = this.#queue.takeIf(
-      ({ failures, deadline }) =>
-        failures.length === 0 && !WriteLimit.canStore(deadline - now, latencyMs),
-    );
+    const [first] = this.#queue.writes;
+    const late = this.#queue.takeIf((write) => {
+      const remainingMs = write.deadline - now;
+      // The first record waits for no other, so it is sent unless its deadline has passed.
+      if (write.failures.length > 0 || (write === first && remainingMs > 0)) return false;
+      return !WriteLimit.canStore(remainingMs, latencyMs);
+    });
     late.forEach((write) => this.#refuse(write, 'slow'));
   }
 
@@ -280,7 +283,8 @@
   #recordHealth({ outcome, waitedMs, timeoutMs }: AppendResult): void {
     // A refusal is faster than an append, so it does not show the latency of appends.
     if (outcome === 'stored') this.#latency.recordAnswer(waitedMs);
-    if (outcome === 'unanswered' && waitedMs >= timeoutMs) this.#latency.recordTimeout();
+    if (outcome === 'unanswered' && StoreHealth.isTimeout({ waitedMs, timeoutMs }))
+      this.#latency.recordTimeout();
     this.#changeHealth((now) => {
       if (outcome === 'stored') this.#health.recordAnswer(now);
       else if (outcome === 'refused') this.#health.recordRefusal(now);
--- a/src/node/WriteLimit.test.ts
+++ b/src/node/WriteLimit.test.ts
@@ -31,6 +31,12 @@
     assert.equal(LIMIT.canAdmit(backlog, { latencyMs: 4, remainingMs: 2_100 }), true);
   });
 
+  // Guards against a node that refuses all callers with a short deadline after one slow append.
+  it('admits a record that waits for no other, whatever the last append took', () => {
+    const idle = { records: 0, bytes: 0, inFlightMs: undefined };
+    assert.equal(LIMIT.canAdmit(idle, { latencyMs: 2_500, remainingMs: 1_000 }), true);
+  });
+
   it('bounds the queue of a fast store by number and size, whatever the deadline', () => {
     const times = { latencyMs: 4, remainingMs: Infinity };
     const inFlightMs = 1;
--- a/src/node/WriteLimit.ts
+++ b/src/node/WriteLimit.ts
@@ -41,12 +41,16 @@
     this.#options = options;
   }
 
-  /** Checks whether one more record can be stored within its remaining time in ms. */
+  /**
+   * Checks whether one more record can be stored within its remaining time in ms. A record that waits
+   * for no other is always admitted: only an append shows that the store is no longer slow.
+   */
   canAdmit(
     { records, bytes, inFlightMs }: WriteBacklog,
     { latencyMs, remainingMs }: { latencyMs: number; remainingMs: number },
   ): boolean {
     if (records >= MAX_QUEUED_RECORDS || bytes >= MAX_QUEUED_BYTES) return false;
+    if (records === 0 && inFlightMs === undefined) return true;
     const { batchRecords, batchBytes } = this.#options;
     const appends = 1 + Math.floor(Math.max(records / batchRecords, bytes / batchBytes));
     // The append in flight takes at least as long as it has waited, and so do those after it.
