--- a/src/emulator/NodeCluster.ts
+++ b/src/emulator/NodeCluster.ts
@@ -37,6 +37,8 @@
   organisations?: OrganisationConfig[];
   /** See `NodeSettings`. */
   revocationLimitMs?: number;
+  /** Time in ms that a node has for its stop. */
+  stopGraceMs?: number;
 }
 
 /** A cluster of nodes on an emulated platform, all in one process. */
@@ -70,9 +72,12 @@
 
   #version = 0;
 
+  readonly #stopGraceMs: number;
+
   #sessionCount = 0;
 
   constructor(options: NodeClusterOptions) {
+    this.#stopGraceMs = options.stopGraceMs ?? 2_000;
     this.fleet = new EmulatedFleet({ clock: this.clock, store: this.store, ...options });
     this.#revocationLimitMs = options.revocationLimitMs;
     this.setOrganisations(options.organisations);
@@ -126,7 +131,7 @@
         peerAddress: '127.0.0.1:0',
         // Each node has a data centre of its own.
         dataCentre: `dc-of-${name}`,
-        stopGraceMs: 2_000,
+        stopGraceMs: this.#stopGraceMs,
         retentionMs: 60_000,
         ownerSilenceMs: 500,
         ownerBeatMs: 100,
@@ -151,6 +156,12 @@
     node.open().catch((error: unknown) => log.reportFault('open', error as Error));
   }
 
+  /** Stops a node, which hands the shard over if it owns it, and closes it. */
+  async stop(name: string): Promise<void> {
+    await this.get(name)?.stop();
+    this.kill(name);
+  }
+
   /** Closes a node abruptly, like a killed process. */
   kill(name: string): void {
     const running = this.#nodes.get(name);
--- a/src/node/Node.ts
+++ b/src/node/Node.ts
@@ -2,6 +2,7 @@
 import { WorkLogFollower } from './WorkLogFollower.js';
 import { JobService } from './JobService.js';
 import { ShardCandidate } from './ShardCandidate.js';
+import { computeReleaseLimit } from './computeReleaseLimit.js';
 import { isStandby } from './isStandby.js';
 import type { NodeContext } from './NodeContext.js';
 import { OperatorFollower, type OperatorState } from './OperatorFollower.js';
@@ -12,6 +13,8 @@
 
 /** A node whose work log state is older than this, in ms, reports that it is not ready. */
 const MAX_READY_STATE_AGE_MS = 2_500;
+/** Time in ms that the release of the shard may take in addition to its own limit. */
+const STOP_MARGIN_MS = 500;
 
 /**
  * One node of the system: it serves callers, follows the logs of the store and may own the shard.
@@ -54,7 +57,9 @@
 
   constructor(context: NodeContext) {
     this.#context = context;
-    this.#writer = new WorkLogWriter(context);
+    this.#writer = new WorkLogWriter(context, (latencyMs) =>
+      this.#shardCandidate.send({ type: 'latency', latencyMs }),
+    );
     this.#registration = new Registration(context, this.#writer);
     this.#relay = new RelayClient({
       name: context.settings.name,
@@ -66,11 +71,13 @@
       onOwnershipChange: (isOwner) => this.#workLog.send({ type: 'ownership-changed', isOwner }),
       requestRead: () => this.#workLog.send({ type: 'read-now' }),
       isStoreUnreachable: (token) => this.#relay.isStoreUnreachable(token),
+      findResponsive: (names) => this.#relay.findResponsive(names),
     });
     this.#workLog = new WorkLogFollower(context, [
       (changes, view, state) => {
         this.#workLogFreshAt = state.freshAt;
         this.#isWorkLogCurrent = state.isCurrent;
+        this.#writer.send({ type: 'read', isAnswered: state.isSilent !== true });
         const nodeChanges = changes.filter((change) => change.type === 'node');
         nodeChanges.forEach(({ name, node }) => this.#relay.setPeer(name, node));
         if (nodeChanges.length > 0) this.#updateStandby(view);
@@ -129,7 +136,12 @@
   /** Reports that the node is not ready and releases the shard. Calls are still served. */
   async stop(): Promise<void> {
     this.#isStopping = true;
-    await this.#shardCandidate.ask<boolean>((reply) => ({ type: 'stop', reply }), 2_000);
+    this.#jobService.refuseRelays();
+    const limitMs = computeReleaseLimit(this.#context.settings.stopGraceMs);
+    await this.#shardCandidate.ask<boolean>(
+      (reply) => ({ type: 'stop', reply }),
+      limitMs + STOP_MARGIN_MS,
+    );
   }
 
   async close(): Promise<void> {
--- a/src/node/TopicFollower.ts
+++ b/src/node/TopicFollower.ts
@@ -1,12 +1,19 @@
 import { Actor } from '../actor/mod.js';
 import type { TimeReading } from '../clock/mod.js';
-import type { NewestPage, ReadResponse, StoreRecord, StoreTopic } from '../port/mod.js';
+import {
+  StoreRefusedError,
+  type NewestPage,
+  type ReadResponse,
+  type StoreRecord,
+  type StoreTopic,
+} from '../port/mod.js';
 import type { NodeContext } from './NodeContext.js';
+import { RetryBackoff } from './RetryBackoff.js';
 
 /** Long polling: default of the maximum time in ms that a read waits at the store for a record. */
 const LONG_POLL_MS = 1_000;
-/** Delay in ms after a failed read. */
-const RETRY_DELAY_MS = 150;
+/** Maximum delay in ms after a failed read; short, so that the end of an outage is found soon. */
+const MAX_RETRY_DELAY_MS = 300;
 
 /** Messages of every topic follower. */
 export type FollowerMessage =
@@ -45,6 +52,10 @@
   provenAt?: TimeReading | undefined;
   /** The last read succeeded. */
   isInContact: boolean;
+  /** The last read was reset or timed out; a refused one was answered or not sent. */
+  isSilent?: boolean;
+  /** Latency in ms of recent reads, as far as it is known from empty ones. */
+  latencyMs?: number;
   /** Monotonic time in ms since which all reads have succeeded. */
   contactSince: number;
 }
@@ -72,6 +83,12 @@
 
   #isInContact = false;
 
+  #isSilent = false;
+
+  #latencyMs = 0;
+
+  readonly #backoff = new RetryBackoff({ maxMs: MAX_RETRY_DELAY_MS });
+
   #timer: NodeJS.Timeout | undefined;
 
   #isReading = false;
@@ -101,6 +118,8 @@
       freshAt: this.#freshAt,
       provenAt: this.#provenAt,
       isInContact: this.#isInContact,
+      isSilent: this.#isSilent,
+      latencyMs: this.#latencyMs,
       contactSince: this.#contactSince,
     };
   }
@@ -218,6 +237,12 @@
       return;
     }
     const last = answer.records.at(-1);
+    const tookMs = this.#context.clock.readMonotonic() - sentAt.monotonicMs;
+    // A read with records may have waited for them, so it shows only that the latency is not higher.
+    this.#latencyMs =
+      last === undefined
+        ? Math.max(0, tookMs - this.longPollMs)
+        : Math.min(this.#latencyMs, tookMs);
     this.#nextOffset = last === undefined ? this.#nextOffset : last.offset + 1;
     const isEmpty = last === undefined;
     const isBehind = !isEmpty && (this.#nextOffset ?? 0) < answer.end;
@@ -238,7 +263,9 @@
       this.#context.log.record('store-lost', this.#topic, { error: error.message });
     }
     this.#isInContact = false;
-    this.#applyThenSchedule([], { isSnapshot: false, delayMs: RETRY_DELAY_MS });
+    this.#isSilent = !(error instanceof StoreRefusedError);
+    const delayMs = this.#backoff.computeDelay();
+    this.#applyThenSchedule([], { isSnapshot: false, delayMs });
   }
 
   /** Applies records and schedules the next read, also if applying them throws. */
@@ -256,6 +283,8 @@
   #recordContact(): void {
     if (this.#isInContact) return;
     this.#isInContact = true;
+    this.#isSilent = false;
+    this.#backoff.reset();
     this.#contactSince = this.#context.clock.readMonotonic();
     this.#context.log.record('store-regained', this.#topic, { next: this.#nextOffset });
   }
