--- a/scripts/runTests.ts
+++ b/scripts/runTests.ts
@@ -1,12 +1,16 @@
 /**
  * Runs every test under `dist/src` and `dist/platform` with the `node:test` runner.
  *
+ * Files named `*.exclusive.test.ts` measure the resources of processes and run one at a time, after
+ * all others.
+ *
  * A failing test that is listed in `KNOWN-RED.txt` is printed and ignored. Any other failure, and a
  * listed test that was not run, fails the run. Arguments select the test files whose path contains
  * one of them; the check for listed tests that were not run is then skipped.
  *
  * @module
  */
+import { once } from 'node:events';
 import { existsSync, readFileSync, readdirSync } from 'node:fs';
 import path from 'node:path';
 import { run } from 'node:test';
@@ -17,6 +21,7 @@
 /** Number of concurrent test files; low because tests that start processes need free CPU cores. */
 const CONCURRENT_FILES = 2;
 const FILE_TIMEOUT_MS = 400_000;
+const EXCLUSIVE_SUFFIX = '.exclusive.test.js';
 
 /** Reads the names of known failing tests: lines of the form `test: NAME`. */
 function readKnownRed(): Set<string> {
@@ -50,27 +55,37 @@
     filters.some((part) => path.relative(BUILD_FOLDER, file).includes(part)),
 );
 
-const stream = run({ files, concurrency: CONCURRENT_FILES, timeout: FILE_TIMEOUT_MS });
-stream.on('test:pass', (event) => {
-  if (event.details.type === 'suite') return;
-  passed += 1;
-  if (knownRed.has(event.name)) seenKnownRed.add(event.name);
-});
-stream.on('test:fail', (event) => {
-  const error = event.details.error as Error & { failureType?: string };
-  if (error.failureType === 'subtestsFailed') return;
-  if (knownRed.has(event.name)) {
-    seenKnownRed.add(event.name);
-    console.log(`KNOWN RED: ${event.name}`);
-    return;
-  }
-  failed += 1;
-});
-stream.on('end', () => {
-  const missing = filters.length > 0 ? [] : [...knownRed].filter((name) => !seenKnownRed.has(name));
-  missing.forEach((name) => console.log(`listed in KNOWN-RED.txt but not run: ${name}`));
-  console.log(`\n${passed} passed, ${failed} failed, ${seenKnownRed.size} known-red`);
-  process.exitCode = failed > 0 || missing.length > 0 || passed === 0 ? 1 : 0;
-});
-// eslint-disable-next-line new-cap -- spec is a transform stream class of node:test.
-stream.compose(new spec()).pipe(process.stdout);
+async function runFiles(selected: string[], concurrency: number): Promise<void> {
+  if (selected.length === 0) return;
+  const stream = run({ files: selected, concurrency, timeout: FILE_TIMEOUT_MS });
+  stream.on('test:pass', (event) => {
+    if (event.details.type === 'suite') return;
+    passed += 1;
+    if (knownRed.has(event.name)) seenKnownRed.add(event.name);
+  });
+  stream.on('test:fail', (event) => {
+    const error = event.details.error as Error & { failureType?: string };
+    if (error.failureType === 'subtestsFailed') return;
+    if (knownRed.has(event.name)) {
+      seenKnownRed.add(event.name);
+      console.log(`KNOWN RED: ${event.name}`);
+      return;
+    }
+    failed += 1;
+  });
+  const ended = once(stream, 'end');
+  // eslint-disable-next-line new-cap -- spec is a transform stream class of node:test.
+  stream.compose(new spec()).pipe(process.stdout);
+  await ended;
+}
+
+const isExclusive = (file: string): boolean => file.endsWith(EXCLUSIVE_SUFFIX);
+await runFiles(
+  files.filter((file) => !isExclusive(file)),
+  CONCURRENT_FILES,
+);
+await runFiles(files.filter(isExclusive), 1);
+const missing = filters.length > 0 ? [] : [...knownRed].filter((name) => !seenKnownRed.has(name));
+missing.forEach((name) => console.log(`listed in KNOWN-RED.txt but not run: ${name}`));
+console.log(`\n${passed} passed, ${failed} failed, ${seenKnownRed.size} known-red`);
+process.exitCode = failed > 0 || missing.length > 0 || passed === 0 ? 1 : 0;
