Serve callers, nodes and collectors within bounds

Cause: 20 connections that send requests ahead and read nothing end a node; headerTimeoutMs, idleTimeoutMs and maxHeaderBytes of the configuration had no effect, and Node.js checked the default header timeout only every 30 s.

Change: IngressServer, RelayServer and MetricsServer use GuardedServer. The bounds are the section "ingress" of the settings. Metrics have current values; the log has "ingress-bound", at most once a second for each server and bound.

--- a/src/metrics/Metrics.ts
+++ b/src/metrics/Metrics.ts
@@ -21,7 +21,7 @@
 }
 
 /**
- * Latency histograms and counters of one process.
+ * Latency histograms, counters and current values of one process.
  *
  * @example
  * ```ts
@@ -36,6 +36,8 @@
 
   readonly #counters = new Map<string, number>();
 
+  readonly #values = new Map<string, number>();
+
   /** Records a duration in milliseconds. */
   recordLatency(name: string, ms: number): void {
     let histogram = this.#histograms.get(name);
@@ -52,12 +54,18 @@
     this.#counters.set(name, (this.#counters.get(name) ?? 0) + by);
   }
 
+  /** Sets a current value. */
+  setValue(name: string, value: number): void {
+    this.#values.set(name, value);
+  }
+
   /** Exports all latencies and counters since the start of the process, by name. */
   export(): MetricsReport {
     const latencies = [...this.#histograms].map(([name, one]) => [name, describeHistogram(one)]);
     return {
       latencies: Object.fromEntries(latencies),
       counters: Object.fromEntries(this.#counters),
+      ...(this.#values.size === 0 ? {} : { values: Object.fromEntries(this.#values) }),
     };
   }
 }
--- a/src/metrics/MetricsReport.ts
+++ b/src/metrics/MetricsReport.ts
@@ -33,5 +33,7 @@
 export const MetricsReport = z.object({
   latencies: z.record(z.string(), LatencyReport),
   counters: z.record(z.string(), z.number()),
+  /** Current values; absent if the process has none. */
+  values: z.record(z.string(), z.number()).optional(),
 });
 export type MetricsReport = z.infer<typeof MetricsReport>;
--- a/src/metrics/formatMetrics.ts
+++ b/src/metrics/formatMetrics.ts
@@ -19,11 +19,14 @@
  * formatMetrics({ latencies: {}, counters: { refused: 1 } }); // 'buckthornreach_refused_total 1\n'
  * ```
  */
-export function formatMetrics({ latencies, counters }: MetricsReport): string {
+export function formatMetrics({ latencies, counters, values = {} }: MetricsReport): string {
   const lines: string[] = [];
   Object.entries(counters).forEach(([name, value]) => {
     lines.push(`buckthornreach_${formatName(name)}_total ${value}`);
   });
+  Object.entries(values).forEach(([name, value]) => {
+    lines.push(`buckthornreach_${formatName(name)} ${value}`);
+  });
   Object.entries(latencies).forEach(([name, report]) => {
     const metric = `buckthornreach_${formatName(name)}_ms`;
     PERCENTILES.forEach(([label, key]) => {
--- a/src/node/Node.ts
+++ b/src/node/Node.ts
@@ -1,5 +1,6 @@
 import type { WorkLogView } from '../workLog/mod.js';
 import { WorkLogFollower } from './WorkLogFollower.js';
+import { IngressObserver } from './IngressObserver.js';
 import { JobService } from './JobService.js';
 import { ShardCandidate } from './ShardCandidate.js';
 import { isStandby } from './isStandby.js';
@@ -83,7 +84,10 @@
       relay: this.#relay,
       checkStoreContact: (token) => this.#shardCandidate.checkStoreContact(token),
     });
-    this.#relayServer = new RelayServer(this.#jobService);
+    this.#relayServer = new RelayServer(this.#jobService, {
+      observer: new IngressObserver('peers', context),
+      clock: context.clock,
+    });
     this.#operatorFollower = new OperatorFollower(context, (state) => {
       this.#operatorState = state;
       this.#jobService.setOperatorState(state);
--- a/src/node/NodeSettings.ts
+++ b/src/node/NodeSettings.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { IngressSettings } from '../ingress/mod.js';
 import { LogLevel } from '../settings/mod.js';
 import { ShardOptions } from '../schedule/ShardOptions.js';
 
@@ -26,6 +27,8 @@
    * served; undefined if nodes without contact to the store may go on serving the keys they know.
    */
   revocationLimitMs: z.number().positive().optional(),
+  /** Bounds on what callers may occupy. */
+  ingress: IngressSettings.prefault({}),
   shard: ShardOptions,
 });
 export type NodeSettings = z.infer<typeof NodeSettings>;
--- a/src/node/mod.ts
+++ b/src/node/mod.ts
@@ -7,6 +7,7 @@
 export * from './CallResponse.js';
 export * from './JobService.js';
 export * from './DecisionLog.js';
+export * from './IngressObserver.js';
 export * from './MetricsServer.js';
 export * from './Node.js';
 export * from './NodeContext.js';
