Parse the input of a connection in slices of 4 KiB

Cause: the HTTP server of Node.js parses up to 64 KiB at once and keeps the objects of up to 2,000 requests until the end of the turn of the event loop, also after the connection has been closed. 20 connections to the server for other nodes still ended a node with a heap of 64 MB.

Change: paceParserInput hands the input to the server in slices, stops when the socket is closed, and puts the rest back when the server pauses the socket. Pausing the parser had no effect (tried).

--- a/src/net/GuardedServer.ts
+++ b/src/net/GuardedServer.ts
@@ -11,6 +11,7 @@
 import type { BoundObserver } from './BoundObserver.js';
 import { BoundReachedError } from './BoundReachedError.js';
 import { GuardedConnection, type Exchange } from './_GuardedConnection.js';
+import { paceParserInput } from './_paceParserInput.js';
 import { readBody } from './_readBody.js';
 import { closeServer, openServer } from './openServer.js';
 
@@ -106,6 +107,7 @@
   }
 
   #addConnection(socket: Socket): void {
+    paceParserInput(socket);
     const { clock } = this.#options;
     const budget = this.#budget.openConnection(clock.readMonotonic());
     const connection = new GuardedConnection(socket, {
