--- a/src/metrics/Metrics.ts
+++ b/src/metrics/Metrics.ts
@@ -21,7 +21,7 @@
 }
 
 /**
- * Latency histograms and counters of one process.
+ * Latency histograms, counters and current values of one process.
  *
  * @example
  * ```ts
@@ -60,9 +60,11 @@
     this.#gauges.set(JSON.stringify([gauge.name, gauge.labels]), gauge);
   }
 
-  /** Removes all gauges: the process no longer measures what they describe. */
-  removeGauges(): void {
-    this.#gauges.clear();
+  /** Removes the gauges with a label: the process no longer measures what they describe. */
+  removeGauges(label: string): void {
+    this.#gauges.forEach(({ labels }, key) => {
+      if (label in labels) this.#gauges.delete(key);
+    });
   }
 
   /** Exports the gauges, and all latencies and counters since the start of the process, by name. */
--- a/src/metrics/formatMetrics.ts
+++ b/src/metrics/formatMetrics.ts
@@ -17,7 +17,8 @@
     ([label, text]) => `${formatName(label)}=${JSON.stringify(text)}`,
   );
   const text = value === Infinity ? '+Inf' : String(value);
-  return `buckthornreach_${formatName(name)}{${pairs.join(',')}} ${text}`;
+  const suffix = pairs.length === 0 ? '' : `{${pairs.join(',')}}`;
+  return `buckthornreach_${formatName(name)}${suffix} ${text}`;
 }
 
 /**
--- a/src/node/_OwnerOutput.ts
+++ b/src/node/_OwnerOutput.ts
@@ -31,6 +31,6 @@
 
   /** Removes the measurements, which are those of an owner. */
   close(): void {
-    this.#context.metrics.removeGauges();
+    this.#context.metrics.removeGauges('organisation');
   }
 }
