Count other writes of a record before reporting it as not stored

Cause: WorkLogWriter considered only unanswered appends when it refused a write. A repeated submission could be refused with 'not-stored' (503, never runs) while the first write of the same record was queued or in flight and was then stored, and vice versa. CallGate checked for open writes only in deployments with organisations.

Change: a write that ends without being stored is reported as 'unknown' if another write of its record is queued or in flight. CallGate checks for open writes of every refused call.

--- a/src/node/CallGate.ts
+++ b/src/node/CallGate.ts
@@ -75,7 +75,7 @@
     const isAuthorized = access instanceof CallAccess;
     const response = isAuthorized ? await run(access) : access;
     const isRefused = response.type === 'refused' || response.type === 'over-limit';
-    if (isRefused && this.#authorizer.hasOrganisations) {
+    if (isRefused) {
       const organisation = this.#findOrganisation(call);
       if (await isOpen(organisation)) return this.report(call, { type: 'unknown' });
     }
--- a/src/node/WorkLogWriter.ts
+++ b/src/node/WorkLogWriter.ts
@@ -176,7 +176,16 @@
       queued: this.#queue.length,
       latencyMs: Math.round(this.#latency.expectedMs),
     });
-    write.reply(isUnanswered(write) ? 'unknown' : 'not-stored');
+    this.#endUnstored(write);
+  }
+
+  /**
+   * Ends a write that is neither queued nor in flight any more. Its record counts as not stored only
+   * if no earlier append and no other write of this node may store it.
+   */
+  #endUnstored(write: PendingWrite): void {
+    const mayBeStored = isUnanswered(write) || this.#isOpen(write.record.key);
+    write.reply(mayBeStored ? 'unknown' : 'not-stored');
   }
 
   #isOpen(key: string): boolean {
@@ -221,7 +230,7 @@
   #rejectDisallowed(): void {
     const rejected = this.#queue.takeIf(({ isAllowed }) => isAllowed?.() === false);
     if (rejected.length === 0) return;
-    rejected.forEach((write) => write.reply(isUnanswered(write) ? 'unknown' : 'not-stored'));
+    rejected.forEach((write) => this.#endUnstored(write));
     this.#expireUncertain(this.#context.clock.readMonotonic());
   }
 
@@ -287,10 +296,11 @@
     this.#failedAt = now;
     if (outcome === 'unanswered') this.#markUncertain(writes);
     const failure = outcome === 'unanswered' ? 'unanswered' : 'refused';
-    const retried = writes.filter((write) => !WorkLogWriter.#recordFailure(write, failure, now));
+    const ended = writes.filter((write) => WorkLogWriter.#recordFailure(write, failure, now));
     // Records that are still pending are retried before those that have not been sent yet.
-    this.#queue.addFirst(retried);
+    this.#queue.addFirst(writes.filter((write) => !ended.includes(write)));
     this.#expireUncertain(now);
+    ended.forEach((write) => this.#endUnstored(write));
     this.#recordHealth(result);
     this.#flush();
   }
@@ -349,7 +359,7 @@
     );
   }
 
-  /** Records a failed append; returns true if this ended the write and its outcome was replied. */
+  /** Records a failed append; returns true if the write ends with it. */
   static #recordFailure(
     write: PendingWrite,
     outcome: 'refused' | 'unanswered',
@@ -357,15 +367,7 @@
   ): boolean {
     const { failures } = write;
     failures.push(outcome);
-    const isUnknown = failures.includes('unanswered');
-    if (isUnknown && now >= write.deadline) {
-      write.reply('unknown');
-      return true;
-    }
-    if (!isUnknown && (failures.length >= MAX_REFUSALS || now >= write.deadline)) {
-      write.reply('not-stored');
-      return true;
-    }
-    return false;
+    if (now >= write.deadline) return true;
+    return !isUnanswered(write) && failures.length >= MAX_REFUSALS;
   }
 }
