Begin the claim delays again after an outage of the store

Cause: ClaimSchedule kept the time at which a node first noticed that the owner had gone. After an outage during a failover the delays of all nodes had passed, and all of them claimed at once.

Change: the time is forgotten while the owner is not known to be silent, and the delays begin no earlier than the contact with the store.

--- a/src/node/ClaimSchedule.test.ts
+++ b/src/node/ClaimSchedule.test.ts
@@ -88,4 +88,26 @@
     const slow = listWaits(buildOwner({ intervalMs: 600 }), { silentMs: 1_700 });
     assert.equal(countWithin(slow, Infinity), 0);
   });
+
+  // Guards against claims of all nodes at once after an outage during a failover: the delays had
+  // begun before the outage, and had passed when the nodes found the owner gone again.
+  it('begins the delays again after an outage of the store', () => {
+    [false, true].forEach((hasOwnerEnded) => {
+      const waits = [...nodes.keys()]
+        .filter((name) => name !== OWNER)
+        .map((name) => {
+          const schedule = openSchedule(name);
+          const computeWait = (now: number, contactSince: number): number | undefined =>
+            schedule.computeWait(
+              { owner: buildOwner(), nodes, hasOwnerEnded },
+              { end: 9, isCurrent: true, isInContact: true, freshAt: now, contactSince },
+              { now, ownerSeenAt: 8_000, latencyMs: 4 },
+            );
+          computeWait(10_000, 0);
+          const early = computeWait(15_000, 15_000);
+          return hasOwnerEnded ? early : computeWait(16_001, 15_000);
+        });
+      assert.equal(waits.filter((waitMs) => waitMs === 0).length, 1);
+    });
+  });
 });
--- a/src/node/ClaimSchedule.ts
+++ b/src/node/ClaimSchedule.ts
@@ -95,8 +95,13 @@
     // has not read what the owner wrote meanwhile.
     const silentMs = state.freshAt - Math.max(ownerSeenAt, state.contactSince);
     const limitMs = computeSilenceLimit(this.#options.ownerSilenceMs, owner.intervalMs);
-    if (!view.hasOwnerEnded && silentMs <= limitMs) return undefined;
-    const goneAt = this.#markGone(owner, { now, ownerSeenAt });
+    if (!view.hasOwnerEnded && silentMs <= limitMs) {
+      // After an outage the silence begins again, and so do the delays.
+      this.#gone = undefined;
+      return undefined;
+    }
+    // During an outage no claim became known, so the delays do not pass before its end.
+    const goneAt = Math.max(this.#markGone(owner, { now, ownerSeenAt }), state.contactSince);
     return Math.max(0, goneAt + this.#computeDelay(view, times) - now);
   }
 
