Name only a successor that can append

Cause: an overloaded owner named the first node of its list without asking whether it responds, and a stopping owner named one that responded but could not append, for example since it was stopping, too. The other nodes left the shard to it for 1 s to 2.5 s.

Change: an overloaded owner names no successor, so that the first node of the ranking claims at once. RelayClient.findResponsive returns no peer if none of them can append.

Result: the new test of RelayClient fails before the change and passes with it; FailoverOutage passes. The release of an overloaded owner has no test.

--- a/src/node/RelayClient.test.ts
+++ b/src/node/RelayClient.test.ts
@@ -101,4 +101,15 @@
     assert.equal(outcome, 'not-stored');
     assert.equal(ready.written.length, 1);
   });
+
+  // Guards against a shard that is left for 1 s or more to a stopping node, which cannot append.
+  it('finds no successor if no peer can append', async () => {
+    const client = openClient([await openSilent(), await openPeer(new ScriptedNode(false))]);
+    assert.equal(await client.findResponsive(['peer-0', 'peer-1']), undefined);
+    const other = openClient([
+      await openPeer(new ScriptedNode(false)),
+      await openPeer(new ScriptedNode(true)),
+    ]);
+    assert.equal(await other.findResponsive(['peer-0', 'peer-1']), 'peer-1');
+  });
 });
--- a/src/node/RelayClient.ts
+++ b/src/node/RelayClient.ts
@@ -123,8 +123,8 @@
   }
 
   /**
-   * Finds the first of the given peers that can append records, or the first one that responds if
-   * none of them can; undefined if none responds.
+   * Finds the first of the given peers that can append records; undefined if none of them can. One
+   * that responds but cannot append may be stopping, and would claim nothing.
    */
   async findResponsive(names: readonly string[]): Promise<string | undefined> {
     const peers = names.flatMap((name) => {
@@ -137,7 +137,7 @@
     });
     const settled = await Promise.allSettled(probed);
     const answers = settled.flatMap((one) => (one.status === 'fulfilled' ? [one.value] : []));
-    return (answers.find(({ canWrite }) => canWrite) ?? answers[0])?.name;
+    return answers.find(({ canWrite }) => canWrite)?.name;
   }
 
   /** Queries peers for the state of a job; undefined if none of them has a current state. */
--- a/src/node/ShardCandidate.ts
+++ b/src/node/ShardCandidate.ts
@@ -45,7 +45,7 @@
   requestRead: () => void;
   /** Checks whether all other nodes respond and none of them is in contact with the store. */
   isStoreUnreachable: (token: number) => Promise<boolean>;
-  /** Finds the first of the given nodes that responds and can append; undefined if none responds. */
+  /** Finds the first of the given nodes that responds and can append; undefined if none can. */
   findResponsive: (names: readonly string[]) => Promise<string | undefined>;
 }
 
@@ -216,16 +216,19 @@
     this.#reconsiderTimer = setTimeout(() => this.send({ type: 'reconsider' }), delayMs);
   }
 
-  /** Finds a faster node to which the owner may hand the shard over; undefined if there is none. */
-  #findFasterNode(view: WorkLogView): Successor | undefined {
+  /**
+   * Decides whether an overloaded owner leaves the shard to a faster node. None is named as the
+   * successor, since it may not respond: the fastest one claims at once, and the others follow.
+   */
+  #considerHandOver(view: WorkLogView): boolean {
     const { cores } = this.#context.settings;
     const now = this.#context.clock.readMonotonic();
-    if (now - this.#handedOverAt < HAND_OVER_INTERVAL_MS) return undefined;
+    if (now - this.#handedOverAt < HAND_OVER_INTERVAL_MS) return false;
     const [fastest] = this.#listSuccessors(view);
     const fastestCores = fastest === undefined ? 0 : (view.nodes.get(fastest.node)?.cores ?? 0);
-    if (fastestCores < HAND_OVER_FACTOR * cores) return undefined;
+    if (fastestCores < HAND_OVER_FACTOR * cores) return false;
     this.#handedOverAt = now;
-    return fastest;
+    return true;
   }
 
   #listSuccessors({ nodes }: WorkLogView): Successor[] {
@@ -264,7 +267,7 @@
       operator: this.#operatorState,
       onLost: () => this.send({ type: 'lost' }),
       isStoreUnreachable: () => this.#options.isStoreUnreachable(owner.token),
-      findFasterNode: () => this.#findFasterNode(view),
+      considerHandOver: () => this.#considerHandOver(view),
       onUnrecordedStarts: () => this.#unrecordedStarts.confirm(owner.token),
     });
     this.#options.onOwnershipChange(true);
--- a/src/node/ShardOwner.ts
+++ b/src/node/ShardOwner.ts
@@ -87,8 +87,8 @@
   onLost: (reason: string) => void;
   /** Checks whether all other nodes respond and none of them is in contact with the store. */
   isStoreUnreachable: () => Promise<boolean>;
-  /** Finds a faster node to which an owner that does not keep up may hand the shard over. */
-  findFasterNode: () => Successor | undefined;
+  /** Decides whether an owner that does not keep up leaves the shard to a faster node. */
+  considerHandOver: () => boolean;
   /** Called when tasks of all jobs may be started without being recorded. */
   onUnrecordedStarts: () => void;
 }
@@ -285,11 +285,10 @@
 
   /** Releases the shard if a faster node can own it. */
   #releaseIfPossible(): void {
-    const successor = this.#release === undefined ? this.#options.findFasterNode() : undefined;
-    if (successor === undefined) return;
+    if (this.#release !== undefined || !this.#options.considerHandOver()) return;
     const lagMs = Math.round(this.#lag.meanMs);
     this.#context.log.record('owner-overloaded', String(this.token), { lagMs });
-    this.send({ type: 'release', successor, reply: () => undefined });
+    this.send({ type: 'release', reply: () => undefined });
   }
 
   #schedulePlan(): void {
