Do not open the breaker by a failed read while an append is in time

Cause: one failed read opened the breaker while a slow store answered the appends: they take 240 ms, and an answer counted for 200 ms only.

Change: a failed read does not open the breaker while the append in flight is within its time limit. An answered append counts for 200 ms or twice the expected latency.

--- a/src/node/StoreHealth.test.ts
+++ b/src/node/StoreHealth.test.ts
@@ -79,4 +79,32 @@
     assert.ok(delays.every((delay, index) => delay >= (delays[index - 1] ?? 0) && delay <= 450));
     assert.ok((delays.at(-1) ?? 0) > 300);
   });
+
+  // Guards against refusals because of one failed read while a slow store answers the appends.
+  it('stays closed after a failed read while an append is within its time limit', () => {
+    const health = new StoreHealth();
+    health.recordAnswer(0);
+    health.recordSent(1_000);
+    health.recordRead(false, 900);
+    assert.equal(health.state, 'closed');
+    health.recordRead(false, 1_001);
+    assert.equal(health.state, 'open');
+  });
+
+  it('counts the last answered append for twice the expected latency', () => {
+    const health = new StoreHealth();
+    health.recordAnswer(0);
+    health.recordRead(false, 479, 240);
+    assert.equal(health.state, 'closed');
+    health.recordRead(false, 481, 240);
+    assert.equal(health.state, 'open');
+  });
+
+  it('does not count an append that has ended as within its time limit', () => {
+    const health = new StoreHealth();
+    health.recordSent(1_000);
+    health.recordUnsent(100);
+    health.recordRead(false, 300);
+    assert.equal(health.state, 'open');
+  });
 });
--- a/src/node/StoreHealth.ts
+++ b/src/node/StoreHealth.ts
@@ -3,7 +3,9 @@
 /** Maximum delay in ms between repeated appends; the end of an outage is found within 0.5 s. */
 const MAX_RETRY_DELAY_MS = 450;
 /** An unanswered read counts only if the store has answered no append for this time in ms. */
-const ANSWER_VALID_MS = 200;
+const MIN_ANSWER_VALID_MS = 200;
+/** This time is at least this multiple of the expected latency: appends of a slow store take longer. */
+const ANSWER_VALID_LATENCIES = 2;
 /**
  * An append without an answer for this time in ms opens the breaker even if reads succeed: a store
  * that is slow refuses appends that would have to wait longer than 2 s.
@@ -38,7 +40,8 @@
  * opens when an append fails before its time limit (the connection was reset), when it
  * exceeds the limit while reads are not answered, or when it has waited longer than a slow store lets an append
  * wait. A time limit alone does not open it: an append often exceeds the limit when the store has
- * just become slow. It also opens when reads are not answered while no append is. Calls that the
+ * just become slow. It also opens when reads are not answered while no append is answered or within
+ * its time limit. Calls that the
  * store refuses, or that cannot be sent, do not open it, since their outcome is known.
  *
  * Records that were sent before are repeated and thereby probe the store. Without such a record, a
@@ -65,6 +68,9 @@
 
   #answeredAt = -Infinity;
 
+  /** Monotonic time in ms of the time limit of the append in flight; `-Infinity` without one. */
+  #limitAt = -Infinity;
+
   #retryAt = -Infinity;
 
   constructor(random: () => number = Math.random) {
@@ -91,13 +97,18 @@
     return this.#state === 'open' && this.#isReadable && now >= this.#retryAt;
   }
 
-  /** Records that an append is sent; while the breaker is open it is the probe. */
-  recordSent(): void {
+  /**
+   * Records that an append is sent, with the monotonic time in ms of its time limit; while the
+   * breaker is open it is the probe.
+   */
+  recordSent(limitAt = -Infinity): void {
+    this.#limitAt = limitAt;
     if (this.#state === 'open') this.#state = 'probing';
   }
 
   /** Records an answered append at a monotonic time in ms. */
   recordAnswer(now: number): void {
+    this.#limitAt = -Infinity;
     this.#close(now);
     this.#backoff.reset();
     this.#retryAt = -Infinity;
@@ -105,18 +116,21 @@
 
   /** Records an append that the store answered with a refusal: it is available but overloaded. */
   recordRefusal(now: number): void {
+    this.#limitAt = -Infinity;
     this.#close(now);
     this.#retryAt = now + this.#backoff.computeDelay();
   }
 
   /** Records an append that was not sent since the connection failed; its outcome is known. */
   recordUnsent(now: number): void {
+    this.#limitAt = -Infinity;
     if (this.#state === 'probing') this.#state = 'open';
     this.#retryAt = now + this.#backoff.computeDelay();
   }
 
   /** Records an append that was not answered, at a monotonic time in ms. */
   recordFailure({ waitedMs, timeoutMs }: AppendFailure, now: number): void {
+    this.#limitAt = -Infinity;
     this.#retryAt = now + this.#backoff.computeDelay();
     const isTimeout = StoreHealth.isTimeout({ waitedMs, timeoutMs });
     const isSlow = isTimeout && this.#isReadable && waitedMs < SILENT_APPEND_MS;
@@ -125,8 +139,12 @@
     this.#state = 'open';
   }
 
-  /** Records whether the last read was answered, at a monotonic time in ms. */
-  recordRead(isAnswered: boolean, now: number): void {
+  /**
+   * Records whether the last read was answered, at a monotonic time in ms. An unanswered one opens the
+   * breaker only if no append is within its time limit and none was answered shortly before, as
+   * compared with the expected latency of appends in ms.
+   */
+  recordRead(isAnswered: boolean, now: number, latencyMs = 0): void {
     const isRegained = isAnswered && !this.#isReadable;
     this.#isReadable = isAnswered;
     if (isRegained) {
@@ -134,7 +152,8 @@
       this.#retryAt = Math.min(this.#retryAt, now);
     }
     if (isAnswered || this.#state !== 'closed') return;
-    if (now - this.#answeredAt > ANSWER_VALID_MS) this.#state = 'open';
+    const validMs = Math.max(MIN_ANSWER_VALID_MS, ANSWER_VALID_LATENCIES * latencyMs);
+    if (now > this.#limitAt && now - this.#answeredAt > validMs) this.#state = 'open';
   }
 
   #close(answeredAt: number): void {
--- a/src/node/WorkLogWriter.ts
+++ b/src/node/WorkLogWriter.ts
@@ -113,7 +113,9 @@
         message.reply(this.#canWrite());
         break;
       case 'read':
-        this.#changeHealth((now) => this.#health.recordRead(message.isAnswered, now));
+        this.#changeHealth((now) =>
+          this.#health.recordRead(message.isAnswered, now, this.#latency.expectedMs),
+        );
         this.#flush();
         break;
       default:
@@ -211,7 +213,7 @@
     }
     this.#inFlight = this.#takeBatch();
     this.#sentAt = now;
-    this.#health.recordSent();
+    this.#health.recordSent(now + this.#latency.timeoutMs);
     this.#append(this.#inFlight.map(({ record }) => record)).then((result) =>
       this.send({ type: 'answered', ...result }),
     );
