Prefer other data centres only among standbys as successors

Cause: among equally fast nodes the owner named one of another data centre as its successor, also one that reads the work log only every 400 ms.

Change: ClaimRanking prefers other data centres among standbys, and lists the other nodes of the same processor share after them.

--- a/src/node/ClaimRanking.test.ts
+++ b/src/node/ClaimRanking.test.ts
@@ -34,4 +34,18 @@
     assert.equal(ClaimRanking.computeDelay(1, 240), 720);
     assert.equal(ClaimRanking.computeDelay(43, 2_000), 5_000);
   });
+
+  // Guards against a successor that reads the release only after 400 ms, since it is no standby.
+  it('prefers another data centre only among the nodes that read the log closely', () => {
+    const nodes = Array.from({ length: 12 }, (_, index): [string, NodeRecord] => {
+      const name = `n-${String(index).padStart(2, '0')}`;
+      const dataCentre = index === 6 || index > 8 ? 'dc-2' : 'dc-1';
+      return [name, NodeRecord.parse({ session: name, address: '', cores: 1, dataCentre })];
+    });
+    const successors = new ClaimRanking({ nodes, owner: 'n-00' }).listSuccessors('dc-1');
+    assert.deepEqual(
+      successors.map(({ node }) => Number(node.slice(2))),
+      [6, 1, 2, 3, 4, 5, 7, 8, 9, 10, 11],
+    );
+  });
 });
--- a/src/node/ClaimRanking.ts
+++ b/src/node/ClaimRanking.ts
@@ -1,4 +1,5 @@
 import type { NodeRecord, Successor } from '../workLog/mod.js';
+import { isStandby } from './isStandby.js';
 
 /** Minimum time in ms between the claims of nodes of successive groups. */
 const MIN_STEP_MS = 60;
@@ -13,6 +14,8 @@
   cores: number;
   dataCentre: string;
   session: string;
+  /** The node reads the work log closely, so that it reads a release at once. */
+  isStandby: boolean;
 }
 
 /** Options of a `ClaimRanking`. */
@@ -46,9 +49,15 @@
 
   constructor({ nodes, owner }: ClaimRankingOptions) {
     this.#owner = owner;
-    this.#candidates = [...nodes]
-      .filter(([name]) => name !== owner)
-      .map(([name, { cores = 0, dataCentre, session }]) => ({ name, cores, dataCentre, session }))
+    const all = [...nodes].map(([name, { cores = 0, dataCentre, session }]) => ({
+      name,
+      cores,
+      dataCentre,
+      session,
+    }));
+    this.#candidates = all
+      .filter(({ name }) => name !== owner)
+      .map((one) => ({ ...one, isStandby: isStandby(one, all) }))
       .sort((one, other) => other.cores - one.cores || (one.name < other.name ? -1 : 1));
   }
 
@@ -63,13 +72,16 @@
 
   /**
    * Lists the nodes to which the owner may hand the shard over, the best one first: the fastest ones,
-   * and among equally fast ones those of other data centres, since the stop of the owner may be part
-   * of that of its data centre.
+   * and among equally fast standbys those of other data centres, since the stop of the owner may be
+   * part of that of its data centre. Other nodes read the release too late, so they come after them.
    */
   listSuccessors(dataCentre: string): Successor[] {
-    const isNear = (one: Candidate): number => (one.dataCentre === dataCentre ? 1 : 0);
+    const computeOrder = (one: Candidate): number => {
+      if (!one.isStandby) return 2;
+      return one.dataCentre === dataCentre ? 1 : 0;
+    };
     return [...this.#candidates]
-      .sort((one, other) => other.cores - one.cores || isNear(one) - isNear(other))
+      .sort((one, other) => other.cores - one.cores || computeOrder(one) - computeOrder(other))
       .map(({ name, session }) => ({ node: name, session }));
   }
 
