--- a/src/node/TopicFollower.test.ts
+++ b/src/node/TopicFollower.test.ts
@@ -192,4 +192,22 @@
     assert.deepEqual(faults, ['odd read']);
     follower.close();
   });
+
+  // Guards against a breaker of the writer that stays open until the last page of a snapshot.
+  it('reports its contact with each page and when records have expired', async () => {
+    const { store, follower } = openFollower();
+    await store.failPage();
+    await waitFor('the failure', () => follower.lastState?.isInContact === false);
+    await store.answerPage({ records: [buildRecord(0)], next: 'key-0', end: 2 });
+    await waitFor('the contact', () => follower.lastState?.isInContact === true);
+    assert.equal(follower.applied, 0);
+    await store.answerPage({ records: [buildRecord(1)], next: undefined, end: 2 });
+    await store.answerRead({ type: 'records', end: 2, records: [] });
+    await waitFor('the end of the log', () => follower.lastState?.isCurrent === true);
+    await store.answerRead({ type: 'expired', first: 9 });
+    // The view is read again, so nothing may be decided by the old one.
+    await waitFor('the expiry', () => follower.lastState?.isCurrent === false);
+    assert.equal(follower.applied, 2);
+    follower.close();
+  });
 });
--- a/src/node/TopicFollower.ts
+++ b/src/node/TopicFollower.ts
@@ -37,7 +37,7 @@
 export interface FollowerState {
   /** Offset after the last record that was read. */
   end: number;
-  /** The follower has reached the end of the log at least once. */
+  /** The follower has reached the end of the log, and is not reading the newest records again. */
   isCurrent: boolean;
   /**
    * Monotonic time in ms at which the state was known to be current. Only reads that reach the end
@@ -114,7 +114,7 @@
   protected get state(): FollowerState {
     return {
       end: this.#nextOffset ?? 0,
-      isCurrent: this.#isCurrent,
+      isCurrent: this.#isCurrent && this.#nextOffset !== undefined,
       freshAt: this.#freshAt,
       provenAt: this.#provenAt,
       isInContact: this.#isInContact,
@@ -208,7 +208,7 @@
     this.#snapshot.records.push(...records);
     this.#snapshot.next = next;
     if (next !== undefined) {
-      this.#schedule(0);
+      this.#notifyThenSchedule(0);
       return;
     }
     const snapshot = this.#snapshot;
@@ -233,7 +233,7 @@
         first: answer.first,
       });
       this.#nextOffset = undefined;
-      this.#schedule(0);
+      this.#notifyThenSchedule(0);
       return;
     }
     const last = answer.records.at(-1);
@@ -264,7 +264,11 @@
     }
     this.#isInContact = false;
     this.#isSilent = !(error instanceof StoreRefusedError);
-    const delayMs = this.#backoff.computeDelay();
+    this.#notifyThenSchedule(this.#backoff.computeDelay());
+  }
+
+  /** Lets the subclass see the state without new records, and schedules the next read. */
+  #notifyThenSchedule(delayMs: number): void {
     this.#applyThenSchedule([], { isSnapshot: false, delayMs });
   }
 
