Send the whole next batch after a slow append, and refuse at deadlines

Cause: after a single slow append all queued records but the first one were refused, although the next append may be fast. Records that were never sent waited beyond their deadline while an append was in flight.

Change: all records of the next append are sent unless their deadline has passed. While an append is in flight, a timer refuses records that were never sent at their deadline.

Result: two new tests fail before the change and pass with it; the other tests of WorkLogWriter pass.

--- a/src/node/WorkLogWriter.ts
+++ b/src/node/WorkLogWriter.ts
@@ -5,7 +5,13 @@
 import { StoreHealth } from './StoreHealth.js';
 import { WriteLimit } from './WriteLimit.js';
 import { UncertainRecords } from './_UncertainRecords.js';
-import { isRelated, isUnanswered, WriteQueue, type PendingWrite } from './_WriteQueue.js';
+import {
+  isRelated,
+  isUnanswered,
+  WriteQueue,
+  type BatchLimit,
+  type PendingWrite,
+} from './_WriteQueue.js';
 
 /** Maximum number of records in one append. */
 const MAX_BATCH_RECORDS = 200;
@@ -40,7 +46,9 @@
   /** Reports whether the last read of the work log was answered. */
   | { type: 'read'; isAnswered: boolean }
   | ({ type: 'answered' } & AppendResult)
-  | { type: 'send' };
+  | { type: 'send' }
+  /** The deadline of a queued record has passed. */
+  | { type: 'expire' };
 
 /** Result of an append; the store did not receive an `unsent` one. */
 interface AppendResult {
@@ -91,6 +99,11 @@
 
   #timer: NodeJS.Timeout | undefined;
 
+  /** Monotonic time in ms of the earliest deadline for which the timer is set. */
+  #expiresAt = Infinity;
+
+  #expiryTimer: NodeJS.Timeout | undefined;
+
   /** @param onLatency Called after each append with the expected latency in ms of the next one. */
   constructor(context: NodeContext, onLatency: (latencyMs: number) => void = () => undefined) {
     super(context.scope, 'work-writer');
@@ -109,6 +122,9 @@
       case 'send':
         this.#flush();
         break;
+      case 'expire':
+        this.#refuseExpired();
+        break;
       case 'can-write':
         message.reply(this.#canWrite());
         break;
@@ -125,6 +141,7 @@
 
   override close(): void {
     clearTimeout(this.#timer);
+    clearTimeout(this.#expiryTimer);
     super.close();
   }
 
@@ -146,6 +163,8 @@
     }
     this.#queue.add(write);
     this.#flush();
+    if (this.#inFlight.length > 0 && !this.#inFlight.includes(write))
+      this.#scheduleExpiry(deadline);
   }
 
   /** Finds the cause for which a write is refused at once; undefined if it is queued. */
@@ -211,21 +230,19 @@
       this.#timer = setTimeout(() => this.send({ type: 'send' }), this.#health.retryAt - now);
       return;
     }
-    this.#inFlight = this.#takeBatch();
+    this.#inFlight = this.#queue.takeBatch(this.#batchLimit);
     this.#sentAt = now;
+    this.#refuseExpired();
     this.#health.recordSent(now + this.#latency.timeoutMs);
     this.#append(this.#inFlight.map(({ record }) => record)).then((result) =>
       this.send({ type: 'answered', ...result }),
     );
   }
 
-  /** Takes the records of the next append; a probe with a new record contains no other one. */
-  #takeBatch(): PendingWrite[] {
+  /** Size limits of the next append; a probe with a new record contains no other one. */
+  get #batchLimit(): BatchLimit {
     const isProbe = this.#health.state !== 'closed' && !this.#queue.writes.some(isUnanswered);
-    return this.#queue.takeBatch({
-      records: isProbe ? 1 : MAX_BATCH_RECORDS,
-      bytes: MAX_BATCH_BYTES,
-    });
+    return { records: isProbe ? 1 : MAX_BATCH_RECORDS, bytes: MAX_BATCH_BYTES };
   }
 
   /** Ends the queued writes that may no longer be appended, such as those of a revoked key. */
@@ -240,16 +257,36 @@
   #refuseLate(): void {
     const now = this.#context.clock.readMonotonic();
     const latencyMs = this.#latency.expectedMs;
-    const [first] = this.#queue.writes;
+    const batch = this.#queue.collectBatch(this.#batchLimit);
     const late = this.#queue.takeIf((write) => {
       const remainingMs = write.deadline - now;
-      // The first record waits for no other, so it is sent unless its deadline has passed.
-      if (write.failures.length > 0 || (write === first && remainingMs > 0)) return false;
+      // The next append may be faster, so its records are sent unless their deadline has passed.
+      if (write.failures.length > 0 || (batch.has(write) && remainingMs > 0)) return false;
       return !WriteLimit.canStore(remainingMs, latencyMs);
     });
     late.forEach((write) => this.#refuse(write, 'slow'));
   }
 
+  /** Refuses the records that were never sent once their deadline passes while an append is in flight. */
+  #refuseExpired(): void {
+    this.#expiresAt = Infinity;
+    if (this.#inFlight.length === 0) return;
+    const now = this.#context.clock.readMonotonic();
+    const isUnsent = ({ failures }: PendingWrite): boolean => failures.length === 0;
+    const expired = this.#queue.takeIf((write) => isUnsent(write) && write.deadline <= now);
+    expired.forEach((write) => this.#refuse(write, 'slow'));
+    this.#queue.writes.filter(isUnsent).forEach(({ deadline }) => this.#scheduleExpiry(deadline));
+  }
+
+  /** Sets the timer for a deadline, unless it is set for an earlier one. */
+  #scheduleExpiry(deadline: number): void {
+    if (deadline >= this.#expiresAt) return;
+    this.#expiresAt = deadline;
+    clearTimeout(this.#expiryTimer);
+    const delayMs = Math.max(0, deadline - this.#context.clock.readMonotonic());
+    this.#expiryTimer = setTimeout(() => this.send({ type: 'expire' }), delayMs);
+  }
+
   async #append(records: KeyedValue[]): Promise<AppendResult> {
     const { timeoutMs } = this.#latency;
     const result = await this.#tryAppend(records, timeoutMs);
--- a/src/node/WorkLogWriterQueue.test.ts
+++ b/src/node/WorkLogWriterQueue.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import { setTimeout as pause } from 'node:timers/promises';
 import { ActorScope } from '../actor/mod.js';
 import { ManualClock } from '../clock/mod.js';
 import type { AppendResponse } from '../port/mod.js';
@@ -119,3 +120,25 @@
       assert.equal(await repeated, 'stored');
     }));
 });
+
+describe('WorkLogWriter with a slow store', () => {
+  // Guards against refusals after a single slow append, although the next one may be fast.
+  it('sends the whole next batch after a slow append', () =>
+    withWriter(async (writer) => {
+      writer.write('0', 3_000);
+      const queued = ['1', '2', '3'].map((id) => writer.write(id, 1_000));
+      await writer.answerAppend(SLOW_MS);
+      await writer.answerAppend();
+      assert.deepEqual(await Promise.all(queued), Array(3).fill('stored'));
+      assert.deepEqual(writer.appended, [['0'], ['1', '2', '3']]);
+    }));
+
+  // Guards against callers that are held beyond their deadline by the append of other records.
+  it('refuses a record that was never sent at its deadline while an append is in flight', () =>
+    withWriter(async (writer) => {
+      writer.write('0', 3_000);
+      const queued = writer.write('1', 30);
+      await writer.advance(31);
+      assert.equal(await Promise.race([queued, pause(1_000, 'waiting')]), 'not-stored');
+    }));
+});
--- a/src/node/_WriteQueue.ts
+++ b/src/node/_WriteQueue.ts
@@ -68,10 +68,10 @@
   }
 
   /**
-   * Takes the writes of the next append. Those of an unanswered append are sent again only together
+   * Collects the writes of the next append. Those of an unanswered append are sent again only together
    * with related ones: if the store does not answer either, no other record becomes unknown.
    */
-  takeBatch(limit: BatchLimit): PendingWrite[] {
+  collectBatch(limit: BatchLimit): Set<PendingWrite> {
     const subjects = this.#collectRepeatedSubjects();
     const repeated = this.#writes.filter((write) => subjects.has(findSubject(write)));
     const batch = new Set<PendingWrite>();
@@ -81,6 +81,12 @@
       batch.add(write);
       bytes += countBytes(write);
     }
+    return batch;
+  }
+
+  /** Takes the writes of the next append. */
+  takeBatch(limit: BatchLimit): PendingWrite[] {
+    const batch = this.collectBatch(limit);
     return this.takeIf((write) => batch.has(write));
   }
 
