--- a/src/node/WorkLogWriter.ts
+++ b/src/node/WorkLogWriter.ts
@@ -5,7 +5,13 @@
 import { StoreHealth } from './StoreHealth.js';
 import { WriteLimit } from './WriteLimit.js';
 import { UncertainRecords } from './_UncertainRecords.js';
-import { isRelated, isUnanswered, WriteQueue, type PendingWrite } from './_WriteQueue.js';
+import {
+  isRelated,
+  isUnanswered,
+  WriteQueue,
+  type BatchLimit,
+  type PendingWrite,
+} from './_WriteQueue.js';
 
 /** Maximum number of records in one append. */
 const MAX_BATCH_RECORDS = 200;
@@ -40,7 +46,9 @@
   /** Reports whether the last read of the work log was answered. */
   | { type: 'read'; isAnswered: boolean }
   | ({ type: 'answered' } & AppendResult)
-  | { type: 'send' };
+  | { type: 'send' }
+  /** The deadline of a queued record has passed. */
+  | { type: 'expire' };
 
 /** Result of an append; the store did not receive an `unsent` one. */
 interface AppendResult {
@@ -91,6 +99,11 @@
 
   #timer: NodeJS.Timeout | undefined;
 
+  /** Monotonic time in ms of the earliest deadline for which the timer is set. */
+  #expiresAt = Infinity;
+
+  #expiryTimer: NodeJS.Timeout | undefined;
+
   /** @param onLatency Called after each append with the expected latency in ms of the next one. */
   constructor(context: NodeContext, onLatency: (latencyMs: number) => void = () => undefined) {
     super(context.scope, 'work-writer');
@@ -109,11 +122,16 @@
       case 'send':
         this.#flush();
         break;
+      case 'expire':
+        this.#refuseExpired();
+        break;
       case 'can-write':
         message.reply(this.#canWrite());
         break;
       case 'read':
-        this.#changeHealth((now) => this.#health.recordRead(message.isAnswered, now));
+        this.#changeHealth((now) =>
+          this.#health.recordRead(message.isAnswered, now, this.#latency.expectedMs),
+        );
         this.#flush();
         break;
       default:
@@ -123,6 +141,7 @@
 
   override close(): void {
     clearTimeout(this.#timer);
+    clearTimeout(this.#expiryTimer);
     super.close();
   }
 
@@ -144,6 +163,8 @@
     }
     this.#queue.add(write);
     this.#flush();
+    if (this.#inFlight.length > 0 && !this.#inFlight.includes(write))
+      this.#scheduleExpiry(deadline);
   }
 
   /** Finds the cause for which a write is refused at once; undefined if it is queued. */
@@ -176,7 +197,16 @@
       queued: this.#queue.length,
       latencyMs: Math.round(this.#latency.expectedMs),
     });
-    write.reply(isUnanswered(write) ? 'unknown' : 'not-stored');
+    this.#endUnstored(write);
+  }
+
+  /**
+   * Ends a write that is neither queued nor in flight any more. Its record counts as not stored only
+   * if no earlier append and no other write of this node may store it.
+   */
+  #endUnstored(write: PendingWrite): void {
+    const mayBeStored = isUnanswered(write) || this.#isOpen(write.record.key);
+    write.reply(mayBeStored ? 'unknown' : 'not-stored');
   }
 
   #isOpen(key: string): boolean {
@@ -200,28 +230,26 @@
       this.#timer = setTimeout(() => this.send({ type: 'send' }), this.#health.retryAt - now);
       return;
     }
-    this.#inFlight = this.#takeBatch();
+    this.#inFlight = this.#queue.takeBatch(this.#batchLimit);
     this.#sentAt = now;
-    this.#health.recordSent();
+    this.#refuseExpired();
+    this.#health.recordSent(now + this.#latency.timeoutMs);
     this.#append(this.#inFlight.map(({ record }) => record)).then((result) =>
       this.send({ type: 'answered', ...result }),
     );
   }
 
-  /** Takes the records of the next append; a probe with a new record contains no other one. */
-  #takeBatch(): PendingWrite[] {
+  /** Size limits of the next append; a probe with a new record contains no other one. */
+  get #batchLimit(): BatchLimit {
     const isProbe = this.#health.state !== 'closed' && !this.#queue.writes.some(isUnanswered);
-    return this.#queue.takeBatch({
-      records: isProbe ? 1 : MAX_BATCH_RECORDS,
-      bytes: MAX_BATCH_BYTES,
-    });
+    return { records: isProbe ? 1 : MAX_BATCH_RECORDS, bytes: MAX_BATCH_BYTES };
   }
 
   /** Ends the queued writes that may no longer be appended, such as those of a revoked key. */
   #rejectDisallowed(): void {
     const rejected = this.#queue.takeIf(({ isAllowed }) => isAllowed?.() === false);
     if (rejected.length === 0) return;
-    rejected.forEach((write) => write.reply(isUnanswered(write) ? 'unknown' : 'not-stored'));
+    rejected.forEach((write) => this.#endUnstored(write));
     this.#expireUncertain(this.#context.clock.readMonotonic());
   }
 
@@ -229,16 +257,36 @@
   #refuseLate(): void {
     const now = this.#context.clock.readMonotonic();
     const latencyMs = this.#latency.expectedMs;
-    const [first] = this.#queue.writes;
+    const batch = this.#queue.collectBatch(this.#batchLimit);
     const late = this.#queue.takeIf((write) => {
       const remainingMs = write.deadline - now;
-      // The first record waits for no other, so it is sent unless its deadline has passed.
-      if (write.failures.length > 0 || (write === first && remainingMs > 0)) return false;
+      // The next append may be faster, so its records are sent unless their deadline has passed.
+      if (write.failures.length > 0 || (batch.has(write) && remainingMs > 0)) return false;
       return !WriteLimit.canStore(remainingMs, latencyMs);
     });
     late.forEach((write) => this.#refuse(write, 'slow'));
   }
 
+  /** Refuses the records that were never sent once their deadline passes while an append is in flight. */
+  #refuseExpired(): void {
+    this.#expiresAt = Infinity;
+    if (this.#inFlight.length === 0) return;
+    const now = this.#context.clock.readMonotonic();
+    const isUnsent = ({ failures }: PendingWrite): boolean => failures.length === 0;
+    const expired = this.#queue.takeIf((write) => isUnsent(write) && write.deadline <= now);
+    expired.forEach((write) => this.#refuse(write, 'slow'));
+    this.#queue.writes.filter(isUnsent).forEach(({ deadline }) => this.#scheduleExpiry(deadline));
+  }
+
+  /** Sets the timer for a deadline, unless it is set for an earlier one. */
+  #scheduleExpiry(deadline: number): void {
+    if (deadline >= this.#expiresAt) return;
+    this.#expiresAt = deadline;
+    clearTimeout(this.#expiryTimer);
+    const delayMs = Math.max(0, deadline - this.#context.clock.readMonotonic());
+    this.#expiryTimer = setTimeout(() => this.send({ type: 'expire' }), delayMs);
+  }
+
   async #append(records: KeyedValue[]): Promise<AppendResult> {
     const { timeoutMs } = this.#latency;
     const result = await this.#tryAppend(records, timeoutMs);
@@ -287,10 +335,11 @@
     this.#failedAt = now;
     if (outcome === 'unanswered') this.#markUncertain(writes);
     const failure = outcome === 'unanswered' ? 'unanswered' : 'refused';
-    const retried = writes.filter((write) => !WorkLogWriter.#recordFailure(write, failure, now));
+    const ended = writes.filter((write) => WorkLogWriter.#recordFailure(write, failure, now));
     // Records that are still pending are retried before those that have not been sent yet.
-    this.#queue.addFirst(retried);
+    this.#queue.addFirst(writes.filter((write) => !ended.includes(write)));
     this.#expireUncertain(now);
+    ended.forEach((write) => this.#endUnstored(write));
     this.#recordHealth(result);
     this.#flush();
   }
@@ -349,7 +398,7 @@
     );
   }
 
-  /** Records a failed append; returns true if this ended the write and its outcome was replied. */
+  /** Records a failed append; returns true if the write ends with it. */
   static #recordFailure(
     write: PendingWrite,
     outcome: 'refused' | 'unanswered',
@@ -357,15 +406,7 @@
   ): boolean {
     const { failures } = write;
     failures.push(outcome);
-    const isUnknown = failures.includes('unanswered');
-    if (isUnknown && now >= write.deadline) {
-      write.reply('unknown');
-      return true;
-    }
-    if (!isUnknown && (failures.length >= MAX_REFUSALS || now >= write.deadline)) {
-      write.reply('not-stored');
-      return true;
-    }
-    return false;
+    if (now >= write.deadline) return true;
+    return !isUnanswered(write) && failures.length >= MAX_REFUSALS;
   }
 }
