Count the header timeout from the first byte of a request

Cause: the server of Node.js counts headersTimeout from the opening of a connection and answers 408. With its check interval of 250 ms, a connection that was opened early and had sent nothing got the 408 after 3,045 ms. 408 is not in the wire protocol, and a client that sends at that moment can take it for the answer to its request.

Change: headersTimeout and requestTimeout of the server are off. ConnectionBudget.findTimeout decides both limits while no request is open: headerTimeoutMs from the first byte of a request, idleTimeoutMs from the opening or the last response. GuardedServer closes such a connection without a response and counts it in a metric. The log line ingress-bound is not written for it, since this happens in ordinary operation. The servers for nodes, readiness and metrics use the defaults of WaitLimits (3 s and 15 s) instead of those of Node.js (60 s and 5 s).

--- a/src/ingress/ConnectionBudget.test.ts
+++ b/src/ingress/ConnectionBudget.test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from 'node:test';
 import { ConnectionBudget } from './ConnectionBudget.js';
 import { HeldTotals } from './HeldTotals.js';
-import { IngressSettings } from './IngressSettings.js';
+import { IngressSettings, WaitLimits } from './IngressSettings.js';
 
 const SETTINGS = IngressSettings.parse({});
 const CONFIGURED_BODY_BYTES = 262_144;
@@ -58,6 +58,27 @@
     assert.equal(connection.update(buildSample({ unreadBytes: 1, nowMs: late })), 'progress');
   });
 
+  // Guards against a connection that is closed while its caller may be sending a request.
+  it('times out with a header that does not end, and later while nothing is sent', () => {
+    const { connection } = buildConnection();
+    const limits = WaitLimits.parse({});
+    const { headerTimeoutMs, idleTimeoutMs } = limits;
+    assert.equal(connection.findTimeout(limits, idleTimeoutMs), undefined);
+    assert.equal(connection.findTimeout(limits, idleTimeoutMs + 1), 'idle');
+    connection.markHeader(idleTimeoutMs);
+    connection.markHeader(idleTimeoutMs + 1);
+    const endMs = idleTimeoutMs + headerTimeoutMs;
+    assert.equal(connection.findTimeout(limits, endMs), undefined);
+    assert.equal(connection.findTimeout(limits, endMs + 1), 'header');
+    connection.addRequest(100);
+    connection.startRequest(100, endMs);
+    connection.markHeader(endMs);
+    assert.equal(connection.findTimeout(limits, 9 * endMs), undefined);
+    connection.finishRequest(9 * endMs);
+    assert.equal(connection.findTimeout(limits, 9 * endMs + headerTimeoutMs), undefined);
+    assert.equal(connection.findTimeout(limits, 9 * endMs + headerTimeoutMs + 1), 'header');
+  });
+
   // Guards against the refusal of a caller on a slow link, which may take minutes for a large body.
   it('permits a body of the maximum size on a slow link', () => {
     const { connection } = buildConnection();
--- a/src/ingress/ConnectionBudget.ts
+++ b/src/ingress/ConnectionBudget.ts
@@ -1,5 +1,5 @@
 import type { HeldTotals } from './HeldTotals.js';
-import type { IngressBound, IngressSettings } from './IngressSettings.js';
+import type { IngressBound, IngressSettings, WaitLimits, WaitTimeout } from './IngressSettings.js';
 
 /** Estimated memory in bytes of the objects of one request and its response. */
 export const REQUEST_BYTES = 8 * 1_024;
@@ -68,6 +68,9 @@
 
   #lastActiveMs: number;
 
+  /** Time of the first byte of a header that has not ended, if there is one. */
+  #headerSinceMs: number | undefined;
+
   #progressMs: number;
 
   #progressBytes = 0;
@@ -138,10 +141,16 @@
     return this.#isClosed;
   }
 
+  /** Marks that bytes of a header have arrived that has not ended. */
+  markHeader(nowMs: number): void {
+    this.#headerSinceMs ??= nowMs;
+  }
+
   /** Adds a request whose header of `headBytes` has arrived. */
   addRequest(headBytes: number): void {
     this.#requestsAhead += 1;
     this.#aheadHeadBytes += headBytes;
+    this.#headerSinceMs = undefined;
     this.#updateTotals();
   }
 
@@ -203,6 +212,23 @@
     return this.#hasStalled(sample) ? 'progress' : undefined;
   }
 
+  /**
+   * Finds whether the caller has exceeded a time limit while no request is open: with a header that
+   * does not end, or without sending anything. A connection with an open request is not closed for
+   * its next header, since this would lose the response.
+   */
+  findTimeout(
+    { headerTimeoutMs, idleTimeoutMs }: WaitLimits,
+    nowMs: number,
+  ): WaitTimeout | undefined {
+    if (this.openRequests > 0 || this.#unreadBytes > 0) return undefined;
+    if (this.#headerSinceMs === undefined) {
+      return nowMs - this.#lastActiveMs > idleTimeoutMs ? 'idle' : undefined;
+    }
+    const sinceMs = Math.max(this.#headerSinceMs, this.#lastActiveMs);
+    return nowMs - sinceMs > headerTimeoutMs ? 'header' : undefined;
+  }
+
   #hasStalled({ movedBytes, nowMs }: ConnectionSample): boolean {
     const awaitsCaller = this.#unreadBytes > 0 || (this.#isRunning && !this.#isBodyComplete);
     const { minProgressBytes, progressTimeoutMs } = this.#settings;
--- a/src/ingress/IngressSettings.ts
+++ b/src/ingress/IngressSettings.ts
@@ -48,6 +48,18 @@
 });
 export type IngressSettings = z.infer<typeof IngressSettings>;
 
+/** For how long a caller may keep a connection open on which no request is being served. */
+export const WaitLimits = z.object({
+  /** Time in ms from the first byte of a request to the end of its header. */
+  headerTimeoutMs: z.number().positive().default(3_000),
+  /** Time in ms without a request, before the first one and between two of them. */
+  idleTimeoutMs: z.number().positive().default(15_000),
+});
+export type WaitLimits = z.infer<typeof WaitLimits>;
+
+/** Name of an exceeded time limit of `WaitLimits`, as metrics show it. */
+export type WaitTimeout = 'header' | 'idle';
+
 /** Name of a bound, as logs and metrics show it. */
 export type IngressBound =
   | 'requests-ahead'
--- a/src/net/GuardedServer.ts
+++ b/src/net/GuardedServer.ts
@@ -3,6 +3,7 @@
 import type { Clock } from '../clock/mod.js';
 import {
   ProcessBudget,
+  WaitLimits,
   type ConnectionBudget,
   type IngressBound,
   type IngressSettings,
@@ -15,9 +16,10 @@
 import { readBody } from './_readBody.js';
 import { closeServer, openServer } from './openServer.js';
 
-/** Interval in ms at which connections are checked for progress. */
+/** Interval in ms at which connections are checked for progress and time limits. */
 const CHECK_INTERVAL_MS = 250;
 const MS_PER_SECOND = 1_000;
+const DEFAULT_LIMITS = WaitLimits.parse({});
 
 /** Options of a `GuardedServer`. */
 export interface GuardedServerOptions {
@@ -28,8 +30,8 @@
   clock: Clock;
   /** Serves a request. It resolves when the response has been written, and does not reject. */
   handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>;
-  /** Called before each check of the connections, to apply changed limits to the server. */
-  prepare?: (server: Server) => void;
+  /** Reads the time limits in force, which may change; by default those of `WaitLimits`. */
+  readLimits?: () => WaitLimits;
 }
 
 /**
@@ -61,7 +63,9 @@
     );
     this.#server = createServer({
       maxHeaderSize: settings.maxHeaderBytes,
-      connectionsCheckingInterval: CHECK_INTERVAL_MS,
+      // The server would answer 408, also to a connection that has sent nothing.
+      headersTimeout: 0,
+      requestTimeout: 0,
     });
     this.#server.on('connection', (socket: Socket) => this.#addConnection(socket));
     this.#server.on('request', (request: IncomingMessage, response: ServerResponse) =>
@@ -76,7 +80,7 @@
 
   /** Opens the server at `IP:port` and returns the address in use. */
   async open(address: string): Promise<string> {
-    this.#options.prepare?.(this.#server);
+    this.#applyLimits();
     const opened = await openServer(this.#server, address);
     this.#timer = setInterval(() => this.#checkConnections(), CHECK_INTERVAL_MS);
     return opened;
@@ -107,7 +111,6 @@
   }
 
   #addConnection(socket: Socket): void {
-    paceParserInput(socket);
     const { clock } = this.#options;
     const budget = this.#budget.openConnection(clock.readMonotonic());
     const connection = new GuardedConnection(socket, {
@@ -115,6 +118,7 @@
       serve: (one, exchange) => this.#serve(one, exchange),
       readClock: () => clock.readMonotonic(),
     });
+    paceParserInput(socket, () => connection.recordInput());
     this.#connections.set(socket, connection);
     this.#owners.set(budget, connection);
     socket.once('close', () => this.#removeConnection(socket, connection));
@@ -192,13 +196,29 @@
     this.#options.observer.report(bound, 'close');
   }
 
+  /** Closes a connection without a response if its caller has exceeded a time limit. */
+  #closeTimedOut(connection: GuardedConnection, limits: WaitLimits): void {
+    const timeout = connection.findTimeout(limits);
+    if (timeout === undefined) return;
+    this.#budget.closeConnection(connection.budget);
+    connection.close();
+    this.#options.observer.countTimeout(timeout);
+  }
+
+  /** Applies the time limits to the server, which announces the idle timeout to clients. */
+  #applyLimits(): WaitLimits {
+    const limits = this.#options.readLimits?.() ?? DEFAULT_LIMITS;
+    this.#server.keepAliveTimeout = limits.idleTimeoutMs;
+    return limits;
+  }
+
   #checkConnections(): void {
-    this.#options.prepare?.(this.#server);
+    const limits = this.#applyLimits();
     this.#connections.forEach((connection) => {
       const bound = connection.update();
-      if (bound !== undefined && !connection.budget.isClosed) {
-        this.#closeConnection(connection, bound);
-      }
+      if (connection.budget.isClosed) return;
+      if (bound !== undefined) this.#closeConnection(connection, bound);
+      else this.#closeTimedOut(connection, limits);
     });
     this.#options.observer.show(this.#budget);
   }
--- a/src/net/SilentObserver.ts
+++ b/src/net/SilentObserver.ts
@@ -6,6 +6,10 @@
     // Nothing is recorded.
   }
 
+  override countTimeout(): void {
+    // Nothing is recorded.
+  }
+
   override show(): void {
     // Nothing is recorded.
   }
--- a/src/net/_GuardedConnection.ts
+++ b/src/net/_GuardedConnection.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import type { ConnectionBudget, IngressBound } from '../ingress/mod.js';
+import type { ConnectionBudget, IngressBound, WaitLimits, WaitTimeout } from '../ingress/mod.js';
 import { measureHead } from './measureHead.js';
 
 /** A request and the response to it, to be written by its handler. */
@@ -28,6 +28,12 @@
 
   readonly #waiting: Exchange[] = [];
 
+  /** The request that arrived last, whose body may not be complete. */
+  #newest: IncomingMessage | undefined;
+
+  /** A request has arrived, or its body was incomplete, when the last input began. */
+  #isWithinRequest = false;
+
   #isServing = false;
 
   constructor(socket: Socket, options: GuardedConnectionOptions) {
@@ -41,6 +47,17 @@
     const headBytes = measureHead(request);
     this.#waiting.push({ request, response, headBytes });
     this.budget.addRequest(headBytes);
+    this.#newest = request;
+    this.#isWithinRequest = true;
+  }
+
+  /**
+   * Marks the begin of a header if the last input belongs to no request that has arrived. The begin
+   * of a header in the same input as the end of a request is noticed with its next bytes.
+   */
+  recordInput(): void {
+    if (!this.#isWithinRequest) this.budget.markHeader(this.#options.readClock());
+    this.#isWithinRequest = this.#newest?.complete === false;
   }
 
   /** Starts the next request, unless one is being served. */
@@ -79,6 +96,11 @@
     });
   }
 
+  /** Finds the time limit that the caller has exceeded while no request is open, if any. */
+  findTimeout(limits: WaitLimits): WaitTimeout | undefined {
+    return this.budget.findTimeout(limits, this.#options.readClock());
+  }
+
   /** Closes the connection; requests that wait are dropped and have not run. */
   close(): void {
     this.#waiting.length = 0;
--- a/src/net/_paceParserInput.ts
+++ b/src/net/_paceParserInput.ts
@@ -11,12 +11,16 @@
  * all requests in it, up to 2,000, before it can be stopped. It keeps them until the end of the turn
  * of the event loop: 20 connections that were closed at once needed more than 60 MB.
  *
- * To be called in the `connection` event, in which the server has added its listener.
+ * To be called in the `connection` event, in which the server has added its listener. `onInput` is
+ * called after the parser has received input.
  */
-export function paceParserInput(socket: Socket): void {
+export function paceParserInput(socket: Socket, onInput: () => void): void {
   const listeners = socket.listeners('data') as ((chunk: Buffer) => void)[];
   const [parse] = listeners;
-  if (parse === undefined || listeners.length > 1) return;
+  if (parse === undefined || listeners.length > 1) {
+    socket.on('data', onInput);
+    return;
+  }
   socket.removeListener('data', parse);
   socket.on('data', (chunk: Buffer) => {
     for (let start = 0; start < chunk.length && !socket.destroyed; start += SLICE_BYTES) {
@@ -26,6 +30,7 @@
         return;
       }
       parse(chunk.subarray(start, start + SLICE_BYTES));
+      onInput();
     }
   });
 }
--- a/src/node/IngressObserver.ts
+++ b/src/node/IngressObserver.ts
@@ -1,4 +1,9 @@
-import { BoundReporter, type IngressBound, type ProcessBudget } from '../ingress/mod.js';
+import {
+  BoundReporter,
+  type IngressBound,
+  type ProcessBudget,
+  type WaitTimeout,
+} from '../ingress/mod.js';
 import { BoundObserver } from '../net/mod.js';
 import type { NodeContext } from './NodeContext.js';
 
@@ -24,6 +29,10 @@
     if (count !== undefined) log.record('ingress-bound', this.#server, { bound, action, count });
   }
 
+  override countTimeout(timeout: WaitTimeout): void {
+    this.#context.metrics.increase(`ingress.${this.#server}.${timeout}-timeout`);
+  }
+
   override show(budget: ProcessBudget): void {
     const largest = { 'requests-ahead': 0, 'ahead-bytes': 0, 'unread-bytes': 0, 'progress-ms': 0 };
     budget.connections.forEach((connection) => {
