Let a relayed write expire by the wall clock of its sender

A peer measured the validity of a relayed record from its own receipt, so it saw neither the time in transit nor its own suspension before the receipt, and could append the record long after the API key had expired.

The sender now also sends its wall-clock time of expiry. Records without a key carry no time of expiry and are handled as before.

A record that arrives after its expiry, or at a peer without a current proof, is reported as not stored.

--- a/src/node/CallGate.ts
+++ b/src/node/CallGate.ts
@@ -44,11 +44,16 @@
     return this.#authorizer.isReady(this.#context.clock.read());
   }
 
+  /** Checks whether the configuration is known to be the newest. */
+  get isCurrent(): boolean {
+    return this.#authorizer.isCurrent(this.#context.clock.read());
+  }
+
   setOperatorState({ configuration, provenAt }: OperatorState): void {
     // The proof applies to the configuration that was read with it.
     if (configuration !== undefined) this.#authorizer.setConfiguration(configuration);
     this.#authorizer.setProof(provenAt);
-    if (this.#authorizer.isCurrent(this.#context.clock.read())) this.#retryAdvisor.recordStored();
+    if (this.isCurrent) this.#retryAdvisor.recordStored();
     this.#reportProof();
   }
 
--- a/src/node/JobService.ts
+++ b/src/node/JobService.ts
@@ -17,7 +17,7 @@
 import { QueueTable, type QueueMatch } from './QueueTable.js';
 import { refuseImpossible } from './refuseImpossible.js';
 import type { RelayClient } from './RelayClient.js';
-import { RelayApi, type PeerJobState } from './RelayRouter.js';
+import { RelayApi, type PeerJobState, type RelayedWriteLimit } from './RelayRouter.js';
 import { RetryAdvisor } from './RetryAdvisor.js';
 import type { FollowerState } from './TopicFollower.js';
 import type { WorkLogWriter, WriteOutcome } from './WorkLogWriter.js';
@@ -365,14 +365,23 @@
 
   /**
    * Appends a record of a peer, without relaying it. The API key of the call is valid at the peer for
-   * `timeoutMs`; the record is not appended any more if it waited longer, on either clock.
+   * `timeoutMs` from the receipt, by either clock, and until `expiresAtMs`. The clock of the peer may
+   * be ahead, so the record is also appended only while this node has a current proof of the keys.
    */
-  override write(key: string, value: string, timeoutMs: number): Promise<WriteOutcome> {
+  override write(
+    key: string,
+    value: string,
+    { timeoutMs, expiresAtMs }: RelayedWriteLimit,
+  ): Promise<WriteOutcome> {
     const { revocationLimitMs } = this.#context.settings;
     if (revocationLimitMs === undefined) return this.#write({ key, value }, { timeoutMs });
     const receivedAt = this.#context.clock.read();
-    const computeValidity = (): number =>
-      timeoutMs - receivedAt.computeAge(this.#context.clock.read());
+    const computeValidity = (): number => {
+      const now = this.#context.clock.read();
+      const remainingMs = timeoutMs - receivedAt.computeAge(now);
+      if (expiresAtMs === undefined) return remainingMs;
+      return this.#gate.isCurrent ? Math.min(remainingMs, expiresAtMs - now.wallMs) : 0;
+    };
     return this.#write({ key, value }, { timeoutMs, computeValidity });
   }
 
--- a/src/node/Node.ts
+++ b/src/node/Node.ts
@@ -66,6 +66,7 @@
       name: context.settings.name,
       dataCentre: context.settings.dataCentre,
       readClock: () => context.clock.readMonotonic(),
+      readWall: () => context.clock.readWall(),
     });
     this.#shardCandidate = new ShardCandidate(context, {
       random: Math.random,
--- a/src/node/RelayClient.test.ts
+++ b/src/node/RelayClient.test.ts
@@ -3,7 +3,7 @@
 import { after, describe, it } from 'node:test';
 import { closeServer, openServer } from '../net/mod.js';
 import { RelayClient } from './RelayClient.js';
-import { RelayApi } from './RelayRouter.js';
+import { RelayApi, type RelayedWriteLimit } from './RelayRouter.js';
 import { RelayServer } from './RelayServer.js';
 import type { WriteOutcome } from './WorkLogWriter.js';
 
@@ -14,6 +14,8 @@
 
   readonly timeouts: number[] = [];
 
+  readonly expiries: (number | undefined)[] = [];
+
   constructor(isReady: boolean) {
     super();
     this.#isReady = isReady;
@@ -23,9 +25,14 @@
     return Promise.resolve(this.#isReady);
   }
 
-  override write(key: string, _value: string, timeoutMs: number): Promise<WriteOutcome> {
+  override write(
+    key: string,
+    _value: string,
+    { timeoutMs, expiresAtMs }: RelayedWriteLimit,
+  ): Promise<WriteOutcome> {
     this.written.push(key);
     this.timeouts.push(timeoutMs);
+    this.expiries.push(expiresAtMs);
     return Promise.resolve(this.#isReady ? 'stored' : 'not-stored');
   }
 
@@ -60,7 +67,12 @@
   }
 
   function openClient(addresses: string[]): RelayClient {
-    const options = { name: 'own', dataCentre: 'dc-1', readClock: () => performance.now() };
+    const options = {
+      name: 'own',
+      dataCentre: 'dc-1',
+      readClock: () => performance.now(),
+      readWall: () => 80_000,
+    };
     const client = new RelayClient(options);
     addresses.forEach((address, index) => {
       client.setPeer(`peer-${index}`, { session: `s-${index}`, address, dataCentre: 'dc-1' });
@@ -97,8 +109,11 @@
     const computeValidity = (): number => 40;
     await client.write(record, { timeoutMs: 700, computeValidity });
     assert.deepEqual(ready.timeouts, [40]);
+    assert.deepEqual(ready.expiries, [80_040]);
     const outcome = await client.write(record, { timeoutMs: 700, computeValidity: () => 0 });
     assert.equal(outcome, 'not-stored');
     assert.equal(ready.written.length, 1);
+    await client.write(record, { timeoutMs: 700, computeValidity: () => Infinity });
+    assert.deepEqual(ready.expiries, [80_040, undefined]);
   });
 });
--- a/src/node/RelayClient.ts
+++ b/src/node/RelayClient.ts
@@ -29,6 +29,8 @@
   name: string;
   dataCentre: string;
   readClock: () => number;
+  /** Reads the wall clock, in ms since the Unix epoch. */
+  readWall: () => number;
 }
 
 interface Peer {
@@ -91,13 +93,15 @@
     const untriedPeers = new Set(this.#choosePeersByDataCentre());
     for (let attempt = 0; attempt < MAX_PEER_ATTEMPTS; attempt += 1) {
       const peer = await this.#findReadyPeer([...untriedPeers]);
-      const limitMs = Math.min(timeoutMs, computeValidity());
+      const validMs = computeValidity();
+      const limitMs = Math.min(timeoutMs, validMs);
       if (peer === undefined || limitMs <= 0) return outcome;
       untriedPeers.delete(peer);
+      const expiresAtMs = validMs === Infinity ? undefined : this.#options.readWall() + validMs;
       const signal = AbortSignal.timeout(limitMs + RESPONSE_MARGIN_MS);
       try {
         const result = await peer.client.write.mutate(
-          { key, value, timeoutMs: limitMs },
+          { key, value, timeoutMs: limitMs, expiresAtMs },
           { signal },
         );
         if (result === 'stored') return result;
--- a/src/node/RelayRouter.ts
+++ b/src/node/RelayRouter.ts
@@ -10,13 +10,25 @@
   organisation?: string | null;
 }
 
+/** Conditions under which a peer may append a record for another node. */
+export const RelayedWriteLimit = z.object({
+  timeoutMs: z.number(),
+  /**
+   * Wall-clock time of the sender, in ms since the Unix epoch, from which the record may not be
+   * appended any more; undefined if it never expires. Unlike `timeoutMs`, it includes the time in
+   * transit and a suspension of the peer before the receipt.
+   */
+  expiresAtMs: z.number().optional(),
+});
+export type RelayedWriteLimit = z.infer<typeof RelayedWriteLimit>;
+
 /** Operations that a node offers to other nodes that cannot reach the store. */
 export abstract class RelayApi {
   /** Checks whether this node expects to be able to append to the work log. */
   abstract canWrite(): Promise<boolean>;
 
-  /** Appends a record to the work log, with a timeout in ms. */
-  abstract write(key: string, value: string, timeoutMs: number): Promise<WriteOutcome>;
+  /** Appends a record to the work log, within the given limit. */
+  abstract write(key: string, value: string, limit: RelayedWriteLimit): Promise<WriteOutcome>;
 
   /**
    * Checks whether this node is in contact with the store. A node that reports no contact to the
@@ -35,8 +47,8 @@
 export const relayRouter = t.router({
   ready: t.procedure.query(({ ctx }) => ctx.api.canWrite()),
   write: t.procedure
-    .input(z.object({ key: z.string(), value: z.string(), timeoutMs: z.number() }))
-    .mutation(({ ctx, input }) => ctx.api.write(input.key, input.value, input.timeoutMs)),
+    .input(RelayedWriteLimit.extend({ key: z.string(), value: z.string() }))
+    .mutation(({ ctx, input }) => ctx.api.write(input.key, input.value, input)),
   contact: t.procedure
     .input(z.object({ token: z.number() }))
     .query(({ ctx, input }) => ctx.api.checkStoreContact(input.token)),
--- a/src/node/keys.test.ts
+++ b/src/node/keys.test.ts
@@ -128,6 +128,22 @@
       );
     }));
 
+  // Guards against a relayed submission that a peer appends after its API key has expired: it was
+  // long in transit, or the peer was suspended before it received it.
+  it('appends no relayed record after the sender has let it expire', () =>
+    withCluster(async (cluster) => {
+      const { jobService } = cluster.get('node-0') ?? assert.fail();
+      const write = (limit: { expiresAtMs?: number }): Promise<string> =>
+        jobService.write('cancel/x', '{"atMs":1}', { timeoutMs: 1_000, ...limit });
+      const nowMs = cluster.clock.readWall();
+      assert.equal(await write({ expiresAtMs: nowMs - 1 }), 'not-stored');
+      assert.equal(await write({ expiresAtMs: nowMs + 1_000 }), 'stored');
+      // The proof of the keys is no longer current; a record without a key does not need it.
+      cluster.clock.advanceWall(1_600);
+      assert.equal(await write({ expiresAtMs: nowMs + 5_000 }), 'not-stored');
+      assert.equal(await write({}), 'stored');
+    }));
+
   it('uses no key after a restart while it is away from the store', () =>
     withCluster(async (cluster) => {
       cluster.kill(AWAY);
