Remember that a relayed write with an unknown outcome may be stored

If the relay of a write ended as unknown, the node forgot it: the peer might still store the record, but the next refusal for the same identifier at this node stated that the job never runs.

The job service now tells the writer that the key may still be stored, and the writer keeps the key as uncertain for the time in which a late append may be executed. A repeated submission that cannot be stored in this time is answered as unknown.

--- a/src/node/JobService.test.ts
+++ b/src/node/JobService.test.ts
@@ -48,17 +48,28 @@
   values: string[];
   /** Whether the writer says that records are open. */
   isOpen: boolean;
+  /** Outcome of each write. */
+  outcome: WriteOutcome;
+  /** Keys of the records that another node may store. */
+  uncertainKeys: string[];
   ask: (build: (reply: () => void) => WorkLogWriterMessage) => Promise<WriteOutcome | boolean>;
+  send: (message: WorkLogWriterMessage) => void;
 }
 
 /** Creates a writer that stores every record. */
 function createWriter(): StoringWriter {
   const keys: string[] = [];
   const values: string[] = [];
+  const uncertainKeys: string[] = [];
   return {
     keys,
     values,
+    uncertainKeys,
     isOpen: false,
+    outcome: 'stored',
+    send(message): void {
+      if (message.type === 'mark-uncertain') uncertainKeys.push(message.key);
+    },
     ask(build): Promise<WriteOutcome | boolean> {
       const message = build(() => undefined);
       if (message.type === 'is-open') return Promise.resolve(this.isOpen);
@@ -66,7 +77,7 @@
         keys.push(message.record.key);
         values.push(message.record.value ?? '');
       }
-      return Promise.resolve('stored');
+      return Promise.resolve(this.outcome);
     },
   };
 }
@@ -76,7 +87,10 @@
   workLog: LaggingWorkLog,
   writer = createWriter(),
 ): JobService {
-  const relay = { findState: () => Promise.resolve(undefined) };
+  const relay = {
+    findState: () => Promise.resolve(undefined),
+    write: () => Promise.resolve('unknown'),
+  };
   const options = { workLog: workLog as unknown as WorkLogFollower, relay, writer };
   const context = {
     clock,
@@ -142,6 +156,17 @@
     assert.equal(writer.keys.length, 1);
   });
 
+  // Guards against a refused repetition of a submission that a peer may still store: the writer did
+  // not learn of the unknown outcome of the relayed write.
+  it('tells the writer that a peer may still store a relayed record', async () => {
+    const clock = new ManualClock();
+    const writer = { ...createWriter(), outcome: 'not-stored' as const };
+    const service = openJobService(clock, new LaggingWorkLog(clock, {}), writer);
+    const spec = JobSpec.parse({ payload: 'x', steps: [{ count: 1 }] });
+    assert.deepEqual(await service.submit('a', buildQueueConfig(), spec), { type: 'unknown' });
+    assert.deepEqual(writer.uncertainKeys, [WorkLogKey.job('a', 'dc-1')]);
+  });
+
   // Guards against a job that runs although its cancellation was answered (UNASKED): the write of the
   // job may be open in this node, in another one or in the store.
   it('stores the cancellation of a job that it does not know', async () => {
--- a/src/node/JobService.ts
+++ b/src/node/JobService.ts
@@ -423,6 +423,8 @@
       computeValidity,
     });
     this.#context.log.record('write-relayed', record.key, { outcome, relayed });
+    // The next refusal for the record must not say that it is not stored.
+    if (relayed === 'unknown') this.#writer.send({ type: 'mark-uncertain', key: record.key });
     // If this node may have appended the record, a peer that did not store it leaves that unknown.
     return relayed === 'not-stored' ? outcome : relayed;
   }
--- a/src/node/WorkLogWriter.test.ts
+++ b/src/node/WorkLogWriter.test.ts
@@ -52,6 +52,14 @@
 }
 
 describe('WorkLogWriter', () => {
+  // Guards against a caller that is told that its job never runs while a peer may still store it.
+  it('reports no record as not stored while a peer may still store it', () =>
+    withWriter(['refused', 'refused', 'refused'], async (writer) => {
+      writer.send({ type: 'mark-uncertain', key: RECORD.key });
+      assert.equal(await isOpen(writer), true);
+      assert.equal(await write(writer), 'unknown');
+    }));
+
   // Guards against a caller that is told that its job never runs while an earlier write of the job,
   // for the same caller, may still be stored.
   it('reports no record as not stored while an earlier append of it may be executed', () =>
--- a/src/node/WorkLogWriter.ts
+++ b/src/node/WorkLogWriter.ts
@@ -37,6 +37,8 @@
   | { type: 'can-write'; reply: (canWrite: boolean) => void }
   /** Asks whether a record with the key may still be stored by a write of this node. */
   | { type: 'is-open'; key: string; reply: (isOpen: boolean) => void }
+  /** Reports that another node may still store a record with the key. */
+  | { type: 'mark-uncertain'; key: string }
   /** Reports whether the last read of the work log was answered. */
   | { type: 'read'; isAnswered: boolean }
   | ({ type: 'answered' } & AppendResult)
@@ -106,6 +108,10 @@
       case 'is-open':
         message.reply(this.#isOpen(message.key));
         break;
+      case 'mark-uncertain':
+        this.#uncertain.add(message.key);
+        this.#expireUncertain(this.#context.clock.readMonotonic());
+        break;
       case 'send':
         this.#flush();
         break;
