Stop uncertain runs when their job or gang ends

Only running and starting runs were stopped. A run whose start had not been answered went on after its job was cancelled or its gang had finished, and counted against the cap of its organisation until a report listed it.

All runs without a stop order are now stopped, also uncertain ones.

--- a/src/schedule/RunTracker.ts
+++ b/src/schedule/RunTracker.ts
@@ -191,7 +191,7 @@
   /** Stops all runs of a finished job. */
   stopJob(job: ScheduledJob, now: number, reason: string): void {
     job.collectRuns().forEach((run) => {
-      if (run.state === 'running' || run.state === 'starting') this.stop(run, now, reason);
+      if (run.state !== 'stopping') this.stop(run, now, reason);
     });
   }
 
@@ -316,9 +316,7 @@
     }
     this.#jobs.finishUnit(unit, this.#clock.readWall());
     unit.runs.forEach((other) => {
-      if (other !== run && (other.state === 'running' || other.state === 'starting')) {
-        this.stop(other, now, 'copy-finished');
-      }
+      if (other !== run && other.state !== 'stopping') this.stop(other, now, 'copy-finished');
     });
   }
 
--- a/src/schedule/caps.test.ts
+++ b/src/schedule/caps.test.ts
@@ -277,6 +277,23 @@
     assert.equal(listTasks(rig.plan()).length, 2);
   });
 
+  // Guards against a run without an answer that goes on after its job, and counts against the cap.
+  it('stops the uncertain runs of a failed job and of a finished gang', () => {
+    const isStopped = (gang: boolean, outcome: 'done' | 'failed'): boolean => {
+      const rig = new ScheduleRig({}, [buildQueueConfig({ maxAttempts: 1 })]);
+      rig.setCaps({ acme: 4_000 });
+      rig.addHost('h1');
+      rig.shard.addJob(buildJob('a', 'acme', [{ count: 2, cpuMilli: 1_000, gang }]));
+      const runs = rig.plan().flatMap((command) => (command.type === 'start' ? [command.run] : []));
+      rig.shard.reportStart(runs[0] as Run, { type: 'done', clockMs: undefined });
+      rig.shard.reportStart(runs[1] as Run, { type: 'unanswered' });
+      rig.end(runs[0] as Run, outcome);
+      return rig.output.commands.some((one) => one.type === 'stop' && one.task === runs[1]?.task);
+    };
+    assert.equal(isStopped(false, 'failed'), true);
+    assert.equal(isStopped(true, 'done'), true);
+  });
+
   // Guards against a successor that does not know what a previous owner started without a record.
   it('counts the capacity of unresponsive hosts for organisations with unrecorded starts', () => {
     const job = buildJob('a', 'acme', [{ count: 1, cpuMilli: 1_000 }]);
