Record the stopping runs of finished units for later owners

The progress of a job listed only the runs of unfinished units and occurrences. A new owner did not count the runs of a finished gang, or of copies of a finished task, that were still stopping, and could start tasks above the cap beside them.

For jobs with an organisation, the progress now lists all runs that have not ended, including those of finished units and of finished occurrences. An owner that restores the job does not open a finished occurrence again.

--- a/src/schedule/Occurrence.ts
+++ b/src/schedule/Occurrence.ts
@@ -17,6 +17,11 @@
     this.steps = job.tracked.spec.steps.map((spec, index) => new ScheduledStep(this, index, spec));
   }
 
+  /** Checks whether a run of a task is known to this owner. */
+  get hasRuns(): boolean {
+    return this.steps.some(({ units }) => units.some(({ runs }) => runs.size > 0));
+  }
+
   get isDone(): boolean {
     return this.steps.every((step) => step.isDone);
   }
--- a/src/schedule/ScheduledJob.ts
+++ b/src/schedule/ScheduledJob.ts
@@ -13,6 +13,9 @@
   /** Unfinished occurrences that have been opened, by number. */
   readonly occurrences = new Map<number, Occurrence>();
 
+  /** Finished occurrences, some of whose runs may still be stopping. */
+  #ended: Occurrence[] = [];
+
   /** Numbers of the finished occurrences from `#finishedBelow` on. */
   readonly #finished = new Set<number>();
 
@@ -88,6 +91,8 @@
 
   /** Marks an occurrence as finished; returns true if all occurrences of the job are finished. */
   finishOccurrence(number: number): boolean {
+    const ended = this.occurrences.get(number);
+    if (ended !== undefined) this.#ended.push(ended);
     this.occurrences.delete(number);
     this.#finished.add(number);
     while (this.#finished.delete(this.#finishedBelow)) this.#finishedBelow += 1;
@@ -112,21 +117,28 @@
       finishedBelow: this.#finishedBelow,
       finished: [...this.#finished],
       occurrences: this.#listRecordedOccurrences().map((occurrence) =>
-        ScheduledJob.#describeOccurrence(occurrence),
+        this.#describeOccurrence(occurrence),
       ),
     };
   }
 
   /**
-   * Lists the occurrences that have started. Those of a finished job are recorded only if it has an
-   * organisation: the runs that are still stopping count against its cap at a later owner, too.
+   * Lists the occurrences that have started. Finished ones, and those of a finished job, are recorded
+   * only if the job has an organisation: the runs that are still stopping count against its cap at a
+   * later owner, too.
    */
   #listRecordedOccurrences(): Occurrence[] {
-    if (this.finalState !== undefined && this.tracked.organisation === undefined) return [];
-    return [...this.occurrences.values()].filter(({ hasStarted }) => hasStarted);
+    this.#ended = this.#ended.filter(({ hasRuns }) => hasRuns);
+    const started = [...this.occurrences.values()].filter(({ hasStarted }) => hasStarted);
+    if (this.#hasOrganisation) return [...this.#ended, ...started];
+    return this.finalState === undefined ? started : [];
+  }
+
+  get #hasOrganisation(): boolean {
+    return this.tracked.organisation !== undefined;
   }
 
-  static #describeOccurrence({ number, steps }: Occurrence): JobProgress['occurrences'][number] {
+  #describeOccurrence({ number, steps }: Occurrence): JobProgress['occurrences'][number] {
     return {
       number,
       steps: steps.map((step) => ({
@@ -135,7 +147,7 @@
           .filter((unit) => unit.failures > 0 && !unit.isDone)
           .map((unit) => [unit.indexes[0] ?? 0, [...unit.failedRuns]]),
         started: step.units
-          .filter((unit) => !unit.isDone)
+          .filter((unit) => !unit.isDone || this.#hasOrganisation)
           .flatMap((unit) => [
             ...unit.inheritedRuns.map((one): StartedRun => [one.index, one.number, one.host]),
             ...[...unit.runs].map((run): StartedRun => [run.index, run.number, run.host.id]),
@@ -157,6 +169,8 @@
     progress.finished.forEach((number) => this.#finished.add(number));
     if (progress.state !== 'active') this.finalState = progress.state;
     progress.occurrences.forEach(({ number, steps }) => {
+      // Only the use of the organisation depends on the runs of a finished occurrence.
+      if (number < this.#finishedBelow || this.#finished.has(number)) return;
       const occurrence = this.#openOccurrence(number);
       occurrence.hasStarted = true;
       steps.forEach(({ done, failed, started }, index) => {
--- a/src/schedule/caps.test.ts
+++ b/src/schedule/caps.test.ts
@@ -13,6 +13,7 @@
 import type { TrackedJob } from '../workLog/mod.js';
 import { findImpossibleStep, Shard, ShardOptions } from './mod.js';
 import type { Run, ShardCommand } from './mod.js';
+import { ScheduledJob } from './ScheduledJob.js';
 
 type Steps = Parameters<typeof buildTrackedJob>[1];
 
@@ -294,6 +295,30 @@
     assert.equal(isStopped(true, 'done'), true);
   });
 
+  // Guards against a successor that starts up to the cap beside runs that are still stopping.
+  it('records the runs of finished units and of finished occurrences that are still stopping', () => {
+    const listRecorded = (steps: Steps): string[] => {
+      const rig = openRig({ acme: 4_000 });
+      rig.addHost('h2');
+      rig.shard.addJob(buildJob('a', 'acme', steps));
+      const [first] = rig.startAll();
+      rig.end(first as Run, 'done');
+      const [job] = rig.shard.takeDirtyJobs();
+      const { occurrences } = job?.describeProgress(1) ?? assert.fail();
+      const recorded = occurrences.flatMap((one) => one.steps.flatMap(({ started }) => started));
+      // A successor does not open a finished occurrence again.
+      const tracked = buildJob('a', 'acme', steps);
+      tracked.progress = job?.describeProgress(1);
+      const restored = new ScheduledJob(tracked, buildQueueConfig());
+      const isOpen = restored.finalState === undefined;
+      assert.equal(restored.occurrences.size, isOpen ? 1 : 0);
+      return recorded.map(([index, number]) => `${index}#${number}`);
+    };
+    const gang = { count: 2, cpuMilli: 1_000, gang: true };
+    assert.deepEqual(listRecorded([gang]), ['1#1']);
+    assert.deepEqual(listRecorded([gang, { count: 1, after: [0] }]), ['1#1']);
+  });
+
   // Guards against a successor that does not know what a previous owner started without a record.
   it('counts the capacity of unresponsive hosts for organisations with unrecorded starts', () => {
     const job = buildJob('a', 'acme', [{ count: 1, cpuMilli: 1_000 }]);
