Release the use of the organisation for which a run was counted

The organisation of a job changes if the record of an earlier submission by another organisation is read later. The use of a run was then subtracted from the new organisation, and the former one kept it until the owner was replaced. The owner also kept the job in the rate of the former organisation.

The use is now stored per run when the run is added, and the owner records the submission again if the record of the job changes.

--- a/src/node/ShardOwner.ts
+++ b/src/node/ShardOwner.ts
@@ -452,6 +452,9 @@
         this.#records.withdrawEarlyCancels(change.job);
         this.#addJob(change.job);
         break;
+      case 'resubmitted':
+        this.#shard.reportResubmission(change.job);
+        break;
       case 'early-cancel':
         this.#records.addEarlyCancel(change.key);
         break;
--- a/src/schedule/OrganisationUse.ts
+++ b/src/schedule/OrganisationUse.ts
@@ -2,6 +2,14 @@
 import { addResources, computeTaskUse, NO_RESOURCES } from './_ResourceAmount.js';
 import type { Run } from './Run.js';
 
+/** What a run was counted for when it was added; its job may change its organisation later. */
+interface CountedRun {
+  organisation: string;
+  /** Pool that the host of the run belonged to. */
+  pool: string;
+  amount: Readonly<Capacity>;
+}
+
 interface Total {
   runs: number;
   amount: Capacity;
@@ -21,8 +29,7 @@
  * ```
  */
 export class OrganisationUse {
-  /** Counted runs with the pool that their host belonged to when they were created. */
-  readonly #pools = new Map<Run, string>();
+  readonly #counted = new Map<Run, CountedRun>();
 
   readonly #totals = new Map<string, Total>();
 
@@ -38,17 +45,20 @@
 
   /** Adds a run that has been created. */
   add(run: Run): void {
-    if (run.unit.step.occurrence.job.tracked.organisation === undefined) return;
-    this.#pools.set(run, run.host.pool);
-    this.#change(run, run.host.pool, 1);
+    const { organisation } = run.unit.step.occurrence.job.tracked;
+    if (organisation === undefined) return;
+    const amount = computeTaskUse(run.unit.spec);
+    const counted = { organisation, pool: run.host.pool, amount };
+    this.#counted.set(run, counted);
+    this.#change(counted, 1);
   }
 
   /** Removes a run that can no longer exist; a run that has been removed before is ignored. */
   remove(run: Run): void {
-    const pool = this.#pools.get(run);
-    if (pool === undefined) return;
-    this.#pools.delete(run);
-    this.#change(run, pool, -1);
+    const counted = this.#counted.get(run);
+    if (counted === undefined) return;
+    this.#counted.delete(run);
+    this.#change(counted, -1);
   }
 
   /** Lists the organisations with runs. */
@@ -66,11 +76,8 @@
     return this.#poolTotals.get(pool)?.get(organisation)?.amount ?? NO_RESOURCES;
   }
 
-  #change({ unit }: Run, pool: string, sign: 1 | -1): void {
-    const { organisation } = unit.step.occurrence.job.tracked;
-    if (organisation === undefined) return;
+  #change({ organisation, pool, amount }: CountedRun, sign: 1 | -1): void {
     this.#version += 1;
-    const amount = computeTaskUse(unit.spec);
     const inPool = this.#poolTotals.get(pool) ?? new Map<string, Total>();
     this.#poolTotals.set(pool, inPool);
     [this.#totals, inPool].forEach((totals) => {
--- a/src/schedule/Shard.ts
+++ b/src/schedule/Shard.ts
@@ -225,6 +225,12 @@
     this.#load.reportSubmission(tracked, this.#now - ageMs);
   }
 
+  /** Records a submission that replaces the earlier one of its job, of the same organisation or not. */
+  reportResubmission(tracked: TrackedJob): void {
+    this.organisations.removeJob(tracked.id);
+    this.organisations.addJob(tracked, { now: this.#now, nowWallMs: this.#clock.readWall() });
+  }
+
   /** Adds an accepted job. */
   addJob(tracked: TrackedJob): void {
     const queue = this.#queues.get(tracked.queue) ?? restoreQueue(tracked);
--- a/src/schedule/caps.test.ts
+++ b/src/schedule/caps.test.ts
@@ -319,6 +319,25 @@
     assert.deepEqual(listRecorded([gang, { count: 1, after: [0] }]), ['1#1']);
   });
 
+  // Guards against use that is never released, or is released for an organisation without any: two
+  // organisations may submit the same identifier, and the job belongs to the first one.
+  it('releases the use of the organisation for which a run was counted', () => {
+    const rig = openRig({ acme: 4_000, umbra: 4_000 });
+    rig.setCaps({ acme: 4_000, umbra: 4_000 }, 0.2);
+    const job = buildJob('a', 'acme', [{ count: 1, cpuMilli: 1_000 }]);
+    rig.shard.addJob(job);
+    const [run] = rig.startAll();
+    job.organisation = 'umbra';
+    rig.shard.reportResubmission(job);
+    rig.end(run as Run, 'done');
+    const { use, demand } = rig.shard.organisations;
+    assert.deepEqual(use.list(), []);
+    // The one job within the rate of acme has become one of umbra.
+    const next = buildJob('b', 'acme', [{ count: 1 }]);
+    rig.shard.addJob(next);
+    assert.equal(demand.isWithinRate(next), true);
+  });
+
   // Guards against a successor that does not know what a previous owner started without a record.
   it('counts the capacity of unresponsive hosts for organisations with unrecorded starts', () => {
     const job = buildJob('a', 'acme', [{ count: 1, cpuMilli: 1_000 }]);
