Do not count a pool as full while its steps wait for advice

A step whose queue needs advice has no allowed hosts until the advice arrives. The planner reported this as a lack of room, so that submissions beyond the rate were refused while the hosts of the pool were idle.

Only steps that need no advice now show that a pool has no capacity left.

--- a/src/schedule/StartPlanner.ts
+++ b/src/schedule/StartPlanner.ts
@@ -161,9 +161,12 @@
       const allowed = needsAdvice ? this.#advice.collectAllowed(step, now) : undefined;
       const placements = round.choose(unit, allowed);
       if (placements === undefined) {
-        this.#organisations.reportNoRoom(unit, now);
+        // A step that waits for advice does not show that the pool has no capacity left.
         if (needsAdvice) this.#askAdvice(step, round.hosts, now);
-        else this.#preempt(unit, round, now);
+        else {
+          this.#organisations.reportNoRoom(unit, now);
+          this.#preempt(unit, round, now);
+        }
         return;
       }
       const number = unit.takeRunNumber((this.#token - 1) * RUNS_PER_TOKEN);
--- a/src/schedule/caps.test.ts
+++ b/src/schedule/caps.test.ts
@@ -387,6 +387,20 @@
     assert.equal(tasks.filter((task) => task === 'b').length, 8);
   });
 
+  // Guards against refused submissions while the hosts of the pool are idle.
+  it('does not count a pool as full whose steps wait for advice', () => {
+    const advice = { decisionMs: 100, perHostMs: 10 };
+    const rig = new ScheduleRig({}, [buildQueueConfig({ advice })]);
+    rig.setCaps({ acme: 0 });
+    rig.addHost('h1');
+    rig.shard.addJob(buildJob('a', 'acme', [{ count: 1, cpuMilli: 1_000 }]));
+    assert.deepEqual(
+      rig.plan().map(({ type }) => type),
+      ['ask-advice'],
+    );
+    assert.deepEqual(rig.shard.organisations.listFullPools(0), []);
+  });
+
   // Guards against hosts that are paid for to run work to which no organisation is entitled.
   it('leaves jobs beyond the rate out of the demand for hosts, and starts them in idle hosts', () => {
     const rig = openRig({ acme: 0 });
