Answer every refusal as unknown while a write of the job is open

Before a call was refused, the gate asked whether an earlier write of the same job was open, but with the organisation of the key that the call carried. Once the key had been removed, this organisation was unknown, and the refusal stated that the job never runs although it might.

The writer is now asked for any accepting record of the job, whatever its organisation, in all deployments, for refusals with 503, 429 and 400.

--- a/src/node/CallGate.ts
+++ b/src/node/CallGate.ts
@@ -68,22 +68,19 @@
   /**
    * Serves a call if it is authorized, and logs and counts its response.
    *
-   * A refusal says that the call never runs. `isOpen` tells whether an earlier write for the same
-   * caller may still be executed; a refused call is then answered as unknown.
+   * A refusal says that the call never runs. `isOpen` tells whether an earlier write of the same call
+   * may still be executed, whoever sent it; a refused call is then answered as unknown.
    */
   async serve(
     call: GatedCall,
     run: (access: CallAccess) => Promise<CallResponse>,
-    isOpen: (organisation: string | undefined) => Promise<boolean> = () => Promise.resolve(false),
+    isOpen: () => Promise<boolean> = () => Promise.resolve(false),
   ): Promise<CallResponse> {
     const access = this.authorize(call);
     const isAuthorized = access instanceof CallAccess;
     const response = isAuthorized ? await run(access) : access;
-    const isRefused = response.type === 'refused' || response.type === 'over-limit';
-    if (isRefused && this.#authorizer.hasOrganisations) {
-      const organisation = this.#findOrganisation(call);
-      if (await isOpen(organisation)) return this.report(call, { type: 'unknown' });
-    }
+    const isRefused = ['refused', 'over-limit', 'bad-request'].includes(response.type);
+    if (isRefused && (await isOpen())) return this.report(call, { type: 'unknown' });
     return this.report(call, response, isAuthorized ? access.organisation : undefined);
   }
 
@@ -128,12 +125,6 @@
     return decision.organisation === organisation ? decision : this.#refuseOutdated();
   }
 
-  /** Finds the organisation of a call, whether or not it is authorized. */
-  #findOrganisation({ queue, key }: GatedCall): string | undefined {
-    if (queue.isPublic || key === undefined) return undefined;
-    return this.#authorizer.organisations?.findByKey(key)?.name;
-  }
-
   #refuseOutdated(): CallResponse {
     const now = this.#context.clock.readMonotonic();
     this.#retryAdvisor.recordRefusal(now);
--- a/src/node/JobService.test.ts
+++ b/src/node/JobService.test.ts
@@ -72,7 +72,8 @@
     },
     ask(build): Promise<WriteOutcome | boolean> {
       const message = build(() => undefined);
-      if (message.type === 'is-open') return Promise.resolve(this.isOpen);
+      if (message.type === 'is-open' || message.type === 'has-open')
+        return Promise.resolve(this.isOpen);
       if (message.type === 'write') {
         keys.push(message.record.key);
         values.push(message.record.value ?? '');
@@ -167,6 +168,19 @@
     assert.deepEqual(writer.uncertainKeys, [WorkLogKey.job('a', 'dc-1')]);
   });
 
+  // Guards against a refusal that says that a job never runs while its first write may be stored: in
+  // deployments without organisations, refusals were passed on unchecked.
+  it('answers a refused repetition as unknown while a write of the job is open', async () => {
+    const clock = new ManualClock();
+    const workLog = new LaggingWorkLog(clock, {});
+    workLog.setState('running');
+    const writer = { ...createWriter(), isOpen: true };
+    const service = openJobService(clock, workLog, writer);
+    const spec = JobSpec.parse({ payload: 'x', steps: [{ count: 1 }] });
+    const other = buildQueueConfig({ name: 'scores' });
+    assert.deepEqual(await service.submit('a', other, spec), { type: 'unknown' });
+  });
+
   // Guards against a job that runs although its cancellation was answered (UNASKED): the write of the
   // job may be open in this node, in another one or in the store.
   it('stores the cancellation of a job that it does not know', async () => {
--- a/src/node/JobService.ts
+++ b/src/node/JobService.ts
@@ -211,7 +211,7 @@
       return this.#toResponse(outcome, { type: 'accepted' }, access);
     };
     const call = { queue, key, subject: id };
-    return this.#gate.serve(call, run, (organisation) => this.#hasOpenWrite(id, organisation));
+    return this.#gate.serve(call, run, () => this.#hasOpenWrite(id));
   }
 
   /**
@@ -229,8 +229,7 @@
       const found = await this.#finder.findCurrent(id, queue);
       const { state, isCurrent } = found;
       const { organisation } = access;
-      const isUnknown =
-        state === undefined && isCurrent && !(await this.#hasOpenWrite(id, organisation));
+      const isUnknown = state === undefined && isCurrent && !(await this.#hasOpenWrite(id));
       const refusal = access.check();
       if (refusal !== undefined) return refusal;
       if (access.isForeign(found.organisation)) return { type: 'forbidden' };
@@ -252,9 +251,9 @@
       this.#context.log.record('cancel', id, { queue: queue.name, state, outcome });
       return this.#toResponse(outcome, { type: isUnknown ? 'no-job' : 'cancelled' }, access);
     };
-    return this.#gate.serve({ queue, key, subject: id }, run, async (organisation) => {
-      const early = WorkLogKey.earlyCancel(id, queue.name, organisation);
-      return (await this.#isOpen(WorkLogKey.cancel(id))) || this.#isOpen(early);
+    return this.#gate.serve({ queue, key, subject: id }, run, async () => {
+      const isOpen = await this.#isOpen(WorkLogKey.cancel(id));
+      return isOpen || this.#hasOpen(WorkLogKey.earlyCancelPrefix(id));
     });
   }
 
@@ -264,9 +263,7 @@
       const found = await this.#finder.findCurrent(id, queue);
       const { state, isCurrent, hasOtherQueue } = found;
       const isAbsent =
-        state === undefined &&
-        isCurrent &&
-        (hasOtherQueue || !(await this.#hasOpenWrite(id, access.organisation)));
+        state === undefined && isCurrent && (hasOtherQueue || !(await this.#hasOpenWrite(id)));
       const refusal = access.check();
       if (refusal !== undefined) return refusal;
       if (access.isForeign(found.organisation)) return { type: 'forbidden' };
@@ -339,9 +336,16 @@
     };
   }
 
-  /** Checks whether a write of this node may still store the job. */
-  #hasOpenWrite(id: string, organisation: string | undefined): Promise<boolean> {
-    return this.#isOpen(WorkLogKey.job(id, this.#context.settings.dataCentre, organisation));
+  /**
+   * Checks whether a write of this node may still store the job, for any organisation: the key of an
+   * earlier call may have been removed in the meantime.
+   */
+  #hasOpenWrite(id: string): Promise<boolean> {
+    return this.#hasOpen(WorkLogKey.jobPrefix(id));
+  }
+
+  #hasOpen(prefix: string): Promise<boolean> {
+    return this.#writer.ask<boolean>((reply) => ({ type: 'has-open', prefix, reply }));
   }
 
   #isOpen(key: string): Promise<boolean> {
--- a/src/node/WorkLogWriter.test.ts
+++ b/src/node/WorkLogWriter.test.ts
@@ -60,6 +60,21 @@
       assert.equal(await write(writer), 'unknown');
     }));
 
+  // Guards against the same for a caller whose key has been removed: its organisation, which is part
+  // of the key of the record, is not known any more.
+  it('finds the open writes of a job by the prefix of their keys', () =>
+    withWriter(['unanswered'], async (writer) => {
+      const hasOpen = (id: string): Promise<boolean> => {
+        const prefix = WorkLogKey.jobPrefix(id);
+        return writer.ask<boolean>((reply) => ({ type: 'has-open', prefix, reply }));
+      };
+      assert.equal(await hasOpen('a'), false);
+      const record = { ...RECORD, key: WorkLogKey.job('a', 'dc-1', 'acme') };
+      assert.equal(await write(writer, record), 'unknown');
+      assert.equal(await hasOpen('a'), true);
+      assert.equal(await hasOpen('b'), false);
+    }));
+
   // Guards against a caller that is told that its job never runs while an earlier write of the job,
   // for the same caller, may still be stored.
   it('reports no record as not stored while an earlier append of it may be executed', () =>
--- a/src/node/WorkLogWriter.ts
+++ b/src/node/WorkLogWriter.ts
@@ -37,6 +37,8 @@
   | { type: 'can-write'; reply: (canWrite: boolean) => void }
   /** Asks whether a record with the key may still be stored by a write of this node. */
   | { type: 'is-open'; key: string; reply: (isOpen: boolean) => void }
+  /** Asks the same for any record whose key begins with a prefix. */
+  | { type: 'has-open'; prefix: string; reply: (hasOpen: boolean) => void }
   /** Reports that another node may still store a record with the key. */
   | { type: 'mark-uncertain'; key: string }
   /** Reports whether the last read of the work log was answered. */
@@ -108,6 +110,9 @@
       case 'is-open':
         message.reply(this.#isOpen(message.key));
         break;
+      case 'has-open':
+        message.reply(this.#hasOpen(message.prefix));
+        break;
       case 'mark-uncertain':
         this.#uncertain.add(message.key);
         this.#expireUncertain(this.#context.clock.readMonotonic());
@@ -190,6 +195,12 @@
     return writes.some(({ record }) => record.key === key) || this.#isUncertain(key);
   }
 
+  #hasOpen(prefix: string): boolean {
+    const writes = [...this.#inFlight, ...this.#queue.writes];
+    if (writes.some(({ record }) => record.key.startsWith(prefix))) return true;
+    return this.#uncertain.hasAny(prefix, this.#context.clock.readMonotonic());
+  }
+
   /** Checks whether an unanswered append of a key may still be executed. */
   #isUncertain(key: string): boolean {
     return this.#uncertain.has(key, this.#context.clock.readMonotonic());
--- a/src/node/_UncertainRecords.ts
+++ b/src/node/_UncertainRecords.ts
@@ -11,6 +11,11 @@
     return (this.#until.get(key) ?? -Infinity) > now;
   }
 
+  /** Checks the same for any record whose key begins with a prefix. */
+  hasAny(prefix: string, now: number): boolean {
+    return [...this.#until.keys()].some((key) => key.startsWith(prefix) && this.has(key, now));
+  }
+
   /** Adds a record whose append was not answered. */
   add(key: string): void {
     this.#until.set(key, Infinity);
--- a/src/node/keys.test.ts
+++ b/src/node/keys.test.ts
@@ -3,6 +3,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { NodeCluster } from '../emulator/NodeCluster.js';
 import type { OrganisationConfig } from '../port/mod.js';
+import { JobSpec } from '../task/mod.js';
 import { waitFor } from '../testing/waitFor.js';
 import { WorkLogKey } from '../workLog/mod.js';
 
@@ -119,6 +120,11 @@
       // The first append may still be executed, so its repetition cannot be refused as never running.
       const repeated = await cluster.submit(AWAY, 'first', STEPS, { key: 'k-1' });
       assert.equal(repeated.type, 'unknown');
+      // The same applies once the key, and with it the organisation of the call, is not known any more.
+      const { jobService } = cluster.get(AWAY) ?? assert.fail();
+      const spec = JobSpec.parse({ payload: 'x', steps: STEPS });
+      const unknown = await jobService.submit('first', cluster.queue, spec, { key: 'k-9' });
+      assert.equal(unknown.type, 'unknown');
       cluster.store.setMode('normal', AWAY);
       await pause(300);
       const records = cluster.store.listNewest('work').map(({ key }) => key);
--- a/src/workLog/WorkLogRecord.ts
+++ b/src/workLog/WorkLogRecord.ts
@@ -164,7 +164,11 @@
   /** The organisation is part of the key, so that another one cannot replace the record. */
   job: (id: string, dataCentre: string, organisation?: string): string =>
     `accepted-job/${id}/${dataCentre}${toSuffix(organisation)}`,
+  /** Prefix of the keys of all records that accept a job, of any organisation. */
+  jobPrefix: (id: string): string => `accepted-job/${id}/`,
   cancel: (id: string): string => `cancel/${id}`,
+  /** Prefix of the keys of all cancellations by nodes that do not know the job. */
+  earlyCancelPrefix: (id: string): string => `cancel/${id}/`,
   /** Cancellation by a node that does not know the job, for a job of the caller's organisation. */
   earlyCancel: (id: string, queue: string, organisation?: string): string =>
     `cancel/${id}/${queue}${toSuffix(organisation)}`,
