Deliver all stop orders in the property test of the caps

The test planned with a rig that first discards the commands issued since the last plan, so that the stop orders of cancelled jobs and of unwanted runs were never delivered, and no time passed in which they are repeated.

The commands between plans are now delivered, too, an event lets time pass, and each run of the test ends by checking that the counted use returns to 0 when nothing runs.

--- a/src/schedule/caps.property.test.ts
+++ b/src/schedule/caps.property.test.ts
@@ -40,6 +40,11 @@
   ended: EndedRun[];
 }
 
+/** Time in ms after which an unanswered stop order is repeated, and a little more. */
+const WAIT_MS = 800;
+/** Rounds within which a shard without jobs must have released all use. */
+const SETTLE_ROUNDS = 20;
+
 type Event = [kind: string, pick: number, variant: number];
 
 function toKey({ task, number }: { task: string; number: number }): string {
@@ -83,6 +88,7 @@
     else if (kind === 'report') this.#report(owner, pick % HOSTS.length);
     else if (kind === 'report-all') HOSTS.forEach((_, host) => this.#report(owner, host));
     else if (kind === 'end') this.#end(pick);
+    else if (kind === 'wait') this.#wait();
     else if (kind === 'cancel') this.#cancel(pick);
     else if (kind === 'cap') {
       this.#cap = variant % 4 === 0 ? CAP_MILLI / 3 : CAP_MILLI;
@@ -113,6 +119,24 @@
     return [...running, ...pending].reduce((sum, { milli }) => sum + milli, 0);
   }
 
+  /** Ends all jobs, delivers all orders of the owner, and returns the use that is counted then. */
+  settle(): number {
+    if (this.#owner.isDetached || this.#owner.isReleased) this.#claim();
+    this.#log.forEach((_, id) => this.#cancelJob(id));
+    const owner = this.#owner;
+    for (let round = 0; round < SETTLE_ROUNDS; round += 1) {
+      this.#plan(owner);
+      owner.orders.slice().forEach(() => this.#runOrder(owner, 0, 0));
+      this.#wait();
+    }
+    assert.equal(
+      this.#hosts.reduce((sum, { running }) => sum + running.size, 0),
+      0,
+      'runs',
+    );
+    return owner.rig.shard.organisations.use.measure('acme').cpuMilli;
+  }
+
   get #owner(): Owner {
     const owner = this.#owners.at(-1);
     assert.ok(owner !== undefined);
@@ -193,7 +217,9 @@
   #plan(owner: Owner): void {
     const { rig } = owner;
     if (owner.isReleased || (owner !== this.#owner && !owner.isDetached)) return;
-    const commands = rig.plan();
+    // Stop orders are also issued between plans; `plan` discards the commands before it.
+    const commands = [...rig.output.commands.splice(0), ...rig.plan()];
+    rig.output.commands.length = 0;
     if (!owner.isDetached) this.#recordProgress(owner);
     commands.forEach((command) => {
       if (command.type === 'start') {
@@ -292,8 +318,17 @@
     });
   }
 
+  /** Lets time pass; the owner holds all hosts before their leases expire. */
+  #wait(): void {
+    this.#owners.forEach(({ rig }) => rig.clock.advance(WAIT_MS));
+    HOSTS.forEach((_, host) => this.#report(this.#owner, host));
+  }
+
   #cancel(pick: number): void {
-    const id = `j${1 + (pick % Math.max(1, this.#jobCount))}`;
+    this.#cancelJob(`j${1 + (pick % Math.max(1, this.#jobCount))}`);
+  }
+
+  #cancelJob(id: string): void {
     const job = this.#log.get(id);
     if (job === undefined) return;
     this.#log.set(id, { ...job, cancelledAtMs: 1 });
@@ -301,12 +336,15 @@
   }
 }
 
-/** Checks that the use never exceeds a limit, over random events with tasks up to a size. */
+/**
+ * Checks that the use never exceeds a limit, over random events with tasks up to a size, and that none
+ * is left once all jobs have ended.
+ */
 function checkLimit({ limit, maxTaskMilli }: { limit: number; maxTaskMilli: number }): void {
   const kinds = [
     ...['submit', 'submit', 'submit', 'plan', 'plan', 'plan', 'plan', 'deliver', 'deliver'],
     ...['deliver', 'deliver-all', 'deliver-all', 'report', 'report', 'report-all', 'report-all'],
-    ...['end', 'end', 'cancel', 'cap', 'detach', 'claim'],
+    ...['end', 'end', 'cancel', 'cap', 'detach', 'claim', 'wait'],
   ];
   const event = fc.tuple(fc.constantFrom(...kinds), fc.nat(50), fc.nat(50));
   let largest = 0;
@@ -319,6 +357,7 @@
         largest = Math.max(largest, milli);
         assert.ok(milli <= limit, `${milli} millicores after ${one.join(' ')}`);
       });
+      assert.equal(world.settle(), 0, 'use is counted although nothing runs');
     }),
     { seed: readSeed(), numRuns: 500 },
   );
