Keep the keys of organisations with long names short

The encoded name of the organisation is part of the keys of submissions and early cancellations. With a long name, the key exceeded the 255 bytes that the store accepts, so that every submission of the organisation was refused.

Shorter names are stored as before.

--- a/src/workLog/StoredJob.test.ts
+++ b/src/workLog/StoredJob.test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from 'node:test';
 import { JobSpec } from '../task/mod.js';
 import { StoredJob } from './StoredJob.js';
-import { JobProgress, type AcceptedJob } from './WorkLogRecord.js';
+import { JobProgress, WorkLogKey, type AcceptedJob } from './WorkLogRecord.js';
 
 const ACCEPTED: AcceptedJob = {
   queue: 'renders',
@@ -24,6 +24,21 @@
   return { job, decoded };
 }
 
+describe('WorkLogKey', () => {
+  // Guards against submissions of an organisation with a long name, all of which the store rejects.
+  it('keeps keys short and distinct for long names of organisations', () => {
+    const names = ['x'.repeat(300), `${'x'.repeat(299)}y`, 'ü'.repeat(40), 'ü'.repeat(39)];
+    const id = '5c0e7a21d94b36f8';
+    const keys = names.flatMap((name) => [
+      WorkLogKey.job(id, 'dc-1', name),
+      WorkLogKey.earlyCancel(id, 'renders', name),
+    ]);
+    assert.equal(new Set(keys).size, keys.length);
+    keys.forEach((key) => assert.ok(Buffer.byteLength(key) <= 100, key));
+    assert.equal(WorkLogKey.job(id, 'dc-1', 'acme'), `accepted-job/${id}/dc-1/acme`);
+  });
+});
+
 describe('StoredJob', () => {
   // Guards against a cost of nodes times records: of many progress records only the newest is used.
   it('decodes only the newest progress, once, when it is asked for', () => {
--- a/src/workLog/WorkLogRecord.ts
+++ b/src/workLog/WorkLogRecord.ts
@@ -1,3 +1,4 @@
+import { createHash } from 'node:crypto';
 import { z } from 'zod';
 import { QueueConfig } from '../port/mod.js';
 import { JobSpec } from '../task/mod.js';
@@ -152,8 +153,18 @@
 });
 export type PoolLoadRecord = z.infer<typeof PoolLoadRecord>;
 
+/** Maximum length of an organisation's name in a key; the store accepts keys of up to 255 bytes. */
+const MAX_ENCODED_LENGTH = 64;
+/** Length of the hash that stands for a longer name, in hexadecimal digits (128 bits). */
+const HASH_LENGTH = 32;
+
 function toSuffix(organisation: string | undefined): string {
-  return organisation === undefined ? '' : `/${encodeURIComponent(organisation)}`;
+  if (organisation === undefined) return '';
+  const encoded = encodeURIComponent(organisation);
+  if (encoded.length <= MAX_ENCODED_LENGTH) return `/${encoded}`;
+  const hash = createHash('sha256').update(organisation).digest('hex').slice(0, HASH_LENGTH);
+  // An encoded name contains no "=", so it never equals a hash.
+  return `/=${hash}`;
 }
 
 /** Keys of the work log. */
