Update the inherited use also while no work waits

The use by runs of previous owners was updated only in rounds of starts, which take place only while work waits. In an idle shard, the metrics of the caps went on reporting runs that had ended.

It is now updated before the metrics are published, too, and the property test checks that the use including that of previous owners returns to 0.

--- a/src/schedule/Organisations.ts
+++ b/src/schedule/Organisations.ts
@@ -159,6 +159,8 @@
   /** Logs the states that have ended, and publishes the measurements. */
   report(waiting: ReadonlyMap<string, readonly ScheduledStep[]>, now: number): void {
     if (this.#organisations === undefined) return;
+    // Without waiting work there is no round of starts that updates it.
+    this.#inherited.update(now);
     this.#log.update(now);
     this.#meter.publish(this.#organisations, waiting, now);
   }
--- a/src/schedule/caps.property.test.ts
+++ b/src/schedule/caps.property.test.ts
@@ -134,7 +134,7 @@
       0,
       'runs',
     );
-    return owner.rig.shard.organisations.use.measure('acme').cpuMilli;
+    return owner.rig.shard.organisations.guard.measure('acme').cpuMilli;
   }
 
   get #owner(): Owner {
