--- a/src/node/JobService.ts
+++ b/src/node/JobService.ts
@@ -17,7 +17,7 @@
 import { QueueTable, type QueueMatch } from './QueueTable.js';
 import { refuseImpossible } from './refuseImpossible.js';
 import type { RelayClient } from './RelayClient.js';
-import { RelayApi, type PeerJobState } from './RelayRouter.js';
+import { RelayApi, type PeerJobState, type RelayedWriteLimit } from './RelayRouter.js';
 import { RetryAdvisor } from './RetryAdvisor.js';
 import type { FollowerState } from './TopicFollower.js';
 import type { WorkLogWriter, WriteOutcome } from './WorkLogWriter.js';
@@ -211,7 +211,7 @@
       return this.#toResponse(outcome, { type: 'accepted' }, access);
     };
     const call = { queue, key, subject: id };
-    return this.#gate.serve(call, run, (organisation) => this.#hasOpenWrite(id, organisation));
+    return this.#gate.serve(call, run, () => this.#hasOpenWrite(id));
   }
 
   /**
@@ -229,8 +229,7 @@
       const found = await this.#finder.findCurrent(id, queue);
       const { state, isCurrent } = found;
       const { organisation } = access;
-      const isUnknown =
-        state === undefined && isCurrent && !(await this.#hasOpenWrite(id, organisation));
+      const isUnknown = state === undefined && isCurrent && !(await this.#hasOpenWrite(id));
       const refusal = access.check();
       if (refusal !== undefined) return refusal;
       if (access.isForeign(found.organisation)) return { type: 'forbidden' };
@@ -252,9 +251,9 @@
       this.#context.log.record('cancel', id, { queue: queue.name, state, outcome });
       return this.#toResponse(outcome, { type: isUnknown ? 'no-job' : 'cancelled' }, access);
     };
-    return this.#gate.serve({ queue, key, subject: id }, run, async (organisation) => {
-      const early = WorkLogKey.earlyCancel(id, queue.name, organisation);
-      return (await this.#isOpen(WorkLogKey.cancel(id))) || this.#isOpen(early);
+    return this.#gate.serve({ queue, key, subject: id }, run, async () => {
+      const isOpen = await this.#isOpen(WorkLogKey.cancel(id));
+      return isOpen || this.#hasOpen(WorkLogKey.earlyCancelPrefix(id));
     });
   }
 
@@ -264,9 +263,7 @@
       const found = await this.#finder.findCurrent(id, queue);
       const { state, isCurrent, hasOtherQueue } = found;
       const isAbsent =
-        state === undefined &&
-        isCurrent &&
-        (hasOtherQueue || !(await this.#hasOpenWrite(id, access.organisation)));
+        state === undefined && isCurrent && (hasOtherQueue || !(await this.#hasOpenWrite(id)));
       const refusal = access.check();
       if (refusal !== undefined) return refusal;
       if (access.isForeign(found.organisation)) return { type: 'forbidden' };
@@ -339,9 +336,16 @@
     };
   }
 
-  /** Checks whether a write of this node may still store the job. */
-  #hasOpenWrite(id: string, organisation: string | undefined): Promise<boolean> {
-    return this.#isOpen(WorkLogKey.job(id, this.#context.settings.dataCentre, organisation));
+  /**
+   * Checks whether a write of this node may still store the job, for any organisation: the key of an
+   * earlier call may have been removed in the meantime.
+   */
+  #hasOpenWrite(id: string): Promise<boolean> {
+    return this.#hasOpen(WorkLogKey.jobPrefix(id));
+  }
+
+  #hasOpen(prefix: string): Promise<boolean> {
+    return this.#writer.ask<boolean>((reply) => ({ type: 'has-open', prefix, reply }));
   }
 
   #isOpen(key: string): Promise<boolean> {
@@ -365,14 +369,23 @@
 
   /**
    * Appends a record of a peer, without relaying it. The API key of the call is valid at the peer for
-   * `timeoutMs`; the record is not appended any more if it waited longer, on either clock.
+   * `timeoutMs` from the receipt, by either clock, and until `expiresAtMs`. The clock of the peer may
+   * be ahead, so the record is also appended only while this node has a current proof of the keys.
    */
-  override write(key: string, value: string, timeoutMs: number): Promise<WriteOutcome> {
+  override write(
+    key: string,
+    value: string,
+    { timeoutMs, expiresAtMs }: RelayedWriteLimit,
+  ): Promise<WriteOutcome> {
     const { revocationLimitMs } = this.#context.settings;
     if (revocationLimitMs === undefined) return this.#write({ key, value }, { timeoutMs });
     const receivedAt = this.#context.clock.read();
-    const computeValidity = (): number =>
-      timeoutMs - receivedAt.computeAge(this.#context.clock.read());
+    const computeValidity = (): number => {
+      const now = this.#context.clock.read();
+      const remainingMs = timeoutMs - receivedAt.computeAge(now);
+      if (expiresAtMs === undefined) return remainingMs;
+      return this.#gate.isCurrent ? Math.min(remainingMs, expiresAtMs - now.wallMs) : 0;
+    };
     return this.#write({ key, value }, { timeoutMs, computeValidity });
   }
 
@@ -414,6 +427,8 @@
       computeValidity,
     });
     this.#context.log.record('write-relayed', record.key, { outcome, relayed });
+    // The next refusal for the record must not say that it is not stored.
+    if (relayed === 'unknown') this.#writer.send({ type: 'mark-uncertain', key: record.key });
     // If this node may have appended the record, a peer that did not store it leaves that unknown.
     return relayed === 'not-stored' ? outcome : relayed;
   }
--- a/src/schedule/caps.test.ts
+++ b/src/schedule/caps.test.ts
@@ -13,6 +13,7 @@
 import type { TrackedJob } from '../workLog/mod.js';
 import { findImpossibleStep, Shard, ShardOptions } from './mod.js';
 import type { Run, ShardCommand } from './mod.js';
+import { ScheduledJob } from './ScheduledJob.js';
 
 type Steps = Parameters<typeof buildTrackedJob>[1];
 
@@ -277,6 +278,66 @@
     assert.equal(listTasks(rig.plan()).length, 2);
   });
 
+  // Guards against a run without an answer that goes on after its job, and counts against the cap.
+  it('stops the uncertain runs of a failed job and of a finished gang', () => {
+    const isStopped = (gang: boolean, outcome: 'done' | 'failed'): boolean => {
+      const rig = new ScheduleRig({}, [buildQueueConfig({ maxAttempts: 1 })]);
+      rig.setCaps({ acme: 4_000 });
+      rig.addHost('h1');
+      rig.shard.addJob(buildJob('a', 'acme', [{ count: 2, cpuMilli: 1_000, gang }]));
+      const runs = rig.plan().flatMap((command) => (command.type === 'start' ? [command.run] : []));
+      rig.shard.reportStart(runs[0] as Run, { type: 'done', clockMs: undefined });
+      rig.shard.reportStart(runs[1] as Run, { type: 'unanswered' });
+      rig.end(runs[0] as Run, outcome);
+      return rig.output.commands.some((one) => one.type === 'stop' && one.task === runs[1]?.task);
+    };
+    assert.equal(isStopped(false, 'failed'), true);
+    assert.equal(isStopped(true, 'done'), true);
+  });
+
+  // Guards against a successor that starts up to the cap beside runs that are still stopping.
+  it('records the runs of finished units and of finished occurrences that are still stopping', () => {
+    const listRecorded = (steps: Steps): string[] => {
+      const rig = openRig({ acme: 4_000 });
+      rig.addHost('h2');
+      rig.shard.addJob(buildJob('a', 'acme', steps));
+      const [first] = rig.startAll();
+      rig.end(first as Run, 'done');
+      const [job] = rig.shard.takeDirtyJobs();
+      const { occurrences } = job?.describeProgress(1) ?? assert.fail();
+      const recorded = occurrences.flatMap((one) => one.steps.flatMap(({ started }) => started));
+      // A successor does not open a finished occurrence again.
+      const tracked = buildJob('a', 'acme', steps);
+      tracked.progress = job?.describeProgress(1);
+      const restored = new ScheduledJob(tracked, buildQueueConfig());
+      const isOpen = restored.finalState === undefined;
+      assert.equal(restored.occurrences.size, isOpen ? 1 : 0);
+      return recorded.map(([index, number]) => `${index}#${number}`);
+    };
+    const gang = { count: 2, cpuMilli: 1_000, gang: true };
+    assert.deepEqual(listRecorded([gang]), ['1#1']);
+    assert.deepEqual(listRecorded([gang, { count: 1, after: [0] }]), ['1#1']);
+  });
+
+  // Guards against use that is never released, or is released for an organisation without any: two
+  // organisations may submit the same identifier, and the job belongs to the first one.
+  it('releases the use of the organisation for which a run was counted', () => {
+    const rig = openRig({ acme: 4_000, umbra: 4_000 });
+    rig.setCaps({ acme: 4_000, umbra: 4_000 }, 0.2);
+    const job = buildJob('a', 'acme', [{ count: 1, cpuMilli: 1_000 }]);
+    rig.shard.addJob(job);
+    const [run] = rig.startAll();
+    job.organisation = 'umbra';
+    rig.shard.reportResubmission(job);
+    rig.end(run as Run, 'done');
+    const { use, demand } = rig.shard.organisations;
+    assert.deepEqual(use.list(), []);
+    // The one job within the rate of acme has become one of umbra.
+    const next = buildJob('b', 'acme', [{ count: 1 }]);
+    rig.shard.addJob(next);
+    assert.equal(demand.isWithinRate(next), true);
+  });
+
   // Guards against a successor that does not know what a previous owner started without a record.
   it('counts the capacity of unresponsive hosts for organisations with unrecorded starts', () => {
     const job = buildJob('a', 'acme', [{ count: 1, cpuMilli: 1_000 }]);
@@ -326,6 +387,20 @@
     assert.equal(tasks.filter((task) => task === 'b').length, 8);
   });
 
+  // Guards against refused submissions while the hosts of the pool are idle.
+  it('does not count a pool as full whose steps wait for advice', () => {
+    const advice = { decisionMs: 100, perHostMs: 10 };
+    const rig = new ScheduleRig({}, [buildQueueConfig({ advice })]);
+    rig.setCaps({ acme: 0 });
+    rig.addHost('h1');
+    rig.shard.addJob(buildJob('a', 'acme', [{ count: 1, cpuMilli: 1_000 }]));
+    assert.deepEqual(
+      rig.plan().map(({ type }) => type),
+      ['ask-advice'],
+    );
+    assert.deepEqual(rig.shard.organisations.listFullPools(0), []);
+  });
+
   // Guards against hosts that are paid for to run work to which no organisation is entitled.
   it('leaves jobs beyond the rate out of the demand for hosts, and starts them in idle hosts', () => {
     const rig = openRig({ acme: 0 });
