--- a/src/schedule/IdleHostLending.ts
+++ b/src/schedule/IdleHostLending.ts
@@ -7,7 +7,7 @@
 } from './PoolSizing.js';
 
 /** An increase below this number of hosts is ignored until there is a backlog: it may be noise. */
-export const MIN_RISE_HOSTS = 0.5;
+const MIN_RISE_HOSTS = 0.5;
 
 /** Options of an `IdleHostLending`. */
 export interface IdleHostLendingOptions {
--- a/src/schedule/MachinePlanner.ts
+++ b/src/schedule/MachinePlanner.ts
@@ -3,7 +3,7 @@
 import type { ReadTime } from './_MaintenanceWave.js';
 import { canInterrupt } from './canInterrupt.js';
 import type { HostTable } from './HostTable.js';
-import { IdleHostLending, MIN_RISE_HOSTS } from './IdleHostLending.js';
+import { IdleHostLending } from './IdleHostLending.js';
 import type { ManagedHost } from './ManagedHost.js';
 import type { PoolLoad, WaitingWork } from './PoolLoad.js';
 import type { PoolSizing, PoolView } from './PoolSizing.js';
@@ -150,12 +150,6 @@
       hosts,
       isStandby: (pool) => pools.get(pool)?.isStandby ?? false,
       measureBacklogS: (pool) => (backlogs[pool] ?? 0) / 1_000,
-      hasPressedPool: [...pools.values()].some(
-        ({ name, isStandby }) =>
-          !isStandby &&
-          ((backlogs[name] ?? 0) > this.#options.borrowAboveMs ||
-            this.#load.measureRisingHosts(name, now) > MIN_RISE_HOSTS),
-      ),
     });
     // All hosts, since one that the host list has lost may return after the end of the wave.
     [...this.#hosts.hosts].forEach((host) =>
--- a/src/schedule/MaintenancePlanner.ts
+++ b/src/schedule/MaintenancePlanner.ts
@@ -5,11 +5,6 @@
 
 /** Fraction of a wave's duration in which all maintenance should start; the rest is a reserve. */
 const PLANNED_FRACTION = 0.75;
-/**
- * The same fraction while a pool lacks hosts: the wave then takes no more hosts than it needs to
- * finish in time, and keeps a small reserve for orders that have to be repeated.
- */
-const PRESSED_FRACTION = 0.9;
 /** Usual time in ms to evacuate and maintain one host. */
 const TYPICAL_MAINTENANCE_MS = 4_500;
 /** Minimum time in ms that an urgent wave waits for the runs of a host before it ends them. */
@@ -37,8 +32,6 @@
   isStandby: (pool: string) => boolean;
   /** Measures the backlog of a pool: the time in s that its hosts need for the waiting work. */
   measureBacklogS: (pool: string) => number;
-  /** A pool has more work, or expects more, than its hosts can finish in the time of a move. */
-  hasPressedPool: boolean;
 }
 
 /** Maintenance of one machine that is to be started. */
@@ -65,9 +58,7 @@
  * the maintenance of an evacuated host may start.
  *
  * A wave is spread over most of its duration, so that as few hosts as possible are unavailable at
- * the same time; machines in idle pools go first. While a pool lacks hosts, it is spread over nearly
- * all of its duration: on a day with heavy load, 31 of 118 machines were down in the first 4 s of a
- * burst, although the wave had 27 s. A machine counts against the cap from the order
+ * the same time; machines in idle pools go first. A machine counts against the cap from the order
  * of its maintenance until it is up again with a new incarnation of its host.
  */
 export class MaintenancePlanner {
@@ -251,12 +242,8 @@
   }
 
   /** Measures the remaining time in ms in which all maintenance of a wave should start. */
-  static #measurePlannedMs(
-    { order, seenAtMs }: MaintenanceWave,
-    nowWallMs: number,
-    fraction = PLANNED_FRACTION,
-  ): number {
-    return seenAtMs + order.durationMs * fraction - nowWallMs;
+  static #measurePlannedMs({ order, seenAtMs }: MaintenanceWave, nowWallMs: number): number {
+    return seenAtMs + order.durationMs * PLANNED_FRACTION - nowWallMs;
   }
 
   /**
@@ -269,8 +256,7 @@
     unfinishedCount: number,
   ): number {
     const { order } = wave;
-    const fraction = view.hasPressedPool ? PRESSED_FRACTION : PLANNED_FRACTION;
-    const plannedMs = MaintenancePlanner.#measurePlannedMs(wave, view.nowWallMs, fraction);
+    const plannedMs = MaintenancePlanner.#measurePlannedMs(wave, view.nowWallMs);
     const down = MaintenancePlanner.#countUnavailable(wave, view);
     const concurrency =
       plannedMs <= TYPICAL_MAINTENANCE_MS
