--- a/src/node/JobService.test.ts
+++ b/src/node/JobService.test.ts
@@ -48,25 +48,37 @@
   values: string[];
   /** Whether the writer says that records are open. */
   isOpen: boolean;
+  /** Outcome of each write. */
+  outcome: WriteOutcome;
+  /** Keys of the records that another node may store. */
+  uncertainKeys: string[];
   ask: (build: (reply: () => void) => WorkLogWriterMessage) => Promise<WriteOutcome | boolean>;
+  send: (message: WorkLogWriterMessage) => void;
 }
 
 /** Creates a writer that stores every record. */
 function createWriter(): StoringWriter {
   const keys: string[] = [];
   const values: string[] = [];
+  const uncertainKeys: string[] = [];
   return {
     keys,
     values,
+    uncertainKeys,
     isOpen: false,
+    outcome: 'stored',
+    send(message): void {
+      if (message.type === 'mark-uncertain') uncertainKeys.push(message.key);
+    },
     ask(build): Promise<WriteOutcome | boolean> {
       const message = build(() => undefined);
-      if (message.type === 'is-open') return Promise.resolve(this.isOpen);
+      if (message.type === 'is-open' || message.type === 'has-open')
+        return Promise.resolve(this.isOpen);
       if (message.type === 'write') {
         keys.push(message.record.key);
         values.push(message.record.value ?? '');
       }
-      return Promise.resolve('stored');
+      return Promise.resolve(this.outcome);
     },
   };
 }
@@ -76,7 +88,10 @@
   workLog: LaggingWorkLog,
   writer = createWriter(),
 ): JobService {
-  const relay = { findState: () => Promise.resolve(undefined) };
+  const relay = {
+    findState: () => Promise.resolve(undefined),
+    write: () => Promise.resolve('unknown'),
+  };
   const options = { workLog: workLog as unknown as WorkLogFollower, relay, writer };
   const context = {
     clock,
@@ -142,6 +157,30 @@
     assert.equal(writer.keys.length, 1);
   });
 
+  // Guards against a refused repetition of a submission that a peer may still store: the writer did
+  // not learn of the unknown outcome of the relayed write.
+  it('tells the writer that a peer may still store a relayed record', async () => {
+    const clock = new ManualClock();
+    const writer = { ...createWriter(), outcome: 'not-stored' as const };
+    const service = openJobService(clock, new LaggingWorkLog(clock, {}), writer);
+    const spec = JobSpec.parse({ payload: 'x', steps: [{ count: 1 }] });
+    assert.deepEqual(await service.submit('a', buildQueueConfig(), spec), { type: 'unknown' });
+    assert.deepEqual(writer.uncertainKeys, [WorkLogKey.job('a', 'dc-1')]);
+  });
+
+  // Guards against a refusal that says that a job never runs while its first write may be stored: in
+  // deployments without organisations, refusals were passed on unchecked.
+  it('answers a refused repetition as unknown while a write of the job is open', async () => {
+    const clock = new ManualClock();
+    const workLog = new LaggingWorkLog(clock, {});
+    workLog.setState('running');
+    const writer = { ...createWriter(), isOpen: true };
+    const service = openJobService(clock, workLog, writer);
+    const spec = JobSpec.parse({ payload: 'x', steps: [{ count: 1 }] });
+    const other = buildQueueConfig({ name: 'scores' });
+    assert.deepEqual(await service.submit('a', other, spec), { type: 'unknown' });
+  });
+
   // Guards against a job that runs although its cancellation was answered (UNASKED): the write of the
   // job may be open in this node, in another one or in the store.
   it('stores the cancellation of a job that it does not know', async () => {
--- a/src/node/keys.test.ts
+++ b/src/node/keys.test.ts
@@ -3,6 +3,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { NodeCluster } from '../emulator/NodeCluster.js';
 import type { OrganisationConfig } from '../port/mod.js';
+import { JobSpec } from '../task/mod.js';
 import { waitFor } from '../testing/waitFor.js';
 import { WorkLogKey } from '../workLog/mod.js';
 
@@ -119,6 +120,11 @@
       // The first append may still be executed, so its repetition cannot be refused as never running.
       const repeated = await cluster.submit(AWAY, 'first', STEPS, { key: 'k-1' });
       assert.equal(repeated.type, 'unknown');
+      // The same applies once the key, and with it the organisation of the call, is not known any more.
+      const { jobService } = cluster.get(AWAY) ?? assert.fail();
+      const spec = JobSpec.parse({ payload: 'x', steps: STEPS });
+      const unknown = await jobService.submit('first', cluster.queue, spec, { key: 'k-9' });
+      assert.equal(unknown.type, 'unknown');
       cluster.store.setMode('normal', AWAY);
       await pause(300);
       const records = cluster.store.listNewest('work').map(({ key }) => key);
@@ -128,6 +134,22 @@
       );
     }));
 
+  // Guards against a relayed submission that a peer appends after its API key has expired: it was
+  // long in transit, or the peer was suspended before it received it.
+  it('appends no relayed record after the sender has let it expire', () =>
+    withCluster(async (cluster) => {
+      const { jobService } = cluster.get('node-0') ?? assert.fail();
+      const write = (limit: { expiresAtMs?: number }): Promise<string> =>
+        jobService.write('cancel/x', '{"atMs":1}', { timeoutMs: 1_000, ...limit });
+      const nowMs = cluster.clock.readWall();
+      assert.equal(await write({ expiresAtMs: nowMs - 1 }), 'not-stored');
+      assert.equal(await write({ expiresAtMs: nowMs + 1_000 }), 'stored');
+      // The proof of the keys is no longer current; a record without a key does not need it.
+      cluster.clock.advanceWall(1_600);
+      assert.equal(await write({ expiresAtMs: nowMs + 5_000 }), 'not-stored');
+      assert.equal(await write({}), 'stored');
+    }));
+
   it('uses no key after a restart while it is away from the store', () =>
     withCluster(async (cluster) => {
       cluster.kill(AWAY);
