--- a/src/schedule/StartPlanner.ts
+++ b/src/schedule/StartPlanner.ts
@@ -15,7 +15,6 @@
 import type { SchedulingPolicy } from './SchedulingPolicy.js';
 import type { ShardOptions } from './ShardOptions.js';
 import type { ShardOutput } from './ShardCommand.js';
-import { ShareRound } from './ShareRound.js';
 import { StartOrderLog } from './StartOrderLog.js';
 import type { Takeover } from './Takeover.js';
 import type { WorkUnit } from './WorkUnit.js';
@@ -41,14 +40,6 @@
   clock: Clock;
 }
 
-/** Circumstances under which the units of a step are started. */
-interface StepRound {
-  round: PlacementRound;
-  now: number;
-  /** Checks whether the remaining units have to wait for the steps of others. */
-  mustYield: () => boolean;
-}
-
 /** Decides which waiting tasks of a pool start now, on which hosts, and which runs they preempt. */
 export class StartPlanner {
   readonly #token: number;
@@ -123,26 +114,14 @@
       : round;
     this.#organisations.prepareRound(pool, { steps, hosts }, now);
     const sorted = this.#schedulingPolicy.sort(steps, nowWallMs);
-    const { standing } = this.#organisations;
-    const shareRound = new ShareRound({
-      standing,
-      pool,
-      computeLateness: ({ occurrence }) => this.#cost.computeLateness(occurrence, nowWallMs),
-    });
-    const plan = (step: ScheduledStep, isYielding: boolean): void => {
+    sorted.forEach((step) => {
       const { tracked } = step.occurrence.job;
       if (!this.#canStart(tracked)) return;
       if (this.#previousOwners.canHaveStarted(tracked, pool, now)) return;
       // It only matters while the pool has to release hosts.
       const isDeferrable = isReleasing && this.#cost.isDeferrable(step.occurrence, nowWallMs);
-      this.#planStep(step, {
-        round: isDeferrable ? lateRound : round,
-        now,
-        mustYield: () => isYielding && shareRound.isAboveShare(step),
-      });
-    };
-    if (this.#organisations.isConfigured) shareRound.run(sorted, plan);
-    else sorted.forEach((step) => plan(step, false));
+      this.#planStep(step, isDeferrable ? lateRound : round, now);
+    });
     this.#orderLog.report(pool, sorted, { now, nowWallMs });
   }
 
@@ -151,7 +130,7 @@
   }
 
   /** Starts the waiting units of a step, up to the first one that may not or cannot start. */
-  #planStep(step: ScheduledStep, { round, now, mustYield }: StepRound): void {
+  #planStep(step: ScheduledStep, round: PlacementRound, now: number): void {
     const needsAdvice = step.occurrence.job.queue.advice !== undefined;
     for (const unit of step.units) {
       if (!unit.isWaiting || unit.notBefore > now || this.#previousOwners.canRun(unit, now))
@@ -171,7 +150,6 @@
       }
       const number = unit.takeRunNumber((this.#token - 1) * RUNS_PER_TOKEN);
       placements.forEach(({ index, host }) => this.#start(unit, index, host, number));
-      if (mustYield()) return;
     }
   }
 
