--- a/src/schedule/Shard.ts
+++ b/src/schedule/Shard.ts
@@ -20,6 +20,7 @@
 import type { SchedulingPolicy } from './SchedulingPolicy.js';
 import { JobTable } from './JobTable.js';
 import { LeastCostFirst } from './LeastCostFirst.js';
+import { LeastWorkFirst } from './LeastWorkFirst.js';
 import type { ManagedHost } from './ManagedHost.js';
 import { MachinePlanner } from './MachinePlanner.js';
 import { Organisations } from './Organisations.js';
@@ -174,7 +175,11 @@
       advice: this.#advice,
       organisations: this.organisations,
       cost,
-      schedulingPolicy: parts.schedulingPolicy ?? new LeastCostFirst(cost),
+      schedulingPolicy:
+        parts.schedulingPolicy ??
+        (options.overloadPolicy === 'least-cost'
+          ? new LeastCostFirst(cost)
+          : new LeastWorkFirst(this.#estimator)),
       placementPolicy: parts.placementPolicy ?? new PackingPlacement(),
       output: this.#output,
       clock: this.#clock,
--- a/src/schedule/ShardOptions.ts
+++ b/src/schedule/ShardOptions.ts
@@ -26,6 +26,8 @@
    * then in time 0.4 times as often as all jobs, and with 1.5 half as often (overload.md).
    */
   largeJobFactor: z.number().min(1).default(1),
+  /** Order of waiting work: see `LeastWorkFirst` and `LeastCostFirst`. */
+  overloadPolicy: z.enum(['least-work', 'least-cost']).default('least-cost'),
   /** See `IdleHostLendingOptions`. */
   borrowAboveMs: z.number().nonnegative().default(400),
   /** See `IdleHostLendingOptions`. */
--- a/src/testing/ScheduleRig.ts
+++ b/src/testing/ScheduleRig.ts
@@ -127,6 +127,7 @@
         detachedLimitMs: 20_000,
         rateWindowMs: 5_000,
         capOvershoot: 0.1,
+        overloadPolicy: 'least-cost',
         largeJobFactor: 1,
         borrowAboveMs: 400,
         parkAfterMs: 1_500,
