--- /dev/null
+++ b/review/13/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec node "$(dirname "$0")/main.js"
