Create the unit of a task only when it is about to start

Cause: the owner created a unit for every task of every step when it added a job, 400,000 units for 40 steps of 10,000 tasks, which exceed the heap of the deploy file. Ruled out: the work log, which holds one record of the job.

Change: units are created when a task is about to start or a host names it and dropped when it is done; done tasks take one bit each. The runs of an owner, the open occurrences of a recurring job and the tasks of a job as a whole are limited, the last at acceptance with a clear error. Ranks are computed once for each occurrence.

--- a/src/schedule/DelayCost.ts
+++ b/src/schedule/DelayCost.ts
@@ -115,10 +115,7 @@
     let waitingWork = 0;
     steps.forEach(({ spec, units, isDone }) => {
       if (isDone) return;
-      let tasks = 0;
-      units.forEach((unit) => {
-        if (unit.isWaiting) tasks += unit.indexes.length;
-      });
+      const tasks = units.countWaitingTasks();
       waitingWork += tasks * spec.cpuMilli * this.#estimator.estimate(job.queue.name, spec);
     });
     return this.#computeWeight(job) / Math.max(1, waitingWork);
--- a/src/schedule/EntitledDemand.ts
+++ b/src/schedule/EntitledDemand.ts
@@ -12,8 +12,7 @@
 }
 
 function computeWaitingUse({ units, spec }: ScheduledStep): Capacity {
-  const tasks = units.reduce((sum, unit) => sum + (unit.isWaiting ? unit.indexes.length : 0), 0);
-  return addResources(NO_RESOURCES, computeTaskUse(spec), tasks);
+  return addResources(NO_RESOURCES, computeTaskUse(spec), units.countWaitingTasks());
 }
 
 /**
--- a/src/schedule/JobTable.ts
+++ b/src/schedule/JobTable.ts
@@ -70,7 +70,7 @@
   listWaiting(): Map<string, ScheduledStep[]> {
     const byPool = new Map<string, ScheduledStep[]>();
     this.#ready.forEach((step) => {
-      if (!step.units.some((unit) => unit.isWaiting)) return;
+      if (!step.units.hasWaiting) return;
       const { pool } = step.occurrence.job.queue;
       const steps = byPool.get(pool);
       if (steps === undefined) byPool.set(pool, [step]);
--- a/src/schedule/LeastCostFirst.test.ts
+++ b/src/schedule/LeastCostFirst.test.ts
@@ -84,7 +84,7 @@
     const standing = new FakeStanding((id) => id.startsWith('beyond'), ['large-user']);
     const policy = new LeastCostFirst(new DelayCost(new RunTimeEstimator(), { standing }));
     const begun = buildStep('large-begun', { count: 20 });
-    begun.units.slice(1).forEach((unit) => unit.finish());
+    [...begun.units.listWaiting()].slice(1).forEach((unit) => unit.finish());
     const steps = [
       buildStep('other-queue', { count: 1 }, { priority: 1 }),
       buildStep('overdue', {}, { submittedAtMs: 0 }),
@@ -157,7 +157,7 @@
   const time = { now: NOW_MS, nowWallMs: NOW_MS };
 
   function startRun(step: ScheduledStep, startedAt: number): Run {
-    const [unit] = step.units;
+    const [unit] = step.units.listWaiting();
     assert.ok(unit !== undefined);
     const host = new ManagedHost(buildHostEntry('h1'), 0);
     const run = new Run(unit, 0, step.formatTask(0), 1, host, startedAt);
--- a/src/schedule/LeastCostFirst.ts
+++ b/src/schedule/LeastCostFirst.ts
@@ -1,15 +1,7 @@
-import { compareRanks, SchedulingPolicy } from './SchedulingPolicy.js';
 import type { DelayCost } from './DelayCost.js';
-import type { Occurrence } from './Occurrence.js';
+import { RankedPolicy } from './RankedPolicy.js';
 import type { ScheduledStep } from './ScheduledStep.js';
 
-/** Index in the sort key of whether the step is long-running. */
-const LASTING_INDEX = 1;
-
-function toLastingRank({ spec }: ScheduledStep): number {
-  return spec.isLasting ? 0 : 1;
-}
-
 /**
  * Orders steps so that the work that waits is the work whose delay costs callers least.
  *
@@ -28,7 +20,7 @@
  * const [givenUp] = policy.sortForRefusal(steps, Date.now());
  * ```
  */
-export class LeastCostFirst extends SchedulingPolicy {
+export class LeastCostFirst extends RankedPolicy {
   readonly #cost: DelayCost;
 
   constructor(cost: DelayCost) {
@@ -36,28 +28,12 @@
     this.#cost = cost;
   }
 
-  override sort(steps: readonly ScheduledStep[], nowWallMs: number): ScheduledStep[] {
-    // Steps of one occurrence differ only in whether they are long-running.
-    const ranks = new Map<Occurrence, readonly number[]>();
-    return steps
-      .map((step) => {
-        const known = ranks.get(step.occurrence);
-        if (known !== undefined && known[LASTING_INDEX] === toLastingRank(step))
-          return { step, rank: known };
-        const rank = this.#rank(step, nowWallMs);
-        ranks.set(step.occurrence, rank);
-        return { step, rank };
-      })
-      .sort(compareRanks)
-      .map(({ step }) => step);
-  }
-
-  #rank(step: ScheduledStep, nowWallMs: number): readonly number[] {
+  protected override rank(step: ScheduledStep, nowWallMs: number): readonly number[] {
     const { occurrence } = step;
     const { job } = occurrence;
     return [
       job.queue.priority,
-      toLastingRank(step),
+      step.spec.isLasting ? 0 : 1,
       this.#cost.isBeyondRate(job) ? 1 : 0,
       this.#cost.computeLateness(occurrence, nowWallMs),
       this.#cost.isAboveShare(job) ? 1 : 0,
--- a/src/schedule/LeastWorkFirst.ts
+++ b/src/schedule/LeastWorkFirst.ts
@@ -1,5 +1,5 @@
-import { compareRanks, SchedulingPolicy } from './SchedulingPolicy.js';
 import { DeadlineEstimator } from './DeadlineEstimator.js';
+import { RankedPolicy } from './RankedPolicy.js';
 import type { RunTimeEstimator } from './RunTimeEstimator.js';
 import type { ScheduledStep } from './ScheduledStep.js';
 
@@ -11,7 +11,7 @@
  * long-running tasks come first, since all of their downtime counts. Jobs with failed tasks come
  * after those without, since some jobs can never succeed.
  */
-export class LeastWorkFirst extends SchedulingPolicy {
+export class LeastWorkFirst extends RankedPolicy {
   readonly #estimator: RunTimeEstimator;
 
   readonly #deadlines: DeadlineEstimator;
@@ -22,14 +22,7 @@
     this.#deadlines = new DeadlineEstimator(estimator);
   }
 
-  override sort(steps: readonly ScheduledStep[], nowWallMs: number): ScheduledStep[] {
-    return steps
-      .map((step) => ({ step, rank: this.#rank(step, nowWallMs) }))
-      .sort(compareRanks)
-      .map(({ step }) => step);
-  }
-
-  #rank(step: ScheduledStep, nowWallMs: number): number[] {
+  protected override rank(step: ScheduledStep, nowWallMs: number): readonly number[] {
     const { occurrence } = step;
     const { job } = occurrence;
     const { queue } = job;
--- a/src/schedule/Occurrence.ts
+++ b/src/schedule/Occurrence.ts
@@ -19,7 +19,7 @@
 
   /** Checks whether a run of a task is known to this owner. */
   get hasRuns(): boolean {
-    return this.steps.some(({ units }) => units.some(({ runs }) => runs.size > 0));
+    return this.steps.some(({ units }) => [...units.known].some(({ runs }) => runs.size > 0));
   }
 
   get isDone(): boolean {
--- a/src/schedule/PlacementRound.test.ts
+++ b/src/schedule/PlacementRound.test.ts
@@ -48,7 +48,9 @@
 
 function listUnits(steps: Parameters<typeof buildTrackedJob>[1]): WorkUnit[] {
   const job = new ScheduledJob(buildTrackedJob('a', steps), buildQueueConfig());
-  return job.openOccurrences(NOW_MS).flatMap((one) => one.steps.flatMap(({ units }) => units));
+  return job
+    .openOccurrences(NOW_MS)
+    .flatMap((one) => one.steps.flatMap(({ units }) => [...units.listWaiting()]));
 }
 
 /** Places units in order and lists the hosts of each. */
--- a/src/schedule/PoolLoad.ts
+++ b/src/schedule/PoolLoad.ts
@@ -140,10 +140,7 @@
       steps.forEach((step) => {
         const part = this.#demand.getPart(step);
         if (part === 0) return;
-        const tasks = step.units.reduce(
-          (sum, unit) => sum + (unit.isWaiting ? part * unit.indexes.length : 0),
-          0,
-        );
+        const tasks = part * step.units.countWaitingTasks();
         const request = computeResourceRequest(step.spec);
         const share = Math.max(
           request.cpuMilli / size.cpuMilli,
@@ -185,8 +182,7 @@
 
   /** Counts the units of a step that have waited for longer than a restart takes. */
   static #countOverdue({ units }: ScheduledStep, now: number): number {
-    return units.filter((unit) => unit.isWaiting && now - unit.readySince > MAX_LASTING_WAIT_MS)
-      .length;
+    return units.countWaiting(({ readySince }) => now - readySince > MAX_LASTING_WAIT_MS);
   }
 
   /** Measures the CPU in millicores that long-running tasks reserve in a pool. */
--- a/src/schedule/RunTracker.ts
+++ b/src/schedule/RunTracker.ts
@@ -7,6 +7,7 @@
 import type { ManagedHost } from './ManagedHost.js';
 import type { OrganisationUse } from './OrganisationUse.js';
 import { Run } from './Run.js';
+import { RunLimit } from './RunLimit.js';
 import type { RunTimeEstimator } from './RunTimeEstimator.js';
 import type { ScheduledJob } from './ScheduledJob.js';
 import type { ShardOutput } from './ShardCommand.js';
@@ -63,6 +64,8 @@
 
   readonly #use: OrganisationUse;
 
+  readonly #limit = new RunLimit();
+
   /** Time of the last stop order for each run that a host lists and that no job needs. */
   readonly #unwantedStoppedAt = new Map<string, number>();
 
@@ -76,12 +79,18 @@
     this.#use = parts.use;
   }
 
+  /** Checks whether the number of runs that this owner tracks allows another start of a unit. */
+  canStart(unit: WorkUnit): boolean {
+    return this.#limit.canStart(unit.step.occurrence.job.id, unit.indexes.length);
+  }
+
   /** Creates a run whose start is about to be ordered. */
   createRun(unit: WorkUnit, index: number, host: ManagedHost, number: number, now: number): Run {
     const run = new Run(unit, index, unit.step.formatTask(index), number, host, now);
     unit.runs.add(run);
     host.addRun(run, computeResourceRequest(unit.spec));
     this.#use.add(run);
+    this.#limit.add(unit.step.occurrence.job.id);
     this.#jobs.recordStart(unit);
     return run;
   }
@@ -338,10 +347,12 @@
   #release(run: Run, now: number, pauseMs: number): void {
     const { unit, host } = run;
     this.#use.remove(run);
+    this.#limit.remove(unit.step.occurrence.job.id);
     host.removeRun(run, computeResourceRequest(unit.spec), now);
     unit.runs.delete(run);
     unit.notBefore = Math.max(unit.notBefore, now + pauseMs);
     unit.readySince = now;
+    unit.step.units.prune(unit);
     if (run.checkpoint !== '' && unit.spec.checkpoints && unit.checkpoint === '') {
       unit.checkpoint = run.checkpoint;
     }
--- a/src/schedule/ScheduledJob.ts
+++ b/src/schedule/ScheduledJob.ts
@@ -8,6 +8,12 @@
 /** Final state of a job. */
 export type FinalState = 'completed' | 'failed' | 'cancelled';
 
+/**
+ * Maximum number of steps of all open occurrences of a job, which bounds the memory of a recurring
+ * job whose occurrences are due faster than they finish. Further occurrences are opened later.
+ */
+const MAX_OPEN_STEPS = 1_000;
+
 /** A job with its scheduling state. */
 export class ScheduledJob {
   /** Unfinished occurrences that have been opened, by number. */
@@ -62,7 +68,8 @@
   /** Opens the occurrences that are due by a wall-clock time and returns the new ones. */
   openOccurrences(untilWallMs: number): Occurrence[] {
     const opened: Occurrence[] = [];
-    for (let number = this.#finishedBelow; number < this.occurrenceCount; number += 1) {
+    const end = Math.min(this.occurrenceCount, this.#finishedBelow + this.#maxOpenOccurrences);
+    for (let number = this.#finishedBelow; number < end; number += 1) {
       const scheduledWallMs = this.computeScheduledTime(number);
       if (scheduledWallMs > untilWallMs) break;
       if (!this.occurrences.has(number) && !this.#finished.has(number)) {
@@ -72,6 +79,11 @@
     return opened;
   }
 
+  /** Maximum number of occurrences that are open at the same time. */
+  get #maxOpenOccurrences(): number {
+    return Math.max(1, Math.floor(MAX_OPEN_STEPS / this.tracked.spec.steps.length));
+  }
+
   /** Counts a failed run of one of its tasks. */
   recordFailure(): void {
     this.failures += 1;
@@ -102,7 +114,7 @@
   /** Collects the runs of all tasks of the job. */
   collectRuns(): Run[] {
     return [...this.occurrences.values()].flatMap((occurrence) =>
-      occurrence.steps.flatMap((step) => step.units.flatMap((unit) => [...unit.runs])),
+      occurrence.steps.flatMap(({ units }) => [...units.known].flatMap(({ runs }) => [...runs])),
     );
   }
 
@@ -142,11 +154,11 @@
     return {
       number,
       steps: steps.map((step) => ({
-        done: step.units.flatMap((unit) => (unit.isDone ? unit.indexes.slice(0, 1) : [])),
-        failed: step.units
+        done: step.units.listDone(),
+        failed: [...step.units.known]
           .filter((unit) => unit.failures > 0 && !unit.isDone)
           .map((unit) => [unit.indexes[0] ?? 0, [...unit.failedRuns]]),
-        started: step.units
+        started: [...step.units.known]
           .filter((unit) => !unit.isDone || this.#hasOrganisation)
           .flatMap((unit) => [
             ...unit.inheritedRuns.map((one): StartedRun => [one.index, one.number, one.host]),
@@ -178,9 +190,7 @@
         if (step === undefined) return;
         done.forEach((task) => {
           const unit = step.findUnit(task);
-          if (unit === undefined || unit.isDone) return;
-          unit.isDone = true;
-          step.remainingUnits -= 1;
+          if (unit?.isDone === false) unit.finish();
         });
         failed.forEach(([task, runs]) => {
           const unit = step.findUnit(task);
--- a/src/schedule/ScheduledStep.ts
+++ b/src/schedule/ScheduledStep.ts
@@ -1,13 +1,14 @@
 import { formatTaskId, type StepSpec } from '../task/mod.js';
 import type { Occurrence } from './Occurrence.js';
-import { WorkUnit } from './WorkUnit.js';
+import { StepUnits } from './StepUnits.js';
+import type { WorkUnit } from './WorkUnit.js';
+
+/** Run times that are kept for the median; later ones would hardly change it. */
+const MAX_RUN_TIMES = 1_000;
 
 /** A step of one occurrence of a job. */
 export class ScheduledStep {
-  readonly units: WorkUnit[];
-
-  /** Number of units that are not done. */
-  remainingUnits: number;
+  readonly units: StepUnits;
 
   /** Run times in ms of completed tasks, ascending; tasks resumed from checkpoints are excluded. */
   readonly #runTimes: number[] = [];
@@ -17,11 +18,12 @@
     readonly index: number,
     readonly spec: StepSpec,
   ) {
-    const indexes = Array.from({ length: spec.count }, (_, task) => task);
-    this.units = spec.gang
-      ? [new WorkUnit(this, indexes)]
-      : indexes.map((task) => new WorkUnit(this, [task]));
-    this.remainingUnits = this.units.length;
+    this.units = new StepUnits(this);
+  }
+
+  /** Number of units that are not done. */
+  get remainingUnits(): number {
+    return this.units.remaining;
   }
 
   get isDone(): boolean {
@@ -35,6 +37,7 @@
 
   /** Records the run time of a completed task in ms. */
   recordRunTime(runMs: number): void {
+    if (this.#runTimes.length >= MAX_RUN_TIMES) return;
     const next = this.#runTimes.findIndex((other) => other > runMs);
     this.#runTimes.splice(next < 0 ? this.#runTimes.length : next, 0, runMs);
   }
@@ -46,7 +49,7 @@
 
   /** Finds the unit that contains a task. */
   findUnit(task: number): WorkUnit | undefined {
-    return this.spec.gang ? this.units[0] : this.units[task];
+    return this.units.find(task);
   }
 
   /** Formats the identifier of a task of the step. */
--- a/src/schedule/StartOrderLog.ts
+++ b/src/schedule/StartOrderLog.ts
@@ -31,7 +31,7 @@
     const waiting = new Set<Occurrence>();
     let maxWaitMs = 0;
     sorted.forEach(({ occurrence, units }) => {
-      if (!units.some(({ isWaiting }) => isWaiting)) return;
+      if (!units.hasWaiting) return;
       waiting.add(occurrence);
       const { job, scheduledWallMs } = occurrence;
       const from = Math.max(job.tracked.submittedAtMs, scheduledWallMs);
--- a/src/schedule/StartPlanner.ts
+++ b/src/schedule/StartPlanner.ts
@@ -132,11 +132,10 @@
   /** Starts the waiting units of a step, up to the first one that may not or cannot start. */
   #planStep(step: ScheduledStep, round: PlacementRound, now: number): void {
     const needsAdvice = step.occurrence.job.queue.advice !== undefined;
-    for (const unit of step.units) {
-      if (!unit.isWaiting || unit.notBefore > now || this.#previousOwners.canRun(unit, now))
-        continue;
+    for (const unit of step.units.listWaiting()) {
+      if (unit.notBefore > now || this.#previousOwners.canRun(unit, now)) continue;
       // All units of a step need the same, so none of them may start.
-      if (!this.#organisations.canStart(unit, now)) return;
+      if (!this.#runTracker.canStart(unit) || !this.#organisations.canStart(unit, now)) return;
       const allowed = needsAdvice ? this.#advice.collectAllowed(step, now) : undefined;
       const placements = round.choose(unit, allowed);
       if (placements === undefined) {
--- a/src/schedule/WorkUnit.ts
+++ b/src/schedule/WorkUnit.ts
@@ -55,7 +55,7 @@
   /** Marks the unit as done. */
   finish(): void {
     this.isDone = true;
-    this.step.remainingUnits -= 1;
+    this.step.units.finish(this);
   }
 
   /** Number of failed runs, which is limited by the attempts of the queue. */
--- a/src/schedule/canInterrupt.ts
+++ b/src/schedule/canInterrupt.ts
@@ -12,8 +12,9 @@
 export function canInterrupt(run: Run): boolean {
   const { mayMiss, isLasting } = run.unit.spec;
   if (!isLasting || mayMiss === undefined) return true;
-  const away = run.unit.step.units.filter(
+  const { units } = run.unit.step;
+  const away = [...units.known].filter(
     (unit) => unit !== run.unit && ![...unit.runs].some((one) => one.isAtFullSpeed),
   ).length;
-  return away < mayMiss;
+  return away + units.newCount < mayMiss;
 }
--- a/src/task/JobSpec.ts
+++ b/src/task/JobSpec.ts
@@ -2,6 +2,10 @@
 
 /** Maximum number of tasks in a step; a larger count is rejected as invalid input. */
 export const MAX_TASKS_PER_STEP = 10_000;
+/** Maximum number of tasks of all steps of a job; each costs the nodes some bits and bytes. */
+export const MAX_TASKS_PER_JOB = 1_000_000;
+/** Number of tasks of a job that run at the same time, which limits its long-running tasks. */
+export const MAX_CONCURRENT_TASKS_PER_JOB = 20_000;
 /** Maximum number of steps in a job. */
 export const MAX_STEPS = 1_000;
 /** Maximum size of a job's payload in bytes, as defined by the callers' API. */
--- a/src/task/checkJobSpec.ts
+++ b/src/task/checkJobSpec.ts
@@ -1,9 +1,40 @@
 import type { Finding } from '../finding/mod.js';
-import { JobSpec, MAX_PAYLOAD_BYTES } from './JobSpec.js';
+import {
+  JobSpec,
+  MAX_CONCURRENT_TASKS_PER_JOB,
+  MAX_PAYLOAD_BYTES,
+  MAX_TASKS_PER_JOB,
+  type StepSpec,
+} from './JobSpec.js';
 
 /** Result of validating a submitted job: the parsed job, or all findings. */
 export type JobCheck = { job: JobSpec } | { findings: Finding[] };
 
+function countTasks(steps: readonly StepSpec[]): number {
+  return steps.reduce((sum, { count }) => sum + count, 0);
+}
+
+/** Checks the sizes that no single step shows. */
+function checkSize({ payload, steps }: JobSpec): Finding[] {
+  const sizes = [
+    { path: 'payload', found: Buffer.byteLength(payload), unit: 'bytes', max: MAX_PAYLOAD_BYTES },
+    { path: 'steps', found: countTasks(steps), unit: 'tasks', max: MAX_TASKS_PER_JOB },
+    {
+      path: 'steps',
+      found: countTasks(steps.filter(({ isLasting }) => isLasting)),
+      unit: 'long-running tasks',
+      max: MAX_CONCURRENT_TASKS_PER_JOB,
+    },
+  ];
+  return sizes
+    .filter(({ found, max }) => found > max)
+    .map(({ path, found, unit, max }) => ({
+      severity: 'error',
+      message: `${found} ${unit}, at most ${max} are accepted`,
+      place: { path },
+    }));
+}
+
 /**
  * Validates a submitted job and reports all findings at once, each with its path.
  *
@@ -24,15 +55,7 @@
     return { findings };
   }
   const job = parsed.data;
-  const findings: Finding[] = [];
-  const bytes = Buffer.byteLength(job.payload);
-  if (bytes > MAX_PAYLOAD_BYTES) {
-    findings.push({
-      severity: 'error',
-      message: `${bytes} bytes, at most ${MAX_PAYLOAD_BYTES} are accepted`,
-      place: { path: 'payload' },
-    });
-  }
+  const findings = checkSize(job);
   job.steps.forEach((step, index) => {
     const notEarlier = step.after.find((before) => before >= index);
     if (notEarlier !== undefined) {
