Give a call for advice the time that its queue is configured with

Cause: each call was given up after 2.5 s and asked again, and advice on eight hosts takes 2.7 s. The limit also ran while a call waited for a connection. Ruled out: the service, which the record shows answering into closed connections.

Change: the time of the configuration bounds the call. A request names hosts with room first, and fewer of them the slower the service is. Advice on the steps of finished jobs is removed from the cache.

--- a/src/node/CommandExecutor.test.ts
+++ b/src/node/CommandExecutor.test.ts
@@ -34,6 +34,7 @@
       token: 1,
       findLink: () => undefined,
       canOrderMachine: () => canOrder,
+      isAdviceWanted: () => true,
       applyOutcome: (apply: (one: Shard) => ReportResult) => apply(shard),
     });
     for (let index = 0; index < 6; index += 1) {
--- a/src/node/ShardOwner.ts
+++ b/src/node/ShardOwner.ts
@@ -158,6 +158,7 @@
       token: takeover.token,
       findLink: (host) => this.#holdSchedulers.get(host)?.link,
       canOrderMachine: (command) => this.#canOrderMachine(command),
+      isAdviceWanted: (step) => this.#shard.isAdviceWanted(step),
       applyOutcome: (apply) => this.send({ type: 'apply-outcome', apply }),
     });
     this.#orders = new PendingOrders(this.#shard, context.settings.dataCentre);
--- a/src/node/_CommandExecutor.ts
+++ b/src/node/_CommandExecutor.ts
@@ -7,6 +7,7 @@
   ShardCommand,
 } from '../schedule/mod.js';
 import { OrderUnsentError } from '../port/mod.js';
+import { AdviceQueue } from './AdviceQueue.js';
 import type { HostLink } from './HostLink.js';
 import type { NodeContext } from './NodeContext.js';
 
@@ -18,6 +19,9 @@
 /** Command that starts a run. */
 export type StartCommand = Extract<ShardCommand, { type: 'start' }>;
 
+/** Command that asks for advice. */
+type AskAdviceCommand = Extract<ShardCommand, { type: 'ask-advice' }>;
+
 /** Command for a machine. */
 export type MachineCommand = MoveCommand | MaintainCommand;
 
@@ -28,6 +32,8 @@
   findLink: (host: ManagedHost) => HostLink | undefined;
   /** Checks, immediately before an order for a machine is sent, whether it may still be sent. */
   canOrderMachine: (command: MachineCommand) => boolean;
+  /** Checks, before a request for advice is sent, whether it is still of use. */
+  isAdviceWanted: (step: string) => boolean;
   /** Enqueues the outcome of a command in the owner's mailbox, which applies it to the shard. */
   applyOutcome: (apply: (shard: Shard) => ReportResult) => void;
 }
@@ -46,11 +52,14 @@
 
   #machineOrdersUnderWay = 0;
 
+  readonly #advice: AdviceQueue;
+
   #isClosed = false;
 
   constructor(context: NodeContext, options: CommandExecutorOptions) {
     this.#context = context;
     this.#options = options;
+    this.#advice = new AdviceQueue(context.advice, options.isAdviceWanted);
   }
 
   run(command: ShardCommand): void {
@@ -104,12 +113,13 @@
         this.#publishWave(command.wave, command.state);
         break;
       default:
-        this.#askAdvice(command.step, command.hostIds);
+        this.#askAdvice(command);
     }
   }
 
-  /** Stops retrying to publish wave states, and sends no further machine orders. */
+  /** Stops retrying to publish wave states, and sends no further machine orders and requests. */
   close(): void {
+    this.#advice.close();
     this.#isClosed = true;
   }
 
@@ -192,15 +202,15 @@
       });
   }
 
-  #askAdvice(step: string, hostIds: string[]): void {
-    this.#context.advice.askAdvice(step, hostIds).then(
+  #askAdvice({ step, hostIds, expectedMs }: AskAdviceCommand): void {
+    this.#advice.ask({ step, hostIds, expectedMs }).then(
       (advice) =>
         this.#options.applyOutcome((shard) => {
           shard.reportAdvice(step, advice);
           return 'ok';
         }),
       (error: unknown) => {
-        this.#context.log.record('advice-failed', step, { error: String(error) });
+        this.#context.log.record('advice-failed', step, { expectedMs, error: String(error) });
         this.#options.applyOutcome((shard) => {
           shard.reportAdvice(step, undefined);
           return 'ok';
--- a/src/port/AdviceService.ts
+++ b/src/port/AdviceService.ts
@@ -12,6 +12,12 @@
   validityMs: number;
 }
 
+/** Options of a request for advice. */
+export interface AdviceOptions {
+  /** Time limit in ms for the response. */
+  timeoutMs: number;
+}
+
 /** The service that decides which hosts may run a step, for queues that require its advice. */
 export abstract class AdviceService {
   /**
@@ -21,7 +27,11 @@
    * @param hostIds At most 100 identifiers; the response time grows with their number.
    * @throws if the service does not respond or rejects the request.
    */
-  abstract askAdvice(step: string, hostIds: readonly string[]): Promise<Advice>;
+  abstract askAdvice(
+    step: string,
+    hostIds: readonly string[],
+    options: AdviceOptions,
+  ): Promise<Advice>;
 
   abstract close(): Promise<void>;
 }
--- a/src/schedule/Shard.ts
+++ b/src/schedule/Shard.ts
@@ -399,6 +399,11 @@
     this.#hostMonitor.reportHealth(host, isWell, this.#now);
   }
 
+  /** Checks whether a request for advice on a step is still of use. */
+  isAdviceWanted(step: string): boolean {
+    return this.#advice.isPending(step);
+  }
+
   /** Records a response of the advice service; undefined if the request failed. */
   reportAdvice(step: string, advice: Advice | undefined): void {
     this.#advice.report(step, advice, this.#now);
@@ -455,7 +460,11 @@
 
   /** Returns the jobs whose progress has to be recorded, and clears the set. */
   takeDirtyJobs(): ScheduledJob[] {
-    return this.#jobs.takeDirtyJobs();
+    const jobs = this.#jobs.takeDirtyJobs();
+    jobs.forEach(({ id, finalState }) => {
+      if (finalState !== undefined) this.#advice.remove(id);
+    });
+    return jobs;
   }
 
   get hasDirtyRecords(): boolean {
--- a/src/schedule/ShardCommand.ts
+++ b/src/schedule/ShardCommand.ts
@@ -38,7 +38,8 @@
   | MaintainCommand
   | { type: 'publish-wave'; wave: number; state: 'running' | 'completed' }
   | { type: 'check-health'; host: ManagedHost; path: string }
-  | { type: 'ask-advice'; step: string; hostIds: string[] };
+  /** `expectedMs` is how long the service needs for the request. */
+  | { type: 'ask-advice'; step: string; hostIds: string[]; expectedMs: number };
 
 /** Log record of a decision: its kind, its subject and its inputs. */
 export interface DecisionRecord {
--- a/src/schedule/StartPlanner.ts
+++ b/src/schedule/StartPlanner.ts
@@ -2,6 +2,7 @@
 import type { TrackedJob } from '../workLog/mod.js';
 import type { AdviceCache } from './AdviceCache.js';
 import { canInterrupt } from './canInterrupt.js';
+import { computeResourceRequest } from './computeResourceRequest.js';
 import type { DelayCost } from './DelayCost.js';
 import type { HostTable } from './HostTable.js';
 import type { MachinePlanner } from './MachinePlanner.js';
@@ -140,7 +141,7 @@
       const placements = round.choose(unit, allowed);
       if (placements === undefined) {
         // A step that waits for advice does not show that the pool has no capacity left.
-        if (needsAdvice) this.#askAdvice(step, round.hosts, now);
+        if (needsAdvice) this.#askAdvice(unit, round.hosts, now);
         else {
           this.#organisations.reportNoRoom(unit, now);
           this.#preempt(unit, round, now);
@@ -169,9 +170,12 @@
     });
   }
 
-  #askAdvice(step: ScheduledStep, hosts: readonly ManagedHost[], now: number): void {
-    const hostIds = this.#advice.planRequest(step, hosts, now);
-    if (hostIds !== undefined) this.#output.send({ type: 'ask-advice', step: step.id, hostIds });
+  #askAdvice({ step, spec }: WorkUnit, hosts: readonly ManagedHost[], now: number): void {
+    const request = computeResourceRequest(spec);
+    const withRoom = hosts.filter((host) => host.canFit(request));
+    const withoutRoom = hosts.filter((host) => !host.canFit(request));
+    const planned = this.#advice.planRequest(step, [...withRoom, ...withoutRoom], now);
+    if (planned !== undefined) this.#output.send({ type: 'ask-advice', step: step.id, ...planned });
   }
 
   /**
--- a/src/schedule/decisions.test.ts
+++ b/src/schedule/decisions.test.ts
@@ -107,14 +107,44 @@
       host.isFenced = true;
       return host;
     });
-    assert.deepEqual(cache.planRequest(step, hosts, 0), ['h1', 'h2']);
+    assert.deepEqual(cache.planRequest(step, hosts, 0)?.hostIds, ['h1', 'h2']);
     assert.equal(cache.planRequest(step, hosts, 10), undefined);
     cache.report(step.id, { allowed: [{ hostId: 'h2', ticket: 't' }], validityMs: 3_000 }, 20);
     assert.deepEqual([...cache.collectAllowed(step, 30)], ['h2']);
     assert.equal(cache.findTicket(step, 'h2'), 't');
     assert.equal(cache.planRequest(step, hosts, 40), undefined);
     assert.deepEqual([...cache.collectAllowed(step, 3_000)], []);
-    assert.deepEqual(cache.planRequest(step, hosts, 3_000), ['h2']);
+    assert.deepEqual(cache.planRequest(step, hosts, 3_000)?.hostIds, ['h2']);
+  });
+
+  // Guards against a request that is repeated while the service still works on it, without an end.
+  it('requests advice again only when the response is known, and later after a failure', () => {
+    const cache = new AdviceCache();
+    const step = buildStep('a', { count: 1 });
+    const host = new ManagedHost(buildHostEntry('h1'), 0);
+    host.isFenced = true;
+    assert.ok(cache.planRequest(step, [host], 0));
+    assert.equal(cache.planRequest(step, [host], 8_000), undefined);
+    cache.report(step.id, undefined, 8_200);
+    assert.equal(cache.planRequest(step, [host], 8_210), undefined);
+    assert.ok(cache.planRequest(step, [host], 8_400));
+  });
+
+  it('names fewer hosts the longer the service needs for each', () => {
+    const hosts = Array.from({ length: 20 }, (_, index) => {
+      const host = new ManagedHost(buildHostEntry(`h${index}`), 0);
+      host.isFenced = true;
+      return host;
+    });
+    const plan = (decisionMs: number, perHostMs: number): number[] => {
+      const step = buildStep('a', { count: 1 });
+      step.occurrence.job.setQueue(buildQueueConfig({ advice: { decisionMs, perHostMs } }));
+      const planned = new AdviceCache().planRequest(step, hosts, 0);
+      return [planned?.hostIds.length ?? 0, planned?.expectedMs ?? 0];
+    };
+    assert.deepEqual(plan(20, 5), [10, 70]);
+    assert.deepEqual(plan(200, 100), [8, 1_000]);
+    assert.deepEqual(plan(700, 250), [3, 1_450]);
   });
 });
 
