Record the progress of a large job in parts

Cause: the progress of a job was one record that names every run under way. Beyond 262,144 bytes the store answered 400, the owner repeated the append unchanged, and nothing else was recorded. Ruled out: the capacity (two thirds were free) and the hosts, which reported all ends.

Change: a job that exceeds a quarter of the record size is recorded in parts of 500 tasks, of which only the changed ones are written; parts are stored before the record that depends on them. Appends are split at 512 KB. An append that the store rejects for good is halved until the record at fault is found; the others are stored, and the writer of callers' records does the same. Fields with default values are omitted from accepted jobs, and a job that is too large as a record is answered with 400. The limits come from the settings.

--- a/src/emulator/EmulatedStore.ts
+++ b/src/emulator/EmulatedStore.ts
@@ -1,13 +1,15 @@
 import type { Clock } from '../clock/mod.js';
-import type {
-  AppendResponse,
-  AppendOptions,
-  KeyedValue,
-  NewestPage,
-  ReadResponse,
-  Store,
-  StoreRecord,
-  StoreTopic,
+import {
+  measureRecord,
+  StoreLimits,
+  type AppendResponse,
+  type AppendOptions,
+  type KeyedValue,
+  type NewestPage,
+  type ReadResponse,
+  type Store,
+  type StoreRecord,
+  type StoreTopic,
 } from '../port/mod.js';
 import { EmulatedLog } from './_EmulatedLog.js';
 import { StoreConnection } from './_StoreConnection.js';
@@ -36,6 +38,8 @@
   keys: readonly string[];
 }
 
+const LIMITS = StoreLimits.parse({});
+
 interface WriterState {
   epoch: number;
   recentAppends: { sequence: number; answer: AppendResponse }[];
@@ -77,6 +81,8 @@
   /** Monotonic time in ms at which all appends that have been received are executed. */
   #appendsDoneAt = -Infinity;
 
+  #rejectedCount = 0;
+
   /** All appends that nodes have sent, oldest first. */
   readonly sent: SentAppend[] = [];
 
@@ -88,6 +94,11 @@
     return this.#clock;
   }
 
+  /** Number of appends that were rejected for their size. */
+  get rejectedCount(): number {
+    return this.#rejectedCount;
+  }
+
   /** Creates the connection of a node. */
   connect(node: string): Store {
     return new StoreConnection(this, node);
@@ -160,6 +171,12 @@
 
   /** Appends records to the work log as a node. */
   append(values: readonly KeyedValue[], options: AppendOptions): AppendResponse {
+    const sizes = values.map(measureRecord);
+    const bytes = sizes.reduce((sum, size) => sum + size, 0);
+    if (sizes.some((size) => size > LIMITS.recordBytes) || bytes > LIMITS.requestBytes) {
+      this.#rejectedCount += 1;
+      return { type: 'rejected', reason: `${bytes} bytes in ${values.length} records` };
+    }
     const log = this.#logs.work;
     const { writer, expectedEnd } = options;
     if (expectedEnd !== undefined && expectedEnd !== log.end) {
--- a/src/node/JobService.test.ts
+++ b/src/node/JobService.test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from 'node:test';
 import { ManualClock } from '../clock/mod.js';
 import { Metrics } from '../metrics/mod.js';
-import { Configuration } from '../port/mod.js';
+import { Configuration, StoreLimits } from '../port/mod.js';
 import { JobSpec } from '../task/mod.js';
 import { WorkLogKey, WorkLogView } from '../workLog/mod.js';
 import { buildQueueConfig } from '../testing/ScheduleRig.js';
@@ -97,7 +97,12 @@
     clock,
     log: { record: () => undefined },
     metrics: new Metrics(),
-    settings: { dataCentre: 'dc-1', retentionMs: 60_000, shard: { rateWindowMs: 5_000 } },
+    settings: {
+      dataCentre: 'dc-1',
+      retentionMs: 60_000,
+      shard: { rateWindowMs: 5_000 },
+      store: StoreLimits.parse({}),
+    },
   };
   const service = new JobService(
     context as unknown as NodeContext,
@@ -109,6 +114,21 @@
 }
 
 describe('JobService', () => {
+  // Guards against a job that the store never accepts: its caller was told to come back.
+  it('refuses a job whose record is larger than the store accepts, with its size', async () => {
+    const clock = new ManualClock();
+    clock.advance(1_000);
+    const writer = createWriter();
+    const service = openJobService(clock, new LaggingWorkLog(clock, {}), writer);
+    const after = Array.from({ length: 1_000 }, () => 0);
+    const steps = [{ count: 1 }, ...Array.from({ length: 200 }, () => ({ count: 1, after }))];
+    const spec = JobSpec.parse({ payload: '', steps });
+    const answer = await service.submit('a', buildQueueConfig(), spec);
+    assert.ok(answer.type === 'bad-request');
+    assert.match(answer.findings[0]?.message ?? '', /^the job takes 40\d{4} bytes.*at most 262144/);
+    assert.deepEqual(writer.keys, []);
+  });
+
   // Guards against telling a peer that a job does not exist when it was accepted after the last
   // read. The peer cannot reach the store and would pass the result on to its caller.
   it('catches up with the work log before it answers a query of a peer', async () => {
--- a/src/node/JobService.ts
+++ b/src/node/JobService.ts
@@ -1,10 +1,11 @@
 import {
+  encodeAcceptedJob,
   WorkLogKey,
   type AcceptedJob,
   type WorkLogChange,
   type WorkLogView,
 } from '../workLog/mod.js';
-import type { KeyedValue, QueueConfig } from '../port/mod.js';
+import { measureRecord, type KeyedValue, type QueueConfig } from '../port/mod.js';
 import type { JobSpec } from '../task/mod.js';
 import { SubmissionLimiter } from '../organisation/mod.js';
 import type { WorkLogFollower } from './WorkLogFollower.js';
@@ -192,8 +193,10 @@
       const job = this.#buildJob(queue, spec, access);
       const record = {
         key: WorkLogKey.job(id, job.dataCentre, access.organisation),
-        value: JSON.stringify(job),
+        value: encodeAcceptedJob(job),
       };
+      const tooLarge = this.#refuseTooLarge(record);
+      if (tooLarge !== undefined) return tooLarge;
       const outcome = await this.#writeWithFallback(record, {
         timeoutMs,
         computeValidity: () => access.computeValidity(),
@@ -325,6 +328,18 @@
     return refuseImpossible(spec, { organisation, overshoot });
   }
 
+  /** Refuses a job whose record the store would not accept. */
+  #refuseTooLarge(record: KeyedValue): CallResponse | undefined {
+    const bytes = measureRecord(record);
+    const { recordBytes } = this.#context.settings.store;
+    if (bytes <= recordBytes) return undefined;
+    const message = `the job takes ${bytes} bytes as a record, at most ${recordBytes} are accepted`;
+    return {
+      type: 'bad-request',
+      findings: [{ severity: 'error', message, place: { path: 'steps' } }],
+    };
+  }
+
   /** Answers the submission of a job whose identifier is known. */
   #answerRepeated(id: string, knownQueue: string, { name }: QueueConfig): CallResponse {
     this.#context.log.record('job-repeated', id, { queue: name, knownQueue });
--- a/src/node/NodeSettings.ts
+++ b/src/node/NodeSettings.ts
@@ -1,5 +1,6 @@
 import { z } from 'zod';
 import { IngressSettings } from '../ingress/mod.js';
+import { StoreLimits } from '../port/mod.js';
 import { LogLevel } from '../settings/mod.js';
 import { ShardOptions } from '../schedule/ShardOptions.js';
 
@@ -29,6 +30,8 @@
   revocationLimitMs: z.number().positive().optional(),
   /** Bounds on what callers may occupy. */
   ingress: IngressSettings.prefault({}),
+  /** Limits of the store on an append. */
+  store: StoreLimits.prefault({}),
   shard: ShardOptions,
 });
 export type NodeSettings = z.infer<typeof NodeSettings>;
--- a/src/node/OwnerRecords.test.ts
+++ b/src/node/OwnerRecords.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { ManualClock } from '../clock/mod.js';
+import { StoreLimits } from '../port/mod.js';
 import type { Shard } from '../schedule/mod.js';
 import { buildTrackedJob } from '../testing/ScheduleRig.js';
 import { WorkLogKey } from '../workLog/mod.js';
@@ -25,7 +26,12 @@
     listUnrecorded: () => [],
     listMachineOrders: () => [],
   };
-  const settings = { name: 'node', dataCentre: 'dc-1', retentionMs: 60_000 };
+  const settings = {
+    name: 'node',
+    dataCentre: 'dc-1',
+    retentionMs: 60_000,
+    store: StoreLimits.parse({}),
+  };
   const context = { clock, settings, session: 's' };
   return new OwnerRecords(context as unknown as NodeContext, shard as unknown as Shard);
 }
--- a/src/node/OwnerWriter.ts
+++ b/src/node/OwnerWriter.ts
@@ -1,6 +1,7 @@
-import { StoreRefusedError, type KeyedValue } from '../port/mod.js';
+import { measureRecord, StoreRefusedError, type KeyedValue } from '../port/mod.js';
 import { AppendLatency } from './AppendLatency.js';
 import type { NodeContext } from './NodeContext.js';
+import { splitAppend } from './splitAppend.js';
 import { RetryBackoff } from './RetryBackoff.js';
 
 /** Writer name that all owners share; the fencing token is the epoch. */
@@ -11,8 +12,17 @@
 /** Result of a claim; a refused one may succeed later, a lost one cannot. */
 export type ClaimResult = 'claimed' | 'lost' | 'refused' | 'unknown';
 
-/** Result of an append; `fenced` means that a later owner has written. */
-export type OwnerWriteResult = 'stored' | 'fenced';
+/** Maximum size of an append in bytes, so that it is fast on a slow link, too. */
+const MAX_APPEND_BYTES = 524_288;
+
+/** Result of an append. */
+export type OwnerWriteResult =
+  /** All records are stored but those whose keys are listed, which the store never accepts. */
+  | { type: 'stored'; rejected: string[] }
+  /** A later owner has written. */
+  | { type: 'fenced' };
+
+type AttemptResult = 'stored' | 'fenced' | 'rejected' | 'retry';
 
 /**
  * Appends the records of an owner in order, one append at a time. An unanswered append is retried
@@ -65,16 +75,43 @@
     }
   }
 
-  /** Appends records, retrying until they are stored or a later owner has written. */
+  /**
+   * Appends records, retrying until they are stored or a later owner has written. Records that are
+   * too large together are stored by several appends, in their order.
+   */
   async append(records: readonly KeyedValue[]): Promise<OwnerWriteResult> {
+    const { requestBytes } = this.#context.settings.store;
+    const pending = splitAppend(records, Math.min(MAX_APPEND_BYTES, requestBytes));
+    const rejected: string[] = [];
+    for (let next = pending.shift(); next !== undefined; next = pending.shift()) {
+      const result = await this.#appendOnce(next);
+      if (result === 'fenced') return { type: 'fenced' };
+      if (result === 'rejected' && next.length > 1) {
+        // Only one of the records may be the cause.
+        const half = Math.ceil(next.length / 2);
+        pending.unshift(next.slice(0, half), next.slice(half));
+      } else if (result === 'rejected') {
+        next.forEach((record) => {
+          this.#context.log.record('record-rejected', record.key, {
+            bytes: measureRecord(record),
+          });
+          rejected.push(record.key);
+        });
+      }
+    }
+    return { type: 'stored', rejected };
+  }
+
+  /** Appends records at once, retrying until the outcome is known or the writer is closed. */
+  async #appendOnce(records: readonly KeyedValue[]): Promise<'stored' | 'fenced' | 'rejected'> {
     for (;;) {
       const result = await this.#tryAppend(records);
       if (result === 'stored') {
         this.#sequence += 1;
         this.#backoff.reset();
-        return 'stored';
       }
-      if (result === 'fenced' || this.#isClosed) return 'fenced';
+      if (result !== 'retry') return result;
+      if (this.#isClosed) return 'fenced';
       await new Promise((resolve) => {
         setTimeout(resolve, this.#backoff.computeDelay());
       });
@@ -86,7 +123,7 @@
     this.#isClosed = true;
   }
 
-  async #tryAppend(records: readonly KeyedValue[]): Promise<'stored' | 'fenced' | 'retry'> {
+  async #tryAppend(records: readonly KeyedValue[]): Promise<AttemptResult> {
     const writer = { name: WRITER_NAME, epoch: this.#token, sequence: this.#sequence };
     const sentAt = this.#context.clock.readMonotonic();
     try {
@@ -105,6 +142,7 @@
         sequence: this.#sequence,
         answer,
       });
+      if (answer.type === 'rejected') return 'rejected';
       return answer.type === 'sequence' ? 'fenced' : 'retry';
     } catch (error) {
       this.#context.log.record('append-failed', 'owner', {
--- a/src/node/ShardOwner.ts
+++ b/src/node/ShardOwner.ts
@@ -1,5 +1,11 @@
 import { Actor } from '../actor/mod.js';
-import type { Successor, WorkLogChange, TrackedJob, WaveRecord } from '../workLog/mod.js';
+import {
+  findProgressJob,
+  type Successor,
+  type TrackedJob,
+  type WaveRecord,
+  type WorkLogChange,
+} from '../workLog/mod.js';
 import type { HostRecord } from '../port/mod.js';
 import {
   Shard,
@@ -522,12 +528,22 @@
     );
   }
 
+  /** Fails the jobs whose progress the store does not accept; their recorded starts are cancelled. */
+  #failUnrecorded(rejected: readonly string[], jobs: readonly ScheduledJob[]): void {
+    const ids = new Set(rejected.flatMap((key) => findProgressJob(key) ?? []));
+    jobs.forEach(({ id }) => {
+      if (ids.has(id))
+        this.#shard.failJob(id, 'the store does not accept the record of its progress');
+    });
+  }
+
   #handleAppendResult(result: OwnerWriteResult, batch: AppendBatch): void {
     this.#isAppending = false;
-    if (result === 'fenced') {
+    if (result.type === 'fenced') {
       this.#endOwnership('a later owner has written');
       return;
     }
+    this.#failUnrecorded(result.rejected, batch.jobs);
     this.#lastAppendAt = this.#context.clock.readMonotonic();
     this.#ownershipCheck.recordAppend(batch.gaps);
     this.#records.confirm(batch.append);
--- a/src/node/WorkLogWriter.test.ts
+++ b/src/node/WorkLogWriter.test.ts
@@ -8,9 +8,10 @@
 import type { NodeContext } from './NodeContext.js';
 import { WorkLogWriter, type WriteOutcome } from './WorkLogWriter.js';
 
-type Answer = 'stored' | 'refused' | 'unanswered';
+type Answer = 'stored' | 'refused' | 'rejected' | 'unanswered';
 
 const RECORD = { key: WorkLogKey.job('a', 'dc-1'), value: '{}' };
+const THIRD_RECORD = { ...RECORD, key: WorkLogKey.job('c', 'dc-1') };
 const OTHER_RECORD = { ...RECORD, key: WorkLogKey.job('b', 'dc-1') };
 
 /** Runs a writer whose appends are answered in the given order, then stored. */
@@ -23,6 +24,7 @@
     appended.push(records.map(({ key }) => key));
     const answer = answers.shift() ?? 'stored';
     if (answer === 'unanswered') return Promise.reject(new StoreUnansweredError('no answer'));
+    if (answer === 'rejected') return Promise.resolve({ type: 'rejected', reason: 'status 400' });
     if (answer === 'refused') return Promise.reject(new StoreRefusedError('status 503'));
     return Promise.resolve({ type: 'appended', offset: 0, end: 1 });
   };
@@ -52,6 +54,22 @@
 }
 
 describe('WorkLogWriter', () => {
+  // Guards against callers whose jobs are refused since a record that the store never accepts, of
+  // another caller, is in the same append, and against appends that are repeated without an end.
+  it('sends the records of a rejected append again one by one, and each of them once', () =>
+    withWriter(['stored', 'rejected', 'rejected'], async (writer, appended) => {
+      // The first append is in flight while the others are queued, so that they share the next one.
+      const outcomes = [OTHER_RECORD, RECORD, THIRD_RECORD].map((one) => write(writer, one, 2_000));
+      assert.deepEqual(await Promise.all(outcomes), ['stored', 'not-stored', 'stored']);
+      assert.deepEqual(appended, [
+        [OTHER_RECORD.key],
+        [RECORD.key, THIRD_RECORD.key],
+        [RECORD.key],
+        [THIRD_RECORD.key],
+      ]);
+      assert.equal(await isOpen(writer), false);
+    }));
+
   // Guards against a caller that is told that its job never runs while a peer may still store it.
   it('reports no record as not stored while a peer may still store it', () =>
     withWriter(['refused', 'refused', 'refused'], async (writer) => {
--- a/src/node/WorkLogWriter.ts
+++ b/src/node/WorkLogWriter.ts
@@ -56,7 +56,7 @@
 
 /** Result of an append; the store did not receive an `unsent` one. */
 interface AppendResult {
-  outcome: 'stored' | 'refused' | 'unsent' | 'unanswered';
+  outcome: 'stored' | 'refused' | 'rejected' | 'unsent' | 'unanswered';
   reason: string;
   /** Time in ms that the append took, and its time limit. */
   waitedMs: number;
@@ -318,10 +318,8 @@
     try {
       const answer = await this.#context.store.append(records, { timeoutMs });
       if (answer.type === 'appended') return { outcome: 'stored', reason: '' };
-      return {
-        outcome: 'refused',
-        reason: answer.type === 'refused' ? answer.reason : answer.type,
-      };
+      const reason = 'reason' in answer ? answer.reason : answer.type;
+      return { outcome: answer.type === 'rejected' ? 'rejected' : 'refused', reason };
     } catch (error) {
       const outcome = error instanceof StoreRefusedError ? 'unsent' : 'unanswered';
       return { outcome, reason: String(error) };
@@ -348,6 +346,12 @@
       records: writes.length,
       waitedMs: Math.round(waitedMs),
     });
+    if (outcome === 'rejected') {
+      this.#handleRejection(writes);
+      this.#recordHealth(result);
+      this.#flush();
+      return;
+    }
     const now = this.#context.clock.readMonotonic();
     this.#failedAt = now;
     if (outcome === 'unanswered') this.#markUncertain(writes);
@@ -361,13 +365,22 @@
     this.#flush();
   }
 
+  /** Ends the write that the store never accepts; of several ones, each is sent again alone. */
+  #handleRejection(writes: readonly PendingWrite[]): void {
+    if (writes.length === 1) {
+      writes.forEach((write) => this.#endUnstored(write));
+      return;
+    }
+    this.#queue.addFirst(writes.map((write) => Object.assign(write, { isAlone: true })));
+  }
+
   #recordHealth({ outcome, waitedMs, timeoutMs }: AppendResult): void {
     // A refusal is faster than an append, so it does not show the latency of appends.
     if (outcome === 'stored') this.#latency.recordAnswer(waitedMs);
     if (outcome === 'unanswered' && StoreHealth.isTimeout({ waitedMs, timeoutMs }))
       this.#latency.recordTimeout();
     this.#changeHealth((now) => {
-      if (outcome === 'stored') this.#health.recordAnswer(now);
+      if (outcome === 'stored' || outcome === 'rejected') this.#health.recordAnswer(now);
       else if (outcome === 'refused') this.#health.recordRefusal(now);
       else if (outcome === 'unsent') this.#health.recordUnsent(now);
       else this.#health.recordFailure({ waitedMs, timeoutMs }, now);
--- a/src/node/_OwnerRecords.ts
+++ b/src/node/_OwnerRecords.ts
@@ -4,6 +4,7 @@
 import { WorkLogKey, type Successor, type TrackedJob, type WaveRecord } from '../workLog/mod.js';
 import { buildJobTombstones } from './buildJobTombstones.js';
 import type { NodeContext } from './NodeContext.js';
+import { ProgressRecords } from './_ProgressRecords.js';
 import { PoolLoadPublisher } from './PoolLoadPublisher.js';
 
 /** Interval in ms at which the ages of the machine orders are recorded again. */
@@ -52,6 +53,8 @@
 
   readonly #poolLoad: PoolLoadPublisher;
 
+  readonly #progress: ProgressRecords;
+
   #machineOrdersRecordedAt = -Infinity;
 
   /** The last record of machine orders was not empty. */
@@ -63,6 +66,7 @@
     this.#context = context;
     this.#shard = shard;
     this.#poolLoad = new PoolLoadPublisher(shard.token);
+    this.#progress = new ProgressRecords(shard.token, context.settings.store.recordBytes);
   }
 
   /**
@@ -92,10 +96,7 @@
   build(update: OwnerUpdate): OwnerAppend {
     const { jobs, waves, isRelease, intervalMs } = update;
     const records: KeyedValue[] = [
-      ...jobs.map((job) => ({
-        key: WorkLogKey.progress(job.id),
-        value: JSON.stringify(job.describeProgress(this.#shard.token)),
-      })),
+      ...jobs.flatMap((job) => this.#progress.build(job)),
       ...waves.map(([wave, record]) => ({
         key: WorkLogKey.wave(wave),
         value: JSON.stringify(record),
--- a/src/node/_WriteQueue.ts
+++ b/src/node/_WriteQueue.ts
@@ -11,6 +11,8 @@
   isAllowed: (() => boolean) | undefined;
   /** Results of the failed appends of the record, in order. */
   failures: ('refused' | 'unanswered')[];
+  /** The store has rejected it among others, so it is sent again without any. */
+  isAlone?: boolean;
 }
 
 /** Size limits of one append; no record is added to one that has reached `bytes`. */
@@ -35,7 +37,7 @@
 }
 
 function countBytes({ record }: PendingWrite): number {
-  return record.value?.length ?? 0;
+  return Buffer.byteLength(record.value ?? '');
 }
 
 /** Writes that wait for an append, oldest first. */
@@ -78,8 +80,10 @@
     let bytes = 0;
     for (const write of repeated.length > 0 ? repeated : this.#writes) {
       if (batch.size >= limit.records || bytes >= limit.bytes) break;
+      if (batch.size > 0 && write.isAlone === true) break;
       batch.add(write);
       bytes += countBytes(write);
+      if (write.isAlone === true) break;
     }
     return batch;
   }
--- a/src/node/buildJobTombstones.ts
+++ b/src/node/buildJobTombstones.ts
@@ -14,7 +14,13 @@
 export function buildJobTombstones({
   id,
   recordKeys,
-}: Pick<TrackedJob, 'id' | 'recordKeys'>): KeyedValue[] {
-  const keys = new Set([...recordKeys, WorkLogKey.cancel(id), WorkLogKey.progress(id)]);
+  partKeys = [],
+}: Pick<TrackedJob, 'id' | 'recordKeys' | 'partKeys'>): KeyedValue[] {
+  const keys = new Set([
+    ...recordKeys,
+    ...partKeys,
+    WorkLogKey.cancel(id),
+    WorkLogKey.progress(id),
+  ]);
   return [...keys].map((key) => ({ key, value: undefined }));
 }
--- a/src/port/Store.ts
+++ b/src/port/Store.ts
@@ -42,7 +42,9 @@
   /** The sequence number is not the next one; nothing was appended. */
   | { type: 'sequence'; expected: number }
   /** Nothing was appended; a retry may succeed. */
-  | { type: 'refused'; reason: string };
+  | { type: 'refused'; reason: string }
+  /** Nothing was appended; the same records, for example too large ones, never will be. */
+  | { type: 'rejected'; reason: string };
 
 /** Response of the store to a read from an offset. */
 export type ReadResponse =
--- a/src/port/mod.ts
+++ b/src/port/mod.ts
@@ -13,5 +13,6 @@
 export * from './OrderUnsentError.js';
 export * from './RecordDecoder.js';
 export * from './Store.js';
+export * from './StoreLimits.js';
 export * from './StoreRefusedError.js';
 export * from './StoreUnansweredError.js';
--- a/src/schedule/InheritedUse.ts
+++ b/src/schedule/InheritedUse.ts
@@ -1,6 +1,6 @@
 import type { Capacity } from '../port/mod.js';
 import { formatTaskId } from '../task/mod.js';
-import type { TrackedJob } from '../workLog/mod.js';
+import { collectOccurrences, type TrackedJob } from '../workLog/mod.js';
 import { addResources, computeTaskUse, NO_RESOURCES } from './_ResourceAmount.js';
 import type { HostTable } from './HostTable.js';
 import type { ManagedHost } from './ManagedHost.js';
@@ -152,8 +152,9 @@
     );
   }
 
-  #addRecorded({ id, progress, spec }: TrackedJob, organisation: string): void {
-    progress?.occurrences.forEach(({ number: occurrence, steps }) => {
+  #addRecorded(tracked: TrackedJob, organisation: string): void {
+    const { id, spec } = tracked;
+    collectOccurrences(tracked).forEach(({ number: occurrence, steps }) => {
       steps.forEach(({ started }, step) => {
         const stepSpec = spec.steps[step];
         if (stepSpec === undefined) return;
--- a/src/schedule/JobTable.ts
+++ b/src/schedule/JobTable.ts
@@ -85,22 +85,23 @@
   }
 
   /** Records that the start of a run is about to be ordered; a later owner has to know of it. */
-  recordStart({ step }: WorkUnit): void {
-    const { occurrence } = step;
+  recordStart(unit: WorkUnit): void {
+    const { occurrence } = unit.step;
     occurrence.hasStarted = true;
-    this.#dirty.add(occurrence.job);
+    this.#markDirty(unit);
   }
 
   /**
    * Records that a host has started a run of a unit, so that its job no longer counts as waiting. It
    * may count as waiting a little longer, so this causes no append by itself.
    */
-  recordBegin({ step }: WorkUnit): void {
-    const { occurrence } = step;
+  recordBegin(unit: WorkUnit): void {
+    const { occurrence } = unit.step;
     const { job } = occurrence;
     if (job.finalState !== undefined) return;
-    if (!occurrence.hasStarted) this.#dirty.add(job);
+    const isFirst = !occurrence.hasStarted;
     occurrence.hasStarted = true;
+    if (isFirst) this.#markDirty(unit);
     if (job.hasBegun) return;
     job.hasBegun = true;
     this.#begun.add(job);
@@ -113,7 +114,7 @@
     unit.finish();
     const { step } = unit;
     const { occurrence } = step;
-    this.#dirty.add(occurrence.job);
+    this.#markDirty(unit);
     if (step.isDone) this.#updateReady(occurrence, nowWallMs);
   }
 
@@ -123,7 +124,7 @@
     if (job.finalState !== undefined) return false;
     if (!unit.recordFailure(run)) return false;
     const { failures } = unit;
-    this.#dirty.add(job);
+    this.#markDirty(unit);
     if (failures < job.queue.maxAttempts) return false;
     this.finishJob(job, 'failed', nowWallMs, `a task failed ${failures} times`);
     return true;
@@ -154,6 +155,12 @@
     return this.#dirty.size > 0;
   }
 
+  #markDirty(unit: WorkUnit): void {
+    const { job } = unit.step.occurrence;
+    job.markChanged(unit);
+    this.#dirty.add(job);
+  }
+
   #openOccurrences(job: ScheduledJob, nowWallMs: number): void {
     job
       .openOccurrences(nowWallMs + OPEN_AHEAD_MS)
--- a/src/schedule/Occurrence.ts
+++ b/src/schedule/Occurrence.ts
@@ -1,3 +1,4 @@
+import { ProgressParts } from './ProgressParts.js';
 import type { ScheduledJob } from './ScheduledJob.js';
 import { ScheduledStep } from './ScheduledStep.js';
 
@@ -5,6 +6,8 @@
 export class Occurrence {
   readonly steps: ScheduledStep[];
 
+  readonly parts: ProgressParts;
+
   /** The start of at least one of its tasks has been ordered. */
   hasStarted = false;
 
@@ -15,6 +18,7 @@
     readonly scheduledWallMs: number,
   ) {
     this.steps = job.tracked.spec.steps.map((spec, index) => new ScheduledStep(this, index, spec));
+    this.parts = new ProgressParts(this.steps);
   }
 
   /** Checks whether a run of a task is known to this owner. */
--- a/src/schedule/RunTracker.ts
+++ b/src/schedule/RunTracker.ts
@@ -353,6 +353,7 @@
     unit.notBefore = Math.max(unit.notBefore, now + pauseMs);
     unit.readySince = now;
     unit.step.units.prune(unit);
+    unit.step.occurrence.job.markChanged(unit);
     if (run.checkpoint !== '' && unit.spec.checkpoints && unit.checkpoint === '') {
       unit.checkpoint = run.checkpoint;
     }
--- a/src/schedule/ScheduledJob.ts
+++ b/src/schedule/ScheduledJob.ts
@@ -1,9 +1,15 @@
-import type { TrackedJob, JobProgress } from '../workLog/mod.js';
+import {
+  collectOccurrences,
+  type JobProgress,
+  type ProgressPart,
+  type StepProgress,
+  type TrackedJob,
+} from '../workLog/mod.js';
 import type { QueueConfig } from '../port/mod.js';
+import { describeStep } from './describeStep.js';
 import { Occurrence } from './Occurrence.js';
 import type { Run } from './Run.js';
-
-type StartedRun = JobProgress['occurrences'][number]['steps'][number]['started'][number];
+import type { WorkUnit } from './WorkUnit.js';
 
 /** Final state of a job. */
 export type FinalState = 'completed' | 'failed' | 'cancelled';
@@ -14,6 +20,15 @@
  */
 const MAX_OPEN_STEPS = 1_000;
 
+/** Occurrence and number of a part of the progress. */
+export type PartId = Omit<ProgressPart, 'steps'>;
+
+/** Parts of the progress to record, and those to remove afterwards. */
+export interface PartChanges {
+  changed: ProgressPart[];
+  obsolete: PartId[];
+}
+
 /** A job with its scheduling state. */
 export class ScheduledJob {
   /** Unfinished occurrences that have been opened, by number. */
@@ -28,6 +43,11 @@
   /** All occurrences below this number are finished. */
   #finishedBelow = 0;
 
+  /** Recorded parts of finished occurrences, which are not needed any more. */
+  #obsoleteParts: PartId[] = [];
+
+  #isSplit = false;
+
   finalState: FinalState | undefined;
 
   reason: string | undefined;
@@ -48,7 +68,7 @@
     public queue: QueueConfig,
   ) {
     this.isLasting = tracked.spec.steps.some((step) => step.isLasting);
-    this.#restore(tracked.progress);
+    this.#restore(tracked);
   }
 
   get id(): string {
@@ -118,7 +138,38 @@
     );
   }
 
-  /** Describes the progress of the job for the work log. */
+  /** The progress is recorded in parts, since it did not fit into one record. */
+  get isSplit(): boolean {
+    return this.#isSplit;
+  }
+
+  /** Records the progress in parts from now on. */
+  split(): void {
+    this.#isSplit = true;
+    this.#listRecordedOccurrences().forEach(({ parts }) => parts.markAll());
+  }
+
+  /** Marks the progress of a unit as changed since it was last recorded. */
+  markChanged(unit: WorkUnit): void {
+    if (this.#isSplit) unit.step.occurrence.parts.mark(unit);
+  }
+
+  /** Returns the changes of the parts since the last call. */
+  takePartChanges(): PartChanges {
+    const recorded = this.#listRecordedOccurrences();
+    const changed = recorded.flatMap(({ number, parts }) =>
+      parts.takeChanged().map((part) => ({
+        occurrence: number,
+        part,
+        steps: parts.describe(part, this.#hasOrganisation),
+      })),
+    );
+    const obsolete = this.#obsoleteParts;
+    this.#obsoleteParts = [];
+    return { changed, obsolete };
+  }
+
+  /** Describes the progress of the job for the work log, without its parts if it is split. */
   describeProgress(token: number): JobProgress {
     return {
       token,
@@ -128,9 +179,10 @@
       ...(this.endedAtMs === undefined ? {} : { endedAtMs: this.endedAtMs }),
       finishedBelow: this.#finishedBelow,
       finished: [...this.#finished],
-      occurrences: this.#listRecordedOccurrences().map((occurrence) =>
-        this.#describeOccurrence(occurrence),
-      ),
+      ...(this.#isSplit ? { isSplit: true } : {}),
+      occurrences: this.#isSplit
+        ? []
+        : this.#listRecordedOccurrences().map((one) => this.#describeOccurrence(one)),
     };
   }
 
@@ -140,12 +192,18 @@
    * later owner, too.
    */
   #listRecordedOccurrences(): Occurrence[] {
-    this.#ended = this.#ended.filter(({ hasRuns }) => hasRuns);
+    const isKept = ({ hasRuns }: Occurrence): boolean => hasRuns && this.#hasOrganisation;
+    this.#ended.filter((one) => !isKept(one)).forEach((one) => this.#removeParts(one));
+    this.#ended = this.#ended.filter(isKept);
     const started = [...this.occurrences.values()].filter(({ hasStarted }) => hasStarted);
     if (this.#hasOrganisation) return [...this.#ended, ...started];
     return this.finalState === undefined ? started : [];
   }
 
+  #removeParts({ number, parts }: Occurrence): void {
+    this.#obsoleteParts.push(...parts.recorded.map((part) => ({ occurrence: number, part })));
+  }
+
   get #hasOrganisation(): boolean {
     return this.tracked.organisation !== undefined;
   }
@@ -153,18 +211,7 @@
   #describeOccurrence({ number, steps }: Occurrence): JobProgress['occurrences'][number] {
     return {
       number,
-      steps: steps.map((step) => ({
-        done: step.units.listDone(),
-        failed: [...step.units.known]
-          .filter((unit) => unit.failures > 0 && !unit.isDone)
-          .map((unit) => [unit.indexes[0] ?? 0, [...unit.failedRuns]]),
-        started: [...step.units.known]
-          .filter((unit) => !unit.isDone || this.#hasOrganisation)
-          .flatMap((unit) => [
-            ...unit.inheritedRuns.map((one): StartedRun => [one.index, one.number, one.host]),
-            ...[...unit.runs].map((run): StartedRun => [run.index, run.number, run.host.id]),
-          ]),
-      })),
+      steps: steps.map((step) => describeStep(step, { keepsRuns: this.#hasOrganisation })),
     };
   }
 
@@ -174,34 +221,51 @@
     return occurrence;
   }
 
-  #restore(progress: JobProgress | undefined): void {
+  #restore(tracked: TrackedJob): void {
+    const { progress, progressParts = [] } = tracked;
     if (progress === undefined) return;
     this.hasBegun = progress.hasBegun;
+    this.#isSplit = progress.isSplit === true;
     this.#finishedBelow = progress.finishedBelow;
     progress.finished.forEach((number) => this.#finished.add(number));
     if (progress.state !== 'active') this.finalState = progress.state;
-    progress.occurrences.forEach(({ number, steps }) => {
+    collectOccurrences(tracked).forEach(({ number, steps }) => {
       // Only the use of the organisation depends on the runs of a finished occurrence.
-      if (number < this.#finishedBelow || this.#finished.has(number)) return;
-      const occurrence = this.#openOccurrence(number);
-      occurrence.hasStarted = true;
-      steps.forEach(({ done, failed, started }, index) => {
-        const step = occurrence.steps[index];
-        if (step === undefined) return;
-        done.forEach((task) => {
+      if (!this.#isFinished(number)) this.#restoreOccurrence(number, steps);
+    });
+    progressParts.forEach(({ occurrence, part }) => {
+      const known = this.occurrences.get(occurrence);
+      if (known === undefined) this.#obsoleteParts.push({ occurrence, part });
+      else known.parts.addRecorded(part);
+    });
+  }
+
+  #isFinished(number: number): boolean {
+    return number < this.#finishedBelow || this.#finished.has(number);
+  }
+
+  #restoreOccurrence(number: number, steps: readonly StepProgress[]): void {
+    const occurrence = this.#openOccurrence(number);
+    occurrence.hasStarted = true;
+    steps.forEach(({ done, failed, started }, index) => {
+      const step = occurrence.steps[index];
+      if (step === undefined) return;
+      done.forEach((one) => {
+        const [first, last] = typeof one === 'number' ? [one, one] : one;
+        for (let task = first; task <= Math.min(last, step.spec.count - 1); task += 1) {
           const unit = step.findUnit(task);
           if (unit?.isDone === false) unit.finish();
-        });
-        failed.forEach(([task, runs]) => {
-          const unit = step.findUnit(task);
-          runs.forEach((run) => unit?.recordFailure(run));
-        });
-        started.forEach(([task, run, host]) => {
-          const unit = step.findUnit(task);
-          if (unit === undefined || unit.isDone) return;
-          unit.inheritedRuns.push({ index: task, number: run, host });
-          unit.lastRunNumber = Math.max(unit.lastRunNumber, run);
-        });
+        }
+      });
+      failed.forEach(([task, runs]) => {
+        const unit = step.findUnit(task);
+        runs.forEach((run) => unit?.recordFailure(run));
+      });
+      started.forEach(([task, run, host]) => {
+        const unit = step.findUnit(task);
+        if (unit === undefined || unit.isDone) return;
+        unit.inheritedRuns.push({ index: task, number: run, host });
+        unit.lastRunNumber = Math.max(unit.lastRunNumber, run);
       });
     });
   }
--- a/src/schedule/Shard.ts
+++ b/src/schedule/Shard.ts
@@ -259,6 +259,15 @@
     runs.forEach((run) => this.#runTracker.stop(run, now, 'cancelled'));
   }
 
+  /** Fails a job that cannot go on, for a reason that concerns no task, and stops its runs. */
+  failJob(id: string, reason: string): void {
+    const job = this.#jobs.get(id);
+    if (job === undefined) return;
+    const runs = job.collectRuns();
+    this.#jobs.finishJob(job, 'failed', this.#clock.readWall(), reason);
+    runs.forEach((run) => this.#runTracker.stop(run, this.#now, 'job-failed'));
+  }
+
   /** Adds or updates a host from the host list. */
   updateHost(entry: HostEntry): { host: ManagedHost; isNew: boolean } {
     const now = this.#clock.readMonotonic();
--- a/src/workLog/StoredJob.test.ts
+++ b/src/workLog/StoredJob.test.ts
@@ -16,11 +16,12 @@
 function openJob(): { job: StoredJob; decoded: string[] } {
   const decoded: string[] = [];
   const head = { id: 'a', acceptedOffset: 4, key: 'accepted-job/a/dc-1' };
-  const job = new StoredJob(head, ACCEPTED, (value) => {
+  const decodeProgress = (value: Buffer): JobProgress | undefined => {
     decoded.push(String(value));
     if (String(value) === 'odd') return undefined;
     return JobProgress.parse({ token: Number(value), state: 'active', occurrences: [] });
-  });
+  };
+  const job = new StoredJob(head, ACCEPTED, { decodeProgress, decodePart: () => undefined });
   return { job, decoded };
 }
 
--- a/src/workLog/StoredJob.ts
+++ b/src/workLog/StoredJob.ts
@@ -1,6 +1,11 @@
 import type { JobSpec } from '../task/mod.js';
 import type { TrackedJob } from './TrackedJob.js';
-import { WorkLogKey, type AcceptedJob, type JobProgress } from './WorkLogRecord.js';
+import {
+  WorkLogKey,
+  type AcceptedJob,
+  type JobProgress,
+  type ProgressPart,
+} from './WorkLogRecord.js';
 
 /**
  * Part of each progress record of a job that has not begun; other records cannot contain it, since
@@ -16,8 +21,11 @@
   key: string;
 }
 
-/** Decodes a progress record; undefined if it is not readable. */
-export type ProgressDecoder = (value: Buffer) => JobProgress | undefined;
+/** Decodes the progress records of a job; undefined if a record is not readable. */
+export interface ProgressDecoder {
+  decodeProgress: (value: Buffer) => JobProgress | undefined;
+  decodePart: (key: string, value: Buffer) => ProgressPart | undefined;
+}
 
 /**
  * A job of the work log whose progress is decoded when it is needed.
@@ -41,7 +49,7 @@
   /** Times of cancellations in ms since the Unix epoch, by key; undefined if there is none. */
   #cancellations: Map<string, number> | undefined;
 
-  readonly #decode: ProgressDecoder;
+  readonly #decoder: ProgressDecoder;
 
   /** Progress records that have not been decoded: the newest one and the one before it. */
   #newest: Buffer | undefined;
@@ -50,18 +58,21 @@
 
   #progress: JobProgress | undefined;
 
+  /** Records of the parts of the progress, by key; undefined if there are none. */
+  #parts: Map<string, Buffer> | undefined;
+
   /** The newest progress record shows that a task had been started; the owner never takes it back. */
   #hasBegun = false;
 
   constructor(
     { id, acceptedOffset, key }: StoredJobHead,
     accepted: AcceptedJob,
-    decode: ProgressDecoder,
+    decoder: ProgressDecoder,
   ) {
     this.id = id;
     this.acceptedOffset = acceptedOffset;
     this.#accepted = accepted;
-    this.#decode = decode;
+    this.#decoder = decoder;
     this.setSubmission(key, accepted);
   }
 
@@ -137,7 +148,8 @@
     if (this.#newest === undefined) return this.#progress;
     const previous = this.#previous;
     const decoded =
-      this.#decode(this.#newest) ?? (previous === undefined ? undefined : this.#decode(previous));
+      this.#decoder.decodeProgress(this.#newest) ??
+      (previous === undefined ? undefined : this.#decoder.decodeProgress(previous));
     this.#newest = undefined;
     this.#previous = undefined;
     this.#progress = decoded ?? this.#progress;
@@ -188,6 +200,26 @@
     this.#cancellations?.delete(key);
   }
 
+  get progressParts(): readonly ProgressPart[] {
+    return [...(this.#parts ?? [])].flatMap(
+      ([key, value]) => this.#decoder.decodePart(key, value) ?? [],
+    );
+  }
+
+  get partKeys(): readonly string[] {
+    return [...(this.#parts?.keys() ?? [])];
+  }
+
+  /** Sets or, without a value, removes the record of a part of the progress. */
+  setPart(key: string, value: Buffer | undefined): void {
+    if (value === undefined) {
+      this.#parts?.delete(key);
+      return;
+    }
+    this.#parts ??= new Map();
+    this.#parts.set(key, Buffer.from(value));
+  }
+
   /** Removes the progress, whose record has been removed. */
   removeProgress(): void {
     this.#newest = undefined;
--- a/src/workLog/TrackedJob.ts
+++ b/src/workLog/TrackedJob.ts
@@ -1,4 +1,4 @@
-import type { AcceptedJob, JobProgress } from './WorkLogRecord.js';
+import type { AcceptedJob, JobProgress, ProgressPart } from './WorkLogRecord.js';
 
 /** An accepted job with its cancellation and progress, as read from the work log. */
 export interface TrackedJob extends Omit<AcceptedJob, 'dataCentre'> {
@@ -16,4 +16,8 @@
   cancelledAtMs?: number | undefined;
   /** Progress last recorded by the owner. */
   progress?: JobProgress | undefined;
+  /** Parts of the progress that are recorded beside it; see `collectOccurrences`. */
+  progressParts?: readonly ProgressPart[];
+  /** Keys of the records of these parts. */
+  partKeys?: readonly string[];
 }
--- a/src/workLog/WorkLogRecord.ts
+++ b/src/workLog/WorkLogRecord.ts
@@ -41,10 +41,12 @@
 export const Cancellation = z.object({ atMs: z.number() });
 export type Cancellation = z.infer<typeof Cancellation>;
 
+const TaskIndex = z.number().int().nonnegative();
+
 /** Progress of one step of an occurrence. */
 export const StepProgress = z.object({
-  /** Indexes of the completed tasks. */
-  done: z.array(z.number().int().nonnegative()),
+  /** Indexes of the completed tasks, or pairs of the first and the last index of a range. */
+  done: z.array(z.union([TaskIndex, z.tuple([TaskIndex, TaskIndex])])),
   /** Pairs of a task index and the numbers of its failed runs. */
   failed: z.array(z.tuple([z.number(), z.array(z.number())])),
   /** Task index, run number and host of each run that was started or was about to be started. */
@@ -65,6 +67,8 @@
   reason: z.string().optional(),
   /** All occurrences below this number are finished. */
   finishedBelow: z.number().int().nonnegative().default(0),
+  /** The occurrences are described by `ProgressPart` records instead. */
+  isSplit: z.boolean().optional(),
   /** Occurrences that have started and are not finished. */
   occurrences: z.array(z.object({ number: z.number().int(), steps: z.array(StepProgress) })),
   /** Numbers of the finished occurrences from `finishedBelow` on. */
@@ -74,6 +78,18 @@
 });
 export type JobProgress = z.infer<typeof JobProgress>;
 
+/**
+ * Progress of some tasks of an occurrence, stored under `progress-part/ID/OCCURRENCE/PART` by the
+ * owner. A job whose progress does not fit into one record has such parts. The parts of finished
+ * occurrences are removed after the record that says so.
+ */
+export const ProgressPart = z.object({
+  occurrence: z.number().int().nonnegative(),
+  part: z.number().int().nonnegative(),
+  steps: z.array(StepProgress.extend({ step: z.number().int().nonnegative() })),
+});
+export type ProgressPart = z.infer<typeof ProgressPart>;
+
 /** Wildcard for all data centres, in lists of data centres. */
 export const ANY_DATA_CENTRE = '*';
 
@@ -167,6 +183,12 @@
   return `/=${hash}`;
 }
 
+/** Finds the job to whose progress a key belongs; undefined for other keys. */
+export function findProgressJob(key: string): string | undefined {
+  const [kind, id] = key.split('/', 2);
+  return kind === 'progress' || kind === 'progress-part' ? id : undefined;
+}
+
 /** Keys of the work log. */
 export const WorkLogKey = {
   owner: 'owner',
@@ -184,6 +206,8 @@
   earlyCancel: (id: string, queue: string, organisation?: string): string =>
     `cancel/${id}/${queue}${toSuffix(organisation)}`,
   progress: (id: string): string => `progress/${id}`,
+  progressPart: (id: string, { occurrence, part }: Omit<ProgressPart, 'steps'>): string =>
+    `progress-part/${id}/${occurrence}/${part}`,
   node: (name: string): string => `node/${name}`,
   wave: (wave: number): string => `wave/${wave}`,
 };
--- a/src/workLog/WorkLogView.ts
+++ b/src/workLog/WorkLogView.ts
@@ -1,7 +1,7 @@
 import type { z } from 'zod';
 import { describeIssues } from '../finding/mod.js';
 import type { StoreRecord } from '../port/mod.js';
-import { StoredJob } from './StoredJob.js';
+import { StoredJob, type ProgressDecoder } from './StoredJob.js';
 import type { TrackedJob } from './TrackedJob.js';
 import {
   AcceptedJob,
@@ -12,6 +12,7 @@
   NodeRecord,
   OwnerRecord,
   PoolLoadRecord,
+  ProgressPart,
   WaveRecord,
 } from './WorkLogRecord.js';
 
@@ -41,10 +42,11 @@
   /** The record could not be decoded; every reader skips it in the same way. */
   | { type: 'unreadable'; key: string; reason: string };
 
-/** Cancellations, by key, and progress that were read before their job. */
+/** Cancellations, progress and its parts, the first and the last by key, read before their job. */
 interface PendingUpdates {
   cancellations: Map<string, number>;
   progress: Buffer | undefined;
+  parts: Map<string, Buffer>;
 }
 
 /**
@@ -189,6 +191,8 @@
         return this.#applyCancellation(name.split('/', 1)[0] ?? '', record);
       case 'progress':
         return this.#applyProgress(name, record);
+      case 'progress-part':
+        return this.#applyPart(name.split('/', 1)[0] ?? '', record);
       case 'owner':
         return this.#applyOwner(record);
       case 'node':
@@ -217,10 +221,11 @@
       return isSame ? undefined : { type: 'resubmitted', job: known };
     }
     const head = { id, acceptedOffset: isNewest ? 0 : record.offset, key: record.key };
-    const job = new StoredJob(head, accepted.value, (value) => this.#decodeProgress(id, value));
-    const { cancellations, progress } = this.#pendingUpdates.get(id) ?? {};
+    const job = new StoredJob(head, accepted.value, this.#buildDecoder(id));
+    const { cancellations, progress, parts } = this.#pendingUpdates.get(id) ?? {};
     cancellations?.forEach((atMs, key) => job.addCancellation(key, atMs));
     if (progress !== undefined) job.setProgress(progress);
+    parts?.forEach((value, key) => job.setPart(key, value));
     this.#pendingUpdates.delete(id);
     this.#changeJob(job, () => this.#jobs.set(id, job));
     return { type: 'job', job };
@@ -279,10 +284,23 @@
     return { type: 'progress', job };
   }
 
+  #applyPart(id: string, { key, value }: StoreRecord): WorkLogChange | undefined {
+    const job = this.#jobs.get(id);
+    if (value === undefined) this.#newestOffsets.delete(key);
+    if (job !== undefined) {
+      job.setPart(key, value);
+      return { type: 'progress', job };
+    }
+    if (value === undefined) this.#changePending(id, ({ parts }) => parts.delete(key));
+    else this.#openPending(id).parts.set(key, Buffer.from(value));
+    return undefined;
+  }
+
   #openPending(id: string): PendingUpdates {
     const pending = this.#pendingUpdates.get(id) ?? {
       cancellations: new Map(),
       progress: undefined,
+      parts: new Map(),
     };
     this.#pendingUpdates.set(id, pending);
     return pending;
@@ -293,7 +311,8 @@
     const pending = this.#pendingUpdates.get(id);
     if (pending === undefined) return;
     change(pending);
-    if (pending.cancellations.size === 0 && pending.progress === undefined) {
+    const { cancellations, progress, parts } = pending;
+    if (cancellations.size === 0 && progress === undefined && parts.size === 0) {
       this.#pendingUpdates.delete(id);
     }
   }
@@ -361,12 +380,17 @@
     return isWaiting ? job.queue : undefined;
   }
 
-  #decodeProgress(id: string, value: Buffer): JobProgress | undefined {
-    const key = WorkLogKey.progress(id);
-    const decoded = WorkLogView.#decode(JobProgress, { key, offset: 0, value });
-    if ('value' in decoded) return decoded.value;
-    this.#onUnreadable(key, decoded.reason);
-    return undefined;
+  #buildDecoder(id: string): ProgressDecoder {
+    const decode = <T>(schema: z.ZodType<T>, key: string, value: Buffer): T | undefined => {
+      const decoded = WorkLogView.#decode(schema, { key, offset: 0, value });
+      if ('value' in decoded) return decoded.value;
+      this.#onUnreadable(key, decoded.reason);
+      return undefined;
+    };
+    return {
+      decodeProgress: (value) => decode(JobProgress, WorkLogKey.progress(id), value),
+      decodePart: (key, value) => decode(ProgressPart, key, value),
+    };
   }
 
   static #decode<T>(
--- a/src/workLog/mod.ts
+++ b/src/workLog/mod.ts
@@ -6,4 +6,6 @@
 export * from './WorkLogRecord.js';
 export * from './TrackedJob.js';
 export * from './WorkLogView.js';
+export * from './collectOccurrences.js';
 export * from './describeJobState.js';
+export * from './encodeAcceptedJob.js';
