--- a/src/node/progressRecords.property.test.ts
+++ b/src/node/progressRecords.property.test.ts
@@ -217,7 +217,7 @@
           rig.clock.advance(INTERVAL_MS);
           HOSTS.forEach((id) => rig.report(id));
           const started = rig.startAll();
-          const append = rig.shard.takeDirtyJobs().flatMap((one) => records.build(one));
+          const append = rig.shard.takeDirtyJobs().flatMap((changed) => records.build(changed));
           const partial = Math.floor((stored / 100) * append.length);
           log.append(append.slice(0, partial));
           checkReaders(log, snapshot, { runs, done: new Set() });
--- a/src/schedule/ManagedHost.ts
+++ b/src/schedule/ManagedHost.ts
@@ -98,12 +98,9 @@
   /** Lease of the runs of this incarnation. */
   #lease = new HostLease();
 
-  /** Number of consecutive failed runs since the last successful one. */
+  /** Number of consecutive failed runs since the last good one. */
   failuresInRow = 0;
 
-  /** Jobs with failed runs on the host since the last successful run. */
-  readonly failedJobs = new Set<string>();
-
   constructor(entry: HostEntry, now: number) {
     this.entry = entry;
     this.discoveredAt = now;
@@ -210,14 +207,8 @@
   }
 
   /** Records the outcome of a run for the detection of faulty hosts. */
-  recordOutcome(job: string, hasFailed: boolean): void {
-    if (hasFailed) {
-      this.failuresInRow += 1;
-      this.failedJobs.add(job);
-    } else {
-      this.failuresInRow = 0;
-      this.failedJobs.clear();
-    }
+  recordOutcome(hasFailed: boolean): void {
+    this.failuresInRow = hasFailed ? this.failuresInRow + 1 : 0;
   }
 
   /** Records a response of the host. */
@@ -266,7 +257,7 @@
     this.#lease = new HostLease();
     this.reserve(leasesUntil);
     this.suspendedUntil = 0;
-    this.recordOutcome('', false);
+    this.recordOutcome(false);
     this.runs.forEach((run) => run.withdrawStopAnswer());
   }
 
--- a/src/schedule/Run.ts
+++ b/src/schedule/Run.ts
@@ -59,6 +59,8 @@
   /** A change of the pace was ordered and has not been answered. */
   isPacePending = false;
 
+  #hasProven = false;
+
   /** Monotonic time in ms from which reported percentages are valid. */
   #percentValidAt = 0;
 
@@ -85,6 +87,16 @@
     this.#isAdopted = true;
   }
 
+  /** The run is long-running and has been reported as a good one. */
+  get hasProven(): boolean {
+    return this.#hasProven;
+  }
+
+  /** Marks the long-running run as reported. */
+  markProven(): void {
+    this.#hasProven = true;
+  }
+
   /** Computes the age of the run in ms; undefined if a previous owner started it. */
   computeAge(now: number): number | undefined {
     if (this.#isAdopted || this.startedAt === undefined) return undefined;
--- a/src/schedule/RunTracker.ts
+++ b/src/schedule/RunTracker.ts
@@ -21,6 +21,8 @@
 const NO_ROOM_PAUSE_MS = 150;
 /** Suspension in ms of a host that reported itself unhealthy or an order invalid. */
 const UNHEALTHY_PAUSE_MS = 1_000;
+/** Time in ms for which a long-running run has to work until it counts as a good one. */
+const MIN_LASTING_WORK_MS = 1_000;
 /** Delay in ms before a task whose start was rejected is started again. */
 const RETRY_PAUSE_MS = 50;
 
@@ -227,7 +229,8 @@
     run.update(listed, now);
     this.#jobs.recordBegin(run.unit);
     const { spec, step } = run.unit;
-    if (!spec.isLasting) {
+    if (spec.isLasting) this.#reportLasting(run, now);
+    else {
       const estimateMs = this.#estimator.estimate(step.occurrence.job.queue.name, spec);
       run.progress.record(listed.percent, clockMs, {
         typicalMs: step.findMedianRunTime(),
@@ -237,6 +240,14 @@
     return run;
   }
 
+  /** Reports a long-running run as good once it has worked for a while; it never ends as done. */
+  #reportLasting(run: Run, now: number): void {
+    if (run.hasProven || run.percent === 0) return;
+    if (run.startedAt === undefined || now - run.startedAt < MIN_LASTING_WORK_MS) return;
+    run.markProven();
+    this.#faultyHosts.reportSuccess(run.host, now);
+  }
+
   /** Adopts a run that was started by a previous owner or by a delayed order, or stops it. */
   #adopt(host: ManagedHost, listed: ActiveRun, now: number): Run | undefined {
     const id = parseTaskId(listed.task);
@@ -315,7 +326,7 @@
   }
 
   #handleDone(host: ManagedHost, unit: WorkUnit, run: Run | undefined, now: number): void {
-    this.#faultyHosts.reportSuccess(host);
+    this.#faultyHosts.reportSuccess(host, now);
     if (unit.spec.isLasting || unit.isDone) return;
     const { queue } = unit.step.occurrence.job;
     const runMs = run?.computeAge(now);
--- a/src/schedule/decisions.test.ts
+++ b/src/schedule/decisions.test.ts
@@ -93,7 +93,7 @@
     const one = host();
     detector.reportFailure(one, 'a', 0);
     detector.reportFailure(one, 'b', 0);
-    detector.reportSuccess(one);
+    detector.reportSuccess(one, 0);
     assert.equal(detector.reportFailure(one, 'c', 0), 0);
   });
 });
