Record machine orders without an outcome as open

Cause: orders are recorded with their age and may be sent up to 0.9 s later, since four are under way at a time and a list of machines may take a connection; the next owner counted the pause from the record. Ruled out: a claim before the owner had ended.

Change: an order is recorded as open until its outcome is known, and the next owner counts the pause for it from its takeover.

--- a/src/node/CommandExecutor.test.ts
+++ b/src/node/CommandExecutor.test.ts
@@ -14,7 +14,6 @@
     const sent: string[] = [];
     const outcomes: string[] = [];
     const shard = {
-      reportMachineOrder: () => undefined,
       reportMachineResponse: ({ machine }: MachineSubject, { type }: MachineResponse) => {
         outcomes.push(`${machine} ${type}`);
         return 'ok';
--- a/src/node/ShardCandidate.ts
+++ b/src/node/ShardCandidate.ts
@@ -278,7 +278,7 @@
   /** Lists the recorded machine orders with a lower bound of their current age. */
   #listRecentMachineOrders(view: WorkLogView): RecentMachineOrder[] {
     const sinceRead = this.#context.clock.readMonotonic() - this.#machineOrdersReadAt;
-    return view.machineOrders.map(({ machine, ageMs }) => ({ machine, ageMs: ageMs + sinceRead }));
+    return view.machineOrders.map((order) => ({ ...order, ageMs: order.ageMs + sinceRead }));
   }
 
   /** Releases the shard; returns false if the release is not known to be stored. */
--- a/src/node/_CommandExecutor.ts
+++ b/src/node/_CommandExecutor.ts
@@ -173,10 +173,6 @@
   #sendMachineCommand(command: MachineCommand): void {
     const { machine } = command;
     const order = { machine, holder: this.#context.settings.name, token: this.#options.token };
-    this.#options.applyOutcome((shard) => {
-      shard.reportMachineOrder(machine);
-      return 'ok';
-    });
     const { machines } = this.#context;
     this.#machineOrdersUnderWay += 1;
     const answered =
--- a/src/schedule/MachinePlanner.ts
+++ b/src/schedule/MachinePlanner.ts
@@ -158,7 +158,7 @@
     plan.orders.forEach((order) => {
       const host = hosts.get(order.machine);
       if (host !== undefined) host.isLeaving = true;
-      this.#orders.report(order.machine, now);
+      this.#orders.add(order.machine, now);
       this.dirtyWaves.add(order.wave);
       this.#output.send({ type: 'maintain', ...order, host });
     });
@@ -183,7 +183,7 @@
       const host = hosts.get(machine);
       if (host !== undefined) host.isLeaving = true;
       this.#moves.set(machine, { pool: to, orderedAt: now, isAccepted: false });
-      this.#orders.report(machine, now);
+      this.#orders.add(machine, now);
       this.#output.send({ type: 'move', machine, pool: to, host });
     });
   }
--- a/src/schedule/RecentMachineOrders.ts
+++ b/src/schedule/RecentMachineOrders.ts
@@ -3,6 +3,8 @@
   machine: string;
   /** Minimum time in ms since the order was issued. */
   ageMs: number;
+  /** The order may not have been sent yet: its owner may send it later than the record was made. */
+  isOpen?: boolean | undefined;
 }
 
 /** Options of a `RecentMachineOrders`. */
@@ -20,7 +22,8 @@
  *
  * An owner records each order before it sends it. A later owner therefore has to observe the pause
  * between the orders of two owners only for these machines, not for all. Ages are recorded instead
- * of times, since the clocks of two nodes may differ.
+ * of times, since the clocks of two nodes may differ. An order without an outcome may wait in the
+ * owner or for a connection, so for a later owner it is as recent as its takeover.
  *
  * @example
  * ```ts
@@ -39,9 +42,13 @@
   /** Monotonic time in ms of the last order for a machine by this owner or a previous one. */
   readonly #orderedAt = new Map<string, number>();
 
+  /** Machines with an order by this owner whose outcome is not known. */
+  readonly #open = new Set<string>();
+
   constructor({ leaseMs, inherited, startedAt }: RecentMachineOrdersOptions) {
     this.#leaseMs = leaseMs;
-    inherited.forEach(({ machine, ageMs }) => {
+    inherited.forEach(({ machine, ageMs: recordedMs, isOpen = false }) => {
+      const ageMs = isOpen ? 0 : recordedMs;
       this.#inheritedUntil.set(machine, startedAt - ageMs + leaseMs);
       this.#orderedAt.set(machine, startedAt - ageMs);
     });
@@ -52,17 +59,25 @@
     return now >= (this.#inheritedUntil.get(machine) ?? -Infinity);
   }
 
-  /** Records that an order is about to be issued, has been sent or was not answered. */
-  report(machine: string, now: number): void {
+  /** Adds an order that is about to be issued; it is open until its outcome is reported. */
+  add(machine: string, now: number): void {
     this.#orderedAt.set(machine, now);
+    this.#open.add(machine);
+  }
+
+  /** Records the outcome of an order, which the platform has received by now if it ever does. */
+  settle(machine: string, now: number): void {
+    this.#orderedAt.set(machine, now);
+    this.#open.delete(machine);
   }
 
   /** Lists the orders that a later owner has to know. */
   list(now: number): RecentMachineOrder[] {
-    const orders = [...this.#orderedAt].map(([machine, at]) => ({ machine, ageMs: now - at }));
-    orders
-      .filter(({ ageMs }) => ageMs >= this.#leaseMs)
-      .forEach(({ machine }) => this.#orderedAt.delete(machine));
-    return orders.filter(({ ageMs }) => ageMs < this.#leaseMs);
+    this.#orderedAt.forEach((at, machine) => {
+      if (now - at >= this.#leaseMs && !this.#open.has(machine)) this.#orderedAt.delete(machine);
+    });
+    return [...this.#orderedAt].map(([machine, at]) =>
+      this.#open.has(machine) ? { machine, ageMs: 0, isOpen: true } : { machine, ageMs: now - at },
+    );
   }
 }
--- a/src/schedule/Shard.ts
+++ b/src/schedule/Shard.ts
@@ -391,8 +391,7 @@
     order: MachineSubject,
     answer: MachineResponse | { type: 'unanswered' },
   ): ReportResult {
-    // An unanswered order may be executed as late as now.
-    if (answer.type === 'unanswered') this.reportMachineOrder(order.machine);
+    this.#machineOrders.settle(order.machine, this.#now);
     const ended = this.#machinePlanner.reportResponse(order, answer, this.#now);
     if (ended !== undefined) this.#incarnations.end(ended, 'machine-ordered', this.#now);
     return answer.type === 'fenced' ? 'fenced' : 'ok';
@@ -490,11 +489,6 @@
     return this.#previousOwners.listUnrecorded(this.#now);
   }
 
-  /** Records that an order for a machine has just been sent. */
-  reportMachineOrder(machine: string): void {
-    this.#machineOrders.report(machine, this.#now);
-  }
-
   /** Lists the recent orders for machines that a later owner has to know. */
   listMachineOrders(): RecentMachineOrder[] {
     return this.#machineOrders.list(this.#now);
--- a/src/workLog/WorkLogRecord.ts
+++ b/src/workLog/WorkLogRecord.ts
@@ -149,7 +149,14 @@
 
 /** Machines for which the owner has recently issued orders, stored under `machine-orders`. */
 export const MachineOrders = z.object({
-  orders: z.array(z.object({ machine: z.string(), ageMs: z.number().nonnegative() })),
+  orders: z.array(
+    z.object({
+      machine: z.string(),
+      ageMs: z.number().nonnegative(),
+      /** The order had no outcome yet, so it may be sent until the owner has been replaced. */
+      isOpen: z.boolean().optional(),
+    }),
+  ),
 });
 export type MachineOrders = z.infer<typeof MachineOrders>;
 
