Limit the number of starts under way

In a trial with a job of 100,000 tasks that request nothing of a host, the owner lost the shard six times in 20 s, and no usual job started.

Cause: the owner planned 20,000 starts in one round and did nothing else for seconds ("owner-delayed", then "a later owner has claimed the shard").

Change: at most 1,000 starts have no outcome at a time; the others are planned when these have one.

Result: largeJob.test "plans a bounded number of starts at once" is new.

--- a/src/schedule/RunTracker.ts
+++ b/src/schedule/RunTracker.ts
@@ -21,6 +21,11 @@
 const NO_ROOM_PAUSE_MS = 150;
 /** Suspension in ms of a host that reported itself unhealthy or an order invalid. */
 const UNHEALTHY_PAUSE_MS = 1_000;
+/**
+ * Maximum number of starts under way. It bounds the time of a planning round, in which the owner does
+ * nothing else, and the time that a start waits for a connection to its host.
+ */
+const MAX_STARTS_UNDER_WAY = 1_000;
 /** Time in ms for which a long-running run has to work until it counts as a good one. */
 const MIN_LASTING_WORK_MS = 1_000;
 /** Delay in ms before a task whose start was rejected is started again. */
@@ -68,6 +73,9 @@
 
   readonly #limit = new RunLimit();
 
+  /** Runs whose start has been planned and has no outcome. */
+  readonly #starting = new Set<Run>();
+
   /** Time of the last stop order for each run that a host lists and that no job needs. */
   readonly #unwantedStoppedAt = new Map<string, number>();
 
@@ -81,8 +89,9 @@
     this.#use = parts.use;
   }
 
-  /** Checks whether the number of runs that this owner tracks allows another start of a unit. */
+  /** Checks whether the runs that this owner tracks, and the starts under way, allow another start. */
   canStart(unit: WorkUnit): boolean {
+    if (this.#starting.size >= MAX_STARTS_UNDER_WAY) return false;
     return this.#limit.canStart(unit.step.occurrence.job.id, unit.indexes.length);
   }
 
@@ -93,6 +102,7 @@
     host.addRun(run, computeResourceRequest(unit.spec));
     this.#use.add(run);
     this.#limit.add(unit.step.occurrence.job.id);
+    this.#starting.add(run);
     this.#jobs.recordStart(unit);
     return run;
   }
@@ -100,6 +110,7 @@
   /** Handles the outcome of a start order. */
   reportStart(run: Run, outcome: OrderOutcome, now: number): ReportResult {
     const { host } = run;
+    this.#starting.delete(run);
     if (!host.runs.has(`${run.task}#${run.number}`)) return 'ok';
     if (outcome.type === 'unanswered' || outcome.type === 'unsent') {
       host.recordUnanswered();
@@ -261,6 +272,7 @@
     const run = this.createRun(unit, id.index, host, listed.run, now);
     run.adopt(now + this.#stopMs);
     run.confirm(now);
+    this.#starting.delete(run);
     this.#output.record({
       decision: 'run-adopted',
       subject: listed.task,
@@ -358,6 +370,7 @@
   #release(run: Run, now: number, pauseMs: number): void {
     const { unit, host } = run;
     this.#use.remove(run);
+    this.#starting.delete(run);
     this.#limit.remove(unit.step.occurrence.job.id);
     host.removeRun(run, computeResourceRequest(unit.spec), now);
     unit.runs.delete(run);
--- a/src/schedule/largeJob.test.ts
+++ b/src/schedule/largeJob.test.ts
@@ -54,6 +54,18 @@
     assert.equal(limit.canStart('a', 2), false);
   });
 
+  // Guards against an owner that is silent for seconds while it plans the starts of one job, so that
+  // another node claims the shard, which does the same (LOST).
+  it('plans a bounded number of starts at once, and the others when these have an outcome', () => {
+    const rig = new ScheduleRig();
+    rig.addHost('h1');
+    rig.shard.addJob(buildTrackedJob('a', [{ count: 2_500 }]));
+    assert.deepEqual(
+      [1, 2, 3, 4].map(() => rig.startAll().length),
+      [1_000, 1_000, 500, 0],
+    );
+  });
+
   it('starts the following tasks when earlier ones are done, each of them once', () => {
     const rig = new ScheduleRig();
     rig.addHost('h1');
