--- a/src/schedule/Run.ts
+++ b/src/schedule/Run.ts
@@ -59,7 +59,7 @@
   /** A change of the pace was ordered and has not been answered. */
   isPacePending = false;
 
-  #hasProven = false;
+  #isKnownGood = false;
 
   /** Monotonic time in ms from which reported percentages are valid. */
   #percentValidAt = 0;
@@ -88,13 +88,13 @@
   }
 
   /** The run is long-running and has been reported as a good one. */
-  get hasProven(): boolean {
-    return this.#hasProven;
+  get isKnownGood(): boolean {
+    return this.#isKnownGood;
   }
 
   /** Marks the long-running run as reported. */
-  markProven(): void {
-    this.#hasProven = true;
+  markKnownGood(): void {
+    this.#isKnownGood = true;
   }
 
   /** Computes the age of the run in ms; undefined if a previous owner started it. */
--- a/src/schedule/RunTracker.ts
+++ b/src/schedule/RunTracker.ts
@@ -253,9 +253,9 @@
 
   /** Reports a long-running run as good once it has worked for a while; it never ends as done. */
   #reportLasting(run: Run, now: number): void {
-    if (run.hasProven || run.percent === 0) return;
+    if (run.isKnownGood || run.percent === 0) return;
     if (run.startedAt === undefined || now - run.startedAt < MIN_LASTING_WORK_MS) return;
-    run.markProven();
+    run.markKnownGood();
     this.#faultyHosts.reportSuccess(run.host, now);
   }
 
