Decode, measure and sort once what was done several times

Cause: a new owner decoded the parts of a job's progress twice, and copied the progress of every job, split or not. The size in bytes of each queued write was computed again with every batch (a scan of the text since the size is counted in bytes). The hosts were sorted by room at each plan, also while the request for advice was pending and nothing could be asked.

Change: the parts are decoded once and nothing is copied without parts; a write carries its size; a pending request ends the check first. Listing the occurrences of a job no longer hides that finished ones are dropped, and the identifier of a part is one schema, used by its key and its record.

No figure was measured.

--- a/src/node/WorkLogWriter.ts
+++ b/src/node/WorkLogWriter.ts
@@ -165,7 +165,8 @@
   }: WorkLogWriterMessage & { type: 'write' }): void {
     // An earlier append of the record may still be executed, so this write cannot end as not stored.
     const isUncertain = this.#isUncertain(record.key);
-    const write: PendingWrite = { record, reply, deadline, isAllowed, failures: [] };
+    const bytes = Buffer.byteLength(record.value ?? '');
+    const write: PendingWrite = { record, bytes, reply, deadline, isAllowed, failures: [] };
     if (isUncertain) write.failures.push('unanswered');
     const cause = this.#findRefusal(write);
     if (cause !== undefined) {
--- a/src/node/_WriteQueue.ts
+++ b/src/node/_WriteQueue.ts
@@ -4,6 +4,8 @@
 /** A write whose outcome has not been replied yet. */
 export interface PendingWrite {
   record: KeyedValue;
+  /** Size of the record's value in bytes. */
+  bytes: number;
   reply: (outcome: WriteOutcome) => void;
   /** Monotonic time in ms. */
   deadline: number;
@@ -36,10 +38,6 @@
   return findSubject(one) === findSubject(other);
 }
 
-function countBytes({ record }: PendingWrite): number {
-  return Buffer.byteLength(record.value ?? '');
-}
-
 /** Writes that wait for an append, oldest first. */
 export class WriteQueue {
   #writes: PendingWrite[] = [];
@@ -61,7 +59,7 @@
 
   add(write: PendingWrite): void {
     this.#writes.push(write);
-    this.#bytes += countBytes(write);
+    this.#bytes += write.bytes;
   }
 
   /** Adds writes before all others. */
@@ -82,7 +80,7 @@
       if (batch.size >= limit.records || bytes >= limit.bytes) break;
       if (batch.size > 0 && write.isAlone === true) break;
       batch.add(write);
-      bytes += countBytes(write);
+      bytes += write.bytes;
       if (write.isAlone === true) break;
     }
     return batch;
@@ -114,6 +112,6 @@
 
   #set(writes: PendingWrite[]): void {
     this.#writes = writes;
-    this.#bytes = writes.reduce((sum, write) => sum + countBytes(write), 0);
+    this.#bytes = writes.reduce((sum, write) => sum + write.bytes, 0);
   }
 }
--- a/src/schedule/ScheduledJob.ts
+++ b/src/schedule/ScheduledJob.ts
@@ -2,6 +2,7 @@
   collectOccurrences,
   type JobProgress,
   type ProgressPart,
+  type ProgressPartId,
   type StepProgress,
   type TrackedJob,
 } from '../workLog/mod.js';
@@ -20,13 +21,10 @@
  */
 const MAX_OPEN_STEPS = 1_000;
 
-/** Occurrence and number of a part of the progress. */
-export type PartId = Omit<ProgressPart, 'steps'>;
-
 /** Parts of the progress to record, and those to remove afterwards. */
 export interface PartChanges {
   changed: ProgressPart[];
-  obsolete: PartId[];
+  obsolete: ProgressPartId[];
 }
 
 /** A job with its scheduling state. */
@@ -44,7 +42,7 @@
   #finishedBelow = 0;
 
   /** Recorded parts of finished occurrences, which are not needed any more. */
-  #obsoleteParts: PartId[] = [];
+  #obsoleteParts: ProgressPartId[] = [];
 
   #isSplit = false;
 
@@ -192,16 +190,20 @@
    * later owner, too.
    */
   #listRecordedOccurrences(): Occurrence[] {
-    const isKept = ({ hasRuns }: Occurrence): boolean => hasRuns && this.#hasOrganisation;
-    this.#ended.filter((one) => !isKept(one)).forEach((one) => this.#removeParts(one));
-    this.#ended = this.#ended.filter(isKept);
+    this.#pruneEnded();
     const started = [...this.occurrences.values()].filter(({ hasStarted }) => hasStarted);
     if (this.#hasOrganisation) return [...this.#ended, ...started];
     return this.finalState === undefined ? started : [];
   }
 
-  #removeParts({ number, parts }: Occurrence): void {
-    this.#obsoleteParts.push(...parts.recorded.map((part) => ({ occurrence: number, part })));
+  /** Drops the finished occurrences that need not be recorded any more; their parts are removed. */
+  #pruneEnded(): void {
+    this.#ended = this.#ended.filter((one) => {
+      if (one.hasRuns && this.#hasOrganisation) return true;
+      const { number, parts } = one;
+      this.#obsoleteParts.push(...parts.recorded.map((part) => ({ occurrence: number, part })));
+      return false;
+    });
   }
 
   get #hasOrganisation(): boolean {
@@ -222,14 +224,15 @@
   }
 
   #restore(tracked: TrackedJob): void {
-    const { progress, progressParts = [] } = tracked;
+    // The parts are decoded at each access.
+    const { progress, progressParts = [], spec } = tracked;
     if (progress === undefined) return;
     this.hasBegun = progress.hasBegun;
     this.#isSplit = progress.isSplit === true;
     this.#finishedBelow = progress.finishedBelow;
     progress.finished.forEach((number) => this.#finished.add(number));
     if (progress.state !== 'active') this.finalState = progress.state;
-    collectOccurrences(tracked).forEach(({ number, steps }) => {
+    collectOccurrences({ progress, progressParts, spec }).forEach(({ number, steps }) => {
       // Only the use of the organisation depends on the runs of a finished occurrence.
       if (!this.#isFinished(number)) this.#restoreOccurrence(number, steps);
     });
--- a/src/schedule/StartPlanner.ts
+++ b/src/schedule/StartPlanner.ts
@@ -171,6 +171,7 @@
   }
 
   #askAdvice({ step, spec }: WorkUnit, hosts: readonly ManagedHost[], now: number): void {
+    if (this.#advice.isPending(step.id)) return;
     const request = computeResourceRequest(spec);
     const withRoom = hosts.filter((host) => host.canFit(request));
     const withoutRoom = hosts.filter((host) => !host.canFit(request));
--- a/src/workLog/WorkLogRecord.ts
+++ b/src/workLog/WorkLogRecord.ts
@@ -78,14 +78,19 @@
 });
 export type JobProgress = z.infer<typeof JobProgress>;
 
+/** Occurrence and number of a part of the progress of a job. */
+export const ProgressPartId = z.object({
+  occurrence: z.number().int().nonnegative(),
+  part: z.number().int().nonnegative(),
+});
+export type ProgressPartId = z.infer<typeof ProgressPartId>;
+
 /**
  * Progress of some tasks of an occurrence, stored under `progress-part/ID/OCCURRENCE/PART` by the
  * owner. A job whose progress does not fit into one record has such parts. The parts of finished
  * occurrences are removed after the record that says so.
  */
-export const ProgressPart = z.object({
-  occurrence: z.number().int().nonnegative(),
-  part: z.number().int().nonnegative(),
+export const ProgressPart = ProgressPartId.extend({
   steps: z.array(StepProgress.extend({ step: z.number().int().nonnegative() })),
 });
 export type ProgressPart = z.infer<typeof ProgressPart>;
@@ -213,7 +218,7 @@
   earlyCancel: (id: string, queue: string, organisation?: string): string =>
     `cancel/${id}/${queue}${toSuffix(organisation)}`,
   progress: (id: string): string => `progress/${id}`,
-  progressPart: (id: string, { occurrence, part }: Omit<ProgressPart, 'steps'>): string =>
+  progressPart: (id: string, { occurrence, part }: ProgressPartId): string =>
     `progress-part/${id}/${occurrence}/${part}`,
   node: (name: string): string => `node/${name}`,
   wave: (wave: number): string => `wave/${wave}`,
--- a/src/workLog/collectOccurrences.ts
+++ b/src/workLog/collectOccurrences.ts
@@ -13,8 +13,12 @@
  * collectOccurrences(tracked).forEach(({ number, steps }) => restore(number, steps));
  * ```
  */
-export function collectOccurrences(tracked: TrackedJob): OccurrenceProgress[] {
-  const { progress, progressParts = [], spec } = tracked;
+export function collectOccurrences({
+  progress,
+  progressParts = [],
+  spec,
+}: Pick<TrackedJob, 'progress' | 'progressParts' | 'spec'>): OccurrenceProgress[] {
+  if (progressParts.length === 0) return progress?.occurrences ?? [];
   const collected = new Map<number, StepProgress[]>();
   const open = (number: number): StepProgress[] => {
     const steps =
