Use the pieces that the project had for stopping, comparing and refusing

Cause: Shard.failJob had a copy of RunTracker.stopJob, describeStep repeated by hand the types of StepProgress, encodeAcceptedJob compared fields as JSON text, and JobService had its second kind of refusal inside, while the first one is a function beside it.

Change: they call or derive from what is there (isDeepStrictEqual of Node.js for the fields); refuseTooLarge is a function beside refuseImpossible, and measureRecord has a file of its own. Shard.failJob had no test and has one.

--- a/src/node/JobService.ts
+++ b/src/node/JobService.ts
@@ -5,7 +5,7 @@
   type WorkLogChange,
   type WorkLogView,
 } from '../workLog/mod.js';
-import { measureRecord, type KeyedValue, type QueueConfig } from '../port/mod.js';
+import type { KeyedValue, QueueConfig } from '../port/mod.js';
 import type { JobSpec } from '../task/mod.js';
 import { SubmissionLimiter } from '../organisation/mod.js';
 import type { WorkLogFollower } from './WorkLogFollower.js';
@@ -17,6 +17,7 @@
 import type { OperatorState } from './OperatorFollower.js';
 import { QueueTable, type QueueMatch } from './QueueTable.js';
 import { refuseImpossible } from './refuseImpossible.js';
+import { refuseTooLarge } from './refuseTooLarge.js';
 import type { RelayClient } from './RelayClient.js';
 import { RelayApi, type PeerJobState, type RelayedWriteLimit } from './RelayRouter.js';
 import { RetryAdvisor } from './RetryAdvisor.js';
@@ -195,7 +196,7 @@
         key: WorkLogKey.job(id, job.dataCentre, access.organisation),
         value: encodeAcceptedJob(job),
       };
-      const tooLarge = this.#refuseTooLarge(record);
+      const tooLarge = refuseTooLarge(record, this.#context.settings.store);
       if (tooLarge !== undefined) return tooLarge;
       const outcome = await this.#writeWithFallback(record, {
         timeoutMs,
@@ -328,18 +329,6 @@
     return refuseImpossible(spec, { organisation, overshoot });
   }
 
-  /** Refuses a job whose record the store would not accept. */
-  #refuseTooLarge(record: KeyedValue): CallResponse | undefined {
-    const bytes = measureRecord(record);
-    const { recordBytes } = this.#context.settings.store;
-    if (bytes <= recordBytes) return undefined;
-    const message = `the job takes ${bytes} bytes as a record, at most ${recordBytes} are accepted`;
-    return {
-      type: 'bad-request',
-      findings: [{ severity: 'error', message, place: { path: 'steps' } }],
-    };
-  }
-
   /** Answers the submission of a job whose identifier is known. */
   #answerRepeated(id: string, knownQueue: string, { name }: QueueConfig): CallResponse {
     this.#context.log.record('job-repeated', id, { queue: name, knownQueue });
--- a/src/port/mod.ts
+++ b/src/port/mod.ts
@@ -16,3 +16,4 @@
 export * from './StoreLimits.js';
 export * from './StoreRefusedError.js';
 export * from './StoreUnansweredError.js';
+export * from './measureRecord.js';
--- a/src/schedule/JobTable.ts
+++ b/src/schedule/JobTable.ts
@@ -99,9 +99,8 @@
     const { occurrence } = unit.step;
     const { job } = occurrence;
     if (job.finalState !== undefined) return;
-    const isFirst = !occurrence.hasStarted;
+    if (!occurrence.hasStarted) this.#markDirty(unit);
     occurrence.hasStarted = true;
-    if (isFirst) this.#markDirty(unit);
     if (job.hasBegun) return;
     job.hasBegun = true;
     this.#begun.add(job);
--- a/src/schedule/Shard.test.ts
+++ b/src/schedule/Shard.test.ts
@@ -125,6 +125,19 @@
     assert.equal(rig.shard.takeDirtyJobs()[0]?.finalState, 'failed');
   });
 
+  // Guards against runs that go on, and starts that are ordered, without a record of them.
+  it('stops the runs of a job whose progress cannot be recorded, and starts no others', () => {
+    const rig = new ScheduleRig();
+    rig.addHost('h1');
+    rig.shard.addJob(buildTrackedJob('a', [{ count: 20, cpuMilli: 1_000 }]));
+    assert.equal(rig.startAll().length, 16);
+    rig.shard.failJob('a', 'too large');
+    const stops = rig.output.commands.filter(({ type }) => type === 'stop');
+    assert.equal(stops.length, 16);
+    assert.equal(rig.plan().filter(({ type }) => type === 'start').length, 0);
+    assert.equal(rig.shard.takeDirtyJobs()[0]?.finalState, 'failed');
+  });
+
   it('counts a failed run once if a previous owner counted but did not acknowledge it', () => {
     const rig = new ScheduleRig({ token: 2, claimOffset: 500, isFirst: false });
     rig.shard.updateMachines([], 0);
--- a/src/schedule/Shard.ts
+++ b/src/schedule/Shard.ts
@@ -263,9 +263,8 @@
   failJob(id: string, reason: string): void {
     const job = this.#jobs.get(id);
     if (job === undefined) return;
-    const runs = job.collectRuns();
     this.#jobs.finishJob(job, 'failed', this.#clock.readWall(), reason);
-    runs.forEach((run) => this.#runTracker.stop(run, this.#now, 'job-failed'));
+    this.#runTracker.stopJob(job, this.#now, 'job-failed');
   }
 
   /** Adds or updates a host from the host list. */
--- a/src/schedule/describeStep.ts
+++ b/src/schedule/describeStep.ts
@@ -1,13 +1,12 @@
+import type { StepProgress } from '../workLog/mod.js';
 import type { ScheduledStep } from './ScheduledStep.js';
 
-type StartedRun = [task: number, run: number, host: string];
-type FailedUnit = [task: number, runs: number[]];
+type StartedRun = StepProgress['started'][number];
+type FailedUnit = StepProgress['failed'][number];
 
-/** Progress of some tasks of a step. */
-export interface DescribedStep {
+/** Progress of some tasks of a step; done tasks are listed one by one. */
+export interface DescribedStep extends StepProgress {
   done: number[];
-  failed: FailedUnit[];
-  started: StartedRun[];
 }
 
 /** Options of `describeStep`. */
--- a/src/workLog/encodeAcceptedJob.ts
+++ b/src/workLog/encodeAcceptedJob.ts
@@ -1,3 +1,4 @@
+import { isDeepStrictEqual } from 'node:util';
 import { StepSpec } from '../task/mod.js';
 import type { AcceptedJob } from './WorkLogRecord.js';
 
@@ -6,7 +7,7 @@
 /** Omits the fields of a step that readers set to the same value if they are absent. */
 function stripDefaults({ count, ...fields }: StepSpec): Record<string, unknown> {
   const given = Object.entries(fields).filter(
-    ([name, value]) => JSON.stringify(value) !== JSON.stringify(DEFAULT_STEP[name]),
+    ([name, value]) => !isDeepStrictEqual(value, DEFAULT_STEP[name]),
   );
   return { count, ...Object.fromEntries(given) };
 }
